--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test lint format demo bench measure slopes soak proto
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -e '.[dev,plots]'
+	touch $(STAMP)
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: setup
+	$(BIN)/python -m tools.demo
+
+bench: setup
+	$(BIN)/python -m tools.bench
+
+measure: setup
+	$(BIN)/python -m tools.measure
+
+slopes: setup
+	$(BIN)/python -m tools.slopes
+
+soak: setup
+	$(BIN)/python -m tools.soak
+
+proto: setup
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. \
+		$$(find persimmonlane -name '*.proto')
--- /dev/null
+++ b/persimmonlane/admin/__init__.py
@@ -0,0 +1,4 @@
+"""Administration.
+
+The operators' interface to the document.
+"""
--- /dev/null
+++ b/persimmonlane/application.py
@@ -0,0 +1,115 @@
+"""Application.
+
+Owns the parts of a process and takes them through their life-cycle.
+"""
+
+import logging
+import os
+import signal
+import threading
+
+log = logging.getLogger("persimmonlane.application")
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_INPUT = 2
+
+
+class Part:
+    """A part of a process, with the life-cycle hooks that it needs.
+
+    Hooks run in the order in which parts were added; `stop` in reverse order.
+    """
+
+    name = "part"
+
+    def start(self):
+        """Begin work; return once the part can be used."""
+
+    def ready(self):
+        """Called once all parts have started."""
+
+    def drain(self):
+        """Finish what runs and take no new work; may block."""
+
+    def stop(self):
+        """Release threads and sockets."""
+
+
+class Application:
+    """The parts of one process.
+
+    Attributes:
+        parts: The parts in the order of their start.
+        failure: Code of the failure that ended the process, or None.
+    """
+
+    __slots__ = ("parts", "failure", "_ending", "_signals")
+
+    def __init__(self):
+        self.parts = []
+        self.failure = None
+        self._ending = threading.Event()
+        self._signals = 0
+
+    def add(self, part):
+        """Add a part and return it."""
+        self.parts.append(part)
+        return part
+
+    def fail(self, code, message):
+        """End the process because a part has failed.
+
+        Args:
+            code: Stable code of the failure.
+            message: Sentence for the log.
+        """
+        log.error("Application: failed with code %s: %s.", code, message)
+        self.failure = code
+        self._ending.set()
+
+    def end(self):
+        """Ask the application to drain and stop."""
+        self._ending.set()
+
+    def run(self):
+        """Run until a signal or a failure; return the exit status."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._handle_signal)
+        try:
+            self.start()
+            self._ending.wait()
+            if self.failure is None:
+                self.drain()
+        finally:
+            self.stop()
+        return EXIT_FAILED if self.failure else EXIT_OK
+
+    def start(self):
+        """Start all parts, then tell each that all are ready."""
+        for part in self.parts:
+            part.start()
+        for part in self.parts:
+            part.ready()
+        log.info("Application: ready.")
+
+    def drain(self):
+        """Drain all parts in order."""
+        log.info("Application: draining.")
+        for part in self.parts:
+            part.drain()
+
+    def stop(self):
+        """Stop all parts in reverse order."""
+        for part in reversed(self.parts):
+            part.stop()
+        log.info("Application: stopped.")
+
+    def _handle_signal(self, number, frame):
+        self._signals += 1
+        self._ending.set()
+        if self._signals > 1:
+            log.warning("Application: stopping at once.")
+            logging.shutdown()
+            # A second signal asks for an immediate end; finalisers may block.
+            os._exit(128 + number)
--- /dev/null
+++ b/persimmonlane/balancing/__init__.py
@@ -0,0 +1,4 @@
+"""Balancing.
+
+Which backend server a request goes to.
+"""
--- /dev/null
+++ b/persimmonlane/clocks.py
@@ -0,0 +1,37 @@
+"""Clocks.
+
+Decision classes take their time in monotonic seconds from one of these.
+"""
+
+import time
+
+
+class SystemClock:
+    """The monotonic clock of the VM."""
+
+    __slots__ = ()
+
+    def now(self):
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+
+class ManualClock:
+    """A clock that moves only when told to.
+
+    Attributes:
+        seconds: The present reading in seconds.
+    """
+
+    __slots__ = ("seconds",)
+
+    def __init__(self, seconds=0.0):
+        self.seconds = seconds
+
+    def now(self):
+        """Return the present reading in seconds."""
+        return self.seconds
+
+    def advance(self, seconds):
+        """Move the clock forward by a number of seconds."""
+        self.seconds += seconds
--- /dev/null
+++ b/persimmonlane/config/__init__.py
@@ -0,0 +1,4 @@
+"""Configuration.
+
+The document in force: its model, checks, storage and spreading.
+"""
--- /dev/null
+++ b/persimmonlane/draining/__init__.py
@@ -0,0 +1,4 @@
+"""Draining.
+
+How servers and nodes leave without losing requests.
+"""
--- /dev/null
+++ b/persimmonlane/ejection/__init__.py
@@ -0,0 +1,4 @@
+"""Ejection.
+
+Which backend servers fail and get no work.
+"""
--- /dev/null
+++ b/persimmonlane/forwarding/__init__.py
@@ -0,0 +1,4 @@
+"""Forwarding.
+
+Carries requests and answers between callers and backend servers.
+"""
--- /dev/null
+++ b/persimmonlane/keys/__init__.py
@@ -0,0 +1,4 @@
+"""Keys.
+
+Which organisation a request belongs to.
+"""
--- /dev/null
+++ b/persimmonlane/limits/__init__.py
@@ -0,0 +1,4 @@
+"""Limits.
+
+Which requests are within an organisation's rate.
+"""
--- /dev/null
+++ b/persimmonlane/membership/__init__.py
@@ -0,0 +1,4 @@
+"""Membership.
+
+Which backend servers and nodes are there.
+"""
--- /dev/null
+++ b/persimmonlane/membership/messages.py
@@ -0,0 +1,30 @@
+"""Membership messages.
+
+What the membership part tells its subscribers.
+"""
+
+
+class ServersChanged:
+    """The backend servers that take new work have changed.
+
+    Attributes:
+        servers: All of them, as a tuple of `BackendServer`.
+    """
+
+    __slots__ = ("servers",)
+
+    def __init__(self, servers):
+        self.servers = servers
+
+
+class PeersChanged:
+    """The nodes that were heard of lately have changed.
+
+    Attributes:
+        peers: All of them but this one, as a tuple of `Peer`.
+    """
+
+    __slots__ = ("peers",)
+
+    def __init__(self, peers):
+        self.peers = peers
--- /dev/null
+++ b/persimmonlane/overload/__init__.py
@@ -0,0 +1,4 @@
+"""Overload.
+
+Which requests wait and which are shed.
+"""
--- /dev/null
+++ b/persimmonlane/platform/__init__.py
@@ -0,0 +1,4 @@
+"""Platform.
+
+Access to the platform's key-value service.
+"""
--- /dev/null
+++ b/persimmonlane/programs/__init__.py
@@ -0,0 +1,4 @@
+"""Programs.
+
+The command lines.
+"""
--- /dev/null
+++ b/persimmonlane/registries.py
@@ -0,0 +1,45 @@
+"""Registries.
+
+A registry finds variants of one thing by name; decorators fill it.
+"""
+
+from .errors import InputError
+
+
+class Registry:
+    """Classes found by name or alias.
+
+    Attributes:
+        kind: What the registry holds, used in error messages.
+    """
+
+    __slots__ = ("kind", "_classes", "_names")
+
+    def __init__(self, kind):
+        self.kind = kind
+        self._classes = {}
+        self._names = []
+
+    def register(self, cls):
+        """Register a class under its `name` and `aliases`; usable as a decorator."""
+        self._names.append(cls.name)
+        for name in (cls.name, *cls.aliases):
+            self._classes[name] = cls
+        return cls
+
+    def get_by_name(self, name):
+        """Return the class with this name or alias.
+
+        Raises:
+            InputError: With code `unknown-variant` if there is none.
+        """
+        try:
+            return self._classes[name]
+        except KeyError:
+            raise InputError(
+                f"no {self.kind} is named {name!r}", code="unknown-variant"
+            ) from None
+
+    def names(self):
+        """Return the registered names, sorted."""
+        return sorted(self._names)
--- /dev/null
+++ b/persimmonlane/reporting/__init__.py
@@ -0,0 +1,4 @@
+"""Reporting.
+
+Measures and service-level burn.
+"""
--- /dev/null
+++ b/persimmonlane/retries/__init__.py
@@ -0,0 +1,4 @@
+"""Retries.
+
+Which requests are sent again.
+"""
--- /dev/null
+++ b/persimmonlane/standins/__init__.py
@@ -0,0 +1,4 @@
+"""Stand-ins.
+
+Small servers that take the place of outside systems in tests.
+"""
--- /dev/null
+++ b/persimmonlane/traces/__init__.py
@@ -0,0 +1,4 @@
+"""Traces.
+
+Recorded decision inputs and their replay.
+"""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,4 @@
+"""Tools.
+
+Programs for developers: demonstration, benchmark, measurements.
+"""
