Prove publishing under races, lost answers and crashes

Three operators and a reader take store calls by turns in an order that hypothesis chooses. Cause found: a publisher whose record of parts under way had been settled went on writing parts, lost, and left them behind; it now deletes its own parts, and records are settled only after a minute.

--- a/persimmonlane/config/publishing.py
+++ b/persimmonlane/config/publishing.py
@@ -28,6 +28,7 @@
 WRITE_ATTEMPTS = 8
 ATTEMPT_PAUSE_S = 0.5
 RETIRED_S = 60.0
+PENDING_S = 60.0
 WRITER_LENGTH = 12
 
 
@@ -117,15 +118,20 @@
         refs = choose_refs(parts, root, writer)
         if root.revision and compute_document_digest(refs) == root.digest:
             return root.history[-1]
-        self._write_parts(parts, refs, writer, entry.version)
+        keys = self._write_parts(parts, refs, writer, entry.version)
         now = self._wall()
         kept = self._delete_retired(root, now)
         made = Change(
             root.revision + 1, compute_document_digest(refs), change, author, now
         )
         following = build_root(root, refs, made, kept)
-        made = self._swap_root(entry.version, following, change)
-        self._settle_pending()
+        try:
+            made = self._swap_root(entry.version, following, change)
+        except RevisionConflict:
+            self._delete_parts(keys)
+            raise
+        finally:
+            self._settle_pending()
         return made
 
     def _write_parts(self, parts, refs, writer, version):
@@ -134,10 +140,12 @@
             for part, ref in zip(parts, refs, strict=True)
             if ref.writer == writer
         ]
-        entry = Pending(writer, version, tuple(ref.key for _, ref in fresh))
+        keys = tuple(ref.key for _, ref in fresh)
+        entry = Pending(writer, version, self._wall(), keys)
         self._update_pending(lambda pending: (*pending, entry))
         for part, ref in fresh:
             self._write_part(ref.key, part.content)
+        return keys
 
     def _write_part(self, key, content):
         for _ in range(WRITE_ATTEMPTS):
@@ -170,7 +178,6 @@
         made = root.find_change(change)
         if made is not None:
             return made
-        self._settle_pending()
         raise RevisionConflict(root.revision)
 
     def _find_change(self, change):
@@ -197,6 +204,7 @@
                 pending
                 for pending in read_pending(entry)
                 if pending.version < root_entry.version
+                and self._wall() - pending.at >= PENDING_S
             ]
             done = {
                 pending.writer
--- a/persimmonlane/config/root.py
+++ b/persimmonlane/config/root.py
@@ -102,11 +102,13 @@
     Attributes:
         writer: Identifier of the attempt at publishing.
         version: Version of the root on which it builds.
+        at: Time of its start in Unix seconds, by the publisher's clock.
         keys: Keys of its new parts in the store.
     """
 
     writer: str
     version: int
+    at: float
     keys: tuple[str, ...]
 
 
