--- /dev/null
+++ b/persimmonlane/forwarding/dispatcher.py
@@ -0,0 +1,222 @@
+"""Dispatcher.
+
+Decides for one service where a request goes now, or that it waits.
+"""
+
+import collections
+
+from ..balancing import create_balancer
+from ..balancing.choices import Choice
+from ..ejection import create_ejector
+from ..ejection.outcome import Kind
+from ..ejection.standing import State
+from ..errors import Refusal
+from ..invariants import check_invariant
+from ..overload import QueuedRequest, ServiceQueue
+from .plans import Plan
+
+RETRY_AFTER_S = 1.0
+SILENCE_MIN_S = 0.25
+SILENCE_FACTOR = 8.0
+LATENCY_SMOOTHING = 0.05
+
+
+class Placement:
+    """A waiting arrival for which there is a backend server now.
+
+    Attributes:
+        arrival: The `Arrival`.
+        plan: Its `Plan`.
+    """
+
+    __slots__ = ("arrival", "plan")
+
+    def __init__(self, arrival, plan):
+        self.arrival = arrival
+        self.plan = plan
+
+
+class Rejection:
+    """A waiting arrival that is to be refused.
+
+    Attributes:
+        arrival: The `Arrival`.
+        refusal: Its `Refusal`.
+    """
+
+    __slots__ = ("arrival", "refusal")
+
+    def __init__(self, arrival, refusal):
+        self.arrival = arrival
+        self.refusal = refusal
+
+
+class Dispatcher:
+    """The requests of one service on this node.
+
+    Attributes:
+        service: Policy of the service.
+        ejector: The service's ejector.
+        balancer: The service's balancer.
+    """
+
+    __slots__ = (
+        "service",
+        "ejector",
+        "balancer",
+        "_clock",
+        "_rng",
+        "_data_centre",
+        "_servers",
+        "_running",
+        "_queue",
+        "_latency_s",
+        "_returned",
+    )
+
+    def __init__(self, service, data_centre, weights, clock, rng):
+        """Begin without backend servers.
+
+        Args:
+            service: The `config.model.Service`.
+            data_centre: Name of this node's data centre.
+            weights: Callable from an organisation's name to its rate.
+            clock: Clock in monotonic seconds.
+            rng: A `random.Random`.
+        """
+        self.service = service
+        self.ejector = create_ejector(service, clock, rng)
+        self.balancer = create_balancer(service, data_centre, clock, rng)
+        self._clock = clock
+        self._rng = rng
+        self._data_centre = data_centre
+        self._servers = {}
+        self._running = collections.Counter()
+        self._queue = ServiceQueue(service, clock, weights)
+        self._latency_s = 0.0
+        self._returned = []
+
+    def set_service(self, service):
+        """Take another policy into force; what still holds is kept."""
+        if service == self.service:
+            return
+        if service.balancing != self.service.balancing:
+            self.balancer = create_balancer(
+                service, self._data_centre, self._clock, self._rng
+            )
+        self.service = service
+        self.ejector.set_service(service)
+        self._queue.set_service(service)
+
+    def update_servers(self, servers):
+        """Take the backend servers of the service that take new work."""
+        self._servers = {server.address: server for server in servers}
+        self.ejector.update_servers(servers)
+
+    def place(self, arrival):
+        """Return the `Plan` for a request, or None if it has been queued.
+
+        Raises:
+            Refusal: With code `no-backend-server`, or the queue's.
+        """
+        if not arrival.retry and len(self._queue):
+            return self._enqueue(arrival)
+        plan = self._choose(arrival)
+        if plan is not None:
+            return plan
+        return self._enqueue(arrival)
+
+    def place_queued(self):
+        """Yield waiting arrivals with the plans that can be made for them now."""
+        while len(self._queue) and self._has_room():
+            request = self._queue.take()
+            if request is None:
+                return
+            plan = self._choose(request.payload)
+            if plan is None:
+                self._queue_again(request)
+                return
+            yield Placement(request.payload, plan)
+
+    def expire(self):
+        """Yield a `Rejection` for each waiting arrival that is to be refused."""
+        rejections, self._returned = self._returned, []
+        yield from rejections
+        for request in self._queue.expire():
+            yield Rejection(request.payload, self._queue.refuse())
+
+    def end(self, outcome):
+        """Take the end of an attempt."""
+        self._running[outcome.address] -= 1
+        if self._running[outcome.address] <= 0:
+            del self._running[outcome.address]
+        self.balancer.finish(outcome.address, outcome.latency_s)
+        self.ejector.observe(outcome)
+        if outcome.kind is Kind.OK:
+            self._note_latency(outcome.latency_s)
+
+    def _enqueue(self, arrival):
+        if not self._has_candidate(arrival):
+            raise Refusal(
+                503,
+                "no-backend-server",
+                "no backend server takes new work",
+                retry_after=RETRY_AFTER_S,
+            )
+        self._queue.offer(
+            QueuedRequest(arrival.organisation, arrival.deadline, payload=arrival)
+        )
+
+    def _queue_again(self, request):
+        try:
+            self._queue.offer(request)
+        except Refusal as refusal:
+            self._returned.append(Rejection(request.payload, refusal))
+
+    def _choose(self, arrival):
+        free = [server for server in self._candidates(arrival) if self._is_free(server)]
+        if not free:
+            return None
+        choice = Choice(arrival.idempotent, arrival.excluded, self.ejector.standing)
+        server = self.balancer.choose(free, choice)
+        if server is None:
+            return None
+        check_invariant(
+            "leaving",
+            server.address in self._servers,
+            f"{server.address} was chosen though it takes no new work",
+        )
+        return self._begin(server)
+
+    def _begin(self, server):
+        self._running[server.address] += 1
+        self.balancer.start(server.address)
+        attempt = self.ejector.start(server.address)
+        silence_s = max(SILENCE_MIN_S, SILENCE_FACTOR * self._latency_s)
+        return Plan(server.address, attempt, silence_s)
+
+    def _candidates(self, arrival):
+        return [
+            server
+            for server in self._servers.values()
+            if server.address not in arrival.excluded
+        ]
+
+    def _has_candidate(self, arrival):
+        for server in self._candidates(arrival):
+            standing = self.ejector.standing(server.address)
+            barred = standing.idempotent_only and not arrival.idempotent
+            if standing.state is not State.EJECTED and not barred:
+                return True
+        return False
+
+    def _has_room(self):
+        return any(self._is_free(server) for server in self._servers.values())
+
+    def _is_free(self, server):
+        return self._running[server.address] < server.slots
+
+    def _note_latency(self, latency_s):
+        if not self._latency_s:
+            self._latency_s = latency_s
+        self._latency_s += LATENCY_SMOOTHING * (latency_s - self._latency_s)
--- /dev/null
+++ b/persimmonlane/forwarding/forwarder.py
@@ -0,0 +1,432 @@
+"""Forwarder.
+
+Takes one request through admission, its attempts and its answer.
+"""
+
+import itertools
+import logging
+import urllib.parse
+import uuid
+
+import pykka
+
+from ..ejection.outcome import Kind, Outcome
+from ..errors import Refusal
+from ..keys import extract_keys
+from ..retries.attempts import RequestAttempts
+from ..verdicts import Verdict
+from .bodies import BodyError
+from .exchange import Attempt, AttemptError, Exchange
+from .headers import DEADLINE, ORGANISATION, OWN, REQUEST_ID, drop_hop_by_hop
+from .plans import Arrival, AttemptEnded, ConnectionSuspected, RequestEnded
+
+log = logging.getLogger("persimmonlane.forwarding")
+
+IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "PUT", "DELETE", "OPTIONS"))
+METHODS = IDEMPOTENT_METHODS | {"POST", "PATCH"}
+SERVER_FAULT = 500
+KEPT_ANSWER_BYTES = 64 * 1024
+MS_PER_S = 1000.0
+REPLY_MARGIN_S = 1.0
+
+
+class Request:
+    """A caller's request on its way.
+
+    Attributes:
+        id: Identifier of the request.
+        method: HTTP method.
+        target: Request target without keys.
+        pairs: (name, value) pairs of headers for the backend server.
+        body: The `RequestBody`.
+        caller: The `CallerWatch`.
+        route: The route.
+        service: Policy of the service.
+        organisation: Name of the organisation.
+        idempotent: Whether the request is idempotent.
+        arrived: Monotonic seconds of its arrival.
+        deadline: Monotonic seconds at which the caller gives up.
+    """
+
+    __slots__ = (
+        "id",
+        "method",
+        "target",
+        "pairs",
+        "body",
+        "caller",
+        "route",
+        "service",
+        "organisation",
+        "idempotent",
+        "arrived",
+        "deadline",
+    )
+
+    def __init__(self, method, target, pairs, body, caller, arrived):
+        self.id = uuid.uuid4().hex
+        self.method = method
+        self.target = target
+        self.pairs = pairs
+        self.body = body
+        self.caller = caller
+        self.route = None
+        self.service = None
+        self.organisation = ""
+        self.idempotent = False
+        self.arrived = arrived
+        self.deadline = None
+
+
+class ForwardedAnswer:
+    """An answer of a backend server, ready to be passed on.
+
+    Attributes:
+        status: HTTP status.
+        pairs: (name, value) pairs of headers.
+        length: Stated length in bytes, or None if the body is chunked.
+        pieces: Iterator over the body.
+    """
+
+    __slots__ = ("status", "pairs", "length", "pieces", "_source")
+
+    def __init__(self, status, pairs, length, pieces, source):
+        self.status = status
+        self.pairs = pairs
+        self.length = length
+        self.pieces = pieces
+        self._source = source
+
+    def close(self):
+        """Cancel what has not arrived yet."""
+        self._source.close()
+
+
+class Forwarder:
+    """Forwards requests; its methods may be called from many threads.
+
+    Attributes:
+        snapshot: The `Snapshot` in force, or None before the first document.
+    """
+
+    __slots__ = ("snapshot", "_traffic", "_pool", "_clock")
+
+    def __init__(self, traffic, pool, clock):
+        self.snapshot = None
+        self._traffic = traffic
+        self._pool = pool
+        self._clock = clock
+
+    def forward(self, request):
+        """Return the `ForwardedAnswer` for a request.
+
+        Raises:
+            Refusal: If the node answers itself.
+            CallerLeft: If the caller went away.
+        """
+        self._identify(request)
+        request.body.read_ahead()
+        return self._run_attempts(request, self._create_attempts(request))
+
+    def note_end(self, request, status, code, verdict):
+        """Report the end of a request for measures.
+
+        Args:
+            request: The `Request`.
+            status: HTTP status, 0 if the caller left.
+            code: Stable error code, or an empty string.
+            verdict: Whether the request may have run.
+        """
+        service = request.service.name if request.service else ""
+        latency_s = self._clock.now() - request.arrived
+        self._traffic.tell(
+            RequestEnded(
+                service, request.organisation, status, code, verdict, latency_s
+            )
+        )
+
+    def _identify(self, request):
+        snapshot = self.snapshot
+        if snapshot is None:
+            raise Refusal(503, "no-document", "no document is in force", retry_after=1)
+        if request.method not in METHODS:
+            raise Refusal(405, "method-refused", "the method is not served")
+        extraction = extract_keys(request.pairs, request.target)
+        request.target = extraction.target
+        request.route = snapshot.view.find_route(
+            request.method, decode_path(request.target)
+        )
+        check_isolation(snapshot)
+        request.organisation = snapshot.keys.authenticate(extraction.presented)
+        check_allowed(request.route, request.organisation)
+        request.service = snapshot.view.get_service(request.route.service)
+        request.idempotent = is_idempotent(request.route, request.method)
+        request.deadline = request.arrived + find_time_s(request)
+        request.pairs = self._clean(request, extraction.headers)
+
+    def _clean(self, request, headers):
+        pairs = [(header.name, header.value) for header in headers]
+        kept = [
+            (name, value)
+            for name, value in drop_hop_by_hop(pairs)
+            if name.lower() not in OWN and name.lower() != "content-length"
+        ]
+        kept.append((ORGANISATION, request.organisation))
+        kept.append((REQUEST_ID, request.id))
+        return kept
+
+    def _create_attempts(self, request):
+        budget = self.snapshot.budgets[request.service.name]
+        return RequestAttempts(
+            request.idempotent,
+            request.deadline,
+            request.service.retries,
+            budget,
+            self._clock,
+        )
+
+    def _run_attempts(self, request, attempts):
+        plan = self._plan(request, attempts)
+        while True:
+            attempts.begin(plan.address)
+            try:
+                return self._run_attempt(request, plan, attempts)
+            except AttemptError as error:
+                attempts.end(error.verdict)
+                plan = self._plan_retry(request, attempts, error)
+
+    def _plan_retry(self, request, attempts, error):
+        """Return the plan of the next attempt, or refuse with the last error."""
+        failure = describe_failure(error, attempts.verdict)
+        if not request.body.can_replay() or not attempts.may_retry(error.verdict):
+            raise failure from error
+        log.debug("Forwarding: retries after %s.", error.code)
+        try:
+            return self._plan(request, attempts)
+        except Refusal:
+            # The request may have run before, so this refusal's verdict is wrong.
+            raise failure from error
+
+    def _plan(self, request, attempts):
+        reply = pykka.ThreadingFuture()
+        self._traffic.tell(
+            Arrival(
+                request.organisation,
+                request.service.name,
+                request.idempotent,
+                request.deadline,
+                frozenset(attempts.tried),
+                attempts.count > 0,
+                reply,
+            )
+        )
+        remaining_s = request.deadline - self._clock.now()
+        return reply.get(timeout=max(0.0, remaining_s) + REPLY_MARGIN_S)
+
+    def _run_attempt(self, request, plan, attempts):
+        started = self._clock.now()
+        exchange = Exchange(
+            self._build_attempt(request, plan), self._pool, self._clock, request.caller
+        )
+        report = AttemptReport(self._traffic, request.service.name, plan, started)
+        try:
+            answer = self._read_answer(request, attempts, exchange, report)
+        except AttemptError as error:
+            exchange.close()
+            report.end(error.kind, error.verdict, self._clock.now())
+            raise
+        except BodyError as error:
+            report.end(Kind.CANCELLED, error.verdict, self._clock.now())
+            raise Refusal(
+                400, error.code, error.message, verdict=error.verdict
+            ) from error
+        except BaseException:
+            report.end(Kind.CANCELLED, Verdict.MAY_HAVE_RUN, self._clock.now())
+            raise
+        attempts.end(Verdict.RAN)
+        return answer
+
+    def _read_answer(self, request, attempts, exchange, report):
+        answer = exchange.run()
+        if answer.shed:
+            raise AttemptError(
+                Kind.SHED, Verdict.NOT_RUN, "backend-shed", "the backend server is full"
+            )
+        if self._is_worth_retry(request, attempts, answer):
+            raise AttemptError(
+                Kind.ERROR,
+                Verdict.MAY_HAVE_RUN,
+                "backend-failed",
+                f"the backend server answered {answer.status}",
+            )
+        pieces = self._pass_pieces(answer, report, self._clock.now())
+        return ForwardedAnswer(
+            answer.status,
+            drop_hop_by_hop(answer.pairs),
+            answer.length,
+            read_ahead(pieces, answer.length),
+            pieces,
+        )
+
+    def _is_worth_retry(self, request, attempts, answer):
+        if answer.status < SERVER_FAULT or not request.idempotent:
+            return False
+        last = attempts.count >= request.service.retries.attempts
+        return request.body.can_replay() and not last
+
+    def _pass_pieces(self, answer, report, head_at):
+        try:
+            yield from answer.pieces()
+        except AttemptError as error:
+            report.end(error.kind, error.verdict, self._clock.now())
+            raise
+        except GeneratorExit:
+            report.end(Kind.CANCELLED, Verdict.RAN, head_at)
+            raise
+        report.end(find_kind(answer.status), Verdict.RAN, head_at)
+
+    def _build_attempt(self, request, plan):
+        remaining_s = request.deadline - self._clock.now()
+        deadline_ms = max(1, int(remaining_s * MS_PER_S))
+        service = request.service
+
+        def note_silence():
+            self._traffic.tell(
+                ConnectionSuspected(service.name, plan.address, plan.attempt)
+            )
+
+        return Attempt(
+            address=plan.address,
+            method=request.method,
+            target=request.target,
+            pairs=[*request.pairs, (DEADLINE, str(deadline_ms))],
+            body=request.body,
+            request_id=request.id,
+            idempotent=request.idempotent,
+            deadline=request.deadline,
+            connect_timeout_s=service.connect_timeout_ms / MS_PER_S,
+            response_timeout_s=service.response_timeout_ms / MS_PER_S,
+            silence_s=plan.silence_s,
+            on_silence=note_silence,
+        )
+
+
+class AttemptReport:
+    """Reports the end of one attempt to the traffic actor, once."""
+
+    __slots__ = ("_traffic", "_service", "_plan", "_started", "_ended")
+
+    def __init__(self, traffic, service, plan, started):
+        self._traffic = traffic
+        self._service = service
+        self._plan = plan
+        self._started = started
+        self._ended = False
+
+    def end(self, kind, verdict, at):
+        """Report the end; later calls change nothing.
+
+        Args:
+            kind: The `Kind` of the outcome.
+            verdict: Whether the request may have run.
+            at: Monotonic seconds of the answer's head or of the failure.
+        """
+        if self._ended:
+            return
+        self._ended = True
+        outcome = Outcome(
+            self._plan.address, self._plan.attempt, kind, at - self._started, verdict
+        )
+        self._traffic.tell(AttemptEnded(self._service, outcome))
+
+
+def decode_path(target):
+    """Return the decoded path of a request target."""
+    return urllib.parse.unquote(target.partition("?")[0])
+
+
+def check_isolation(snapshot):
+    """Refuse while the node can't know of withdrawn keys."""
+    if snapshot.isolated:
+        raise Refusal(
+            503, "node-isolated", "the node hears neither store nor peers", retry_after=1
+        )
+
+
+def check_allowed(route, organisation):
+    """Refuse an organisation that a route does not name."""
+    if route.organisations is not None and organisation not in route.organisations:
+        raise Refusal(403, "route-forbidden", "the route is not open to the caller")
+
+
+def is_idempotent(route, method):
+    """Return whether a request is idempotent by its route, else by its method."""
+    if route.idempotent is not None:
+        return route.idempotent
+    return method in IDEMPOTENT_METHODS
+
+
+def find_time_s(request):
+    """Return the time allowed for a request, in seconds.
+
+    Raises:
+        Refusal: With code `deadline-malformed`.
+    """
+    limit_ms = request.route.deadline_ms
+    for name, value in request.pairs:
+        if name.lower() == DEADLINE.lower():
+            limit_ms = min(limit_ms, parse_deadline(value))
+    return limit_ms / MS_PER_S
+
+
+def parse_deadline(value):
+    """Return a deadline header's milliseconds."""
+    if value.isascii() and value.isdigit() and int(value) > 0:
+        return int(value)
+    raise Refusal(400, "deadline-malformed", "the deadline is not in milliseconds")
+
+
+def read_ahead(pieces, length):
+    """Return an iterator over an answer's body that has begun to arrive.
+
+    A short body is read whole, so that a fault in it still can be answered by
+    another attempt; of a longer one the first piece is read.
+
+    Raises:
+        AttemptError: If the body's beginning is faulty.
+    """
+    if length is not None and length <= KEPT_ANSWER_BYTES:
+        return iter(list(pieces))
+    first = next(pieces, b"")
+    return itertools.chain((first,), pieces)
+
+
+def find_kind(status):
+    """Return the `Kind` of a complete answer."""
+    return Kind.ERROR if status >= SERVER_FAULT else Kind.OK
+
+
+STATUSES = {
+    Kind.CONNECT: 503,
+    Kind.SHED: 503,
+    Kind.TIMEOUT: 504,
+    Kind.CANCELLED: 504,
+}
+BAD_GATEWAY = 502
+
+
+def describe_failure(error, verdict):
+    """Return the `Refusal` for a request whose last attempt failed.
+
+    Args:
+        error: The `AttemptError` of the last attempt.
+        verdict: Whether any attempt may have run.
+    """
+    retry_after = 1 if verdict is Verdict.NOT_RUN else None
+    return Refusal(
+        STATUSES.get(error.kind, BAD_GATEWAY),
+        error.code,
+        error.message,
+        verdict=verdict,
+        retry_after=retry_after,
+    )
--- /dev/null
+++ b/persimmonlane/forwarding/part.py
@@ -0,0 +1,158 @@
+"""Forwarding part.
+
+The ingress role of a node: cheroot in front, the traffic actor behind.
+"""
+
+import contextlib
+import logging
+import threading
+import time
+
+import cheroot.server
+
+from ..actors import Ticker
+from ..application import Part
+from ..settings import split_address
+from .connections import ConnectionPool
+from .forwarder import Forwarder
+from .gateway import CallerGateway
+from .probes import Prober
+from .strictness import StrictConnection
+from .traffic import Traffic
+
+log = logging.getLogger("persimmonlane.forwarding")
+
+TICK_S = 0.05
+HEADER_LIMIT_BYTES = 32 * 1024
+BACKLOG = 512
+KEPT_CALLERS = 4096
+CALLER_TIMEOUT_S = 30
+DRAIN_NOTICE_S = 1.5
+DRAIN_LIMIT_S = 60.0
+DRAIN_POLL_S = 0.02
+
+
+class Ports:
+    """Through which the traffic actor reaches the rest of the node.
+
+    Attributes:
+        forwarder: The `Forwarder`.
+        pool: The `ConnectionPool`.
+        prober: The `Prober`.
+        limits: The limits part, or None before it is connected.
+    """
+
+    __slots__ = ("forwarder", "pool", "prober", "limits")
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.forwarder = None
+        self.prober = None
+        self.limits = None
+
+    def probe(self, service, address):
+        """Begin a probe of a backend server."""
+        self.prober.probe(service, address)
+
+    def send_demands(self, demands):
+        """Send demands for loans."""
+        if self.limits is not None:
+            self.limits.send(demands)
+
+
+class Ingress(Part):
+    """The ingress role.
+
+    Attributes:
+        forwarder: The `Forwarder`.
+        clock: Clock in monotonic seconds.
+        traffic: Reference to the traffic actor.
+        draining: Whether answers ask callers to close their connections.
+        port: The bound port, known after `start`.
+    """
+
+    name = "ingress"
+
+    def __init__(self, application, settings, clock, metrics):
+        self.clock = clock
+        self.draining = False
+        self.ports = Ports(ConnectionPool(clock))
+        self.traffic = Traffic.start(application, settings, clock, metrics, self.ports)
+        self.forwarder = Forwarder(self.traffic, self.ports.pool, clock)
+        self.ports.forwarder = self.forwarder
+        self.ports.prober = Prober(clock, self.traffic)
+        self._running = 0
+        self._lock = threading.Lock()
+        self._ticker = Ticker(self.traffic, TICK_S)
+        self._server = create_server(settings, self)
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+
+    @property
+    def port(self):
+        """The bound port."""
+        return self._server.bind_addr[1]
+
+    def connect(self, membership, config, limits):
+        """Subscribe the traffic actor to the other parts."""
+        self.ports.limits = limits
+        limits.connect(self.traffic)
+        membership.subscribe(self.traffic)
+        config.subscribe(self.traffic)
+
+    @contextlib.contextmanager
+    def track(self):
+        """Count a request as running."""
+        with self._lock:
+            self._running += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._running -= 1
+
+    def start(self):
+        """Bind, and begin to serve."""
+        self._ticker.start()
+        self._server.prepare()
+        self._thread.start()
+        log.info("Forwarding: serves callers on port %d.", self.port)
+
+    def drain(self):
+        """Let callers move away, then let what runs end."""
+        self.draining = True
+        time.sleep(DRAIN_NOTICE_S)
+        end = self.clock.now() + DRAIN_LIMIT_S
+        while self._running and self.clock.now() < end:
+            time.sleep(DRAIN_POLL_S)
+        log.info("Forwarding: drained with %d requests running.", self._running)
+
+    def stop(self):
+        """Close the server and end the actor."""
+        self._server.stop()
+        self._ticker.stop()
+        self.ports.prober.stop()
+        self.traffic.stop()
+
+
+def create_server(settings, ingress):
+    """Return the cheroot server for callers."""
+    server = cheroot.server.HTTPServer(
+        split_address(settings.http),
+        gateway=lambda request: CallerGateway(request, ingress),
+        minthreads=settings.threads,
+        maxthreads=settings.threads,
+        server_name="persimmonlane",
+    )
+    server.ConnectionClass = StrictConnection
+    server.max_request_header_size = HEADER_LIMIT_BYTES
+    server.request_queue_size = BACKLOG
+    server.keep_alive_conn_limit = KEPT_CALLERS
+    server.timeout = CALLER_TIMEOUT_S
+    server.error_log = log_server_error
+    return server
+
+
+def log_server_error(msg="", level=logging.INFO, traceback=False):
+    """Log an error of cheroot without the request's content."""
+    log.log(level, "Forwarding: the HTTP server reports an error.")
+    log.debug("Forwarding: cheroot says %s.", type(msg).__name__)
--- /dev/null
+++ b/persimmonlane/node.py
@@ -0,0 +1,64 @@
+"""Node.
+
+Builds the application of one node from its settings.
+"""
+
+import sys
+
+from .application import Application, Part
+from .clocks import SystemClock
+from .config.part import build_config
+from .forwarding.part import Ingress
+from .limits.part import build_limits
+from .membership.part import build_membership
+from .platform import create_client
+from .reporting.metrics import count_invariants, create_metrics
+from .rpc import Channels, RpcServer
+
+STORE_CLIENT = "grpc"
+# The request path shares the interpreter with other threads; the usual 5 ms
+# would be most of the time that a request may be delayed.
+SWITCH_INTERVAL_S = 0.0005
+
+
+class Leaving(Part):
+    """Tells the fleet that this node leaves, before anything else drains."""
+
+    name = "leaving"
+
+    def __init__(self, membership):
+        self._membership = membership
+
+    def drain(self):
+        """Announce that the node and what it hosts leave."""
+        self._membership.announce_leaving(None)
+
+
+def build_node(settings):
+    """Return the `Application` of a node.
+
+    Args:
+        settings: The `NodeSettings`.
+    """
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    application = Application()
+    clock = SystemClock()
+    metrics = create_metrics(settings.statsd, f"persimmonlane.{settings.name}")
+    count_invariants(metrics)
+    rpc_server = RpcServer(settings.rpc, settings.fleet_token)
+    channels = application.add(Channels(settings.fleet_token))
+    store = create_client(STORE_CLIENT, settings.store)
+    membership = build_membership(application, settings, clock, rpc_server, channels)
+    application.add(Leaving(membership))
+    config = build_config(
+        application, settings, clock, rpc_server, channels, store, membership.peers
+    )
+    if "ingress" in settings.roles:
+        limits = build_limits(
+            application, settings, clock, rpc_server, channels, store, membership.peers
+        )
+        ingress = application.add(Ingress(application, settings, clock, metrics))
+        ingress.connect(membership, config, limits)
+    application.add(membership)
+    application.add(rpc_server)
+    return application
