--- /dev/null
+++ b/persimmonlane/balancing/loads.py
@@ -0,0 +1,37 @@
+"""Loads.
+
+What this node knows of the load of each backend server.
+"""
+
+REPORT_HALF_LIFE_S = 2.0
+
+
+class Load:
+    """The load of one backend server.
+
+    Attributes:
+        in_flight: Requests of this node that it runs.
+        foreign: Requests of others, as last reported.
+        reported_at: Monotonic seconds at which the report was read.
+    """
+
+    __slots__ = ("in_flight", "foreign", "reported_at")
+
+    def __init__(self):
+        self.in_flight = 0
+        self.foreign = 0
+        self.reported_at = 0.0
+
+    def report(self, running, waiting, at):
+        """Take in a load report; one older than the last is ignored."""
+        if at < self.reported_at:
+            return
+        self.foreign = max(0, running + waiting - self.in_flight)
+        self.reported_at = at
+
+    def estimate(self, now):
+        """Return the requests that it probably runs; old reports count less."""
+        if not self.foreign:
+            return self.in_flight
+        age_s = max(0.0, now - self.reported_at)
+        return self.in_flight + self.foreign * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
--- a/persimmonlane/membership/messages.py
+++ b/persimmonlane/membership/messages.py
@@ -28,3 +28,22 @@
 
     def __init__(self, peers):
         self.peers = peers
+
+
+class LoadReported:
+    """A sidecar has reported the load of its backend server.
+
+    Attributes:
+        address: Address of the backend server.
+        running: Requests that it runs.
+        waiting: Requests that wait on it.
+        age_s: Seconds since the load was read.
+    """
+
+    __slots__ = ("address", "running", "waiting", "age_s")
+
+    def __init__(self, address, running, waiting, age_s):
+        self.address = address
+        self.running = running
+        self.waiting = waiting
+        self.age_s = age_s
--- a/persimmonlane/membership/servers.py
+++ b/persimmonlane/membership/servers.py
@@ -13,7 +13,8 @@
         data_centre: Name of its data centre.
         slots: Requests that it runs at a time.
         incarnation: Number that rises with each restart.
-        since: Monotonic seconds at which this node first saw the incarnation.
+        since: Monotonic seconds, by this node's clock, at which the incarnation
+            began to take work.
     """
 
     __slots__ = (
--- /dev/null
+++ b/persimmonlane/membership/table.py
@@ -0,0 +1,301 @@
+"""Server table.
+
+The announcements that this node knows, each a lease that heartbeats renew.
+"""
+
+from ..invariants import check_invariant
+from .announcements import Exchange, Heartbeat
+from .messages import LoadReported
+from .peers import Peer
+from .servers import BackendServer
+
+BEAT_S = 0.5
+FORGET_S = 60.0
+NEVER = float("-inf")
+
+
+class Group:
+    """What is known of one group.
+
+    Attributes:
+        announcement: The newest list, or None.
+        known: Highest incarnation and version heard of.
+        beat: Highest beat heard for the list.
+        heard_at: Monotonic seconds at which that beat was sent.
+        touched_at: Monotonic seconds of the last message about the group.
+        loads: Loads that came with the beat.
+        first_seen: Monotonic seconds by address and incarnation.
+    """
+
+    __slots__ = (
+        "announcement",
+        "known",
+        "beat",
+        "heard_at",
+        "touched_at",
+        "loads",
+        "first_seen",
+    )
+
+    def __init__(self):
+        self.announcement = None
+        self.known = (0, 0)
+        self.beat = 0
+        self.heard_at = NEVER
+        self.touched_at = NEVER
+        self.loads = ()
+        self.first_seen = {}
+
+    @property
+    def stamp(self):
+        """Incarnation and version of the list that is held."""
+        return self.announcement.stamp if self.announcement else (0, 0)
+
+    @property
+    def position(self):
+        """Incarnation, version and beat that is held."""
+        return (*self.stamp, self.beat)
+
+
+class ServerTable:
+    """The backend servers and nodes that were heard of within the lease.
+
+    A heartbeat renews a list only if its beat rises, and only the list with its
+    very incarnation and version: word that a newer list exists renews nothing.
+
+    Attributes:
+        lease_s: Time an announcement stands without renewal, in seconds.
+    """
+
+    __slots__ = ("lease_s", "_clock", "_groups", "_left", "_reports")
+
+    def __init__(self, clock, lease_s):
+        self.lease_s = lease_s
+        self._clock = clock
+        self._groups = {}
+        self._left = {}
+        self._reports = {}
+
+    def apply(self, announcement):
+        """Take in a list; return whether it is newer than the one held."""
+        group = self._touch(announcement.group)
+        if announcement.stamp <= group.stamp:
+            return False
+        if announcement.incarnation != group.stamp[0]:
+            group.heard_at = NEVER
+        group.announcement = announcement
+        group.known = max(group.known, announcement.stamp)
+        group.beat = 0
+        group.loads = ()
+        self._note_leaving(announcement)
+        return True
+
+    def renew(self, heartbeat, delay_s=0.0):
+        """Take in a heartbeat; return whether it renewed a list.
+
+        Args:
+            heartbeat: The heartbeat, with its age at the sender.
+            delay_s: Seconds for which the message was under way.
+        """
+        group = self._touch(heartbeat.group)
+        group.known = max(group.known, heartbeat.stamp)
+        if heartbeat.stamp != group.stamp or heartbeat.beat <= group.beat:
+            return False
+        heard_at = self._clock.now() - heartbeat.age_s - delay_s
+        if heard_at <= group.heard_at:
+            return False
+        group.beat = heartbeat.beat
+        group.heard_at = heard_at
+        group.loads = heartbeat.loads
+        self._note_servers(group)
+        self._note_loads(group)
+        return True
+
+    def receive(self, exchange, delay_s=0.0):
+        """Take in one side of an exchange; return whether a list changed.
+
+        Args:
+            exchange: The message.
+            delay_s: The most seconds for which the message was under way.
+        """
+        changed = [self.apply(item) for item in exchange.announcements]
+        for heartbeat in exchange.heartbeats:
+            self.renew(heartbeat, delay_s)
+        return any(changed)
+
+    def digest(self):
+        """Return the heartbeats of all groups that were heard within the lease."""
+        return tuple(
+            self._export(name, group)
+            for name, group in self._groups.items()
+            if self._is_live(group)
+        )
+
+    def answer(self, request):
+        """Return what the sender of a request lacks, and what this node lacks."""
+        offered = {item.group: item for item in request.heartbeats}
+        heartbeats = []
+        announcements = []
+        for name, group in self._groups.items():
+            if not self._is_live(group):
+                continue
+            theirs = offered.get(name)
+            if theirs is None or group.stamp > theirs.stamp:
+                announcements.append(group.announcement)
+            if theirs is None or group.position > (*theirs.stamp, theirs.beat):
+                heartbeats.append(self._export(name, group))
+        return Exchange(
+            heartbeats=tuple(heartbeats),
+            announcements=tuple(announcements),
+            wanted=self.wanted(),
+        )
+
+    def wanted(self):
+        """Return the names of groups of which a newer list exists."""
+        return tuple(
+            name for name, group in self._groups.items() if group.known > group.stamp
+        )
+
+    def get_stamp(self, name):
+        """Return incarnation and version of the list held for a group."""
+        group = self._groups.get(name)
+        return group.stamp if group else (0, 0)
+
+    def get_announcements(self, names):
+        """Return the lists of these groups, as far as they stand."""
+        groups = [self._groups.get(name) for name in names]
+        return tuple(
+            group.announcement
+            for group in groups
+            if group is not None and self._is_live(group)
+        )
+
+    def servers(self):
+        """Return the backend servers that take new work, sorted by address."""
+        found = {}
+        for group in self._groups.values():
+            if self._is_live(group):
+                self._collect(group, found)
+        servers = tuple(found[address] for address in sorted(found))
+        self._check_leaving(servers)
+        return servers
+
+    def peers(self, own=""):
+        """Return the nodes that were heard within the lease, sorted by name.
+
+        Args:
+            own: Name of this node, which is left out.
+        """
+        live = [
+            group.announcement
+            for group in self._groups.values()
+            if self._is_live(group) and group.announcement.group != own
+        ]
+        live.sort(key=lambda announcement: announcement.group)
+        return tuple(create_peer(announcement) for announcement in live)
+
+    def take_loads(self):
+        """Return the load reports since the last call, as `LoadReported`."""
+        now = self._clock.now()
+        reports = tuple(
+            LoadReported(address, running, waiting, now - at)
+            for address, (running, waiting, at) in self._reports.items()
+        )
+        self._reports.clear()
+        return reports
+
+    def forget(self):
+        """Drop the groups that nothing was heard of for a long time."""
+        limit = self._clock.now() - FORGET_S
+        for name, group in list(self._groups.items()):
+            if group.touched_at < limit:
+                del self._groups[name]
+        announced = {
+            server.address
+            for group in self._groups.values()
+            if group.announcement is not None
+            for server in group.announcement.servers
+        }
+        for address in self._left.keys() - announced:
+            del self._left[address]
+
+    def _touch(self, name):
+        group = self._groups.get(name)
+        if group is None:
+            group = self._groups[name] = Group()
+        group.touched_at = self._clock.now()
+        return group
+
+    def _is_live(self, group):
+        return self._clock.now() - group.heard_at <= self.lease_s
+
+    def _export(self, name, group):
+        return Heartbeat(
+            group=name,
+            incarnation=group.stamp[0],
+            version=group.stamp[1],
+            beat=group.beat,
+            age_s=max(0.0, self._clock.now() - group.heard_at),
+            loads=group.loads,
+        )
+
+    def _note_leaving(self, announcement):
+        for server in announcement.servers:
+            if server.leaving or announcement.leaving:
+                left = self._left.get(server.address, 0)
+                self._left[server.address] = max(left, server.incarnation)
+
+    def _note_servers(self, group):
+        seen = {}
+        for server in group.announcement.servers:
+            key = (server.address, server.incarnation)
+            uptime = max(0, group.beat - server.first_beat) * BEAT_S
+            since = group.heard_at - uptime
+            seen[key] = group.first_seen.get(key, since)
+        group.first_seen = seen
+
+    def _note_loads(self, group):
+        pairs = zip(group.loads[::2], group.loads[1::2], strict=False)
+        for server, (running, waiting) in zip(
+            group.announcement.servers, pairs, strict=False
+        ):
+            self._reports[server.address] = (running, waiting, group.heard_at)
+
+    def _collect(self, group, found):
+        for server in group.announcement.servers:
+            if server.incarnation <= self._left.get(server.address, 0):
+                continue
+            other = found.get(server.address)
+            if other is None or other.incarnation < server.incarnation:
+                found[server.address] = self._create_server(group, server)
+
+    def _create_server(self, group, server):
+        key = (server.address, server.incarnation)
+        return BackendServer(
+            server.address,
+            server.service,
+            group.announcement.data_centre,
+            server.slots,
+            server.incarnation,
+            group.first_seen.get(key, group.heard_at),
+        )
+
+    def _check_leaving(self, servers):
+        for server in servers:
+            check_invariant(
+                "leaving",
+                server.incarnation > self._left.get(server.address, 0),
+                f"{server.address} takes new work after it said that it leaves",
+            )
+
+
+def create_peer(announcement):
+    """Return the `Peer` that an announcement describes."""
+    return Peer(
+        announcement.group,
+        announcement.data_centre,
+        announcement.rpc,
+        announcement.ingress,
+        announcement.incarnation,
+        announcement.leaving,
+    )
