--- a/persimmonlane/ejection/__init__.py
+++ b/persimmonlane/ejection/__init__.py
@@ -1,4 +1,17 @@
 """Ejection.
 
-Which backend servers fail and get no work.
+Finds backend servers that fail quietly and keeps work away from them.
 """
+
+from .ejector import Ejector
+
+
+def create_ejector(service, clock, rng):
+    """Return the ejector of one service.
+
+    Args:
+        service: The `config.model.Service`.
+        clock: Clock in monotonic seconds.
+        rng: A `random.Random`.
+    """
+    return Ejector(service, clock, rng)
--- a/persimmonlane/overload/__init__.py
+++ b/persimmonlane/overload/__init__.py
@@ -1,4 +1,8 @@
 """Overload.
 
-Which requests wait and which are shed.
+Shares a service between organisations when requests have to wait.
 """
+
+from .queue import QueuedRequest, ServiceQueue
+
+__all__ = ["QueuedRequest", "ServiceQueue"]
--- a/persimmonlane/retries/__init__.py
+++ b/persimmonlane/retries/__init__.py
@@ -1,4 +1,9 @@
 """Retries.
 
-Which requests are sent again.
+Decides whether a request is sent again.
 """
+
+from .attempts import RequestAttempts, decide_retry
+from .budget import RetryBudget
+
+__all__ = ["RequestAttempts", "RetryBudget", "decide_retry"]
