--- /dev/null
+++ b/persimmonlane/reporting/tests/test_ledger.py
@@ -0,0 +1,68 @@
+import testtools
+
+from persimmonlane.clocks import ManualClock
+from persimmonlane.errors import InputError
+from persimmonlane.reporting import ledger, records
+from persimmonlane.verdicts import Verdict
+
+
+class LedgerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.ledger = ledger.Ledger(self.clock, "n1")
+
+    def note(self, status=200, latency_s=0.02, code=None, organisation="acme"):
+        self.ledger.note(
+            "prices", organisation, status, Verdict.RAN, latency_s, code=code
+        )
+
+    def test_counts_of_one_interval(self):
+        self.note()
+        self.note(latency_s=0.4)
+        self.note(status=502)
+        self.note(status=429, code="rate-exceeded")
+        self.note(status=503, code="overload")
+        self.clock.advance(5)
+        (record,) = self.ledger.drain()
+        self.assertEqual((5, 2, 1), (record.total, record.errors, record.late))
+        self.assertEqual((4, 3), (record.eligible, record.answered))
+        self.assertEqual((100.0, 105.0), (record.start_s, record.end_s))
+        self.assertEqual(
+            {"rate-exceeded", "overload"}, {r.code for r in record.refused}
+        )
+        self.assertEqual([], self.ledger.drain())
+
+    def test_rows_are_bounded_and_nothing_is_lost(self):
+        for number in range(ledger.ROW_LIMIT + 50):
+            self.note(organisation=f"o{number}")
+        drained = self.ledger.drain()
+        self.assertEqual(ledger.ROW_LIMIT + 1, len(drained))
+        self.assertEqual(ledger.ROW_LIMIT + 50, sum(r.total for r in drained))
+
+    def test_records_survive_their_coding(self):
+        self.note()
+        drained = self.ledger.drain()
+        data = records.encode_records(drained)
+        self.assertEqual(drained, records.decode_records(data))
+
+    def test_cut_and_foreign_lines_name_their_place(self):
+        self.note()
+        data = records.encode_records(self.ledger.drain())
+        for faulty, code in (
+            (data + data[:40], "record-invalid"),
+            (data + b'{"a": 1}', "record-invalid"),
+            (data + data.replace(b'"format":1', b'"format":9'), "record-format"),
+        ):
+            error = self.assertRaises(
+                InputError, records.decode_records, faulty, "r.jsonl"
+            )
+            self.assertEqual((code, "r.jsonl:2"), (error.code, error.place))
+
+    def test_quantile(self):
+        latency = [0] * records.BUCKETS
+        latency[records.find_bucket(0.020)] = 99
+        latency[records.find_bucket(9.0)] = 1
+        self.assertEqual(20, records.estimate_quantile_ms(latency, 0.99))
+        self.assertEqual(float("inf"), records.estimate_quantile_ms(latency, 1))
+        self.assertIsNone(records.estimate_quantile_ms([0] * records.BUCKETS, 0.5))
