--- /dev/null
+++ b/persimmonlane/programs/tests/test_report.py
@@ -0,0 +1,103 @@
+import contextlib
+import http.server
+import io
+import json
+import pathlib
+import tempfile
+import threading
+import xml.etree.ElementTree
+
+import testtools
+
+from persimmonlane.programs import report
+from persimmonlane.reporting.records import encode_records
+from persimmonlane.reporting.tests.test_burn import make_record
+
+
+def run(*arguments):
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        try:
+            report.main([str(argument) for argument in arguments])
+        except SystemExit as end:
+            return end.code, out.getvalue(), err.getvalue()
+
+
+class AdminHandler(http.server.BaseHTTPRequestHandler):
+    data = b""
+
+    def do_GET(self):  # noqa: N802
+        allowed = self.headers["Authorization"] == "Bearer sesame"
+        found = allowed and self.path == report.RECORDS_PATH
+        self.send_response(200 if found else 401)
+        self.send_header("Content-Length", str(len(self.data)))
+        self.end_headers()
+        self.wfile.write(self.data)
+
+    def log_message(self, *arguments):
+        pass
+
+
+class ReportTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def write(self, records):
+        path = self.folder / "records.jsonl"
+        path.write_bytes(encode_records(records))
+        return path
+
+    def test_quiet(self):
+        code, out, _ = run(self.write([make_record(n) for n in range(60)]))
+        self.assertEqual(0, code)
+        self.assertIn("No fast burn is on.", out)
+
+    def test_fast_burn_sets_the_exit_status(self):
+        path = self.write([make_record(n, errors=2) for n in range(60)])
+        code, out, _ = run(path, "--format", "json")
+        self.assertEqual(report.EXIT_FAST_BURN, code)
+        self.assertTrue(json.loads(out)["fast"])
+
+    def test_page_needs_nothing_else(self):
+        records = [make_record(n, errors=2, late=1) for n in range(60)]
+        page = self.folder / "page.html"
+        run(self.write(records), "--format", "html", "--output", page)
+        text = page.read_text()
+        self.assertNotIn("http", text)
+        for part in text.split("<svg")[1:]:
+            svg = "<svg" + part.split("</svg>")[0] + "</svg>"
+            lines = xml.etree.ElementTree.fromstring(svg).findall("polyline")
+            self.assertEqual(2, len(lines))
+
+    def test_no_records(self):
+        for form in ("text", "json", "html"):
+            code, _, _ = run(self.write([]), "--format", form)
+            self.assertEqual(0, code)
+
+    def test_faulty_input(self):
+        path = self.write([make_record(0)])
+        path.write_bytes(path.read_bytes()[:-9])
+        code, _, err = run(path)
+        self.assertEqual(2, code)
+        self.assertIn(f"[record-invalid] at {path}:1", err)
+
+    def test_admin_api(self):
+        AdminHandler.data = encode_records([make_record(n) for n in range(60)])
+        server = http.server.HTTPServer(("127.0.0.1", 0), AdminHandler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        url = f"http://127.0.0.1:{server.server_port}"
+        self.assertIn("[admin-refused]", run(url)[2])
+        token = self.folder / "token"
+        token.write_text("sesame\n")
+        code, out, _ = run(url, "--token-file", token)
+        self.assertEqual((0, True), (code, "prices" in out))
+
+    def test_dead_admin_api(self):
+        code, _, err = run("http://127.0.0.1:1")
+        self.assertEqual(2, code)
+        self.assertIn("[admin-unreachable]", err)
--- /dev/null
+++ b/persimmonlane/reporting/formats.py
@@ -0,0 +1,184 @@
+"""Report formats.
+
+Writes the burns of recorded requests as text, JSON or an HTML page.
+"""
+
+import html
+
+import msgspec
+
+from ..registries import Registry
+from .burn import ALL, FAST, OBJECTIVES, Burn, compute_rate
+from .charts import draw_lines
+
+POINTS = 60
+MAX_CHART_RATE = 100.0
+
+formats = Registry("report format")
+
+STYLE = """
+body { font: 15px/1.4 sans-serif; margin: 2em auto; max-width: 60em; }
+table { border-collapse: collapse; width: 100%; }
+td, th { padding: .2em .6em; text-align: right; border-bottom: 1px solid #ddd; }
+td:nth-child(-n+3), th:nth-child(-n+3) { text-align: left; }
+tr.on td { background: #fbd5d0; }
+svg { width: 100%; font: 11px sans-serif; }
+polyline { fill: none; stroke-width: 1.5; }
+.availability { stroke: #b3261e; }
+.latency { stroke: #1f5fa8; }
+.limit { stroke: #888; stroke-dasharray: 4 3; }
+"""
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """What the report says.
+
+    Attributes:
+        start_s: Start of the earliest interval.
+        end_s: End of the latest interval.
+        fast: Whether any fast burn is on.
+        burns: Burns by service, organisation and objective.
+    """
+
+    start_s: float
+    end_s: float
+    fast: bool
+    burns: tuple[Burn, ...]
+
+
+def create_report(records, burns):
+    """Return the `Report` of records and their burns."""
+    return Report(
+        start_s=min((record.start_s for record in records), default=0.0),
+        end_s=max((record.end_s for record in records), default=0.0),
+        fast=any(burn.fast for burn in burns),
+        burns=tuple(burns),
+    )
+
+
+@formats.register
+class TextFormat:
+    """A table for a terminal, the worst first."""
+
+    name = "text"
+    aliases = ()
+
+    def write(self, report, records):
+        """Return the report as text."""
+        span = report.end_s - report.start_s
+        lines = [f"Service-level burn over {span:.0f} s of records"]
+        lines.append(
+            f"{'service':20} {'organisation':20} {'objective':12} {'requests':>9}"
+            f" {'bad':>7} {'left':>8} {'1 h':>8} {'5 min':>8}"
+        )
+        lines += [self._write_burn(burn) for burn in sort_burns(report.burns)]
+        lines.append("A fast burn is on." if report.fast else "No fast burn is on.")
+        return "\n".join(lines) + "\n"
+
+    def _write_burn(self, burn):
+        window = find_fast_window(burn)
+        return (
+            f"{burn.service:20} {burn.organisation:20} {burn.objective:12}"
+            f" {burn.total:9} {burn.bad:7} {burn.budget_left:8.1%}"
+            f" {window.long_rate:8.1f} {window.short_rate:8.1f}"
+            f"{'  FAST' if burn.fast else ''}"
+        )
+
+
+@formats.register
+class JsonFormat:
+    """One JSON object; an endless rate is null."""
+
+    name = "json"
+    aliases = ()
+
+    def write(self, report, records):
+        """Return the report as JSON."""
+        data = msgspec.json.format(msgspec.json.encode(report), indent=2)
+        return data.decode() + "\n"
+
+
+@formats.register
+class HtmlFormat:
+    """A page that needs nothing else, with a chart for each service."""
+
+    name = "html"
+    aliases = ("page",)
+
+    def write(self, report, records):
+        """Return the report as an HTML page."""
+        rows = [self._write_row(burn) for burn in sort_burns(report.burns)]
+        services = sorted({record.service for record in records if record.service})
+        charts = [draw_service(name, records, report) for name in services]
+        state = "A fast burn is on." if report.fast else "No fast burn is on."
+        span = report.end_s - report.start_s
+        heads = "Service,Organisation,Objective,Requests,Bad,Budget left,1 h,5 min"
+        cells = "".join(f"<th>{head}</th>" for head in heads.split(","))
+        return "\n".join(
+            (
+                "<!doctype html>",
+                '<html lang="en"><head><meta charset="utf-8">',
+                f"<title>Service-level burn</title><style>{STYLE}</style></head>",
+                f"<body><h1>Service-level burn</h1><p>{span:.0f} s of records.",
+                f"{state} Burn rates; 1 spends the budget over 30 days.</p>",
+                *charts,
+                f"<table><tr>{cells}</tr>",
+                *rows,
+                "</table></body></html>\n",
+            )
+        )
+
+    def _write_row(self, burn):
+        window = find_fast_window(burn)
+        cells = (
+            html.escape(burn.service),
+            html.escape(burn.organisation),
+            burn.objective,
+            burn.total,
+            burn.bad,
+            f"{burn.budget_left:.1%}",
+            f"{window.long_rate:.1f}",
+            f"{window.short_rate:.1f}",
+        )
+        mark = ' class="on"' if burn.fast else ""
+        return f"<tr{mark}>{''.join(f'<td>{cell}</td>' for cell in cells)}</tr>"
+
+
+def find_fast_window(burn):
+    """Return the burn rates of the fast pair of windows."""
+    return next(window for window in burn.windows if window.name == FAST.name)
+
+
+def sort_burns(burns):
+    """Return burns with the least budget first, those of all organisations ahead."""
+    return sorted(burns, key=lambda burn: (burn.organisation != ALL, burn.budget_left))
+
+
+def draw_service(service, records, report):
+    """Return the chart of one service's burn rates over time."""
+    own = [record for record in records if record.service == service]
+    step = (report.end_s - report.start_s) / POINTS or 1.0
+    times = [report.start_s + (n + 1) * step for n in range(POINTS)]
+    series = [
+        (objective.name, compute_rates(objective, own, report.start_s, step))
+        for objective in OBJECTIVES
+    ]
+    title = f"{html.escape(service)}: burn rate of availability and latency"
+    return draw_lines(title, times, series, FAST.threshold)
+
+
+def compute_rates(objective, records, start_s, step_s):
+    """Return the burn rate in each of `POINTS` steps, capped for a chart."""
+    totals = [0] * POINTS
+    bads = [0] * POINTS
+    for record in records:
+        place = min(POINTS - 1, max(0, int((record.end_s - start_s) / step_s)))
+        total, bad = objective.count(record)
+        totals[place] += total
+        bads[place] += bad
+    target = objective.get_target(records[-1].objectives)
+    rates = (
+        compute_rate(total, bad, target)
+        for total, bad in zip(totals, bads, strict=True)
+    )
+    return [min(MAX_CHART_RATE, rate) for rate in rates]
