--- a/persimmonlane/forwarding/exchange.py
+++ b/persimmonlane/forwarding/exchange.py
@@ -22,6 +22,12 @@
 PIECE_BYTES = 64 * 1024
 FRESH_S = 1.0
 SHED_STATUS = 503
+MALFORMED = (
+    OSError,
+    ValueError,
+    http.client.HTTPException,
+    urllib3.exceptions.HTTPError,
+)
 
 
 class AttemptError(PersimmonError):
@@ -273,7 +279,7 @@
             urllib3.exceptions.ProtocolError,
         ) as error:
             raise self._describe_break() from error
-        except (OSError, ValueError, http.client.HTTPException) as error:
+        except MALFORMED as error:
             raise describe_wrong("the answer's head is malformed") from error
         return BackendAnswer(self, response, self._check_head(response))
 
@@ -310,12 +316,7 @@
             return response.read1(PIECE_BYTES)
         except urllib3.exceptions.ReadTimeoutError as error:
             raise self._describe_timeout() from error
-        except (
-            OSError,
-            ValueError,
-            http.client.HTTPException,
-            urllib3.exceptions.HTTPError,
-        ) as error:
+        except MALFORMED as error:
             raise describe_short() from error
 
     def _check_end(self, response):
@@ -338,9 +339,7 @@
         left_s = self.attempt.deadline - self._clock.now()
         code = "deadline-passed" if left_s <= 0 else "backend-timeout"
         kind = Kind.STALE if self._suspected else Kind.TIMEOUT
-        return AttemptError(
-            kind, Verdict.MAY_HAVE_RUN, code, "no answer came in time"
-        )
+        return AttemptError(kind, Verdict.MAY_HAVE_RUN, code, "no answer came in time")
 
     def _describe_break(self):
         kind = Kind.STALE if self.reused else Kind.ERROR
--- a/persimmonlane/forwarding/forwarder.py
+++ b/persimmonlane/forwarding/forwarder.py
@@ -349,7 +349,10 @@
     """Refuse while the node can't know of withdrawn keys."""
     if snapshot.isolated:
         raise Refusal(
-            503, "node-isolated", "the node hears neither store nor peers", retry_after=1
+            503,
+            "node-isolated",
+            "the node hears neither store nor peers",
+            retry_after=1,
         )
 
 
--- a/persimmonlane/forwarding/gateway.py
+++ b/persimmonlane/forwarding/gateway.py
@@ -79,9 +79,7 @@
 
     def _note_left(self, request):
         self._cut()
-        self.ingress.forwarder.note_end(
-            request, 0, "caller-left", Verdict.MAY_HAVE_RUN
-        )
+        self.ingress.forwarder.note_end(request, 0, "caller-left", Verdict.MAY_HAVE_RUN)
 
     def _write(self, request, answer):
         if not request.body.complete:
@@ -120,9 +118,7 @@
         req.close_connection = True
         req.chunked_write = False
         req.sent_headers = True
-        req.conn.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-        )
+        req.conn.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
 def build_head(request, answer):
--- /dev/null
+++ b/persimmonlane/forwarding/tests/test_strictness.py
@@ -0,0 +1,98 @@
+import socket
+
+import msgspec
+import testtools
+
+from ...standins.backend import BackendStandin, Behaviour
+from ..answers import Explanation
+
+REFUSED = {
+    "both lengths": (
+        b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "framing-refused",
+    ),
+    "two lengths": (
+        b"POST /a HTTP/1.1\r\nHost: x\r\n"
+        b"Content-Length: 3\r\nContent-Length: 3\r\n\r\n",
+        "framing-refused",
+    ),
+    "signed length": (
+        b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\nabc",
+        "framing-refused",
+    ),
+    "length with separator": (
+        b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1_0\r\n\r\n0123456789",
+        "framing-refused",
+    ),
+    "chunked twice": (
+        b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, chunked\r\n\r\n",
+        "framing-refused",
+    ),
+    "no host": (b"GET /a HTTP/1.1\r\n\r\n", "host-refused"),
+    "two hosts": (b"GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", "host-refused"),
+    "folded header": (
+        b"GET /a HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n",
+        "request-malformed",
+    ),
+    "space in name": (
+        b"GET /a HTTP/1.1\r\nHost: x\r\nX-Persimmon-Key : b\r\n\r\n",
+        "request-malformed",
+    ),
+    "old version": (b"GET /a HTTP/1.0\r\nHost: x\r\n\r\n", "version-refused"),
+    "dot segments": (b"GET /a/../b HTTP/1.1\r\nHost: x\r\n\r\n", "path-refused"),
+    "hidden dot segments": (
+        b"GET /a/%2e%2e/b HTTP/1.1\r\nHost: x\r\n\r\n",
+        "path-refused",
+    ),
+    "encoded slash": (b"GET /a%2fb HTTP/1.1\r\nHost: x\r\n\r\n", "path-refused"),
+    "empty segment": (b"GET /a//b HTTP/1.1\r\nHost: x\r\n\r\n", "path-refused"),
+    "large headers": (
+        b"GET /a HTTP/1.1\r\nHost: x\r\nA: " + b"b" * 40000 + b"\r\n\r\n",
+        "headers-too-large",
+    ),
+    "long target": (
+        b"GET /" + b"a" * 40000 + b" HTTP/1.1\r\nHost: x\r\n\r\n",
+        "target-too-long",
+    ),
+}
+
+
+class StrictnessTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.server = BackendStandin(("127.0.0.1", 0), "s", 4, Behaviour())
+        self.server.limit_headers(32 * 1024)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def send(self, data):
+        with socket.create_connection(("127.0.0.1", self.server.port), 10) as sock:
+            sock.sendall(data)
+            return read_all(sock)
+
+    def test_each_doubtful_request_is_refused_as_not_run(self):
+        for name, (data, code) in REFUSED.items():
+            head, _, body = self.send(data).partition(b"\r\n\r\n")
+            explanation = msgspec.json.decode(body, type=Explanation)
+            self.assertEqual((name, code), (name, explanation.code))
+            self.assertIn(b"Persimmon-Verdict: not-run", head, name)
+            self.assertEqual(b"4", head.split(b" ")[1][:1].replace(b"5", b"4"), name)
+        self.assertEqual([], self.server.count().runs)
+
+    def test_plain_request_is_taken(self):
+        data = self.send(b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
+        self.assertEqual(1, len(self.server.count().runs))
+
+
+def read_all(sock):
+    data = b""
+    while True:
+        try:
+            piece = sock.recv(65536)
+        except ConnectionResetError:
+            return data
+        if not piece:
+            return data
+        data += piece
--- a/persimmonlane/programs/common.py
+++ b/persimmonlane/programs/common.py
@@ -31,9 +31,7 @@
 def run_program(program, arguments=None):
     """Run a program's command line and end the process with its exit code."""
     try:
-        status = program(
-            arguments, exit_on_error=False, result_action="return_value"
-        )
+        status = program(arguments, exit_on_error=False, result_action="return_value")
     except cyclopts.CycloptsError:
         sys.exit(EXIT_INPUT)
     except InputError as error:
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -178,6 +178,10 @@
         """Stop serving."""
         self._server.stop()
 
+    def limit_headers(self, size_bytes):
+        """Refuse requests whose headers are larger."""
+        self._server.max_request_header_size = size_bytes
+
     def change(self, behaviour):
         """Behave in another way from now on."""
         if behaviour.mute_open:
