--- a/persimmonlane/limits/__init__.py
+++ b/persimmonlane/limits/__init__.py
@@ -1,4 +1,5 @@
 """Limits.
 
-Which requests are within an organisation's rate.
+Holds organisations to their rates over the whole fleet: holders lend parts of a
+rate to nodes, and nodes admit requests from what they hold.
 """
