--- a/persimmonlane/actors.py
+++ b/persimmonlane/actors.py
@@ -62,3 +62,12 @@
                 self._actor.tell(Tick())
             except pykka.ActorDeadError:
                 return
+
+
+def tell(actor_ref, message):
+    """Tell an actor something; return False if it has already stopped."""
+    try:
+        actor_ref.tell(message)
+    except pykka.ActorDeadError:
+        return False
+    return True
--- a/persimmonlane/forwarding/answers.py
+++ b/persimmonlane/forwarding/answers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..keys import Header
 from .headers import REQUEST_ID, VERDICT
 
 
@@ -32,7 +33,7 @@
 
     Attributes:
         status: HTTP status.
-        headers: (name, value) pairs of strings.
+        headers: The `Header`s.
         body: Bytes.
     """
 
@@ -46,7 +47,7 @@
     def encode(self, with_body=True):
         """Return the answer as bytes for the connection."""
         lines = [f"HTTP/1.1 {self.status} {get_reason(self.status)}"]
-        lines.extend(f"{name}: {value}" for name, value in self.headers)
+        lines.extend(f"{header.name}: {header.value}" for header in self.headers)
         head = "\r\n".join(lines) + "\r\n\r\n"
         return head.encode("latin-1") + (self.body if with_body else b"")
 
@@ -69,14 +70,15 @@
     )
     body = msgspec.json.encode(explanation)
     headers = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(body))),
-        (VERDICT, refusal.verdict.value),
+        Header("Content-Type", "application/json"),
+        Header("Content-Length", str(len(body))),
+        Header(VERDICT, refusal.verdict.value),
     ]
     if request_id:
-        headers.append((REQUEST_ID, request_id))
+        headers.append(Header(REQUEST_ID, request_id))
     if refusal.retry_after is not None:
-        headers.append(("Retry-After", str(max(1, math.ceil(refusal.retry_after)))))
+        seconds = max(1, math.ceil(refusal.retry_after))
+        headers.append(Header("Retry-After", str(seconds)))
     if close:
-        headers.append(("Connection", "close"))
+        headers.append(Header("Connection", "close"))
     return Answer(refusal.status, headers, body)
--- a/persimmonlane/forwarding/bodies.py
+++ b/persimmonlane/forwarding/bodies.py
@@ -10,7 +10,8 @@
 
 from ..errors import Refusal
 from ..verdicts import Verdict
-from .strictness import ChunkLimiter, find_values
+from .headers import find_values
+from .strictness import ChunkLimiter
 
 PIECE_BYTES = 64 * 1024
 KEPT_BYTES = 64 * 1024
@@ -125,5 +126,5 @@
         reader = cheroot.server.ChunkedRFile(limiter, maxlen=0)
         request.rfile = reader
         return RequestBody(reader, None)
-    lengths = find_values(request.inheaders.pairs, "content-length")
+    lengths = find_values(request.inheaders.listed, "content-length")
     return RequestBody(request.rfile, int(lengths[0]) if lengths else 0)
--- a/persimmonlane/forwarding/exchange.py
+++ b/persimmonlane/forwarding/exchange.py
@@ -13,6 +13,7 @@
 
 from ..ejection.outcome import Kind
 from ..errors import PersimmonError
+from ..keys import Header
 from ..settings import split_address
 from ..verdicts import Verdict
 from .bodies import BodyError
@@ -51,7 +52,7 @@
         address: Address of the backend server.
         method: HTTP method.
         target: Request target.
-        pairs: (name, value) pairs of headers.
+        headers: The `Header`s.
         body: The `RequestBody`.
         request_id: Identifier of the request.
         idempotent: Whether the request is idempotent.
@@ -67,7 +68,7 @@
         "address",
         "method",
         "target",
-        "pairs",
+        "headers",
         "body",
         "request_id",
         "idempotent",
@@ -88,16 +89,16 @@
 
     Attributes:
         status: HTTP status.
-        pairs: (name, value) pairs of headers.
+        headers: The `Header`s.
         length: Stated length in bytes, or None if the body is chunked.
         shed: Whether the server states that it did not run the request.
     """
 
-    __slots__ = ("status", "pairs", "length", "shed", "_exchange", "_response")
+    __slots__ = ("status", "headers", "length", "shed", "_exchange", "_response")
 
     def __init__(self, exchange, response, length):
         self.status = response.status
-        self.pairs = list(response.headers.items())
+        self.headers = [Header(*item) for item in response.headers.items()]
         self.length = length
         self.shed = is_shed(response)
         self._exchange = exchange
@@ -395,8 +396,8 @@
 def build_headers(attempt):
     """Return the headers of an attempt, with the body's length if it is known."""
     headers = HTTPHeaderDict()
-    for name, value in attempt.pairs:
-        headers.add(name, value)
+    for header in attempt.headers:
+        headers.add(header.name, header.value)
     if attempt.body.length:
         headers["Content-Length"] = str(attempt.body.length)
     for name in ("User-Agent", "Accept-Encoding"):
--- a/persimmonlane/forwarding/forwarder.py
+++ b/persimmonlane/forwarding/forwarder.py
@@ -12,12 +12,19 @@
 
 from ..ejection.outcome import Kind, Outcome
 from ..errors import Refusal
-from ..keys import extract_keys
+from ..keys import Header, extract_keys
 from ..retries.attempts import RequestAttempts
 from ..verdicts import Verdict
 from .bodies import BodyError
 from .exchange import Attempt, AttemptError, Exchange
-from .headers import DEADLINE, ORGANISATION, OWN, REQUEST_ID, drop_hop_by_hop
+from .headers import (
+    DEADLINE,
+    ORGANISATION,
+    OWN,
+    REQUEST_ID,
+    drop_hop_by_hop,
+    find_values,
+)
 from .plans import Arrival, AttemptEnded, ConnectionSuspected, RequestEnded
 
 log = logging.getLogger("persimmonlane.forwarding")
@@ -37,7 +44,7 @@
         id: Identifier of the request.
         method: HTTP method.
         target: Request target without keys.
-        pairs: (name, value) pairs of headers for the backend server.
+        headers: The `Header`s, for the backend server once it is identified.
         body: The `RequestBody`.
         caller: The `CallerWatch`.
         route: The route.
@@ -52,7 +59,7 @@
         "id",
         "method",
         "target",
-        "pairs",
+        "headers",
         "body",
         "caller",
         "route",
@@ -63,11 +70,11 @@
         "deadline",
     )
 
-    def __init__(self, method, target, pairs, body, caller, arrived):
+    def __init__(self, method, target, headers, body, caller, arrived):
         self.id = uuid.uuid4().hex
         self.method = method
         self.target = target
-        self.pairs = pairs
+        self.headers = headers
         self.body = body
         self.caller = caller
         self.route = None
@@ -83,16 +90,16 @@
 
     Attributes:
         status: HTTP status.
-        pairs: (name, value) pairs of headers.
+        headers: The `Header`s.
         length: Stated length in bytes, or None if the body is chunked.
         pieces: Iterator over the body.
     """
 
-    __slots__ = ("status", "pairs", "length", "pieces", "_source")
+    __slots__ = ("status", "headers", "length", "pieces", "_source")
 
-    def __init__(self, status, pairs, length, pieces, source):
+    def __init__(self, status, headers, length, pieces, source):
         self.status = status
-        self.pairs = pairs
+        self.headers = headers
         self.length = length
         self.pieces = pieces
         self._source = source
@@ -151,7 +158,7 @@
             raise Refusal(503, "no-document", "no document is in force", retry_after=1)
         if request.method not in METHODS:
             raise Refusal(405, "method-refused", "the method is not served")
-        extraction = extract_keys(request.pairs, request.target)
+        extraction = extract_keys(request.headers, request.target)
         request.target = extraction.target
         request.route = snapshot.view.find_route(
             request.method, decode_path(request.target)
@@ -162,17 +169,16 @@
         request.service = snapshot.view.get_service(request.route.service)
         request.idempotent = is_idempotent(request.route, request.method)
         request.deadline = request.arrived + find_time_s(request)
-        request.pairs = self._clean(request, extraction.headers)
+        request.headers = self._clean(request, extraction.headers)
 
     def _clean(self, request, headers):
-        pairs = [(header.name, header.value) for header in headers]
         kept = [
-            (name, value)
-            for name, value in drop_hop_by_hop(pairs)
-            if name.lower() not in OWN and name.lower() != "content-length"
+            header
+            for header in drop_hop_by_hop(headers)
+            if header.name.lower() not in OWN
         ]
-        kept.append((ORGANISATION, request.organisation))
-        kept.append((REQUEST_ID, request.id))
+        kept.append(Header(ORGANISATION, request.organisation))
+        kept.append(Header(REQUEST_ID, request.id))
         return kept
 
     def _create_attempts(self, request):
@@ -262,7 +268,7 @@
         pieces = self._pass_pieces(answer, report, self._clock.now())
         return ForwardedAnswer(
             answer.status,
-            drop_hop_by_hop(answer.pairs),
+            drop_hop_by_hop(answer.headers),
             answer.length,
             read_ahead(pieces, answer.length),
             pieces,
@@ -299,7 +305,7 @@
             address=plan.address,
             method=request.method,
             target=request.target,
-            pairs=[*request.pairs, (DEADLINE, str(deadline_ms))],
+            headers=[*request.headers, Header(DEADLINE, str(deadline_ms))],
             body=request.body,
             request_id=request.id,
             idempotent=request.idempotent,
@@ -376,9 +382,8 @@
         Refusal: With code `deadline-malformed`.
     """
     limit_ms = request.route.deadline_ms
-    for name, value in request.pairs:
-        if name.lower() == DEADLINE.lower():
-            limit_ms = min(limit_ms, parse_deadline(value))
+    for value in find_values(request.headers, DEADLINE.lower()):
+        limit_ms = min(limit_ms, parse_deadline(value))
     return limit_ms / MS_PER_S
 
 
--- a/persimmonlane/forwarding/gateway.py
+++ b/persimmonlane/forwarding/gateway.py
@@ -11,6 +11,7 @@
 
 from ..errors import Refusal
 from ..invariants import InvariantError
+from ..keys import Header
 from ..verdicts import Verdict
 from .answers import get_reason, render_refusal
 from .bodies import create_body
@@ -56,7 +57,7 @@
         return Request(
             req.method.decode("ascii"),
             req.uri.decode("latin-1"),
-            req.inheaders.pairs,
+            req.inheaders.listed,
             create_body(req),
             CallerWatch(req.conn.socket),
             self.ingress.clock.now(),
@@ -102,10 +103,11 @@
             if piece:
                 self.req.write(piece)
 
-    def _set_head(self, status, pairs):
+    def _set_head(self, status, headers):
         self.req.status = f"{status} {get_reason(status)}".encode("latin-1")
         self.req.outheaders = [
-            (name.encode("latin-1"), value.encode("latin-1")) for name, value in pairs
+            (header.name.encode("latin-1"), header.value.encode("latin-1"))
+            for header in headers
         ]
 
     def _note_drain(self):
@@ -126,11 +128,11 @@
     dropped = {REQUEST_ID.lower()}
     if request.method != "HEAD":
         dropped.add("content-length")
-    pairs = [pair for pair in answer.pairs if pair[0].lower() not in dropped]
+    headers = [item for item in answer.headers if item.name.lower() not in dropped]
     if answer.length is not None and not is_bodiless(request.method, answer.status):
-        pairs.append(("Content-Length", str(answer.length)))
-    pairs.append((REQUEST_ID, request.id))
-    return pairs
+        headers.append(Header("Content-Length", str(answer.length)))
+    headers.append(Header(REQUEST_ID, request.id))
+    return headers
 
 
 def describe_fault(code):
--- a/persimmonlane/forwarding/headers.py
+++ b/persimmonlane/forwarding/headers.py
@@ -23,19 +23,25 @@
     )
 )
 
-OWN = frozenset((DEADLINE.lower(), REQUEST_ID.lower()))
+# Headers of a request that the node writes itself.
+OWN = frozenset((DEADLINE.lower(), REQUEST_ID.lower(), "content-length"))
 
 
-def list_connection_names(pairs):
+def list_connection_names(headers):
     """Return the lower-case header names that `Connection` headers list."""
     names = set()
-    for name, value in pairs:
-        if name.lower() == "connection":
-            names.update(part.strip().lower() for part in value.split(","))
+    for header in headers:
+        if header.name.lower() == "connection":
+            names.update(part.strip().lower() for part in header.value.split(","))
     return names
 
 
-def drop_hop_by_hop(pairs):
-    """Return the headers that go beyond one connection, as (name, value) pairs."""
-    dropped = HOP_BY_HOP | list_connection_names(pairs)
-    return [(name, value) for name, value in pairs if name.lower() not in dropped]
+def drop_hop_by_hop(headers):
+    """Return the headers that go beyond one connection."""
+    dropped = HOP_BY_HOP | list_connection_names(headers)
+    return [header for header in headers if header.name.lower() not in dropped]
+
+
+def find_values(headers, name):
+    """Return the values of all headers with a lower-case name."""
+    return [header.value for header in headers if header.name.lower() == name]
--- a/persimmonlane/forwarding/part.py
+++ b/persimmonlane/forwarding/part.py
@@ -40,15 +40,17 @@
         pool: The `ConnectionPool`.
         prober: The `Prober`.
         limits: The limits part, or None before it is connected.
+        membership: The membership part, or None before it is connected.
     """
 
-    __slots__ = ("forwarder", "pool", "prober", "limits")
+    __slots__ = ("forwarder", "pool", "prober", "limits", "membership")
 
     def __init__(self, pool):
         self.pool = pool
         self.forwarder = None
         self.prober = None
         self.limits = None
+        self.membership = None
 
     def probe(self, service, address):
         """Begin a probe of a backend server."""
@@ -59,6 +61,11 @@
         if self.limits is not None:
             self.limits.send(demands)
 
+    def change_document(self, view):
+        """Tell the other parts of a revision that came into force."""
+        self.membership.set_lease(view.document.fleet.announcement_lease_s)
+        self.limits.set_view(view)
+
 
 class Ingress(Part):
     """The ingress role.
@@ -95,6 +102,7 @@
     def connect(self, membership, config, limits):
         """Subscribe the traffic actor to the other parts."""
         self.ports.limits = limits
+        self.ports.membership = membership
         limits.connect(self.traffic)
         membership.subscribe(self.traffic)
         config.subscribe(self.traffic)
--- a/persimmonlane/forwarding/probes.py
+++ b/persimmonlane/forwarding/probes.py
@@ -9,6 +9,7 @@
 import urllib3
 import urllib3.connection
 
+from ..actors import tell
 from ..settings import split_address
 from .traffic import ProbeEnded
 
@@ -42,7 +43,7 @@
         started = self._clock.now()
         ok = ask_health(address)
         latency_s = self._clock.now() - started
-        self._traffic.tell(ProbeEnded(service, address, ok, latency_s))
+        tell(self._traffic, ProbeEnded(service, address, ok, latency_s))
 
 
 def ask_health(address):
--- a/persimmonlane/forwarding/strictness.py
+++ b/persimmonlane/forwarding/strictness.py
@@ -9,8 +9,10 @@
 import cheroot.server
 
 from ..errors import Refusal
+from ..keys import Header
 from ..verdicts import Verdict
 from .answers import render_refusal
+from .headers import find_values
 
 CHUNK_LIMIT_BYTES = 1024 * 1024
 HEADER_COUNT_LIMIT = 100
@@ -33,27 +35,27 @@
 
 
 class HeaderTable(dict):
-    """The headers as cheroot reads them, with all of them in `pairs`.
+    """The headers as cheroot reads them, with all of them in `listed`.
 
     Attributes:
-        pairs: (name, value) strings as the caller wrote them.
+        listed: The `Header`s as the caller wrote them.
     """
 
-    __slots__ = ("pairs",)
+    __slots__ = ("listed",)
 
     def __init__(self):
         super().__init__()
-        self.pairs = []
+        self.listed = []
 
 
 class LineRecorder:
     """Passes header lines on, checking and recording each."""
 
-    __slots__ = ("_file", "_pairs")
+    __slots__ = ("_file", "_headers")
 
-    def __init__(self, file, pairs):
+    def __init__(self, file, headers):
         self._file = file
-        self._pairs = pairs
+        self._headers = headers
 
     def readline(self):
         """Return the next line.
@@ -72,10 +74,10 @@
             raise ValueError("a header line is malformed")
         if FORBIDDEN_VALUE.search(value):
             raise ValueError("a header holds a control character")
-        if len(self._pairs) == HEADER_COUNT_LIMIT:
+        if len(self._headers) == HEADER_COUNT_LIMIT:
             raise ValueError("there are too many headers")
         text = value.strip().decode("latin-1")
-        self._pairs.append((name.decode("ascii"), text))
+        self._headers.append(Header(name.decode("ascii"), text))
 
 
 class StrictHeaderReader(cheroot.server.HeaderReader):
@@ -84,7 +86,7 @@
     def __call__(self, rfile, hdict=None):
         """Read headers into a `HeaderTable`."""
         table = HeaderTable() if hdict is None else hdict
-        return super().__call__(LineRecorder(rfile, table.pairs), table)
+        return super().__call__(LineRecorder(rfile, table.listed), table)
 
 
 class ChunkLimiter:
@@ -125,7 +127,7 @@
         if not super().read_request_headers():
             return False
         try:
-            check_framing(self.inheaders.pairs, self.request_protocol)
+            check_framing(self.inheaders.listed, self.request_protocol)
             check_path(self.uri.decode("latin-1"))
         except Refusal as refusal:
             self.write_refusal(refusal)
@@ -158,7 +160,7 @@
     RequestHandlerClass = StrictRequest
 
 
-def check_framing(pairs, protocol):
+def check_framing(headers, protocol):
     """Refuse a request whose length could be read in two ways.
 
     Raises:
@@ -167,23 +169,18 @@
     """
     if protocol != b"HTTP/1.1":
         raise Refusal(505, "version-refused", "only HTTP/1.1 is served")
-    lengths = find_values(pairs, "content-length")
-    encodings = find_values(pairs, "transfer-encoding")
+    lengths = find_values(headers, "content-length")
+    encodings = find_values(headers, "transfer-encoding")
     if len(lengths) + len(encodings) > 1:
         raise Refusal(400, "framing-refused", "the body's length is given twice")
     if lengths and not LENGTH.fullmatch(lengths[0]):
         raise Refusal(400, "framing-refused", "the body's length is malformed")
     if encodings and encodings[0].lower() != "chunked":
         raise Refusal(400, "framing-refused", "only chunked encoding is served")
-    if len(find_values(pairs, "host")) != 1:
+    if len(find_values(headers, "host")) != 1:
         raise Refusal(400, "host-refused", "there must be one Host header")
 
 
-def find_values(pairs, name):
-    """Return the values of all headers with a lower-case name."""
-    return [value for key, value in pairs if key.lower() == name]
-
-
 def check_path(target):
     """Refuse a path that servers may resolve in different ways.
 
--- a/persimmonlane/forwarding/tests/test_exchange.py
+++ b/persimmonlane/forwarding/tests/test_exchange.py
@@ -6,6 +6,7 @@
 
 from ...clocks import SystemClock
 from ...ejection.outcome import Kind
+from ...keys import Header
 from ...verdicts import Verdict
 from ..bodies import RequestBody
 from ..connections import ConnectionPool
@@ -36,7 +37,7 @@
             "address": server if isinstance(server, str) else server.address,
             "method": "GET",
             "target": "/prices",
-            "pairs": [("Host", "shop")],
+            "headers": [Header("Host", "shop")],
             "body": RequestBody(io.BytesIO(), 0),
             "request_id": REQUEST_ID,
             "idempotent": True,
--- a/persimmonlane/forwarding/traffic.py
+++ b/persimmonlane/forwarding/traffic.py
@@ -13,7 +13,7 @@
 from ..limits.admission import Admission
 from ..limits.borrower import Borrower
 from ..limits.messages import LoansChanged
-from ..membership.messages import LoadReported, ServersChanged
+from ..membership.messages import LoadReported, PeersChanged, ServersChanged
 from ..reporting.ledger import Ledger, UnixClock
 from .budgets import SharedBudget
 from .dispatcher import Dispatcher
@@ -76,6 +76,7 @@
         DocumentChanged: "change_document",
         FreshnessChanged: "change_freshness",
         ServersChanged: "change_servers",
+        PeersChanged: "ignore",
         LoadReported: "report_load",
         LoansChanged: "change_loans",
         ProbeEnded: "end_probe",
@@ -125,9 +126,6 @@
 
     def disregard(self, message):
         """Take an attempt on a dead connection out of the evidence."""
-        dispatcher = self._dispatchers.get(message.service)
-        if dispatcher is not None:
-            dispatcher.ejector.disregard(message.attempt)
         log.info("Traffic: a connection to %s is silent.", message.address)
 
     def end_request(self, message):
@@ -160,6 +158,7 @@
         self._borrower.set_view(view)
         self._ledger.set_view(view)
         self._update_dispatchers(view)
+        self._ports.change_document(view)
         self._publish(KeyTable(view.document))
         log.info("Traffic: revision %d is in force.", view.revision)
 
@@ -179,6 +178,9 @@
             self._update_servers(dispatcher)
             self._place_queued(dispatcher)
 
+    def ignore(self, message):
+        """Take a message that does not concern the request path."""
+
     def report_load(self, message):
         """Take a load report of a backend server."""
         for dispatcher in self._dispatchers.values():
@@ -227,7 +229,7 @@
             self._retry_one(item)
 
     def _retry_one(self, item):
-        admission = self._borrower.admit(item.arrival.organisation)
+        admission = self._borrower.admit(item.arrival.organisation, again=True)
         if admission is Admission.ADMITTED:
             self._place_admitted(item.arrival)
         elif admission is Admission.WAIT and self._clock.now() < item.until:
--- a/persimmonlane/limits/part.py
+++ b/persimmonlane/limits/part.py
@@ -8,7 +8,7 @@
 import grpc
 import pykka
 
-from ..actors import Actor, Tick, Ticker
+from ..actors import Actor, Tick, Ticker, tell
 from ..application import Part
 from . import limits_pb2_grpc
 from .holder import Holder
@@ -176,7 +176,7 @@
 
     def set_view(self, view):
         """Take a revision of the document into use."""
-        self._actor.tell(ViewChanged(view))
+        tell(self._actor, ViewChanged(view))
 
     def connect(self, traffic_ref):
         """Name the actor that takes `LoansChanged`."""
@@ -184,7 +184,7 @@
 
     def send(self, demands):
         """Send the `Demands` of this node's borrower; returns at once."""
-        self._actor.tell(SendDemands(demands))
+        tell(self._actor, SendDemands(demands))
 
     def stop(self):
         """End the actor."""
--- a/persimmonlane/membership/part.py
+++ b/persimmonlane/membership/part.py
@@ -10,7 +10,7 @@
 import grpc
 import pykka
 
-from ..actors import Actor, Tick, Ticker
+from ..actors import Actor, Tick, Ticker, tell
 from ..application import Part
 from . import codec, membership_pb2_grpc
 from .announcements import Announcement
@@ -294,7 +294,7 @@
 
     def set_lease(self, lease_s):
         """Take the announcement lease of the document in force, in seconds."""
-        self.actor_ref.tell(LeaseChanged(lease_s))
+        tell(self.actor_ref, LeaseChanged(lease_s))
 
     def announce_leaving(self, address=None):
         """Announce that a hosted server, or with None the node, is leaving.
--- a/persimmonlane/node.py
+++ b/persimmonlane/node.py
@@ -45,20 +45,28 @@
     clock = SystemClock()
     metrics = create_metrics(settings.statsd, f"persimmonlane.{settings.name}")
     count_invariants(metrics)
-    rpc_server = RpcServer(settings.rpc, settings.fleet_token)
+    rpc_server = application.add(RpcServer(settings.rpc, settings.fleet_token))
     channels = application.add(Channels(settings.fleet_token))
     store = create_client(STORE_CLIENT, settings.store)
-    membership = build_membership(application, settings, clock, rpc_server, channels)
+    membership = application.add(
+        build_membership(application, settings, clock, rpc_server, channels)
+    )
     application.add(Leaving(membership))
     config = build_config(
         application, settings, clock, rpc_server, channels, store, membership.peers
     )
     if "ingress" in settings.roles:
-        limits = build_limits(
-            application, settings, clock, rpc_server, channels, store, membership.peers
-        )
         ingress = application.add(Ingress(application, settings, clock, metrics))
+        limits = application.add(
+            build_limits(
+                application,
+                settings,
+                clock,
+                rpc_server,
+                channels,
+                store,
+                membership.peers,
+            )
+        )
         ingress.connect(membership, config, limits)
-    application.add(membership)
-    application.add(rpc_server)
     return application
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -14,8 +14,9 @@
 
 from ..forwarding.answers import get_reason
 from ..forwarding.bodies import BodyError, create_body
-from ..forwarding.headers import ORGANISATION, REQUEST_ID, VERDICT
-from ..forwarding.strictness import StrictConnection, find_values
+from ..forwarding.headers import ORGANISATION, REQUEST_ID, VERDICT, find_values
+from ..forwarding.strictness import StrictConnection
+from ..keys import Header
 
 CONTROL_PREFIX = "/standin/"
 SUBMISSION = "X-Submission-Id"
@@ -211,9 +212,9 @@
             factor = 1.0 + SPREAD * (self._rng.random() - 0.5)
         return behaviour.latency_s * behaviour.slow_factor * factor
 
-    def inspect(self, pairs, target):
+    def inspect(self, headers, target):
         """Count a request in which a secret appears."""
-        text = target + "".join(f"{name}:{value}\n" for name, value in pairs)
+        text = target + "".join(f"{item.name}:{item.value}\n" for item in headers)
         if any(secret in text for secret in self._secrets):
             with self._lock:
                 self._secrets_seen += 1
@@ -285,13 +286,13 @@
 
     def _run(self, path):
         standin = self.standin
-        pairs = self.req.inheaders.pairs
-        standin.inspect(pairs, self.req.uri.decode("latin-1"))
+        headers = self.req.inheaders.listed
+        standin.inspect(headers, self.req.uri.decode("latin-1"))
         if standin.draw(standin.behaviour.reset_before_share):
             self._cut()
             return
         if standin.draw(standin.behaviour.shed_share):
-            self._answer(503, b"shed", [(VERDICT, "not-run")])
+            self._answer(503, b"shed", [Header(VERDICT, "not-run")])
             return
         try:
             size = sum(len(piece) for piece in create_body(self.req).pieces())
@@ -300,9 +301,9 @@
             return
         run = Run(
             0.0,
-            find_first(pairs, ORGANISATION),
-            find_first(pairs, REQUEST_ID),
-            find_first(pairs, SUBMISSION),
+            find_first(headers, ORGANISATION),
+            find_first(headers, REQUEST_ID),
+            find_first(headers, SUBMISSION),
             self.req.method.decode("ascii"),
             path,
             size,
@@ -319,15 +320,15 @@
         if self.standin.draw(behaviour.reset_after_share):
             self._cut()
         elif self.standin.draw(behaviour.error_share):
-            self._answer(500, b"failed", [(REQUEST_ID, run.request_id)])
+            self._answer(500, b"failed", [Header(REQUEST_ID, run.request_id)])
         elif self.standin.draw(behaviour.wrong_share):
-            self._answer(200, b"wrong", [(REQUEST_ID, "of-another-request")])
+            self._answer(200, b"wrong", [Header(REQUEST_ID, "of-another-request")])
         else:
             self._answer_run(run, behaviour)
 
     def _answer_run(self, run, behaviour):
         body = build_body(run, behaviour.answer_bytes)
-        headers = [(REQUEST_ID, run.request_id)]
+        headers = [Header(REQUEST_ID, run.request_id)]
         if self.standin.draw(behaviour.short_share):
             self._write(200, body[: len(body) // 2], headers, len(body))
             self._cut()
@@ -343,8 +344,8 @@
     def _write(self, status, body, headers, length):
         req = self.req
         req.status = f"{status} {get_reason(status)}".encode()
-        pairs = [*headers, ("Content-Length", str(length))]
-        req.outheaders = [(name.encode(), value.encode()) for name, value in pairs]
+        headers = [*headers, Header("Content-Length", str(length))]
+        req.outheaders = [(item.name.encode(), item.value.encode()) for item in headers]
         try:
             req.ensure_headers_sent()
             if req.method != b"HEAD":
@@ -369,9 +370,9 @@
     return text.ljust(length, b".")
 
 
-def find_first(pairs, name):
+def find_first(headers, name):
     """Return the first value of a header, or an empty string."""
-    values = find_values(pairs, name.lower())
+    values = find_values(headers, name.lower())
     return values[0] if values else ""
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -49,6 +49,7 @@
 SHARE_SENT = 0.6
 STEP_S = 3.0
 WARM_S = 4.0
+LOG_LINES = 4
 USUAL = Behaviour(latency_s=0.008)
 SLOW = Behaviour(latency_s=0.008, slow_factor=40.0)
 WRONG = Behaviour(latency_s=0.008, wrong_share=0.6)
@@ -233,11 +234,12 @@
 
 
 def show_logs(directory):
-    """Print the error lines of the fleet's logs."""
+    """Print the first few error lines of each of the fleet's logs."""
     for path in sorted(directory.glob("*.log")):
-        for line in path.read_text().splitlines():
-            if " ERROR " in line or "Traceback" in line:
-                say(f"{path.stem}: {line}")
+        lines = path.read_text().splitlines()
+        errors = [line for line in lines if "ERROR" in line or "Error" in line]
+        for line in errors[:LOG_LINES]:
+            say(f"{path.stem}: {line}")
 
 
 if __name__ == "__main__":
