--- a/persimmonlane/programs/standin.py
+++ b/persimmonlane/programs/standin.py
@@ -4,6 +4,7 @@
 """
 
 import signal
+import sys
 import threading
 
 import msgspec
@@ -14,6 +15,8 @@
 from ..standins.store import run_store
 from .common import create_program, run_program
 
+SWITCH_INTERVAL_S = 0.0005
+
 program = create_program(
     "persimmon-standin", "Run stand-ins of outside systems, for development only."
 )
@@ -66,6 +69,7 @@
     Args:
         settings: Path of a JSON file with the stand-ins.
     """
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     ended = threading.Event()
     signal.signal(signal.SIGTERM, lambda number, frame: ended.set())
     values = read(settings)
