--- a/persimmonlane/ejection/__init__.py
+++ b/persimmonlane/ejection/__init__.py
@@ -3,6 +3,8 @@
 Finds backend servers that fail quietly and keeps work away from them.
 """
 
+# The imports register the detectors.
+from . import baselines, cusum  # noqa: F401
 from .ejector import Ejector
 
 
--- /dev/null
+++ b/persimmonlane/ejection/cusum.py
@@ -0,0 +1,367 @@
+"""CUSUM detector.
+
+A sequential test per backend server and symptom against the other backend
+servers of the same service, with the evidence of other nodes pooled.
+"""
+
+import math
+
+from .detectors import CLEAR, Assessment, Detector, Level, registry
+from .evidence import ENTRY_LIMIT, ServerEvidence, ServiceEvidence
+from .outcome import Kind
+from .references import Reference
+from .symptoms import (
+    KIND_SYMPTOMS,
+    SLOW,
+    SYMPTOMS,
+    TRIAL_SYMPTOMS,
+    WRONG,
+    Trial,
+    sum_evidence,
+)
+from .tracks import LONG_S, WINDOW_S, Attempt, Track
+
+DAY_S = 86400.0
+LEAST_TRAFFIC = 0.2
+NATS_PER_WINDOW = 2.5
+LEAST_THRESHOLD = 8.0
+SUSPECT_SHARE = 0.5
+SUSPECT_WINDOWS = 3
+HOT_SCORE = 5.0
+HOT_S = 5.0
+OBSERVER_S = 10.0
+COMMON_RATE = 0.4
+COMMON_KEPT = 0.8
+COLD_FACTOR = 4.0
+LEAST_EXCESS_S = 0.005
+VETO_TRIALS = 2.0
+EPOCH_LIMIT = 1 << 48
+
+
+class Observer:
+    """Another node that makes attempts on the service.
+
+    Attributes:
+        epoch: Epoch of its evidence.
+        sequence: Highest sequence number that came.
+        attempts: Its attempts.
+        active: Monotonic seconds at which they last rose, or None.
+    """
+
+    __slots__ = ("epoch", "sequence", "attempts", "active")
+
+    def __init__(self, evidence):
+        self.epoch = evidence.epoch
+        self.sequence = evidence.sequence
+        self.attempts = evidence.attempts
+        self.active = None
+
+
+@registry.register
+class Cusum(Detector):
+    """Bernoulli CUSUM per backend server and symptom.
+
+    Evidence is counted in short windows. A failing server shows in many of them; a
+    pause, however bad, in few. So a verdict takes both a sum past the threshold and
+    a number of distinct windows.
+    """
+
+    name = "cusum"
+    aliases = ()
+    options = ("false_ejection_days", "slow_factor")
+
+    def __init__(self, service, clock, rng):
+        super().__init__(service, clock, rng)
+        self._began = clock.now()
+        self._tracks = {}
+        self._assessments = {}
+        self._window = self._find_window()
+        self._hot = {}
+        self._observers = {}
+        self._epoch = rng.randrange(EPOCH_LIMIT)
+        self._sequence = 0
+        self._started = 0
+
+    def update_servers(self, servers):
+        """Keep a track for each backend server that takes new work."""
+        tracks = {}
+        for server in servers:
+            track = self._tracks.get(server.address)
+            if track is None or track.server.incarnation != server.incarnation:
+                track = self._create_track(server)
+            track.server = server
+            tracks[server.address] = track
+        self._tracks = tracks
+        self._assessments = {
+            address: value
+            for address, value in self._assessments.items()
+            if address in tracks
+        }
+
+    def start(self, address, attempt, pooled):
+        """Note the start of an attempt."""
+        self._started += 1
+        track = self._tracks.get(address)
+        if track is not None:
+            now = self.clock.now()
+            track.attempts[attempt] = Attempt(now, track.limit_s, pooled)
+
+    def observe(self, outcome):
+        """Count the trials that an attempt decides at its end."""
+        track = self._tracks.get(outcome.address)
+        if track is None:
+            return
+        attempt = track.attempts.pop(outcome.attempt, None)
+        if attempt is None:
+            return
+        kind = outcome.kind
+        if kind is Kind.STALE:
+            self._take_back(track, attempt)
+        if kind not in KIND_SYMPTOMS:
+            return
+        track.seen += 1
+        symptom = KIND_SYMPTOMS[kind]
+        trials, failures = track.trials, track.failures
+        trials[Trial.ERROR] += 1
+        if symptom is None or symptom == WRONG:
+            trials[Trial.WRONG] += 1
+        if symptom is not None:
+            failures[symptom] += 1
+        if kind is Kind.OK:
+            self._observe_answer(track, attempt, outcome.latency_s)
+
+    def tick(self):
+        """Count what is overdue, and weigh the windows that have passed."""
+        now = self.clock.now()
+        for track in self._tracks.values():
+            if track.attempts:
+                self._count_overdue(track, now)
+        window = self._find_window()
+        if window != self._window:
+            self._window = window
+            self._weigh(now)
+
+    def assess(self, address):
+        """Return the `Assessment` of a backend server."""
+        return self._assessments.get(address, CLEAR)
+
+    def accepts_latency(self, address, latency_s):
+        """Return whether a latency is within the late limit."""
+        track = self._tracks.get(address)
+        return track is None or latency_s <= track.limit_s
+
+    def reset(self, address):
+        """Forget the evidence on a backend server."""
+        self._assessments.pop(address, None)
+        track = self._tracks.get(address)
+        if track is not None:
+            track.reset()
+
+    def connections_since(self, address):
+        """Return the time before which pooled connections are not trusted."""
+        track = self._tracks.get(address)
+        return 0.0 if track is None else track.connections_since
+
+    def export_evidence(self):
+        """Return the evidence on the backend servers that some node suspects."""
+        now = self.clock.now()
+        self._sequence += 1
+        hot = [a for a, until in self._hot.items() if until > now and a in self._tracks]
+        hot.sort(key=lambda address: -self._tracks[address].find_score())
+        entries = tuple(self._export_entry(a) for a in hot[:ENTRY_LIMIT])
+        return ServiceEvidence(
+            self.service.name, self._epoch, self._sequence, self._started, entries
+        )
+
+    def merge_evidence(self, node, evidence):
+        """Add the evidence of another node to the pool."""
+        now = self.clock.now()
+        if not self._note_observer(node, evidence, now):
+            return
+        for entry in evidence.entries:
+            track = self._tracks.get(entry.address)
+            if track is None or track.server.incarnation != entry.incarnation:
+                continue
+            self._merge_entry(node, track, entry, now)
+
+    def _find_window(self):
+        return int(self.clock.now() / WINDOW_S)
+
+    def _create_track(self, server):
+        cold_until = 0.0
+        if server.since > self._began + self.service.ramp_s:
+            cold_until = server.since + self.service.ramp_s
+        return Track(server, cold_until, self._find_default_limit())
+
+    def _find_default_limit(self):
+        return self.service.response_timeout_ms / 2000.0
+
+    def _observe_answer(self, track, attempt, latency_s):
+        track.note_latency(latency_s)
+        if attempt.failures:
+            track.trials[Trial.OVERDUE] += 1
+            return
+        track.trials[Trial.LATE] += 1
+        if latency_s > attempt.limit_s:
+            track.failures[Trial.LATE] += 1
+        elif not attempt.pooled and attempt.started > track.connections_since:
+            self._trust(track)
+
+    def _trust(self, track):
+        """Void what hangs on old connections: a new connection works."""
+        for attempt in track.attempts.values():
+            old = attempt.started <= track.connections_since
+            if attempt.pooled and old and not attempt.void:
+                self._take_back(track, attempt)
+                attempt.void = True
+
+    def _take_back(self, track, attempt):
+        if not attempt.failures:
+            return
+        late = sum_evidence(1, 1, track.rates[Trial.LATE])
+        overdue = sum_evidence(1, 1, track.rates[Trial.OVERDUE])
+        amount = late + overdue * (attempt.failures - 1)
+        track.symptoms[SLOW].take_back(max(0.0, amount))
+
+    def _count_overdue(self, track, now):
+        for attempt in track.attempts.values():
+            age = now - attempt.started
+            if age <= track.limit_s:
+                break
+            while age > attempt.limit_s and not attempt.void:
+                self._fail_by_age(track, attempt, now)
+
+    def _fail_by_age(self, track, attempt, now):
+        trial = Trial.OVERDUE if attempt.failures else Trial.LATE
+        track.trials[trial] += 1
+        track.failures[trial] += 1
+        if not attempt.failures:
+            track.note_latency(attempt.limit_s)
+        attempt.failures += 1
+        attempt.limit_s *= 2.0
+        if attempt.pooled:
+            track.connections_since = now
+
+    def _weigh(self, now):
+        active = [t for t in self._tracks.values() if t.is_active()]
+        closed = [(track, *track.close_window()) for track in active]
+        reference = Reference(active)
+        threshold = self._find_threshold(active)
+        for track, trials, failures in closed:
+            self._weigh_track(track, trials, failures, reference, threshold)
+            self._set_limit(track, reference, now)
+        for track in self._tracks.values():
+            self._assess(track, threshold, now)
+
+    def _find_threshold(self, active):
+        """Return the threshold for the wanted time between false ejections."""
+        rate = LEAST_TRAFFIC
+        if active:
+            trials = sum(t.long.trials[Trial.ERROR] for t in active)
+            rate = max(rate, trials / LONG_S / len(active))
+        rate *= 1 + sum(1 for _ in self._find_observers())
+        trials = self.service.detection.false_ejection_days * DAY_S * rate
+        return max(LEAST_THRESHOLD, math.log(trials * len(SYMPTOMS)))
+
+    def _find_observers(self):
+        now = self.clock.now()
+        for observer in self._observers.values():
+            if observer.active is not None and now - observer.active <= OBSERVER_S:
+                yield observer
+
+    def _weigh_track(self, track, trials, failures, reference, threshold):
+        rates = track.rates = reference.find_rates(track)
+        changes = [0.0] * len(SYMPTOMS)
+        common = [False] * len(SYMPTOMS)
+        for trial, symptom in enumerate(TRIAL_SYMPTOMS):
+            rate = rates[trial]
+            if trials[trial]:
+                changes[symptom] += sum_evidence(
+                    failures[trial], trials[trial], min(rate, 1.0)
+                )
+            if trial != Trial.OVERDUE and rate > COMMON_RATE:
+                common[symptom] = True
+        for symptom, evidence in enumerate(track.symptoms):
+            change = changes[symptom]
+            if common[symptom]:
+                change = min(change, (COMMON_KEPT - 1.0) * evidence.score)
+            evidence.add(change, self._window, threshold)
+        if track.is_overdue(self.clock.now()) and not common[SLOW]:
+            track.symptoms[SLOW].mark(self._window)
+
+    def _set_limit(self, track, reference, now):
+        typical_s = reference.find_latency(track)
+        if typical_s is None:
+            return
+        factor = self.service.detection.slow_factor
+        if now < track.cold_until:
+            factor *= COLD_FACTOR
+        limit_s = max(typical_s * factor, typical_s + LEAST_EXCESS_S)
+        track.limit_s = min(limit_s, self._find_default_limit())
+
+    def _assess(self, track, threshold, now):
+        address = track.server.address
+        symptom = track.find_symptom()
+        evidence = track.symptoms[symptom]
+        best = max(evidence.score, evidence.pool.score)
+        if best <= 0.0:
+            self._assessments.pop(address, None)
+            return
+        if evidence.score >= HOT_SCORE:
+            self._hot[address] = now + HOT_S
+        level = self._find_level(track, evidence, threshold)
+        score = min(evidence.pool.score, best) / threshold
+        self._assessments[address] = Assessment(
+            level, SYMPTOMS[symptom], score, track.find_severity(symptom)
+        )
+
+    def _find_level(self, track, evidence, threshold):
+        windows = math.ceil(threshold / NATS_PER_WINDOW)
+        if self._is_failing(track, evidence, threshold, windows):
+            return Level.FAILING
+        suspect = evidence.score >= SUSPECT_SHARE * threshold
+        if suspect and evidence.mask.count >= SUSPECT_WINDOWS:
+            return Level.SUSPECT
+        return Level.CLEAR
+
+    def _is_failing(self, track, evidence, threshold, windows):
+        pool = evidence.pool
+        if pool.score < threshold or pool.mask.count < windows:
+            return False
+        if not any(True for _ in self._find_observers()):
+            return evidence.score >= threshold
+        if not evidence.score and track.short.trials[Trial.ERROR] >= VETO_TRIALS:
+            return False
+        agreement = pool.find_agreement(evidence.score, threshold, self._window)
+        return agreement >= threshold
+
+    def _note_observer(self, node, evidence, now):
+        """Return whether evidence is new; note that its node makes attempts."""
+        observer = self._observers.get(node)
+        if observer is None or observer.epoch != evidence.epoch:
+            self._observers[node] = Observer(evidence)
+            for track in self._tracks.values():
+                track.forget(node)
+            return True
+        if evidence.sequence <= observer.sequence:
+            return False
+        observer.sequence = evidence.sequence
+        if evidence.attempts > observer.attempts:
+            observer.active = now
+        observer.attempts = evidence.attempts
+        return True
+
+    def _merge_entry(self, node, track, entry, now):
+        threshold = self._find_threshold([track])
+        for evidence, reported in zip(track.symptoms, entry.symptoms, strict=False):
+            evidence.pool.merge(node, reported, self._window, threshold)
+            if reported.score >= HOT_SCORE:
+                self._hot[entry.address] = now + HOT_S
+
+    def _export_entry(self, address):
+        track = self._tracks[address]
+        return ServerEvidence(
+            address,
+            track.server.incarnation,
+            tuple(evidence.export(self._window) for evidence in track.symptoms),
+        )
--- /dev/null
+++ b/persimmonlane/ejection/pool.py
@@ -0,0 +1,157 @@
+"""Evidence pool.
+
+Adds up the evidence of several nodes on one symptom of one backend server.
+"""
+
+from .evidence import RISE_WINDOWS
+
+SINGLE_SHARE = 0.6
+STALE_WINDOWS = 40
+ROUND_WINDOWS = 8
+WINDOW_BITS = 32
+WINDOW_MASK = (1 << WINDOW_BITS) - 1
+CEILING = 1.5
+
+
+class WindowMask:
+    """The windows with bad evidence in the present rise of a sum.
+
+    Attributes:
+        count: Number of distinct windows.
+    """
+
+    __slots__ = ("count", "_bits", "_index")
+
+    def __init__(self):
+        self.count = 0
+        self._bits = 0
+        self._index = 0
+
+    def add(self, bits, index):
+        """Add windows; the lowest bit stands for window `index`."""
+        known = self.read(index)
+        fresh = bits & ~known
+        self._bits = known | fresh
+        self._index = index
+        self.count += fresh.bit_count()
+
+    def read(self, index):
+        """Return the windows as bits whose lowest stands for window `index`."""
+        shift = min(index - self._index, WINDOW_BITS)
+        return (self._bits << shift) & WINDOW_MASK
+
+    def clear(self):
+        """Forget all windows."""
+        self.count = 0
+        self._bits = 0
+
+
+class Arrival:
+    """The last evidence of one other node.
+
+    Attributes:
+        index: Window of its arrival.
+        evidence: The `SymptomEvidence`.
+    """
+
+    __slots__ = ("index", "evidence")
+
+    def __init__(self, index, evidence):
+        self.index = index
+        self.evidence = evidence
+
+
+class PooledSum:
+    """Evidence of this and other nodes of one symptom of one backend server.
+
+    A running sum is kept with its least value. Other nodes report once per round,
+    so that the sum is whole only at the ends of rounds; what it has risen above
+    its least value there is the pooled CUSUM.
+
+    Attributes:
+        mask: `WindowMask` of the present rise.
+    """
+
+    __slots__ = ("mask", "_sum", "_least", "_arrivals", "_closed")
+
+    def __init__(self):
+        self.mask = WindowMask()
+        self._sum = 0.0
+        self._least = 0.0
+        self._arrivals = {}
+        self._closed = 0
+
+    @property
+    def score(self):
+        """The pooled CUSUM."""
+        return self._sum - self._least
+
+    def add(self, change, index, threshold):
+        """Add this node's evidence of window `index`."""
+        self._sum += change
+        if change > 0.0:
+            self.mask.add(1, index)
+        if not self._arrivals or index - self._closed >= ROUND_WINDOWS:
+            self._close_round(index)
+        self._limit(threshold)
+
+    def merge(self, node, evidence, index, threshold):
+        """Add what another node's cumulative sum has risen by."""
+        last = self._arrivals.get(node)
+        if last is None or index - last.index > STALE_WINDOWS:
+            change = evidence.rises[self._choose_rise(evidence, index)]
+        else:
+            change = evidence.total - last.evidence.total
+        self._arrivals[node] = Arrival(index, evidence)
+        self._sum += change
+        self.mask.add(evidence.windows, index)
+        self._limit(threshold)
+
+    def take_back(self, amount):
+        """Take back evidence of this node."""
+        self._sum -= amount
+
+    def find_agreement(self, own, threshold, index):
+        """Return the sum of all nodes' own scores, none counting for much alone."""
+        most = SINGLE_SHARE * threshold
+        total = min(own, most)
+        for arrival in self._arrivals.values():
+            if index - arrival.index <= STALE_WINDOWS:
+                total += min(arrival.evidence.score, most)
+        return total
+
+    def forget(self, node):
+        """Forget the evidence of a node whose sums began anew."""
+        self._arrivals.pop(node, None)
+
+    def has_reports(self):
+        """Return whether another node reported lately."""
+        return bool(self._arrivals)
+
+    def reset(self):
+        """Begin a new rise from the present sum."""
+        self._least = self._sum
+        self.mask.clear()
+
+    def _close_round(self, index):
+        self._closed = index
+        if self._sum <= self._least:
+            self.reset()
+        arrivals = self._arrivals
+        if arrivals:
+            self._arrivals = {
+                node: arrival
+                for node, arrival in arrivals.items()
+                if index - arrival.index <= STALE_WINDOWS
+            }
+
+    def _limit(self, threshold):
+        self._least = max(self._least, self._sum - CEILING * threshold)
+
+    def _choose_rise(self, evidence, index):
+        windows = self.mask.read(index) | evidence.windows
+        length = windows.bit_length()
+        for place, limit in enumerate(RISE_WINDOWS):
+            if length <= limit:
+                return place
+        return len(RISE_WINDOWS) - 1
--- /dev/null
+++ b/persimmonlane/ejection/symptoms.py
@@ -0,0 +1,55 @@
+"""Symptoms.
+
+The ways in which a backend server fails, and the trials that give evidence of
+them.
+"""
+
+import enum
+import math
+
+from .outcome import Kind
+
+SYMPTOMS = ("error", "wrong", "slow")
+ERROR, WRONG, SLOW = range(3)
+
+
+class Trial(enum.IntEnum):
+    """Yes-or-no questions put to each attempt.
+
+    `LATE` asks whether the answer came after the late limit, and `OVERDUE` asks,
+    at each doubling of that limit, whether the attempt was still in flight.
+    """
+
+    ERROR = 0
+    WRONG = 1
+    LATE = 2
+    OVERDUE = 3
+
+
+TRIALS = len(Trial)
+TRIAL_SYMPTOMS = (ERROR, WRONG, SLOW, SLOW)
+LEAST_RATES = (0.005, 0.002, 0.03, 0.2)
+KIND_SYMPTOMS = {
+    Kind.OK: None,
+    Kind.ERROR: ERROR,
+    Kind.TIMEOUT: ERROR,
+    Kind.CONNECT: ERROR,
+    Kind.SHORT: WRONG,
+    Kind.WRONG: WRONG,
+}
+ODDS_RATIO = 9.0
+LOG_ODDS_RATIO = math.log(ODDS_RATIO)
+
+
+def sum_evidence(failures, trials, rate):
+    """Return the log-likelihood ratio of some Bernoulli trials.
+
+    Tests a failing server, whose odds of failure are `ODDS_RATIO` times the
+    reference's, against a healthy one.
+
+    Args:
+        failures: Failed trials.
+        trials: All trials.
+        rate: Failure rate of the reference.
+    """
+    return failures * LOG_ODDS_RATIO - trials * math.log1p((ODDS_RATIO - 1.0) * rate)
