--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -29,6 +29,8 @@
 SUSPECT_WINDOWS = 3
 HOT_SCORE = 5.0
 HOT_S = 5.0
+EXPORT_S = 1.0
+LONE_S = 1.0
 OBSERVER_S = 10.0
 COMMON_RATE = 0.4
 COMMON_KEPT = 0.8
@@ -39,22 +41,37 @@
 
 
 class Observer:
-    """Another node that makes attempts on the service.
+    """Another node that reports evidence on the service.
 
     Attributes:
         epoch: Epoch of its evidence.
         sequence: Highest sequence number that came.
-        attempts: Its attempts.
-        active: Monotonic seconds at which they last rose, or None.
+        active: Monotonic seconds of its last attempt.
     """
 
-    __slots__ = ("epoch", "sequence", "attempts", "active")
+    __slots__ = ("epoch", "sequence", "active")
 
-    def __init__(self, evidence):
-        self.epoch = evidence.epoch
-        self.sequence = evidence.sequence
-        self.attempts = evidence.attempts
-        self.active = None
+    def __init__(self, epoch):
+        self.epoch = epoch
+        self.sequence = 0
+        self.active = 0.0
+
+
+class Hot:
+    """A backend server that some node suspects.
+
+    Attributes:
+        since: Monotonic seconds at which the suspicion arose.
+        until: Monotonic seconds at which it lapses.
+        told: Whether evidence on it was exported.
+    """
+
+    __slots__ = ("since", "until", "told")
+
+    def __init__(self, since):
+        self.since = since
+        self.until = since
+        self.told = False
 
 
 @registry.register
@@ -80,7 +97,9 @@
         self._observers = {}
         self._epoch = rng.randrange(EPOCH_LIMIT)
         self._sequence = 0
-        self._started = 0
+        self._exported = -math.inf
+        self._active = -math.inf
+        self._peers = 0
 
     def update_servers(self, servers):
         """Keep a track for each backend server that takes new work."""
@@ -92,6 +111,7 @@
             track.server = server
             tracks[server.address] = track
         self._tracks = tracks
+        self._hot = {a: hot for a, hot in self._hot.items() if a in tracks}
         self._assessments = {
             address: value
             for address, value in self._assessments.items()
@@ -100,10 +120,9 @@
 
     def start(self, address, attempt, pooled):
         """Note the start of an attempt."""
-        self._started += 1
+        now = self._active = self.clock.now()
         track = self._tracks.get(address)
         if track is not None:
-            now = self.clock.now()
             track.attempts[attempt] = Attempt(now, track.limit_s, pooled)
 
     def observe(self, outcome):
@@ -162,15 +181,30 @@
         track = self._tracks.get(address)
         return 0.0 if track is None else track.connections_since
 
+    def update_peers(self, count):
+        """Take the number of other nodes in the data centre."""
+        self._peers = count
+
     def export_evidence(self):
-        """Return the evidence on the backend servers that some node suspects."""
+        """Return the evidence on the backend servers that some node suspects.
+
+        Evidence is due at once when a suspicion is new, and then once a second.
+        """
         now = self.clock.now()
+        self._hot = {a: hot for a, hot in self._hot.items() if hot.until > now}
+        if not self._is_export_due(now):
+            return None
+        self._exported = now
         self._sequence += 1
-        hot = [a for a, until in self._hot.items() if until > now and a in self._tracks]
-        hot.sort(key=lambda address: -self._tracks[address].find_score())
-        entries = tuple(self._export_entry(a) for a in hot[:ENTRY_LIMIT])
+        for hot in self._hot.values():
+            hot.told = True
+        addresses = sorted(self._hot, key=self._rank_hot)[:ENTRY_LIMIT]
         return ServiceEvidence(
-            self.service.name, self._epoch, self._sequence, self._started, entries
+            self.service.name,
+            self._epoch,
+            self._sequence,
+            min(now - self._active, DAY_S),
+            tuple(self._export_entry(address) for address in addresses),
         )
 
     def merge_evidence(self, node, evidence):
@@ -184,6 +218,20 @@
                 continue
             self._merge_entry(node, track, entry, now)
 
+    def _is_export_due(self, now):
+        if now - self._exported >= EXPORT_S:
+            return bool(self._hot)
+        return any(not hot.told for hot in self._hot.values())
+
+    def _rank_hot(self, address):
+        return -self._tracks[address].find_score()
+
+    def _heat(self, address, now):
+        hot = self._hot.get(address)
+        if hot is None:
+            hot = self._hot[address] = Hot(now)
+        hot.until = now + HOT_S
+
     def _find_window(self):
         return int(self.clock.now() / WINDOW_S)
 
@@ -259,15 +307,14 @@
         if active:
             trials = sum(t.long.trials[Trial.ERROR] for t in active)
             rate = max(rate, trials / LONG_S / len(active))
-        rate *= 1 + sum(1 for _ in self._find_observers())
+        rate *= 1 + len(self._find_observers())
         trials = self.service.detection.false_ejection_days * DAY_S * rate
         return max(LEAST_THRESHOLD, math.log(trials * len(SYMPTOMS)))
 
     def _find_observers(self):
         now = self.clock.now()
-        for observer in self._observers.values():
-            if observer.active is not None and now - observer.active <= OBSERVER_S:
-                yield observer
+        observers = self._observers.values()
+        return [o for o in observers if now - o.active <= OBSERVER_S]
 
     def _weigh_track(self, track, trials, failures, reference, threshold):
         rates = track.rates = reference.find_rates(track)
@@ -308,7 +355,7 @@
             self._assessments.pop(address, None)
             return
         if evidence.score >= HOT_SCORE:
-            self._hot[address] = now + HOT_S
+            self._heat(address, now)
         level = self._find_level(track, evidence, threshold)
         score = min(evidence.pool.score, best) / threshold
         self._assessments[address] = Assessment(
@@ -328,27 +375,31 @@
         pool = evidence.pool
         if pool.score < threshold or pool.mask.count < windows:
             return False
-        if not any(True for _ in self._find_observers()):
-            return evidence.score >= threshold
+        if not self._find_observers():
+            return self._is_alone(track) and evidence.score >= threshold
         if not evidence.score and track.short.trials[Trial.ERROR] >= VETO_TRIALS:
             return False
         agreement = pool.find_agreement(evidence.score, threshold, self._window)
         return agreement >= threshold
 
+    def _is_alone(self, track):
+        """Return whether no other node answered though it had the time to."""
+        if not self._peers:
+            return True
+        hot = self._hot.get(track.server.address)
+        return hot is not None and self.clock.now() - hot.since >= LONE_S
+
     def _note_observer(self, node, evidence, now):
-        """Return whether evidence is new; note that its node makes attempts."""
+        """Return whether evidence is new; note when its node was active."""
         observer = self._observers.get(node)
         if observer is None or observer.epoch != evidence.epoch:
-            self._observers[node] = Observer(evidence)
+            observer = self._observers[node] = Observer(evidence.epoch)
             for track in self._tracks.values():
                 track.forget(node)
-            return True
         if evidence.sequence <= observer.sequence:
             return False
         observer.sequence = evidence.sequence
-        if evidence.attempts > observer.attempts:
-            observer.active = now
-        observer.attempts = evidence.attempts
+        observer.active = now - evidence.idle_s
         return True
 
     def _merge_entry(self, node, track, entry, now):
@@ -356,7 +407,7 @@
         for evidence, reported in zip(track.symptoms, entry.symptoms, strict=False):
             evidence.pool.merge(node, reported, self._window, threshold)
             if reported.score >= HOT_SCORE:
-                self._hot[entry.address] = now + HOT_S
+                self._heat(entry.address, now)
 
     def _export_entry(self, address):
         track = self._tracks[address]
--- a/persimmonlane/ejection/detectors.py
+++ b/persimmonlane/ejection/detectors.py
@@ -92,8 +92,11 @@
         """Return the time before which pooled connections are not trusted."""
         return 0.0
 
+    def update_peers(self, count):
+        """Take the number of other nodes in the data centre."""
+
     def export_evidence(self):
-        """Return a `ServiceEvidence` for other nodes, or None."""
+        """Return a `ServiceEvidence` if one is due for other nodes, or None."""
 
     def merge_evidence(self, node, evidence):
         """Take the `ServiceEvidence` of another node."""
--- a/persimmonlane/ejection/ejector.py
+++ b/persimmonlane/ejection/ejector.py
@@ -156,8 +156,12 @@
         """
         return self._detector.connections_since(address)
 
+    def update_peers(self, count):
+        """Take the number of other ingress nodes in the data centre."""
+        self._detector.update_peers(count)
+
     def export_evidence(self):
-        """Return a `ServiceEvidence` for the other nodes, or None."""
+        """Return a `ServiceEvidence` if one is due for the other nodes, or None."""
         return self._detector.export_evidence()
 
     def merge_evidence(self, node, evidence):
--- a/persimmonlane/ejection/evidence.py
+++ b/persimmonlane/ejection/evidence.py
@@ -49,14 +49,14 @@
         service: Name of the service.
         epoch: Number that changes when the node's sums begin anew.
         sequence: Number that rises with each export.
-        attempts: Attempts that the node has made on the service.
+        idle_s: Seconds since the node's last attempt on the service.
         entries: The backend servers that some node suspects, worst first.
     """
 
     service: str
     epoch: int
     sequence: int
-    attempts: int
+    idle_s: float
     entries: tuple[ServerEvidence, ...]
 
 
--- a/tools/ejection_experiment.py
+++ b/tools/ejection_experiment.py
@@ -29,7 +29,7 @@
 DAY_S = 86400.0
 SLOTS = 4
 TICK_S = 0.05
-EXCHANGE_S = 1.0
+EXCHANGE_S = 0.25
 FAULT_AT_S = 20.0
 AFTER_S = 40.0
 TIMEOUT_S = 5.0
@@ -315,6 +315,7 @@
         self.nodes = []
         for index in range(options.nodes):
             ejector = create_ejector(service, self.clock, self._fork())
+            ejector.update_peers(options.nodes - 1)
             ejector.update_servers([s.record for s in self.servers.values()])
             self.nodes.append(Node(index, ejector, addresses, self._fork()))
         self.queue = []
