--- a/persimmonlane/ejection/baselines.py
+++ b/persimmonlane/ejection/baselines.py
@@ -38,7 +38,7 @@
         row = self._rows[address]
         if row < CONSECUTIVE_ERRORS:
             return CLEAR
-        return Assessment(Level.FAILING, "error", row / CONSECUTIVE_ERRORS, 1.0)
+        return Assessment(Level.FAILING, "error", 1.0, 1.0)
 
     def reset(self, address):
         """Forget the present row."""
@@ -71,7 +71,7 @@
         mean_s = sum(samples) / len(samples)
         if mean_s <= limit_s:
             return CLEAR
-        return Assessment(Level.FAILING, "slow", mean_s / limit_s, 1.0)
+        return Assessment(Level.FAILING, "slow", 1.0, 1.0)
 
     def reset(self, address):
         """Forget the last latencies."""
--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -9,6 +9,7 @@
 from .detectors import CLEAR, Assessment, Detector, Level, registry
 from .evidence import ENTRY_LIMIT, ServerEvidence, ServiceEvidence
 from .outcome import Kind
+from .pool import NATS_PER_WINDOW
 from .references import Reference
 from .symptoms import (
     KIND_SYMPTOMS,
@@ -23,7 +24,6 @@
 
 DAY_S = 86400.0
 LEAST_TRAFFIC = 0.2
-NATS_PER_WINDOW = 2.5
 LEAST_THRESHOLD = 8.0
 SUSPECT_SHARE = 0.5
 SUSPECT_WINDOWS = 3
@@ -357,7 +357,7 @@
         if evidence.score >= HOT_SCORE:
             self._heat(address, now)
         level = self._find_level(track, evidence, threshold)
-        score = min(evidence.pool.score, best) / threshold
+        score = min(1.0, best / threshold)
         self._assessments[address] = Assessment(
             level, SYMPTOMS[symptom], score, track.find_severity(symptom)
         )
--- a/persimmonlane/ejection/detectors.py
+++ b/persimmonlane/ejection/detectors.py
@@ -24,7 +24,7 @@
     Attributes:
         level: The `Level`.
         symptom: Name of the leading symptom, empty where there is none.
-        score: Evidence as a share of what an ejection takes.
+        score: Evidence as a share of what an ejection takes, from 0 to 1.
         severity: Share of bad outcomes lately, from 0 to 1.
     """
 
--- a/persimmonlane/ejection/ejector.py
+++ b/persimmonlane/ejection/ejector.py
@@ -25,10 +25,11 @@
 TRIAL_GOOD = 10
 TRIAL_BAD = 3
 HOLD_S = 2.0
+CERTAIN_SCORE = 0.99
 IDEMPOTENT_TRICKLE = Standing(State.TRIAL, 0.05, idempotent_only=True)
 SPARED = Standing(State.SUSPECT, 0.5)
-LEAST_SUSPECT_WEIGHT = 0.02
-MOST_SUSPECT_WEIGHT = 0.2
+DOUBTED = Standing(State.SUSPECT, 0.3, idempotent_only=True)
+AVOIDED = Standing(State.SUSPECT, 0.02, idempotent_only=True)
 NO_EVIDENCE = frozenset((Kind.SHED, Kind.STALE, Kind.CANCELLED))
 
 
@@ -263,6 +264,7 @@
 
     def _suspect(self, record, assessment, now):
         record.severity = assessment.severity
+        record.certain = assessment.score >= CERTAIN_SCORE
         record.held_until = now + HOLD_S
         if record.state is State.SUSPECT:
             return
@@ -337,15 +339,9 @@
         suspects.sort(key=lambda record: -record.severity)
         for record in suspects:
             spare_slots -= record.server.slots
-            avoided = spare_slots >= 0.0
-            record.standing = avoid(record) if avoided else SPARED
+            record.standing = SPARED
+            if spare_slots >= 0.0:
+                record.standing = AVOIDED if record.certain else DOUBTED
 
     def _note(self, event, record, now):
         self._events.append(event(record.server.address, now, record.symptom))
-
-
-def avoid(record):
-    """Return the standing of a suspect that the service can do without."""
-    weight = MOST_SUSPECT_WEIGHT * (1.0 - record.severity)
-    weight = max(LEAST_SUSPECT_WEIGHT, weight)
-    return Standing(State.SUSPECT, weight, idempotent_only=True)
--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -11,19 +11,20 @@
 WINDOW_BITS = 32
 WINDOW_MASK = (1 << WINDOW_BITS) - 1
 CEILING = 1.02
+NATS_PER_WINDOW = 2.5
 
 
 class WindowMask:
     """The windows with bad evidence in the present rise of a sum.
 
     Attributes:
-        count: Number of distinct windows.
+        count: Number of distinct windows, less what good evidence outweighs.
     """
 
     __slots__ = ("count", "_bits", "_index")
 
     def __init__(self):
-        self.count = 0
+        self.count = 0.0
         self._bits = 0
         self._index = 0
 
@@ -40,9 +41,13 @@
         shift = min(index - self._index, WINDOW_BITS)
         return (self._bits << shift) & WINDOW_MASK
 
+    def outweigh(self, change):
+        """Let good evidence, a negative change of the sum, count against windows."""
+        self.count = max(0.0, self.count + change / NATS_PER_WINDOW)
+
     def clear(self):
         """Forget all windows."""
-        self.count = 0
+        self.count = 0.0
         self._bits = 0
 
 
@@ -91,6 +96,8 @@
         self._sum += change
         if change > 0.0:
             self.mask.add(1, index)
+        else:
+            self.mask.outweigh(change)
         if not self._arrivals or index - self._closed >= ROUND_WINDOWS:
             self._close_round(index)
         self._limit(threshold)
@@ -105,6 +112,8 @@
         self._arrivals[node] = Arrival(index, evidence)
         self._sum += change
         self.mask.add(evidence.windows, index)
+        if change < 0.0:
+            self.mask.outweigh(change)
         self._limit(threshold)
 
     def take_back(self, amount):
--- a/persimmonlane/ejection/records.py
+++ b/persimmonlane/ejection/records.py
@@ -28,6 +28,7 @@
         bad: Bad answers in the trial.
         ramp_from: Monotonic seconds from which its share ramps up, or None.
         held_until: Monotonic seconds until which it stays suspect.
+        certain: Whether this node has all the evidence that an ejection takes.
         spared: Whether only the floor keeps it in service.
         departed: Monotonic seconds at which it ceased to be announced, or None.
     """
@@ -47,6 +48,7 @@
         "bad",
         "ramp_from",
         "held_until",
+        "certain",
         "spared",
         "departed",
     )
@@ -66,6 +68,7 @@
         self.bad = 0
         self.ramp_from = None
         self.held_until = 0.0
+        self.certain = False
         self.spared = False
         self.departed = None
 
--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -88,6 +88,8 @@
         self.score = min(self.score + change, CEILING * threshold)
         if change > 0.0:
             self.mask.add(1, index)
+        else:
+            self.mask.outweigh(change)
         if self.score <= 0.0:
             self.score = 0.0
             self.mask.clear()
--- a/tools/ejection_experiment.py
+++ b/tools/ejection_experiment.py
@@ -267,6 +267,7 @@
     """What one run gave.
 
     Attributes:
+        first_s: Time until a first node avoided the failing server.
         avoided_s: Time until half of the nodes avoided the failing server.
         ejected_s: Time until half of the nodes had ejected it.
         share_ejected: Share of the nodes that ejected it.
@@ -279,6 +280,7 @@
         culprits: Symptoms of the false ejections.
     """
 
+    first_s: float | None
     avoided_s: float | None
     ejected_s: float | None
     share_ejected: float
@@ -426,6 +428,7 @@
         if not isinstance(self.fault, Healthy):
             healthy -= 1
         return Result(
+            first_s=min(self.avoided.values(), default=None),
             avoided_s=find_half(self.avoided, len(self.nodes)),
             ejected_s=find_half(self.ejected, len(self.nodes)),
             share_ejected=len(self.ejected) / len(self.nodes),
@@ -456,6 +459,7 @@
         nodes: Nodes that share evidence.
         servers: Backend servers of the service.
         rate: Requests per second and server, over all nodes.
+        first_median_s: Median time until a first node avoided the failing server.
         avoided: Runs in which half of the nodes avoided the failing server.
         avoided_median_s: Median time until then.
         avoided_worst_s: Worst time until then.
@@ -478,6 +482,7 @@
     nodes: int
     servers: int
     rate: float
+    first_median_s: float | None
     avoided: int
     avoided_median_s: float | None
     avoided_worst_s: float | None
@@ -507,6 +512,9 @@
         nodes=options.nodes,
         servers=options.servers,
         rate=options.rate,
+        first_median_s=find_median(
+            [r.first_s for r in results if r.first_s is not None]
+        ),
         avoided=len(avoided),
         avoided_median_s=find_median(avoided),
         avoided_worst_s=round(max(avoided), 2) if avoided else None,
