--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -12,15 +12,18 @@
 from .pool import NATS_PER_WINDOW
 from .references import Reference
 from .symptoms import (
+    ERROR_TRIAL,
     KIND_SYMPTOMS,
+    LATE_TRIAL,
+    OVERDUE_TRIAL,
     SLOW,
     SYMPTOMS,
     TRIAL_SYMPTOMS,
     WRONG,
-    Trial,
+    WRONG_TRIAL,
     sum_evidence,
 )
-from .tracks import LONG_S, WINDOW_S, Attempt, Track
+from .tracks import LONG_S, SAMPLE_WINDOWS, WINDOW_S, Attempt, Track
 
 DAY_S = 86400.0
 LEAST_TRAFFIC = 0.2
@@ -92,6 +95,8 @@
         self._began = clock.now()
         self._tracks = {}
         self._assessments = {}
+        self._reference = Reference()
+        self._threshold = LEAST_THRESHOLD
         self._window = self._find_window()
         self._hot = {}
         self._observers = {}
@@ -134,20 +139,14 @@
         if attempt is None:
             return
         kind = outcome.kind
-        if kind is Kind.STALE:
-            self._take_back(track, attempt)
-        if kind not in KIND_SYMPTOMS:
-            return
-        track.seen += 1
-        symptom = KIND_SYMPTOMS[kind]
-        trials, failures = track.trials, track.failures
-        trials[Trial.ERROR] += 1
-        if symptom is None or symptom == WRONG:
-            trials[Trial.WRONG] += 1
-        if symptom is not None:
-            failures[symptom] += 1
         if kind is Kind.OK:
+            track.trials[ERROR_TRIAL] += 1
+            track.trials[WRONG_TRIAL] += 1
             self._observe_answer(track, attempt, outcome.latency_s)
+        elif kind is Kind.STALE:
+            self._take_back(track, attempt)
+        elif kind in KIND_SYMPTOMS:
+            self._observe_failure(track, KIND_SYMPTOMS[kind])
 
     def tick(self):
         """Count what is overdue, and weigh the windows that have passed."""
@@ -156,9 +155,11 @@
             if track.attempts:
                 self._count_overdue(track, now)
         window = self._find_window()
-        if window != self._window:
-            self._window = window
-            self._weigh(now)
+        if window == self._window:
+            return False
+        self._window = window
+        self._weigh(now)
+        return True
 
     def assess(self, address):
         """Return the `Assessment` of a backend server."""
@@ -244,14 +245,20 @@
     def _find_default_limit(self):
         return self.service.response_timeout_ms / 2000.0
 
+    def _observe_failure(self, track, symptom):
+        track.trials[ERROR_TRIAL] += 1
+        if symptom == WRONG:
+            track.trials[WRONG_TRIAL] += 1
+        track.failures[symptom] += 1
+
     def _observe_answer(self, track, attempt, latency_s):
         track.note_latency(latency_s)
         if attempt.failures:
-            track.trials[Trial.OVERDUE] += 1
+            track.trials[OVERDUE_TRIAL] += 1
             return
-        track.trials[Trial.LATE] += 1
+        track.trials[LATE_TRIAL] += 1
         if latency_s > attempt.limit_s:
-            track.failures[Trial.LATE] += 1
+            track.failures[LATE_TRIAL] += 1
         elif not attempt.pooled and attempt.started > track.connections_since:
             self._trust(track)
 
@@ -266,8 +273,8 @@
     def _take_back(self, track, attempt):
         if not attempt.failures:
             return
-        late = sum_evidence(1, 1, track.rates[Trial.LATE])
-        overdue = sum_evidence(1, 1, track.rates[Trial.OVERDUE])
+        late = sum_evidence(1, 1, track.rates[LATE_TRIAL])
+        overdue = sum_evidence(1, 1, track.rates[OVERDUE_TRIAL])
         amount = late + overdue * (attempt.failures - 1)
         track.symptoms[SLOW].take_back(max(0.0, amount))
 
@@ -280,7 +287,7 @@
                 self._fail_by_age(track, attempt, now)
 
     def _fail_by_age(self, track, attempt, now):
-        trial = Trial.OVERDUE if attempt.failures else Trial.LATE
+        trial = OVERDUE_TRIAL if attempt.failures else LATE_TRIAL
         track.trials[trial] += 1
         track.failures[trial] += 1
         if not attempt.failures:
@@ -291,22 +298,30 @@
             track.connections_since = now
 
     def _weigh(self, now):
-        active = [t for t in self._tracks.values() if t.is_active()]
+        active = [track for track in self._tracks.values() if track.is_active()]
+        if not active:
+            return
         closed = [(track, *track.close_window()) for track in active]
-        reference = Reference(active)
-        threshold = self._find_threshold(active)
+        self._reference.update(active)
+        if self._window % SAMPLE_WINDOWS == 0:
+            self._weigh_slowly(active, now)
         for track, trials, failures in closed:
-            self._weigh_track(track, trials, failures, reference, threshold)
-            self._set_limit(track, reference, now)
-        for track in self._tracks.values():
-            self._assess(track, threshold, now)
+            if trials[ERROR_TRIAL] or trials[LATE_TRIAL] or track.is_suspicious():
+                self._weigh_track(track, trials, failures, now)
+                self._assess(track, now)
+
+    def _weigh_slowly(self, active, now):
+        self._reference.update_slowly(active)
+        self._threshold = self._find_threshold(active)
+        for track in active:
+            self._set_limit(track, self._reference, now)
+            for symptom in track.symptoms:
+                symptom.sample()
 
     def _find_threshold(self, active):
         """Return the threshold for the wanted time between false ejections."""
-        rate = LEAST_TRAFFIC
-        if active:
-            trials = sum(t.long.trials[Trial.ERROR] for t in active)
-            rate = max(rate, trials / LONG_S / len(active))
+        trials = sum(track.long.trials[ERROR_TRIAL] for track in active)
+        rate = max(LEAST_TRAFFIC, trials / LONG_S / len(active))
         rate *= 1 + len(self._find_observers())
         trials = self.service.detection.false_ejection_days * DAY_S * rate
         return max(LEAST_THRESHOLD, math.log(trials * len(SYMPTOMS)))
@@ -316,24 +331,20 @@
         observers = self._observers.values()
         return [o for o in observers if now - o.active <= OBSERVER_S]
 
-    def _weigh_track(self, track, trials, failures, reference, threshold):
-        rates = track.rates = reference.find_rates(track)
+    def _weigh_track(self, track, trials, failures, now):
+        rates = track.rates = self._reference.find_rates(track)
         changes = [0.0] * len(SYMPTOMS)
-        common = [False] * len(SYMPTOMS)
         for trial, symptom in enumerate(TRIAL_SYMPTOMS):
-            rate = rates[trial]
             if trials[trial]:
                 changes[symptom] += sum_evidence(
-                    failures[trial], trials[trial], min(rate, 1.0)
+                    failures[trial], trials[trial], rates[trial]
                 )
-            if trial != Trial.OVERDUE and rate > COMMON_RATE:
-                common[symptom] = True
         for symptom, evidence in enumerate(track.symptoms):
             change = changes[symptom]
-            if common[symptom]:
+            if rates[symptom] > COMMON_RATE:
                 change = min(change, (COMMON_KEPT - 1.0) * evidence.score)
-            evidence.add(change, self._window, threshold)
-        if track.is_overdue(self.clock.now()) and not common[SLOW]:
+            evidence.add(change, self._window, self._threshold)
+        if rates[SLOW] <= COMMON_RATE and track.is_overdue(now):
             track.symptoms[SLOW].mark(self._window)
 
     def _set_limit(self, track, reference, now):
@@ -346,40 +357,43 @@
         limit_s = max(typical_s * factor, typical_s + LEAST_EXCESS_S)
         track.limit_s = min(limit_s, self._find_default_limit())
 
-    def _assess(self, track, threshold, now):
+    def _assess(self, track, now):
         address = track.server.address
-        symptom = track.find_symptom()
-        evidence = track.symptoms[symptom]
-        best = max(evidence.score, evidence.pool.score)
-        if best <= 0.0:
+        if not track.is_suspicious():
             self._assessments.pop(address, None)
             return
+        symptom = track.find_symptom()
+        evidence = track.symptoms[symptom]
         if evidence.score >= HOT_SCORE:
             self._heat(address, now)
-        level = self._find_level(track, evidence, threshold)
-        score = min(1.0, best / threshold)
         self._assessments[address] = Assessment(
-            level, SYMPTOMS[symptom], score, track.find_severity(symptom)
+            self._find_level(track, evidence),
+            SYMPTOMS[symptom],
+            min(1.0, max(evidence.score, evidence.pooled_score) / self._threshold),
+            track.find_severity(symptom),
         )
 
-    def _find_level(self, track, evidence, threshold):
-        windows = math.ceil(threshold / NATS_PER_WINDOW)
-        if self._is_failing(track, evidence, threshold, windows):
+    def _find_level(self, track, evidence):
+        if self._is_failing(track, evidence):
             return Level.FAILING
-        suspect = evidence.score >= SUSPECT_SHARE * threshold
+        suspect = evidence.score >= SUSPECT_SHARE * self._threshold
         if suspect and evidence.mask.count >= SUSPECT_WINDOWS:
             return Level.SUSPECT
         return Level.CLEAR
 
-    def _is_failing(self, track, evidence, threshold, windows):
-        pool = evidence.pool
-        if pool.score < threshold or pool.mask.count < windows:
+    def _is_failing(self, track, evidence):
+        threshold = self._threshold
+        if evidence.pooled_score < threshold:
+            return False
+        if evidence.pooled_windows < math.ceil(threshold / NATS_PER_WINDOW):
             return False
-        if not self._find_observers():
+        if evidence.pool is None or not self._find_observers():
             return self._is_alone(track) and evidence.score >= threshold
-        if not evidence.score and track.short.trials[Trial.ERROR] >= VETO_TRIALS:
+        if not evidence.score and track.short.trials[ERROR_TRIAL] >= VETO_TRIALS:
             return False
-        agreement = pool.find_agreement(evidence.score, threshold, self._window)
+        agreement = evidence.pool.find_agreement(
+            evidence.score, threshold, self._window
+        )
         return agreement >= threshold
 
     def _is_alone(self, track):
@@ -403,9 +417,8 @@
         return True
 
     def _merge_entry(self, node, track, entry, now):
-        threshold = self._find_threshold([track])
         for evidence, reported in zip(track.symptoms, entry.symptoms, strict=False):
-            evidence.pool.merge(node, reported, self._window, threshold)
+            evidence.merge(node, reported, self._window, self._threshold)
             if reported.score >= HOT_SCORE:
                 self._heat(entry.address, now)
 
--- a/persimmonlane/ejection/detectors.py
+++ b/persimmonlane/ejection/detectors.py
@@ -75,7 +75,8 @@
         """Take the end of an attempt."""
 
     def tick(self):
-        """Bring the assessments up to date."""
+        """Bring the assessments up to date; return whether any was renewed."""
+        return True
 
     def assess(self, address):
         """Return the `Assessment` of a backend server."""
--- a/persimmonlane/ejection/ejector.py
+++ b/persimmonlane/ejection/ejector.py
@@ -111,7 +111,8 @@
     def tick(self):
         """Do what is due."""
         now = self._clock.now()
-        self._detector.tick()
+        if not self._detector.tick():
+            return
         for record in sorted(self._records.values(), key=self._rank):
             getattr(self, self.steps[record.state])(record, now)
         self._keep_floor()
--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -45,6 +45,14 @@
         """Let good evidence, a negative change of the sum, count against windows."""
         self.count = max(0.0, self.count + change / NATS_PER_WINDOW)
 
+    def copy(self):
+        """Return an equal mask of its own."""
+        other = WindowMask()
+        other.count = self.count
+        other._bits = self._bits
+        other._index = self._index
+        return other
+
     def clear(self):
         """Forget all windows."""
         self.count = 0.0
@@ -79,9 +87,15 @@
 
     __slots__ = ("mask", "_sum", "_least", "_arrivals", "_closed")
 
-    def __init__(self):
-        self.mask = WindowMask()
-        self._sum = 0.0
+    def __init__(self, score, mask):
+        """Begin from what this node alone has seen.
+
+        Args:
+            score: CUSUM of this node.
+            mask: `WindowMask` of this node, which is copied.
+        """
+        self.mask = mask.copy()
+        self._sum = score
         self._least = 0.0
         self._arrivals = {}
         self._closed = 0
@@ -98,7 +112,7 @@
             self.mask.add(1, index)
         else:
             self.mask.outweigh(change)
-        if not self._arrivals or index - self._closed >= ROUND_WINDOWS:
+        if index - self._closed >= ROUND_WINDOWS:
             self._close_round(index)
         self._limit(threshold)
 
--- a/persimmonlane/ejection/references.py
+++ b/persimmonlane/ejection/references.py
@@ -7,27 +7,32 @@
 
 import math
 
-from .symptoms import LEAST_RATES, TRIALS
+from .symptoms import LEAST_RATES
+
+LEAST_GROUP = 3
 
 
 class LeaveOneOut:
-    """The median of all values but one, for each of them."""
+    """The lower median of all values but one, for each of them."""
 
-    __slots__ = ("_values",)
+    __slots__ = ("_low", "high")
 
     def __init__(self, values):
-        self._values = sorted(values)
+        """Take the values.
+
+        Attributes:
+            high: The highest median that leaving one out can give.
+        """
+        values = sorted(values)
+        middle = max(0, (len(values) - 2) // 2)
+        self._low = values[middle] if values else None
+        self.high = values[middle + 1] if len(values) > 1 else None
 
     def find_median(self, own):
-        """Return the lower median of the values without `own`, or None."""
-        values = self._values
-        count = len(values) - 1
-        if count < 1:
-            return None
-        middle = (count - 1) // 2
-        if own <= values[middle]:
-            return values[middle + 1]
-        return values[middle]
+        """Return the median without `own`, or None if nothing is left."""
+        if self.high is None or own <= self._low:
+            return self.high
+        return self._low
 
 
 class Reference:
@@ -35,29 +40,44 @@
 
     __slots__ = ("_short", "_long", "_latencies", "_groups")
 
-    def __init__(self, tracks):
-        self._short = [
-            LeaveOneOut([t.short.find_rate(trial) for t in tracks])
-            for trial in range(TRIALS)
-        ]
-        self._long = [
-            LeaveOneOut([t.long.find_rate(trial) for t in tracks])
-            for trial in range(TRIALS)
-        ]
-        known = [t for t in tracks if t.log_typical is not None]
-        self._latencies = LeaveOneOut([t.log_typical for t in known])
+    def __init__(self):
+        self._short = {}
+        self._long = {}
+        self._latencies = LeaveOneOut(())
+        self._groups = {}
+
+    def update(self, tracks):
+        """Take the rates of the last half second."""
+        self._short = find_raised([track.short.rates for track in tracks])
+
+    def update_slowly(self, tracks):
+        """Take the rates of the last minute and the typical latencies."""
+        self._long = find_raised([track.long.rates for track in tracks])
+        known = [track for track in tracks if track.log_typical is not None]
+        self._latencies = LeaveOneOut([track.log_typical for track in known])
         groups = {}
         for track in known:
             groups.setdefault(track.server.data_centre, []).append(track.log_typical)
         self._groups = {
             name: LeaveOneOut(values)
             for name, values in groups.items()
-            if len(values) >= 3
+            if len(values) >= LEAST_GROUP
         }
 
     def find_rates(self, track):
         """Return the failure rate of each trial among the others."""
-        return [self._find_rate(track, trial) for trial in range(TRIALS)]
+        if not self._short and not self._long:
+            return LEAST_RATES
+        rates = list(LEAST_RATES)
+        for trial, values in self._short.items():
+            rates[trial] = max(
+                rates[trial], values.find_median(track.short.rates[trial])
+            )
+        for trial, values in self._long.items():
+            rates[trial] = max(
+                rates[trial], values.find_median(track.long.rates[trial])
+            )
+        return rates
 
     def find_latency(self, track):
         """Return the typical latency of the others in seconds, or None.
@@ -70,7 +90,16 @@
         value = latencies.find_median(-math.inf if own is None else own)
         return None if value is None else math.exp(value)
 
-    def _find_rate(self, track, trial):
-        short = self._short[trial].find_median(track.short.find_rate(trial))
-        long = self._long[trial].find_median(track.long.find_rate(trial))
-        return max(LEAST_RATES[trial], short or 0.0, long or 0.0)
+
+def find_raised(rates):
+    """Return the medians of those trials in which they may pass the least rate.
+
+    Args:
+        rates: The failure rates of each backend server, one for each trial.
+    """
+    raised = {}
+    for trial, values in enumerate(zip(*rates, strict=True)):
+        median = LeaveOneOut(values)
+        if median.high is not None and median.high > LEAST_RATES[trial]:
+            raised[trial] = median
+    return raised
--- a/persimmonlane/ejection/symptoms.py
+++ b/persimmonlane/ejection/symptoms.py
@@ -4,7 +4,6 @@
 them.
 """
 
-import enum
 import math
 
 from .outcome import Kind
@@ -13,20 +12,11 @@
 ERROR, WRONG, SLOW = range(3)
 
 
-class Trial(enum.IntEnum):
-    """Yes-or-no questions put to each attempt.
-
-    `LATE` asks whether the answer came after the late limit, and `OVERDUE` asks,
-    at each doubling of that limit, whether the attempt was still in flight.
-    """
-
-    ERROR = 0
-    WRONG = 1
-    LATE = 2
-    OVERDUE = 3
-
-
-TRIALS = len(Trial)
+# Each attempt is put to yes-or-no trials. LATE asks whether the answer came after
+# the late limit; OVERDUE asks, at each doubling of it, whether the attempt was still
+# in flight. The first two trials carry the numbers of their symptoms.
+ERROR_TRIAL, WRONG_TRIAL, LATE_TRIAL, OVERDUE_TRIAL = range(4)
+TRIALS = 4
 TRIAL_SYMPTOMS = (ERROR, WRONG, SLOW, SLOW)
 LEAST_RATES = (0.005, 0.002, 0.03, 0.2)
 KIND_SYMPTOMS = {
--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -18,6 +18,9 @@
 PRIOR_TRIALS = 1.0
 TYPICAL_STEP = 0.1
 IDLE_TRIALS = 0.01
+NEGLIGIBLE = 1e-4
+SAMPLE_WINDOWS = 4
+RANGE = range(TRIALS)
 
 
 class Attempt:
@@ -42,26 +45,32 @@
 
 
 class Rates:
-    """Failure rates of all trials with exponential decay."""
+    """Failure rates of all trials with exponential decay.
 
-    __slots__ = ("trials", "failures", "_kept")
+    Attributes:
+        trials: Decayed count of each trial.
+        rates: Failure rate of each trial, drawn towards zero if unsure.
+    """
+
+    __slots__ = ("trials", "rates", "_failures", "_kept")
 
     def __init__(self, kept):
         self.trials = [0.0] * TRIALS
-        self.failures = [0.0] * TRIALS
+        self.rates = [0.0] * TRIALS
+        self._failures = [0.0] * TRIALS
         self._kept = kept
 
     def add(self, trials, failures):
         """Decay by one window and add that window's counts."""
         kept = self._kept
-        self.trials = [a * kept + b for a, b in zip(self.trials, trials, strict=True)]
-        self.failures = [
-            a * kept + b for a, b in zip(self.failures, failures, strict=True)
-        ]
-
-    def find_rate(self, trial):
-        """Return the failure rate of one trial, drawn towards zero if unsure."""
-        return self.failures[trial] / (self.trials[trial] + PRIOR_TRIALS)
+        counts, failed, rates = self.trials, self._failures, self.rates
+        for trial in RANGE:
+            counts[trial] = count = counts[trial] * kept + trials[trial]
+            if failures[trial] or failed[trial]:
+                failed[trial] = bad = failed[trial] * kept + failures[trial]
+                if bad < NEGLIGIBLE:
+                    failed[trial] = bad = 0.0
+                rates[trial] = bad / (count + PRIOR_TRIALS)
 
 
 class SymptomTrack:
@@ -70,61 +79,98 @@
     Attributes:
         score: This node's CUSUM.
         mask: `WindowMask` of the present rise of the CUSUM.
-        pool: `PooledSum` with the evidence of other nodes.
+        pool: `PooledSum` while other nodes report, else None.
+        total: Cumulative evidence.
     """
 
-    __slots__ = ("score", "mask", "pool", "_totals")
+    __slots__ = ("score", "mask", "pool", "total", "_totals")
 
     def __init__(self):
         self.score = 0.0
         self.mask = WindowMask()
-        self.pool = PooledSum()
-        self._totals = collections.deque([0.0], maxlen=max(RISE_WINDOWS) + 1)
+        self.pool = None
+        self.total = 0.0
+        self._totals = collections.deque(maxlen=RISE_WINDOWS[-1] // SAMPLE_WINDOWS)
+
+    @property
+    def pooled_score(self):
+        """The CUSUM of all nodes together."""
+        return self.score if self.pool is None else self.pool.score
+
+    @property
+    def pooled_windows(self):
+        """The number of bad windows of all nodes together."""
+        return self.mask.count if self.pool is None else self.pool.mask.count
 
     def add(self, change, index, threshold):
         """Add this node's evidence of window `index`."""
-        self._totals.append(self._totals[-1] + change)
-        self.pool.add(change, index, threshold)
-        self.score = min(self.score + change, CEILING * threshold)
+        self.total += change
+        if self.pool is not None:
+            self.pool.add(change, index, threshold)
+            if not self.pool.has_reports():
+                self.pool = None
         if change > 0.0:
+            self.score = min(self.score + change, CEILING * threshold)
             self.mask.add(1, index)
-        else:
-            self.mask.outweigh(change)
-        if self.score <= 0.0:
-            self.score = 0.0
-            self.mask.clear()
+        elif self.score > 0.0:
+            self._fall(change)
+
+    def sample(self):
+        """Keep the present total, once every `SAMPLE_WINDOWS`."""
+        self._totals.append(self.total)
+
+    def merge(self, node, evidence, index, threshold):
+        """Take another node's `SymptomEvidence`."""
+        if self.pool is None:
+            self.pool = PooledSum(self.score, self.mask)
+        self.pool.merge(node, evidence, index, threshold)
+
+    def forget(self, node):
+        """Forget the evidence of a node whose sums began anew."""
+        if self.pool is not None:
+            self.pool.forget(node)
 
     def mark(self, index):
         """Note that window `index` is bad though it decided no trial."""
         if self.score > 0.0:
             self.mask.add(1, index)
-            self.pool.mask.add(1, index)
+            if self.pool is not None:
+                self.pool.mask.add(1, index)
 
     def take_back(self, amount):
         """Take back evidence that turned out to be none."""
-        self._totals[-1] -= amount
-        self.pool.take_back(amount)
-        self.score = max(0.0, self.score - amount)
-        if not self.score:
-            self.mask.clear()
+        self.total -= amount
+        if self.pool is not None:
+            self.pool.take_back(amount)
+        self._fall(-amount)
 
     def export(self, index):
         """Return the `SymptomEvidence` for other nodes."""
-        totals = self._totals
-        last = len(totals) - 1
-        rises = tuple(
-            round(totals[-1] - totals[max(0, last - windows)], 2)
-            for windows in RISE_WINDOWS
-        )
+        rises = tuple(self._find_rise(windows) for windows in RISE_WINDOWS)
+        windows = self.mask.read(index)
         return SymptomEvidence(
-            round(totals[-1], 2), rises, round(self.score, 2), self.mask.read(index)
+            round(self.total, 2), rises, round(self.score, 2), windows
         )
 
     def reset(self):
-        """Forget what was seen; the cumulative sums stay."""
+        """Forget what was seen; the cumulative sum stays."""
         self.score = 0.0
         self.mask.clear()
-        self.pool.reset()
+        if self.pool is not None:
+            self.pool.reset()
+
+    def _fall(self, change):
+        self.score += change
+        self.mask.outweigh(change)
+        if self.score <= 0.0:
+            self.score = 0.0
+            self.mask.clear()
+
+    def _find_rise(self, windows):
+        if not self._totals:
+            return round(self.total, 2)
+        back = min(windows // SAMPLE_WINDOWS, len(self._totals))
+        return round(self.total - self._totals[-back], 2)
 
 
 class Track:
@@ -143,7 +189,6 @@
         rates: Failure rate of each trial among the other backend servers.
         symptoms: `SymptomTrack` of each symptom.
         connections_since: Time before which pooled connections are not trusted.
-        seen: Attempts that ended with evidence.
     """
 
     __slots__ = (
@@ -159,7 +204,6 @@
         "rates",
         "symptoms",
         "connections_since",
-        "seen",
     )
 
     def __init__(self, server, cold_until, limit_s):
@@ -172,10 +216,9 @@
         self.long = Rates(LONG_KEPT)
         self.log_typical = None
         self.limit_s = limit_s
-        self.rates = list(LEAST_RATES)
+        self.rates = LEAST_RATES
         self.symptoms = [SymptomTrack() for _ in SYMPTOMS]
         self.connections_since = 0.0
-        self.seen = 0
 
     def note_latency(self, latency_s):
         """Draw the typical latency towards a latency that was seen."""
@@ -188,12 +231,12 @@
 
     def is_active(self):
         """Return whether there was traffic or a report lately."""
-        if self.attempts or self.long.trials[0] > IDLE_TRIALS:
+        if self.attempts or self.long.trials[0] > IDLE_TRIALS or self.trials[0]:
             return True
-        return any(symptom.pool.has_reports() for symptom in self.symptoms)
+        return any(symptom.pool is not None for symptom in self.symptoms)
 
     def is_overdue(self, now):
-        """Return whether an attempt in flight is late and not explained away."""
+        """Return whether an attempt in flight is late and not taken back."""
         for attempt in self.attempts.values():
             if now - attempt.started <= self.limit_s:
                 return False
@@ -201,19 +244,23 @@
                 return True
         return False
 
+    def is_suspicious(self):
+        """Return whether there is evidence against the backend server."""
+        return any(s.score > 0.0 or s.pool is not None for s in self.symptoms)
+
     def find_score(self):
         """Return the highest score of this node or the pool."""
-        return max(max(s.score, s.pool.score) for s in self.symptoms)
+        return max(max(s.score, s.pooled_score) for s in self.symptoms)
 
     def find_symptom(self):
         """Return the symptom with the highest score."""
-        scores = [max(s.score, s.pool.score) for s in self.symptoms]
+        scores = [max(s.score, s.pooled_score) for s in self.symptoms]
         return scores.index(max(scores))
 
     def find_severity(self, symptom):
         """Return the share of failed trials of a symptom lately."""
         return max(
-            self.short.find_rate(trial)
+            self.short.rates[trial]
             for trial, belongs in enumerate(TRIAL_SYMPTOMS)
             if belongs == symptom
         )
@@ -221,7 +268,7 @@
     def forget(self, node):
         """Forget the evidence of a node whose sums began anew."""
         for symptom in self.symptoms:
-            symptom.pool.forget(node)
+            symptom.forget(node)
 
     def close_window(self):
         """Return trials and failures of the present window, and begin another."""
