--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -391,10 +391,8 @@
             return self._is_alone(track) and evidence.score >= threshold
         if not evidence.score and track.short.trials[ERROR_TRIAL] >= VETO_TRIALS:
             return False
-        agreement = evidence.pool.find_agreement(
-            evidence.score, threshold, self._window
-        )
-        return agreement >= threshold
+        own = evidence.export(self._window)
+        return evidence.pool.is_corroborated(own, threshold, self._window)
 
     def _is_alone(self, track):
         """Return whether no other node answered though it had the time to."""
--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -6,6 +6,7 @@
 from .evidence import RISE_WINDOWS
 
 SINGLE_SHARE = 0.6
+OTHERS_SHARE = 0.5
 STALE_WINDOWS = 40
 ROUND_WINDOWS = 8
 WINDOW_BITS = 32
@@ -134,14 +135,29 @@
         """Take back evidence of this node."""
         self._sum -= amount
 
-    def find_agreement(self, own, threshold, index):
-        """Return the sum of all nodes' own scores, none counting for much alone."""
-        most = SINGLE_SHARE * threshold
-        total = min(own, most)
+    def is_corroborated(self, own, threshold, index):
+        """Return whether the nodes other than the worst agree.
+
+        The worst one may have a bad path of its own, so the others must hold half
+        of the evidence that a verdict takes.
+
+        Args:
+            own: `SymptomEvidence` of this node.
+            threshold: Threshold of the pooled CUSUM.
+            index: Present window.
+        """
+        views = [Arrival(index, own)]
         for arrival in self._arrivals.values():
             if index - arrival.index <= STALE_WINDOWS:
-                total += min(arrival.evidence.score, most)
-        return total
+                views.append(arrival)
+        views.sort(key=lambda view: view.evidence.score)
+        windows, score = 0, 0.0
+        for view in views[:-1]:
+            windows |= view.evidence.windows << (index - view.index)
+            score += min(view.evidence.score, SINGLE_SHARE * threshold)
+        needed = OTHERS_SHARE * threshold
+        enough = (windows & WINDOW_MASK).bit_count() >= needed / NATS_PER_WINDOW
+        return enough and score >= needed
 
     def forget(self, node):
         """Forget the evidence of a node whose sums began anew."""
