Give shards to holders by leases in the store

A holder names two successors in its lease and keeps its right to lend while both promise not to claim; without successors it renews in the store.

--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -3,6 +3,7 @@
 Admits requests of a node from the loans that it holds.
 """
 
+import collections
 import secrets
 
 from ..invariants import check_invariant
@@ -14,6 +15,7 @@
     HEADROOM,
     IDLE_S,
     LOOKAHEAD_S,
+    MISSED_S,
     SCARCE_S,
     URGENT_S,
     WEIGHT_OF_LATEST,
@@ -41,6 +43,7 @@
         waiting: Requests that wait for a token.
         sequence: Number of the batch whose answer is awaited, or 0.
         asked_at: Monotonic seconds at which that batch was made.
+        missed_at: Monotonic seconds at which no holder was found.
         scarce_until: Until then a miss is refused at once.
         used_at: Monotonic seconds of the last request.
     """
@@ -57,6 +60,7 @@
         "waiting",
         "sequence",
         "asked_at",
+        "missed_at",
         "scarce_until",
         "used_at",
     )
@@ -73,6 +77,7 @@
         self.waiting = 0
         self.sequence = 0
         self.asked_at = NEVER
+        self.missed_at = NEVER
         self.scarce_until = NEVER
         self.used_at = now
 
@@ -96,6 +101,23 @@
         self.level = min(self.level, self.cap)
 
 
+class Batch:
+    """A batch of demands that was made.
+
+    Attributes:
+        sequence: Its number.
+        made_at: Monotonic seconds at which it was made.
+        names: Names of its organisations.
+    """
+
+    __slots__ = ("sequence", "made_at", "names")
+
+    def __init__(self, sequence, made_at, names):
+        self.sequence = sequence
+        self.made_at = made_at
+        self.names = names
+
+
 class Borrower:
     """Admits requests from loans and asks for loans by demand.
 
@@ -109,6 +131,7 @@
         "_view",
         "_accounts",
         "_urgent",
+        "_batches",
         "_sequence",
         "_exchange_s",
         "_next_exchange",
@@ -121,6 +144,7 @@
         self._view = None
         self._accounts = {}
         self._urgent = set()
+        self._batches = collections.deque()
         self._sequence = 0
         self._exchange_s = 0.5
         self._exchanged_at = clock.now()
@@ -181,6 +205,7 @@
     def demands(self):
         """Return the `Demands` that are due, or None; call at each tick."""
         now = self._clock.now()
+        self._review(now)
         regular = now >= self._next_exchange
         if not regular and not self._urgent:
             return None
@@ -189,6 +214,7 @@
             return None
         self._sequence += 1
         items = tuple(self._ask(name, now) for name in names)
+        self._batches.append(Batch(self._sequence, now, names))
         return Demands(self.name, self._sequence, items)
 
     def apply(self, loans):
@@ -199,6 +225,12 @@
             if account is None or account.sequence != loans.sequence:
                 continue
             self._apply_grant(account, grant, now)
+        for name in loans.missed:
+            account = self._accounts.get(name)
+            if account is not None and account.sequence == loans.sequence:
+                account.sequence = 0
+                account.missed_at = now
+                self._urgent.add(name)
 
     def surrender(self):
         """Return `Demands` that hand all loans back; nothing is admitted after."""
@@ -233,6 +265,15 @@
             "a request was admitted beyond the loan",
         )
 
+    def _review(self, now):
+        """Note the organisations whose answers haven't come in time."""
+        while self._batches and now >= self._batches[0].made_at + ANSWER_S:
+            batch = self._batches.popleft()
+            for name in batch.names:
+                account = self._accounts.get(name)
+                if account is not None and account.sequence == batch.sequence:
+                    self._urgent.add(name)
+
     def _list_due(self, now, regular):
         if regular:
             self._measure(now)
@@ -250,7 +291,12 @@
         account = self._accounts.get(name)
         if account is None or account.is_awaiting(now):
             return False
-        return now >= max(account.asked_at + URGENT_S, account.scarce_until)
+        ready_at = max(
+            account.asked_at + URGENT_S,
+            account.missed_at + MISSED_S,
+            account.scarce_until,
+        )
+        return now >= ready_at
 
     def _measure(self, now):
         """Compute the demand of each organisation since the last time."""
--- a/persimmonlane/limits/holder.py
+++ b/persimmonlane/limits/holder.py
@@ -17,16 +17,18 @@
     Attributes:
         epoch: Epoch of the lease.
         deadline: Monotonic seconds at which the right to lend ends.
+        longest_loan_s: Longest loan that the lease allows, in seconds.
         recovered_at: Monotonic seconds from which pools fill; until then loans
             of the last holder may run unreported.
         ledgers: Ledgers by name of organisation.
     """
 
-    __slots__ = ("epoch", "deadline", "recovered_at", "ledgers")
+    __slots__ = ("epoch", "deadline", "longest_loan_s", "recovered_at", "ledgers")
 
-    def __init__(self, epoch, deadline, recovered_at):
+    def __init__(self, epoch, deadline, longest_loan_s, recovered_at):
         self.epoch = epoch
         self.deadline = deadline
+        self.longest_loan_s = longest_loan_s
         self.recovered_at = recovered_at
         self.ledgers = {}
 
@@ -61,6 +63,11 @@
                 else:
                     ledger.set_limits(organisation.rate, organisation.burst, now)
 
+    def pin_shards(self, count):
+        """Take over the number of shards in force in the fleet."""
+        if not self.shards:
+            self.shard_count = count
+
     def take(self, number, epoch, deadline, *, first, longest_loan_s):
         """Begin to hold a shard.
 
@@ -69,24 +76,29 @@
             epoch: Epoch of the lease, which rises with each holder.
             deadline: Monotonic seconds at which the right to lend ends.
             first: Whether nobody ever held the shard, so that pools are full.
-            longest_loan_s: Longest loan that the last holder may have made.
+            longest_loan_s: Longest loan of the last holder and of this one, in
+                seconds.
         """
         recovered_at = ALWAYS
         if not first:
             recovered_at = self._clock.now() + lengthen(longest_loan_s)
-        self.shards[number] = Shard(epoch, deadline, recovered_at)
+        shard = Shard(epoch, deadline, longest_loan_s, recovered_at)
+        self.shards[number] = shard
 
-    def extend(self, number, deadline):
+    def extend(self, number, deadline, longest_loan_s):
         """Move the end of the right to lend a shard's rates."""
-        self.shards[number].deadline = deadline
+        shard = self.shards[number]
+        shard.deadline = deadline
+        shard.longest_loan_s = longest_loan_s
 
     def drop(self, number):
         """Stop holding a shard."""
         self.shards.pop(number, None)
 
-    def holds(self, organisation):
-        """Return whether this node may lend an organisation's rate now."""
-        return self._find(organisation, self._clock.now()) is not None
+    def holds(self, number):
+        """Return whether this node may lend a shard's rates now."""
+        shard = self.shards.get(number)
+        return shard is not None and self._clock.now() < shard.deadline
 
     def lend(self, demands):
         """Answer a batch of demands.
@@ -119,7 +131,7 @@
             demands.sequence,
             demand,
             now,
-            self._view.document.fleet.loan_s,
+            min(self._view.document.fleet.loan_s, shard.longest_loan_s),
             epoch=shard.epoch,
             frozen=now < shard.recovered_at,
         )
--- a/persimmonlane/limits/messages.py
+++ b/persimmonlane/limits/messages.py
@@ -107,13 +107,15 @@
     Attributes:
         sequence: Number of the batch.
         grants: The grants, as a tuple of `Grant`.
+        missed: Names of organisations for which no holder was found.
     """
 
-    __slots__ = ("sequence", "grants")
+    __slots__ = ("sequence", "grants", "missed")
 
-    def __init__(self, sequence, grants):
+    def __init__(self, sequence, grants, missed=()):
         self.sequence = sequence
         self.grants = grants
+        self.missed = missed
 
 
 class LoansChanged:
--- a/persimmonlane/limits/part.py
+++ b/persimmonlane/limits/part.py
@@ -1,30 +1,50 @@
 """Limits part.
 
-Carries demands and loans between the borrower of this node and the holders.
+Carries demands, loans, promises and leases between the limits of this node, other
+nodes and the store.
 """
 
 import logging
+import secrets
+import threading
+from concurrent import futures
 
 import grpc
 import pykka
 
 from ..actors import Actor, Tick, Ticker
 from ..application import Part
+from ..errors import StoreError
+from ..platform.client import StoreConflict
 from . import limits_pb2_grpc
-from .holder import Holder
-from .messages import Loans, LoansChanged
-from .policy import ANSWER_S, find_shard, rank_names
-from .wire import decode_demands, decode_loans, encode_demands, encode_loans
+from .lease import AskPromise, Member, ReadKey, WriteKey
+from .messages import LoansChanged
+from .node import AskLoans, DeliverLoans, LimitsNode
+from .policy import ANSWER_S
+from .wire import (
+    decode_answer,
+    decode_demands,
+    decode_shards,
+    encode_answer,
+    encode_demands,
+    encode_promise_reply,
+    encode_promise_request,
+)
 
 log = logging.getLogger("persimmonlane.limits")
 
 TICK_S = 0.1
-DRAIN_S = 2.0
-FOREVER = float("inf")
+DRAIN_S = 1.0
+STORE_THREADS = 2
+INCARNATION_BYTES = 8
 
 
 class ViewChanged:
-    """Another revision of the document is in force."""
+    """Another revision of the document is in force.
+
+    Attributes:
+        view: The `DocumentView`.
+    """
 
     __slots__ = ("view",)
 
@@ -33,7 +53,11 @@
 
 
 class Connect:
-    """Names the actor that takes loans."""
+    """Names the actor that takes loans.
+
+    Attributes:
+        traffic_ref: The actor.
+    """
 
     __slots__ = ("traffic_ref",)
 
@@ -42,7 +66,11 @@
 
 
 class SendDemands:
-    """Demands of this node's borrower, to be sent to the holders."""
+    """Demands of this node's borrower, to be sent to the holders.
+
+    Attributes:
+        demands: The `Demands`.
+    """
 
     __slots__ = ("demands",)
 
@@ -50,8 +78,12 @@
         self.demands = demands
 
 
-class Lend:
-    """Demands of another node's borrower."""
+class AnswerDemands:
+    """Demands of another node's borrower.
+
+    Attributes:
+        demands: The `Demands`.
+    """
 
     __slots__ = ("demands",)
 
@@ -59,28 +91,126 @@
         self.demands = demands
 
 
+class GivePromise:
+    """Another holder asks for promises.
+
+    Attributes:
+        shards: Its shards, as a tuple of `ShardEpoch`.
+    """
+
+    __slots__ = ("shards",)
+
+    def __init__(self, shards):
+        self.shards = shards
+
+
+class Answered:
+    """A node has answered demands, or failed to.
+
+    Attributes:
+        call: The `AskLoans`.
+        answer: The `Answer`, or None.
+    """
+
+    __slots__ = ("call", "answer")
+
+    def __init__(self, call, answer):
+        self.call = call
+        self.answer = answer
+
+
+class Promised:
+    """A node has promised.
+
+    Attributes:
+        step: The `AskPromise`.
+        reply: The `PromiseReply`.
+    """
+
+    __slots__ = ("step", "reply")
+
+    def __init__(self, step, reply):
+        self.step = step
+        self.reply = reply
+
+
+class StoreAnswered:
+    """The store has answered, or failed to.
+
+    Attributes:
+        step: The `ReadKey` or `WriteKey`.
+        entry: The `Entry` that the store holds, or None.
+    """
+
+    __slots__ = ("step", "entry")
+
+    def __init__(self, step, entry):
+        self.step = step
+        self.entry = entry
+
+
+class Drain:
+    """Asks to give up all shards.
+
+    Attributes:
+        released: Event to be set once no shard is held.
+    """
+
+    __slots__ = ("released",)
+
+    def __init__(self):
+        self.released = threading.Event()
+
+
 class LimitsActor(Actor):
-    """Shell around the holder and the choice of holders."""
+    """Shell around a `LimitsNode`: carries out its steps."""
 
     handlers = {
         ViewChanged: "handle_view",
         Connect: "handle_connect",
         SendDemands: "handle_demands",
-        Lend: "handle_lend",
+        AnswerDemands: "handle_question",
+        GivePromise: "handle_promise",
+        Answered: "handle_answered",
+        Promised: "handle_promised",
+        StoreAnswered: "handle_store",
+        Drain: "handle_drain",
         Tick: "handle_tick",
     }
 
-    def __init__(self, application, node, clock, channels, peers):
+    def __init__(self, application, node, channels, store, peers):
         super().__init__(application)
         self._node = node
         self._channels = channels
+        self._store = store
         self._peers = peers
-        self._holder = Holder(clock)
         self._traffic = None
+        self._released = None
+        self._threads = futures.ThreadPoolExecutor(STORE_THREADS, "limits-store")
+        self._steps = {
+            AskLoans: self._ask_loans,
+            AskPromise: self._ask_promise,
+            DeliverLoans: self._deliver,
+            ReadKey: self._read,
+            WriteKey: self._write,
+        }
+
+    def on_receive(self, message):
+        """Handle a message, then carry out what it led to."""
+        result = super().on_receive(message)
+        for step in self._node.take_steps():
+            self._steps[type(step)](step)
+        if self._released is not None and not self._node.keeper.tenures:
+            self._released.set()
+        return result
+
+    def on_stop(self):
+        """End the threads that call the store."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
 
     def handle_view(self, message):
         """Take a revision of the document into use."""
-        self._holder.set_view(message.view)
+        self._node.set_view(message.view)
 
     def handle_connect(self, message):
         """Remember the actor that takes loans."""
@@ -88,74 +218,142 @@
 
     def handle_tick(self, message):
         """Do what is due."""
-
-    def handle_lend(self, message):
-        """Answer another node's demands."""
-        for demand in message.demands.items:
-            self._claim(demand.organisation)
-        return self._holder.lend(message.demands)
+        self._node.tick(self._peers())
 
     def handle_demands(self, message):
         """Send the demands of this node's borrower to the holders."""
-        demands = message.demands
-        for address, items in self._group(demands.items).items():
-            if address is None:
-                self._lend_here(demands)
+        self._node.send(message.demands)
+
+    def handle_question(self, message):
+        """Answer another node's demands."""
+        return self._node.answer(message.demands)
+
+    def handle_promise(self, message):
+        """Promise another holder not to claim its shards."""
+        return self._node.keeper.promise(message.shards)
+
+    def handle_answered(self, message):
+        """Take another node's answer."""
+        if message.answer is None:
+            self._node.record_failure(message.call)
+        else:
+            self._node.record_answer(message.call, message.answer)
+
+    def handle_promised(self, message):
+        """Take another node's promises."""
+        self._node.keeper.record_promises(
+            message.reply.name,
+            message.reply.incarnation,
+            decode_shards(message.reply.promised),
+            message.step.sent_at,
+        )
+
+    def handle_store(self, message):
+        """Take the store's answer."""
+        keeper, step = self._node.keeper, message.step
+        if isinstance(step, ReadKey):
+            if message.entry is None:
+                keeper.record_failed_read(step.key)
             else:
-                self._call(address, encode_demands(demands, items))
-
-    def _group(self, items):
-        addresses = {peer.name: peer.rpc for peer in self._peers()}
-        groups = {}
-        for item in items:
-            shard = find_shard(item.organisation, self._holder.shard_count)
-            name = rank_names(shard, [self._node, *addresses])[0]
-            groups.setdefault(addresses.get(name), []).append(item)
-        return groups
-
-    def _claim(self, organisation):
-        shard = find_shard(organisation, self._holder.shard_count)
-        if shard not in self._holder.shards:
-            self._holder.take(shard, 1, FOREVER, first=True, longest_loan_s=0.0)
-
-    def _lend_here(self, demands):
-        for demand in demands.items:
-            self._claim(demand.organisation)
-        self._tell(self._holder.lend(demands))
-
-    def _call(self, address, message):
-        stub = limits_pb2_grpc.LimitsStub(self._channels.get_channel(address))
-        future = stub.Lend.future(
-            message, timeout=ANSWER_S, metadata=self._channels.metadata
+                keeper.record_read(message.entry)
+        elif message.entry is None:
+            keeper.record_failed_write(step.key)
+        else:
+            keeper.record_write(message.entry)
+
+    def handle_drain(self, message):
+        """Give up all shards; `released` is set once the store knows."""
+        self._released = message.released
+        self._node.keeper.drain()
+
+    def _ask_loans(self, call):
+        future = self._get_stub(call.member).Lend.future(
+            encode_demands(call.demands),
+            timeout=ANSWER_S,
+            metadata=self._channels.metadata,
         )
-        future.add_done_callback(self._take_answer)
 
-    def _take_answer(self, future):
-        if future.cancelled() or future.exception() is not None:
-            return
-        self._tell(decode_loans(future.result()))
+        def finish(done):
+            failed = done.cancelled() or done.exception() is not None
+            answer = None if failed else decode_answer(done.result())
+            self._tell_self(Answered(call, answer))
+
+        future.add_done_callback(finish)
+
+    def _ask_promise(self, step):
+        future = self._get_stub(step.member).Promise.future(
+            encode_promise_request(step.shards),
+            timeout=ANSWER_S,
+            metadata=self._channels.metadata,
+        )
+
+        def finish(done):
+            if not done.cancelled() and done.exception() is None:
+                self._tell_self(Promised(step, done.result()))
 
-    def _tell(self, loans):
+        future.add_done_callback(finish)
+
+    def _get_stub(self, member):
+        channel = self._channels.get_channel(member.rpc)
+        return limits_pb2_grpc.LimitsStub(channel)
+
+    def _read(self, step):
+        self._threads.submit(self._use_store, step, lambda: self._store.get(step.key))
+
+    def _write(self, step):
+        def write():
+            return self._store.compare_and_swap(step.key, step.value, step.version)
+
+        self._threads.submit(self._use_store, step, write)
+
+    def _use_store(self, step, operate):
+        try:
+            entry = operate()
+        except StoreConflict as error:
+            entry = error.entry
+        except StoreError as error:
+            log.debug("Limits: the store failed with code %s.", error.code)
+            entry = None
+        self._tell_self(StoreAnswered(step, entry))
+
+    def _tell_self(self, message):
+        try:
+            self.actor_ref.tell(message)
+        except pykka.ActorDeadError:
+            log.debug("Limits: an answer came after the end.")
+
+    def _deliver(self, step):
         if self._traffic is None:
             return
         try:
-            self._traffic.tell(LoansChanged(loans))
+            self._traffic.tell(LoansChanged(step.loans))
         except pykka.ActorDeadError:
-            log.info("Limits: loans came after the end of the traffic.")
+            log.debug("Limits: loans came after the end of the traffic.")
 
 
 class LimitsServicer(limits_pb2_grpc.LimitsServicer):
-    """Takes calls of other nodes."""
+    """Takes the calls of other nodes."""
 
-    def __init__(self):
-        self.actor = None
+    def __init__(self, node, actor_ref):
+        self._name = node.member.name
+        self._incarnation = node.incarnation
+        self._actor = actor_ref
 
     def Lend(self, request, context):  # noqa: N802
         """Answer demands."""
-        if self.actor is None:
-            context.abort(grpc.StatusCode.UNAVAILABLE, "not started")
-        loans = self.actor.ask(Lend(decode_demands(request)), timeout=ANSWER_S)
-        return encode_loans(loans or Loans(request.sequence, ()))
+        message = AnswerDemands(decode_demands(request))
+        return encode_answer(self._ask(message, context))
+
+    def Promise(self, request, context):  # noqa: N802
+        """Promise not to claim shards."""
+        promised = self._ask(GivePromise(decode_shards(request.shards)), context)
+        return encode_promise_reply(self._name, self._incarnation, promised)
+
+    def _ask(self, message, context):
+        try:
+            return self._actor.ask(message, timeout=ANSWER_S)
+        except (pykka.Timeout, pykka.ActorDeadError):
+            context.abort(grpc.StatusCode.UNAVAILABLE, "no answer in time")
 
 
 class LimitsPart(Part):
@@ -163,12 +361,9 @@
 
     name = "limits"
 
-    def __init__(self, create_actor, servicer):
-        self._create_actor = create_actor
-        self._servicer = servicer
-        self._actor = create_actor()
-        self._ticker = Ticker(self._actor, TICK_S)
-        servicer.actor = self._actor
+    def __init__(self, actor_ref):
+        self._actor = actor_ref
+        self._ticker = Ticker(actor_ref, TICK_S)
 
     def start(self):
         """Begin to tick."""
@@ -186,6 +381,12 @@
         """Send the `Demands` of this node's borrower; returns at once."""
         self._actor.tell(SendDemands(demands))
 
+    def drain(self):
+        """Give up all shards, so that others may take them at once."""
+        message = Drain()
+        self._actor.tell(message)
+        message.released.wait(DRAIN_S)
+
     def stop(self):
         """End the actor."""
         self._ticker.stop()
@@ -207,10 +408,11 @@
     Returns:
         A `LimitsPart`.
     """
-    servicer = LimitsServicer()
+    host = settings.rpc.rpartition(":")[0]
+    member = Member(settings.name, f"{host}:{rpc_server.port}")
+    incarnation = secrets.token_hex(INCARNATION_BYTES)
+    node = LimitsNode(member, incarnation, clock)
+    actor_ref = LimitsActor.start(application, node, channels, store, peers)
+    servicer = LimitsServicer(node, actor_ref)
     limits_pb2_grpc.add_LimitsServicer_to_server(servicer, rpc_server.server)
-
-    def create_actor():
-        return LimitsActor.start(application, settings.name, clock, channels, peers)
-
-    return LimitsPart(create_actor, servicer)
+    return LimitsPart(actor_ref)
--- a/persimmonlane/limits/policy.py
+++ b/persimmonlane/limits/policy.py
@@ -20,6 +20,22 @@
 WEIGHT_OF_LATEST = 0.5
 EPSILON = 1e-6
 
+SUCCESSORS = 2
+PROMISE_S = 1.2
+PROMISE_ASK_S = 0.3
+SILENCE_S = 0.8
+STORE_LEASE_S = 3.0
+LONG_LEASE_S = 4 * 3600.0
+RENEW_S = 1.0
+TOUCH_S = 60.0
+RETRY_S = 0.3
+MAX_RETRY_S = 5.0
+READ_S = 0.25
+WANT_S = 2.0
+SUSPECT_S = 0.5
+MISSED_S = 0.06
+HOPS = 3
+
 
 def find_shard(organisation, shards):
     """Return the number of the shard of an organisation."""
--- a/persimmonlane/limits/wire.py
+++ b/persimmonlane/limits/wire.py
@@ -5,19 +5,30 @@
 
 import math
 
-from .limits_pb2 import DemandMessage, DemandsMessage, GrantMessage, LoansMessage
+from .lease import Lease, Member, ShardEpoch
+from .limits_pb2 import (
+    DemandMessage,
+    DemandsMessage,
+    GrantMessage,
+    LoansMessage,
+    MemberMessage,
+    PromiseReply,
+    PromiseRequest,
+    ShardEpochMessage,
+    UnheldMessage,
+)
 from .messages import Demand, Demands, Grant, Loans
+from .node import Answer, Unheld
 
 MAX_ITEMS = 4096
 
 
-def encode_demands(demands, items, revision=0):
-    """Return the wire form of some items of a batch of demands."""
+def encode_demands(demands):
+    """Return the wire form of a batch of demands."""
     return DemandsMessage(
         borrower=demands.borrower,
         sequence=demands.sequence,
-        revision=revision,
-        items=[encode_demand(item) for item in items],
+        items=[encode_demand(item) for item in demands.items],
     )
 
 
@@ -55,10 +66,76 @@
     )
 
 
-def encode_loans(loans):
+def encode_answer(answer):
     """Return the wire form of an answer."""
-    grants = [encode_grant(grant) for grant in loans.grants]
-    return LoansMessage(sequence=loans.sequence, grants=grants)
+    return LoansMessage(
+        sequence=answer.loans.sequence,
+        grants=[encode_grant(grant) for grant in answer.loans.grants],
+        unheld=[encode_unheld(unheld) for unheld in answer.unheld],
+    )
+
+
+def decode_answer(message):
+    """Return the `Answer` of a wire form."""
+    grants = tuple(decode_grant(item) for item in message.grants[:MAX_ITEMS])
+    unheld = tuple(decode_unheld(item) for item in message.unheld[:MAX_ITEMS])
+    return Answer(Loans(message.sequence, grants), unheld)
+
+
+def encode_unheld(unheld):
+    """Return the wire form of a shard that isn't held."""
+    lease = unheld.lease
+    if lease is None or lease.released:
+        return UnheldMessage(shard=unheld.shard)
+    return UnheldMessage(
+        shard=unheld.shard,
+        epoch=lease.epoch,
+        holder=encode_member(lease.holder),
+        successors=[encode_member(member) for member in lease.successors],
+    )
+
+
+def decode_unheld(message):
+    """Return the `Unheld` of a wire form."""
+    if not message.epoch:
+        return Unheld(message.shard, None)
+    successors = tuple(decode_member(member) for member in message.successors)
+    lease = Lease(message.epoch, decode_member(message.holder), "", successors)
+    return Unheld(message.shard, lease)
+
+
+def encode_member(member):
+    """Return the wire form of a node."""
+    return MemberMessage(name=member.name, rpc=member.rpc)
+
+
+def decode_member(message):
+    """Return the `Member` of a wire form."""
+    return Member(message.name, message.rpc)
+
+
+def encode_promise_request(shards):
+    """Return the wire form of a request for promises."""
+    return PromiseRequest(shards=[encode_shard(one) for one in shards])
+
+
+def encode_promise_reply(name, incarnation, promised):
+    """Return the wire form of promises."""
+    return PromiseReply(
+        name=name,
+        incarnation=incarnation,
+        promised=[encode_shard(one) for one in promised],
+    )
+
+
+def encode_shard(one):
+    """Return the wire form of a shard and its epoch."""
+    return ShardEpochMessage(shard=one.shard, epoch=one.epoch)
+
+
+def decode_shards(messages):
+    """Return the `ShardEpoch` of each wire form."""
+    return tuple(ShardEpoch(one.shard, one.epoch) for one in messages)
 
 
 def encode_grant(grant):
@@ -74,12 +151,6 @@
     )
 
 
-def decode_loans(message):
-    """Return the `Loans` of a wire form."""
-    grants = tuple(decode_grant(item) for item in message.grants[:MAX_ITEMS])
-    return Loans(message.sequence, grants)
-
-
 def decode_grant(message):
     """Return the `Grant` of a wire form."""
     return Grant(
