--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -18,8 +18,9 @@
     MISSED_S,
     SCARCE_S,
     URGENT_S,
-    WEIGHT_OF_LATEST,
     compute_reserve,
+    compute_room,
+    smooth_demand,
 )
 
 MIN_RETRY_AFTER_S = 0.05
@@ -303,7 +304,7 @@
         elapsed = max(now - self._exchanged_at, URGENT_S)
         for account in self._accounts.values():
             latest = account.count / elapsed
-            account.demand += WEIGHT_OF_LATEST * (latest - account.demand)
+            account.demand = smooth_demand(account.demand, latest, elapsed)
             account.count = 0
         self._exchanged_at = now
         self._next_exchange = now + self._exchange_s
@@ -332,7 +333,10 @@
     def _estimate(self, account, now):
         """Return the demand, counting at once what came since the last exchange."""
         elapsed = max(now - self._exchanged_at, self._exchange_s)
-        return max(account.demand, account.count / elapsed)
+        latest = account.count / elapsed
+        if latest > account.demand:
+            return smooth_demand(account.demand, latest, elapsed)
+        return account.demand
 
     def _trim(self, account, demand):
         """Take what isn't needed off a bucket; return the tokens to hand back."""
@@ -341,7 +345,7 @@
         needed += compute_reserve(demand, self._exchange_s)
         surplus = max(0.0, account.level - needed)
         account.level -= surplus
-        room = account.rate * self._exchange_s * HEADROOM
+        room = compute_room(account.rate, self._exchange_s)
         account.cap = min(account.cap - surplus, account.level + room)
         return surplus
 
--- a/persimmonlane/limits/ledger.py
+++ b/persimmonlane/limits/ledger.py
@@ -15,8 +15,11 @@
     EXCHANGES_PER_LOAN,
     HEADROOM,
     SCARCE_FACTOR,
+    SPARE_LENT,
+    STEADY_SHARE,
     TOKEN_LOAN_S,
     compute_reserve,
+    compute_room,
     lengthen,
     limit_rate,
 )
@@ -149,7 +152,7 @@
         horizon_s = loan_s / EXCHANGES_PER_LOAN
         reserve = compute_reserve(loan.demand, horizon_s) + demand.waiting
         reserve += max(0.0, loan.demand - rate) * horizon_s * HEADROOM
-        cap = self._choose_cap(loan, demand, reserve, rate * horizon_s * HEADROOM)
+        cap = self._choose_cap(loan, demand, reserve, compute_room(rate, horizon_s))
         if frozen:
             cap = min(cap, loan.cap)
         if demand.demand <= 0 and not demand.waiting or cap < 1.0:
@@ -162,12 +165,18 @@
 
     def _choose_rate(self, loan, frozen):
         others = self.lent_rate - loan.rate
-        wanted = loan.demand * HEADROOM
-        if self.demand * HEADROOM > self.rate:
-            wanted = self.rate * loan.demand / max(self.demand, EPSILON)
         if frozen:
             return min(loan.rate, self.rate)
-        return max(0.0, min(wanted, self.rate - others))
+        # Half of the spare rate stays with the pool, where every node can use it.
+        total = max(self.demand, EPSILON)
+        factor = self.rate / total
+        if factor > 1.0:
+            factor = min(HEADROOM, 1.0 + (factor - 1.0) * SPARE_LENT)
+        wanted = max(0.0, min(loan.demand * factor, self.rate - others))
+        # A small reduction frees less than counting it twice until it is confirmed.
+        if wanted < loan.rate and wanted > loan.rate * (1 - STEADY_SHARE):
+            return min(loan.rate, max(0.0, self.rate - others))
+        return wanted
 
     def _choose_cap(self, loan, demand, reserve, room):
         share = loan.demand / max(self.demand, EPSILON)
--- a/persimmonlane/limits/policy.py
+++ b/persimmonlane/limits/policy.py
@@ -17,7 +17,11 @@
 SCARCE_S = 0.1
 HEADROOM = 1.2
 SPREAD = 2.0
-WEIGHT_OF_LATEST = 0.5
+SPARE_LENT = 0.5
+ROOM_SHARE = 0.2
+WEIGHT_OF_LATEST = 0.25
+STEP_DEVIATIONS = 3.0
+STEADY_SHARE = 0.1
 EPSILON = 1e-6
 
 SUCCESSORS = 2
@@ -66,3 +70,24 @@
 def compute_reserve(demand, horizon_s):
     """Return the tokens that cover the variation of demand over a horizon."""
     return 1.0 + SPREAD * math.sqrt(demand * horizon_s)
+
+
+def compute_room(rate, horizon_s):
+    """Return the room above the reserve for what a rate gains over a horizon.
+
+    Spending takes most of the gain at once; room that stays empty is burst that
+    nobody can use.
+    """
+    gain = rate * horizon_s
+    return min(gain, compute_reserve(rate, horizon_s) + ROOM_SHARE * gain)
+
+
+def smooth_demand(demand, latest, elapsed_s):
+    """Return the demand after another measurement over some seconds.
+
+    A measurement beyond what chance explains is a step and counts in full.
+    """
+    deviation = math.sqrt(max(demand, 1.0 / elapsed_s) / elapsed_s)
+    if abs(latest - demand) > STEP_DEVIATIONS * deviation:
+        return latest
+    return demand + WEIGHT_OF_LATEST * (latest - demand)
