--- a/persimmonlane/reporting/measures.py
+++ b/persimmonlane/reporting/measures.py
@@ -37,15 +37,17 @@
 
 
 class ServerEjected(Event):
-    """A backend server was taken out of use by one observer."""
+    """A backend server was taken out of use by one node."""
 
     address: str
+    node: str = ""
 
 
 class ServerReturned(Event):
-    """A backend server was taken back into use."""
+    """A backend server was taken back into use by one node."""
 
     address: str
+    node: str = ""
 
 
 class RequestAdmitted(Event):
@@ -84,7 +86,8 @@
         detected: Failures that were followed by an ejection before recovery.
         detection_median_s: Median time from failure to ejection, or None.
         detection_worst_s: Longest such time, or None.
-        ejections: Ejections of any backend server.
+        ejections: Ejections of any backend server; those by several nodes at the
+            same time count once.
         false_ejections: Ejections of a backend server that was not failing.
         worst_organisation: Name of the worst-served organisation.
         worst_good_share: Share of its requests within its rate that were answered
@@ -194,7 +197,7 @@
             for each in organisations
         }
         self._failing = {}
-        self._ejected = set()
+        self._ejected = {}
         self._detections = []
         self._failures = 0
         self._ejections = 0
@@ -244,9 +247,10 @@
         self._failing.pop(event.address, None)
 
     def _eject(self, event):
-        if event.address in self._ejected:
+        nodes = self._ejected.setdefault(event.address, set())
+        nodes.add(event.node)
+        if len(nodes) > 1:
             return
-        self._ejected.add(event.address)
         self._ejections += 1
         if event.address in self._failing:
             self._detect(event)
@@ -261,7 +265,10 @@
             self._failing[event.address] = None
 
     def _return(self, event):
-        self._ejected.discard(event.address)
+        nodes = self._ejected.get(event.address, set())
+        nodes.discard(event.node)
+        if not nodes:
+            self._ejected.pop(event.address, None)
 
     def _admit(self, event):
         counts = self._organisations[event.organisation]
--- /dev/null
+++ b/persimmonlane/trials/__init__.py
@@ -0,0 +1,5 @@
+"""Trials.
+
+The decision classes driven by small fakes, for randomised runs and measurements;
+development only.
+"""
