--- a/persimmonlane/programs/report.py
+++ b/persimmonlane/programs/report.py
@@ -112,4 +112,4 @@
     except PersimmonError as error:
         print(f"persimmon-report: {error}", file=sys.stderr)
         status = EXIT_INPUT
-    sys.exit(status)
+    sys.exit(status or EXIT_OK)
--- a/persimmonlane/trials/fleet.py
+++ b/persimmonlane/trials/fleet.py
@@ -3,6 +3,7 @@
 Nodes made of the decision classes, before fake backend servers and callers.
 """
 
+import collections
 import random
 
 from ..balancing import Choice, create_balancer
@@ -27,6 +28,7 @@
 IDEMPOTENT_SHARE = 0.7
 MAX_OFFSET_S = 1000.0
 LOCAL_DELAY_S = 0.0002
+CLOSING = (Kind.TIMEOUT, Kind.SHORT, Kind.CONNECT)
 SEEN = {"ejected": ms.ServerEjected, "returned": ms.ServerReturned}
 
 
@@ -62,10 +64,10 @@
         ejector: The ejector.
         balancer: The balancer.
         budget: The retry budget.
-        opened: Times at which the open connections were opened, by address.
+        idle: Times at which the idle connections were opened, by address.
     """
 
-    __slots__ = ("service", "servers", "ejector", "balancer", "budget", "opened")
+    __slots__ = ("service", "servers", "ejector", "balancer", "budget", "idle")
 
     def __init__(self, service, servers, ejector, balancer, budget):
         self.service = service
@@ -73,7 +75,7 @@
         self.ejector = ejector
         self.balancer = balancer
         self.budget = budget
-        self.opened = {}
+        self.idle = collections.defaultdict(list)
 
 
 class Node:
@@ -288,17 +290,17 @@
         answer = self.backends[address].answer(request.number, now, opened)
         outcome = self._receive(node, desk, server, number, answer)
         self.schedule.call_later(
-            outcome.latency_s, self._finish, node, desk, request, outcome
+            outcome.latency_s, self._finish, node, desk, request, outcome, opened
         )
 
     def _connect(self, node, desk, address):
         """Return the time at which the connection was opened, and if it was open."""
         trusted = desk.ejector.connections_since(address) - node.clock.offset_s
-        opened = desk.opened.get(address)
-        if opened is not None and opened >= trusted:
-            return opened, True
-        desk.opened[address] = self.schedule.clock.seconds
-        return desk.opened[address], False
+        idle = desk.idle[address]
+        idle[:] = [opened for opened in idle if opened >= trusted]
+        if idle:
+            return idle.pop(), True
+        return self.schedule.clock.seconds, False
 
     def _receive(self, node, desk, server, number, answer):
         """Return the `Outcome` as the node will see it."""
@@ -316,10 +318,10 @@
             verdict = Verdict.MAY_HAVE_RUN
         return Outcome(server.address, number, answer.kind, latency_s, verdict)
 
-    def _finish(self, node, desk, request, outcome):
+    def _finish(self, node, desk, request, outcome, opened):
         ok = outcome.kind is Kind.OK
-        if outcome.kind is Kind.TIMEOUT:
-            desk.opened.pop(outcome.address, None)
+        if outcome.kind not in CLOSING:
+            desk.idle[outcome.address].append(opened)
         desk.balancer.finish(outcome.address, outcome.latency_s, ok)
         desk.ejector.observe(outcome)
         request.attempts.end(outcome.verdict)
