--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -3,6 +3,7 @@
 Admits requests of a node from the loans that it holds.
 """
 
+import collections
 import secrets
 
 from ..invariants import check_invariant
@@ -14,10 +15,12 @@
     HEADROOM,
     IDLE_S,
     LOOKAHEAD_S,
+    MISSED_S,
     SCARCE_S,
     URGENT_S,
-    WEIGHT_OF_LATEST,
     compute_reserve,
+    compute_room,
+    smooth_demand,
 )
 
 MIN_RETRY_AFTER_S = 0.05
@@ -41,6 +44,7 @@
         waiting: Requests that wait for a token.
         sequence: Number of the batch whose answer is awaited, or 0.
         asked_at: Monotonic seconds at which that batch was made.
+        missed_at: Monotonic seconds at which no holder was found.
         scarce_until: Until then a miss is refused at once.
         used_at: Monotonic seconds of the last request.
     """
@@ -57,6 +61,7 @@
         "waiting",
         "sequence",
         "asked_at",
+        "missed_at",
         "scarce_until",
         "used_at",
     )
@@ -73,6 +78,7 @@
         self.waiting = 0
         self.sequence = 0
         self.asked_at = NEVER
+        self.missed_at = NEVER
         self.scarce_until = NEVER
         self.used_at = now
 
@@ -96,6 +102,23 @@
         self.level = min(self.level, self.cap)
 
 
+class Batch:
+    """A batch of demands that was made.
+
+    Attributes:
+        sequence: Its number.
+        made_at: Monotonic seconds at which it was made.
+        names: Names of its organisations.
+    """
+
+    __slots__ = ("sequence", "made_at", "names")
+
+    def __init__(self, sequence, made_at, names):
+        self.sequence = sequence
+        self.made_at = made_at
+        self.names = names
+
+
 class Borrower:
     """Admits requests from loans and asks for loans by demand.
 
@@ -109,6 +132,7 @@
         "_view",
         "_accounts",
         "_urgent",
+        "_batches",
         "_sequence",
         "_exchange_s",
         "_next_exchange",
@@ -121,6 +145,7 @@
         self._view = None
         self._accounts = {}
         self._urgent = set()
+        self._batches = collections.deque()
         self._sequence = 0
         self._exchange_s = 0.5
         self._exchanged_at = clock.now()
@@ -181,6 +206,7 @@
     def demands(self):
         """Return the `Demands` that are due, or None; call at each tick."""
         now = self._clock.now()
+        self._review(now)
         regular = now >= self._next_exchange
         if not regular and not self._urgent:
             return None
@@ -189,6 +215,7 @@
             return None
         self._sequence += 1
         items = tuple(self._ask(name, now) for name in names)
+        self._batches.append(Batch(self._sequence, now, names))
         return Demands(self.name, self._sequence, items)
 
     def apply(self, loans):
@@ -199,6 +226,12 @@
             if account is None or account.sequence != loans.sequence:
                 continue
             self._apply_grant(account, grant, now)
+        for name in loans.missed:
+            account = self._accounts.get(name)
+            if account is not None and account.sequence == loans.sequence:
+                account.sequence = 0
+                account.missed_at = now
+                self._urgent.add(name)
 
     def surrender(self):
         """Return `Demands` that hand all loans back; nothing is admitted after."""
@@ -233,6 +266,15 @@
             "a request was admitted beyond the loan",
         )
 
+    def _review(self, now):
+        """Note the organisations whose answers haven't come in time."""
+        while self._batches and now >= self._batches[0].made_at + ANSWER_S:
+            batch = self._batches.popleft()
+            for name in batch.names:
+                account = self._accounts.get(name)
+                if account is not None and account.sequence == batch.sequence:
+                    self._urgent.add(name)
+
     def _list_due(self, now, regular):
         if regular:
             self._measure(now)
@@ -250,14 +292,19 @@
         account = self._accounts.get(name)
         if account is None or account.is_awaiting(now):
             return False
-        return now >= max(account.asked_at + URGENT_S, account.scarce_until)
+        ready_at = max(
+            account.asked_at + URGENT_S,
+            account.missed_at + MISSED_S,
+            account.scarce_until,
+        )
+        return now >= ready_at
 
     def _measure(self, now):
         """Compute the demand of each organisation since the last time."""
         elapsed = max(now - self._exchanged_at, URGENT_S)
         for account in self._accounts.values():
             latest = account.count / elapsed
-            account.demand += WEIGHT_OF_LATEST * (latest - account.demand)
+            account.demand = smooth_demand(account.demand, latest, elapsed)
             account.count = 0
         self._exchanged_at = now
         self._next_exchange = now + self._exchange_s
@@ -286,7 +333,10 @@
     def _estimate(self, account, now):
         """Return the demand, counting at once what came since the last exchange."""
         elapsed = max(now - self._exchanged_at, self._exchange_s)
-        return max(account.demand, account.count / elapsed)
+        latest = account.count / elapsed
+        if latest > account.demand:
+            return smooth_demand(account.demand, latest, elapsed)
+        return account.demand
 
     def _trim(self, account, demand):
         """Take what isn't needed off a bucket; return the tokens to hand back."""
@@ -295,7 +345,7 @@
         needed += compute_reserve(demand, self._exchange_s)
         surplus = max(0.0, account.level - needed)
         account.level -= surplus
-        room = account.rate * self._exchange_s * HEADROOM
+        room = compute_room(account.rate, self._exchange_s)
         account.cap = min(account.cap - surplus, account.level + room)
         return surplus
 
