--- a/persimmonlane/config/variants.py
+++ b/persimmonlane/config/variants.py
@@ -8,7 +8,7 @@
 
 REGISTRIES = {
     "balancing": ("persimmonlane.balancing.policies", "balancers"),
-    "detector": ("persimmonlane.ejection.detectors", "detectors"),
+    "detector": ("persimmonlane.ejection.detectors", "registry"),
 }
 
 
--- a/persimmonlane/forwarding/connections.py
+++ b/persimmonlane/forwarding/connections.py
@@ -73,6 +73,9 @@
     def put(self, connection):
         """Keep a connection whose last exchange is complete."""
         connection.used_at = self._clock.now()
+        self._keep_or_close(connection)
+
+    def _keep_or_close(self, connection):
         with self._lock:
             connections = self._idle.setdefault(connection.address, [])
             surplus = self._add(connections, connection)
@@ -81,11 +84,26 @@
 
     def purge(self, address):
         """Drop all connections to an address that were opened before now."""
+        self.distrust(address, self._clock.now())
+
+    def distrust(self, address, opened_before):
+        """Drop connections to an address opened before a time; later calls add up.
+
+        Args:
+            address: Address of the backend server.
+            opened_before: Monotonic seconds.
+        """
         with self._lock:
-            self._not_before[address] = self._clock.now()
+            if opened_before <= self._not_before.get(address, 0.0):
+                return
+            self._not_before[address] = opened_before
             connections = self._idle.pop(address, [])
         for connection in connections:
-            connection.close()
+            self._keep_or_close(connection)
+
+    def has_kept(self, address):
+        """Return whether there is a kept connection to an address."""
+        return bool(self._idle.get(address))
 
     def may_suspect(self, connection):
         """Return whether a silent connection may be blamed rather than its server.
--- a/persimmonlane/forwarding/dispatcher.py
+++ b/persimmonlane/forwarding/dispatcher.py
@@ -72,9 +72,10 @@
         "_queue",
         "_latency_s",
         "_returned",
+        "_has_kept",
     )
 
-    def __init__(self, service, data_centre, weights, clock, rng):
+    def __init__(self, service, data_centre, weights, clock, rng, has_kept):
         """Begin without backend servers.
 
         Args:
@@ -83,6 +84,8 @@
             weights: Callable from an organisation's name to its rate.
             clock: Clock in monotonic seconds.
             rng: A `random.Random`.
+            has_kept: Callable that tells whether there is a kept connection to
+                an address.
         """
         self.service = service
         self.ejector = create_ejector(service, clock, rng)
@@ -94,6 +97,7 @@
         self._running = collections.Counter()
         self._queue = ServiceQueue(service, clock, weights)
         self._latency_s = 0.0
+        self._has_kept = has_kept
         self._returned = []
 
     def set_service(self, service):
@@ -145,6 +149,10 @@
         for request in self._queue.expire():
             yield Rejection(request.payload, self._queue.refuse())
 
+    def running(self):
+        """Return the addresses at which attempts run."""
+        return list(self._running)
+
     def end(self, outcome):
         """Take the end of an attempt."""
         self._running[outcome.address] -= 1
@@ -191,7 +199,8 @@
     def _begin(self, server):
         self._running[server.address] += 1
         self.balancer.start(server.address)
-        attempt = self.ejector.start(server.address)
+        pooled = self._has_kept(server.address)
+        attempt = self.ejector.start(server.address, pooled)
         silence_s = max(SILENCE_MIN_S, SILENCE_FACTOR * self._latency_s)
         return Plan(server.address, attempt, silence_s)
 
--- a/persimmonlane/forwarding/traffic.py
+++ b/persimmonlane/forwarding/traffic.py
@@ -8,6 +8,7 @@
 
 from ..actors import Actor, Tick
 from ..config.messages import DocumentChanged, FreshnessChanged
+from ..ejection.messages import EvidenceArrived, EvidenceWanted
 from ..errors import PersimmonError, Refusal
 from ..keys import KeyTable
 from ..limits.admission import Admission
@@ -76,7 +77,9 @@
         DocumentChanged: "change_document",
         FreshnessChanged: "change_freshness",
         ServersChanged: "change_servers",
-        PeersChanged: "ignore",
+        PeersChanged: "change_peers",
+        EvidenceWanted: "export_evidence",
+        EvidenceArrived: "merge_evidence",
         LoadReported: "report_load",
         LoansChanged: "change_loans",
         ProbeEnded: "end_probe",
@@ -104,6 +107,7 @@
         self._dispatchers = {}
         self._budgets = {}
         self._servers = ()
+        self._peer_count = 0
         self._borrower = Borrower(settings.name, clock)
         self._waiting = []
         self._ledger = Ledger(UnixClock(), settings.name)
@@ -148,6 +152,7 @@
             self._place_queued(dispatcher)
             self._probe(dispatcher)
             self._log_events(dispatcher)
+            self._purge_connections(dispatcher)
         self._retry_waiting()
         self._send_demands()
 
@@ -178,8 +183,26 @@
             self._update_servers(dispatcher)
             self._place_queued(dispatcher)
 
-    def ignore(self, message):
-        """Take a message that does not concern the request path."""
+    def change_peers(self, message):
+        """Take the nodes heard of lately."""
+        self._peer_count = sum(self._is_observer(peer) for peer in message.peers)
+        for dispatcher in self._dispatchers.values():
+            dispatcher.ejector.update_peers(self._peer_count)
+
+    def export_evidence(self, message):
+        """Return the evidence that is due, as a tuple of `ServiceEvidence`."""
+        due = [
+            dispatcher.ejector.export_evidence()
+            for dispatcher in self._dispatchers.values()
+        ]
+        return tuple(evidence for evidence in due if evidence is not None)
+
+    def merge_evidence(self, message):
+        """Take the evidence of another node."""
+        for evidence in message.evidence:
+            dispatcher = self._dispatchers.get(evidence.service)
+            if dispatcher is not None:
+                dispatcher.ejector.merge_evidence(message.node, evidence)
 
     def report_load(self, message):
         """Take a load report of a backend server."""
@@ -272,8 +295,15 @@
 
     def _log_events(self, dispatcher):
         for event in dispatcher.ejector.events():
-            log.info("Traffic: %s: %s.", dispatcher.service.name, event)
-            self._metrics.count(f"ejection.{type(event).__name__.lower()}")
+            log.info(
+                "Ejection: %s is %s, %s.", event.address, event.name, event.symptom
+            )
+            self._metrics.count(f"ejection.{event.name}")
+
+    def _purge_connections(self, dispatcher):
+        for address in dispatcher.running():
+            since = dispatcher.ejector.connections_since(address)
+            self._ports.pool.distrust(address, since)
 
     def _send_demands(self):
         demands = self._borrower.demands()
@@ -299,7 +329,9 @@
             self._find_rate,
             self._clock,
             self._rng,
+            self._ports.pool.has_kept,
         )
+        dispatcher.ejector.update_peers(self._peer_count)
         self._dispatchers[service.name] = dispatcher
         self._budgets[service.name] = SharedBudget(service.retries, self._clock)
         self._update_servers(dispatcher)
@@ -308,6 +340,9 @@
         name = dispatcher.service.name
         dispatcher.update_servers([s for s in self._servers if s.service == name])
 
+    def _is_observer(self, peer):
+        return peer.ingress and peer.data_centre == self._settings.data_centre
+
     def _find_rate(self, organisation):
         found = self._view.find_organisation(organisation)
         return found.rate if found else 1.0
--- a/persimmonlane/node.py
+++ b/persimmonlane/node.py
@@ -8,6 +8,7 @@
 from .application import Application, Part
 from .clocks import SystemClock
 from .config.part import build_config
+from .ejection.part import build_evidence_exchange
 from .forwarding.part import Ingress
 from .limits.part import build_limits
 from .membership.part import build_membership
@@ -68,5 +69,9 @@
                 membership.peers,
             )
         )
+        evidence = build_evidence_exchange(
+            application, settings, clock, rpc_server, channels, membership.peers
+        )
+        evidence.connect(ingress.traffic)
         ingress.connect(membership, config, limits)
     return application
