--- a/persimmonlane/traces/scenarios.py
+++ b/persimmonlane/traces/scenarios.py
@@ -73,10 +73,10 @@
 
     def list_events(self):
         """Return what one node's ejector was given, with stated outcomes."""
-        recorded, offset_s = self._record()
+        recorded, clock = self._record()
         on = recorded[0].on
         stated = [
-            msgspec.structs.replace(event, at=event.at + offset_s)
+            msgspec.structs.replace(event, at=clock.read(event.at))
             for event in self.state_outcomes(on)
         ]
         kept = [self._clean(each) for each in recorded if self._is_input(each)]
@@ -116,7 +116,7 @@
         finally:
             os.remove(path)
         events = [each.event for each in trace.events]
-        return events, fleet.nodes[0].clock.offset_s
+        return events, fleet.nodes[0].clock
 
     @staticmethod
     def _is_input(event):
--- a/persimmonlane/trials/faults.py
+++ b/persimmonlane/trials/faults.py
@@ -1,9 +1,10 @@
 """Faults.
 
-Draws the faults of a randomised run: of backend servers and of the network, one
-after another, together and twice.
+Draws the faults of a randomised run: of backend servers, nodes, the network and
+the store, one after another, together and twice.
 """
 
+from ..platform.memory import Faults
 from .backends import failures
 from .network import NetworkFaults
 
@@ -11,9 +12,16 @@
 MIN_FAULT_S = 1.0
 MAX_FAULT_S = 12.0
 LEAVE_DELAY_S = 4.0
-LEAVE_SHARE = 0.15
-NETWORK_SHARE = 0.25
-CUT_SHARE = 0.25
+MAX_PAUSE_S = 6.0
+LOST_ANSWERS = 3
+WEIGHTS = {
+    "_fail": 0.35,
+    "_leave": 0.1,
+    "_disturb": 0.15,
+    "_cut": 0.15,
+    "_pause": 0.1,
+    "_lose_store": 0.15,
+}
 NETWORK_FAULTS = (
     NetworkFaults(loss=0.3),
     NetworkFaults(jitter_s=0.3),
@@ -45,15 +53,9 @@
     def _begin(self):
         if self._fleet.schedule.clock.seconds >= self._until:
             return
-        mark = self._rng.random()
-        if mark < LEAVE_SHARE:
-            self._leave()
-        elif mark < LEAVE_SHARE + NETWORK_SHARE:
-            self._disturb()
-        elif mark < LEAVE_SHARE + NETWORK_SHARE + CUT_SHARE:
-            self._cut()
-        else:
-            self._fail()
+        names = list(WEIGHTS)
+        (name,) = self._rng.choices(names, weights=WEIGHTS.values())
+        getattr(self, name)()
         self._plan_next()
 
     def _fail(self):
@@ -87,6 +89,24 @@
         duration_s = self._rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
         self._fleet.schedule.call_later(duration_s, self._fleet.network.mend)
 
+    def _pause(self):
+        node = self._rng.choice(self._fleet.nodes)
+        duration_s = self._rng.uniform(MIN_FAULT_S, MAX_PAUSE_S)
+        self._note(f"{node.name} is paused for {duration_s:.1f} s")
+        self._fleet.pause(node, duration_s)
+
+    def _lose_store(self):
+        if self._rng.random() < 0.5:
+            self._note("store: answers of writes are lost")
+            self._fleet.store.set_faults(Faults(lose_answers=LOST_ANSWERS))
+            return
+        duration_s = self._rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        self._note(f"store: away for {duration_s:.1f} s")
+        self._fleet.store.set_faults(Faults(away=True))
+        self._fleet.schedule.call_later(
+            duration_s, self._fleet.store.set_faults, Faults()
+        )
+
     def _note(self, sentence):
         at = self._fleet.schedule.clock.seconds
         self.lines.append(f"{at:8.3f} {sentence}")
--- a/persimmonlane/trials/fleet.py
+++ b/persimmonlane/trials/fleet.py
@@ -11,6 +11,7 @@
 from ..ejection.evidence import decode_evidence, encode_evidence
 from ..ejection.outcome import Kind, Outcome
 from ..limits.admission import Admission
+from ..platform.memory import MemoryStore
 from ..reporting import measures as ms
 from ..retries import RequestAttempts, RetryBudget
 from ..verdicts import Verdict
@@ -18,7 +19,7 @@
 from .backends import FakeBackend
 from .limiters import limiters
 from .network import FakeNetwork
-from .schedule import OffsetClock, Schedule
+from .schedule import Schedule, SkewedClock
 
 TICK_S = 0.05
 EVIDENCE_S = 1.0
@@ -28,6 +29,7 @@
 IDEMPOTENT_SHARE = 0.7
 MAX_OFFSET_S = 1000.0
 LOCAL_DELAY_S = 0.0002
+MAX_DRIFT = 0.001
 CLOSING = (Kind.TIMEOUT, Kind.SHORT, Kind.CONNECT)
 SEEN = {"ejected": ms.ServerEjected, "returned": ms.ServerReturned}
 
@@ -86,15 +88,33 @@
         data_centre: Name of its data centre.
         clock: Its clock.
         desks: A `Desk` for each service, by name.
+        paused_until: Time at which its present pause ends.
     """
 
-    __slots__ = ("name", "data_centre", "clock", "desks")
+    __slots__ = (
+        "name",
+        "data_centre",
+        "clock",
+        "desks",
+        "paused_until",
+        "_schedule",
+    )
 
-    def __init__(self, name, data_centre, clock):
+    def __init__(self, name, data_centre, clock, schedule):
         self.name = name
         self.data_centre = data_centre
         self.clock = clock
         self.desks = {}
+        self.paused_until = 0.0
+        self._schedule = schedule
+
+    def run(self, function, *arguments):
+        """Call a function now, or once the pause is over."""
+        left_s = self.paused_until - self._schedule.clock.seconds
+        if left_s > 0:
+            self._schedule.call_later(left_s, self.run, function, *arguments)
+        else:
+            function(*arguments)
 
 
 class Fleet:
@@ -103,6 +123,7 @@
     Attributes:
         schedule: The `Schedule`.
         network: The `FakeNetwork`.
+        store: The `MemoryStore`.
         document: The document in force.
         nodes: The nodes.
         backends: The `FakeBackend`s by address.
@@ -127,6 +148,7 @@
         self.document = document
         self.schedule = Schedule()
         self.rng = random.Random(seed)
+        self.store = MemoryStore(self.schedule.clock)
         self.network = FakeNetwork(self.schedule, self._derive(), self._find_delay)
         self.backends = {
             server.address: FakeBackend(server, self._derive())
@@ -147,10 +169,8 @@
         for load in self.site.list_loads():
             self.send_load(load, duration_s)
         for node in self.nodes:
-            offset = self.rng.random() * TICK_S
-            self.schedule.call_every(TICK_S, lambda n=node: self._tick(n), offset)
-            offset = self.rng.random() * EVIDENCE_S
-            self.schedule.call_every(EVIDENCE_S, lambda n=node: self._share(n), offset)
+            self._repeat(node, TICK_S, self._tick)
+            self._repeat(node, EVIDENCE_S, self._share)
         self.schedule.run(duration_s + DEADLINE_S)
 
     def send_load(self, load, until_s):
@@ -184,16 +204,28 @@
         backend.leaving_at = self.schedule.clock.seconds
         for node in self.nodes:
             delay = self.rng.random() * delay_s
-            self.schedule.call_later(delay, self._remove, node, backend.server)
+            self.schedule.call_later(
+                delay, node.run, self._remove, node, backend.server
+            )
+
+    def pause(self, node, duration_s):
+        """Pause a node's process; what comes meanwhile waits."""
+        node.paused_until = self.schedule.clock.seconds + duration_s
+
+    def _repeat(self, node, interval_s, method):
+        offset_s = self.rng.random() * interval_s
+        self.schedule.call_every(interval_s, lambda: node.run(method, node), offset_s)
 
     def _derive(self):
         return random.Random(self.rng.getrandbits(53))
 
     def _create_node(self, number):
         data_centres = self.site.data_centres
-        clock = OffsetClock(self.schedule.clock, self.rng.random() * MAX_OFFSET_S)
+        offset_s = self.rng.random() * MAX_OFFSET_S
+        pace = 1 + self.rng.uniform(-MAX_DRIFT, MAX_DRIFT)
+        clock = SkewedClock(self.schedule.clock, offset_s, pace)
         data_centre = data_centres[number % len(data_centres)]
-        return Node(f"node-{number}", data_centre, clock)
+        return Node(f"node-{number}", data_centre, clock, self.schedule)
 
     def _open_desks(self, node):
         for number, service in enumerate(self.document.services):
@@ -238,7 +270,7 @@
             rng.random() < IDEMPOTENT_SHARE,
             self.schedule.clock.seconds,
         )
-        self._admit(node, request, False)
+        node.run(self._admit, node, request, False)
 
     def _admit(self, node, request, again):
         now = self.schedule.clock.seconds
@@ -249,7 +281,7 @@
         elif (
             admission is Admission.WAIT and waited_ms < self.document.fleet.loan_wait_ms
         ):
-            self.schedule.call_later(WAIT_S, self._admit, node, request, True)
+            self.schedule.call_later(WAIT_S, node.run, self._admit, node, request, True)
         else:
             self._refuse(request, "rate-exceeded")
 
@@ -290,12 +322,19 @@
         answer = self.backends[address].answer(request.number, now, opened)
         outcome = self._receive(node, desk, server, number, answer)
         self.schedule.call_later(
-            outcome.latency_s, self._finish, node, desk, request, outcome, opened
+            outcome.latency_s,
+            node.run,
+            self._finish,
+            node,
+            desk,
+            request,
+            outcome,
+            opened,
         )
 
     def _connect(self, node, desk, address):
         """Return the time at which the connection was opened, and if it was open."""
-        trusted = desk.ejector.connections_since(address) - node.clock.offset_s
+        trusted = node.clock.find_time(desk.ejector.connections_since(address))
         idle = desk.idle[address]
         idle[:] = [opened for opened in idle if opened >= trusted]
         if idle:
@@ -368,7 +407,12 @@
         ok = answer.kind is Kind.OK
         delay = PROBE_S if answer.kind else desk.service.response_timeout_ms / 1000
         self.schedule.call_later(
-            delay, desk.ejector.record_probe, address, ok, answer.latency_s
+            delay,
+            node.run,
+            desk.ejector.record_probe,
+            address,
+            ok,
+            answer.latency_s,
         )
 
     def _share(self, node):
@@ -380,7 +424,14 @@
             for peer in self.nodes:
                 if peer is not node and peer.data_centre == node.data_centre:
                     self.network.send(
-                        node.name, peer.name, self._merge, node, peer, name, data
+                        node.name,
+                        peer.name,
+                        peer.run,
+                        self._merge,
+                        node,
+                        peer,
+                        name,
+                        data,
                     )
 
     def _merge(self, node, peer, service, data):
--- a/persimmonlane/trials/schedule.py
+++ b/persimmonlane/trials/schedule.py
@@ -46,19 +46,24 @@
         self.clock.seconds = until_s
 
 
-class OffsetClock:
-    """The clock of one node: the same pace from another start.
+class SkewedClock:
+    """The clock of one node: another start, and slightly another pace."""
 
-    Attributes:
-        offset_s: Seconds by which it is ahead.
-    """
-
-    __slots__ = ("offset_s", "_clock")
+    __slots__ = ("_clock", "_offset", "_pace")
 
-    def __init__(self, clock, offset_s):
-        self.offset_s = offset_s
+    def __init__(self, clock, offset_s, pace):
         self._clock = clock
+        self._offset = offset_s
+        self._pace = pace
 
     def now(self):
         """Return the node's monotonic seconds."""
-        return self._clock.seconds + self.offset_s
+        return self.read(self._clock.seconds)
+
+    def read(self, at):
+        """Return what it shows at a time of the schedule."""
+        return self._offset + at * self._pace
+
+    def find_time(self, reading):
+        """Return the time of the schedule at which it shows a reading."""
+        return (reading - self._offset) / self._pace
