--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -33,6 +33,7 @@
 HOT_SCORE = 5.0
 HOT_S = 5.0
 EXPORT_S = 1.0
+URGENT_S = 2.0
 LONE_S = 1.0
 OBSERVER_S = 10.0
 COMMON_RATE = 0.4
@@ -66,15 +67,13 @@
     Attributes:
         since: Monotonic seconds at which the suspicion arose.
         until: Monotonic seconds at which it lapses.
-        told: Whether evidence on it was exported.
     """
 
-    __slots__ = ("since", "until", "told")
+    __slots__ = ("since", "until")
 
     def __init__(self, since):
         self.since = since
         self.until = since
-        self.told = False
 
 
 @registry.register
@@ -177,6 +176,13 @@
         if track is not None:
             track.reset()
 
+    def conclude(self, address):
+        """Begin anew after an ejection, and go on telling other nodes why."""
+        self._assessments.pop(address, None)
+        track = self._tracks.get(address)
+        if track is not None:
+            track.conclude()
+
     def connections_since(self, address):
         """Return the time before which pooled connections are not trusted."""
         track = self._tracks.get(address)
@@ -189,7 +195,7 @@
     def export_evidence(self):
         """Return the evidence on the backend servers that some node suspects.
 
-        Evidence is due at once when a suspicion is new, and then once a second.
+        Evidence is due at each call while a suspicion is new, then once a second.
         """
         now = self.clock.now()
         self._hot = {a: hot for a, hot in self._hot.items() if hot.until > now}
@@ -197,8 +203,6 @@
             return None
         self._exported = now
         self._sequence += 1
-        for hot in self._hot.values():
-            hot.told = True
         addresses = sorted(self._hot, key=self._rank_hot)[:ENTRY_LIMIT]
         return ServiceEvidence(
             self.service.name,
@@ -222,7 +226,7 @@
     def _is_export_due(self, now):
         if now - self._exported >= EXPORT_S:
             return bool(self._hot)
-        return any(not hot.told for hot in self._hot.values())
+        return any(now - hot.since <= URGENT_S for hot in self._hot.values())
 
     def _rank_hot(self, address):
         return -self._tracks[address].find_score()
--- a/persimmonlane/ejection/detectors.py
+++ b/persimmonlane/ejection/detectors.py
@@ -89,6 +89,10 @@
     def reset(self, address):
         """Forget the evidence on a backend server."""
 
+    def conclude(self, address):
+        """Begin anew after an ejection; other nodes may still want the evidence."""
+        self.reset(address)
+
     def connections_since(self, address):
         """Return the time before which pooled connections are not trusted."""
         return 0.0
--- a/persimmonlane/ejection/ejector.py
+++ b/persimmonlane/ejection/ejector.py
@@ -28,7 +28,7 @@
 CERTAIN_SCORE = 0.99
 IDEMPOTENT_TRICKLE = Standing(State.TRIAL, 0.05, idempotent_only=True)
 SPARED = Standing(State.SUSPECT, 0.5)
-DOUBTED = Standing(State.SUSPECT, 0.3, idempotent_only=True)
+DOUBTED = Standing(State.SUSPECT, 0.5, idempotent_only=True)
 AVOIDED = Standing(State.SUSPECT, 0.02, idempotent_only=True)
 NO_EVIDENCE = frozenset((Kind.SHED, Kind.STALE, Kind.CANCELLED))
 
@@ -258,7 +258,7 @@
         record.next_probe = record.until
         record.probes = 0
         record.spared = False
-        self._detector.reset(record.server.address)
+        self._detector.conclude(record.server.address)
         self._events.append(
             events.Ejected(record.server.address, now, record.symptom, record.until)
         )
--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -73,6 +73,21 @@
                 rates[trial] = bad / (count + PRIOR_TRIALS)
 
 
+class Conclusion:
+    """Evidence that led to an ejection.
+
+    Attributes:
+        score: CUSUM at that time.
+        mask: `WindowMask` at that time.
+    """
+
+    __slots__ = ("score", "mask")
+
+    def __init__(self, score, mask):
+        self.score = score
+        self.mask = mask
+
+
 class SymptomTrack:
     """Evidence of one symptom of one backend server.
 
@@ -83,13 +98,14 @@
         total: Cumulative evidence.
     """
 
-    __slots__ = ("score", "mask", "pool", "total", "_totals")
+    __slots__ = ("score", "mask", "pool", "total", "_totals", "_concluded")
 
     def __init__(self):
         self.score = 0.0
         self.mask = WindowMask()
         self.pool = None
         self.total = 0.0
+        self._concluded = None
         self._totals = collections.deque(maxlen=RISE_WINDOWS[-1] // SAMPLE_WINDOWS)
 
     @property
@@ -146,14 +162,22 @@
 
     def export(self, index):
         """Return the `SymptomEvidence` for other nodes."""
+        score, mask = self.score, self.mask
+        if self._concluded is not None and not score:
+            score, mask = self._concluded.score, self._concluded.mask
         rises = tuple(self._find_rise(windows) for windows in RISE_WINDOWS)
-        windows = self.mask.read(index)
-        return SymptomEvidence(
-            round(self.total, 2), rises, round(self.score, 2), windows
-        )
+        windows = mask.read(index)
+        return SymptomEvidence(round(self.total, 2), rises, round(score, 2), windows)
+
+    def conclude(self):
+        """Begin anew, but go on telling other nodes what led to the verdict."""
+        concluded = Conclusion(self.score, self.mask.copy())
+        self.reset()
+        self._concluded = concluded
 
     def reset(self):
         """Forget what was seen; the cumulative sum stays."""
+        self._concluded = None
         self.score = 0.0
         self.mask.clear()
         if self.pool is not None:
@@ -281,10 +305,19 @@
 
     def reset(self):
         """Forget evidence and attempts in flight; the cumulative sums stay."""
+        for symptom in self.symptoms:
+            symptom.reset()
+        self._begin_anew()
+
+    def conclude(self):
+        """Begin anew, but go on telling other nodes what led to the verdict."""
+        for symptom in self.symptoms:
+            symptom.conclude()
+        self._begin_anew()
+
+    def _begin_anew(self):
         self.attempts.clear()
         self.trials = [0] * TRIALS
         self.failures = [0] * TRIALS
         self.short = Rates(SHORT_KEPT)
         self.long = Rates(LONG_KEPT)
-        for symptom in self.symptoms:
-            symptom.reset()
