--- a/persimmonlane/ejection/ejector.py
+++ b/persimmonlane/ejection/ejector.py
@@ -26,6 +26,7 @@
 TRIAL_BAD = 3
 HOLD_S = 2.0
 CERTAIN_SCORE = 0.99
+CONFIRM_S = 3.0
 IDEMPOTENT_TRICKLE = Standing(State.TRIAL, 0.05, idempotent_only=True)
 SPARED = Standing(State.SUSPECT, 0.5)
 DOUBTED = Standing(State.SUSPECT, 0.5, idempotent_only=True)
@@ -271,6 +272,7 @@
             return
         record.state = State.SUSPECT
         record.standing = SPARED
+        record.suspected = now
         record.symptom = assessment.symptom
         self._note(events.Suspected, record, now)
 
@@ -342,7 +344,12 @@
             spare_slots -= record.server.slots
             record.standing = SPARED
             if spare_slots >= 0.0:
-                record.standing = AVOIDED if record.certain else DOUBTED
+                record.standing = self._doubt(record)
+
+    def _doubt(self, record):
+        """Return a standing that leaves the other nodes time to confirm."""
+        age_s = self._clock.now() - record.suspected
+        return AVOIDED if record.certain and age_s >= CONFIRM_S else DOUBTED
 
     def _note(self, event, record, now):
         self._events.append(event(record.server.address, now, record.symptom))
--- a/persimmonlane/ejection/records.py
+++ b/persimmonlane/ejection/records.py
@@ -28,6 +28,7 @@
         bad: Bad answers in the trial.
         ramp_from: Monotonic seconds from which its share ramps up, or None.
         held_until: Monotonic seconds until which it stays suspect.
+        suspected: Monotonic seconds at which the present suspicion arose.
         certain: Whether this node has all the evidence that an ejection takes.
         spared: Whether only the floor keeps it in service.
         departed: Monotonic seconds at which it ceased to be announced, or None.
@@ -48,6 +49,7 @@
         "bad",
         "ramp_from",
         "held_until",
+        "suspected",
         "certain",
         "spared",
         "departed",
@@ -68,6 +70,7 @@
         self.bad = 0
         self.ramp_from = None
         self.held_until = 0.0
+        self.suspected = 0.0
         self.certain = False
         self.spared = False
         self.departed = None
