--- a/persimmonlane/programs/standin.py
+++ b/persimmonlane/programs/standin.py
@@ -12,6 +12,7 @@
 from ..errors import InputError
 from ..settings import describe_fault, split_address
 from ..standins.backend import BackendStandin, Behaviour
+from ..standins.control import ControlServer
 from ..standins.store import run_store
 from .common import create_program, run_program
 
@@ -45,10 +46,12 @@
 
     Attributes:
         servers: The stand-ins.
+        control: Address at which a test may change and count them.
         secrets: Strings that must never reach a backend server.
     """
 
     servers: tuple[ServerSettings, ...]
+    control: str
     secrets: tuple[str, ...] = ()
 
 
@@ -74,11 +77,12 @@
     signal.signal(signal.SIGTERM, lambda number, frame: ended.set())
     values = read(settings)
     standins = [create_standin(item, values) for item in values.servers]
-    for standin in standins:
-        standin.start()
+    servers = [*standins, ControlServer(split_address(values.control), standins)]
+    for server in servers:
+        server.start()
     ended.wait()
-    for standin in standins:
-        standin.stop()
+    for server in servers:
+        server.stop()
 
 
 def read(path):
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -18,7 +18,6 @@
 from ..forwarding.strictness import StrictConnection
 from ..keys import Header
 
-CONTROL_PREFIX = "/standin/"
 SUBMISSION = "X-Submission-Id"
 THREADS = 24
 HANG_S = 60.0
@@ -130,6 +129,7 @@
         "_seen",
         "_server",
         "_thread",
+        "_ended",
     )
 
     def __init__(self, address, service, slots, behaviour, seed=0, secrets=()):
@@ -157,6 +157,7 @@
         self._cancelled = 0
         self._muted = set()
         self._seen = weakref.WeakSet()
+        self._ended = threading.Event()
         self._server = create_server(address, self)
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
@@ -176,9 +177,14 @@
         self._thread.start()
 
     def stop(self):
-        """Stop serving."""
+        """Stop serving; requests that hang end."""
+        self._ended.set()
         self._server.stop()
 
+    def hang(self):
+        """Wait for a long time, or until the end."""
+        self._ended.wait(HANG_S)
+
     def limit_headers(self, size_bytes):
         """Refuse requests whose headers are larger."""
         self._server.max_request_header_size = size_bytes
@@ -265,25 +271,15 @@
         self.standin = standin
 
     def respond(self):
-        """Answer health and control requests, or run the request."""
+        """Answer a health request, or run the request."""
         path = urllib.parse.urlsplit(self.req.uri.decode("latin-1")).path
         if self.standin.is_muted(self.req.conn) or self.standin.behaviour.deaf:
             self._fall_silent()
         elif path == "/health":
             self._answer(200, self.standin.describe_health())
-        elif path.startswith(CONTROL_PREFIX):
-            self._control(path.removeprefix(CONTROL_PREFIX))
         else:
             self._run(path)
 
-    def _control(self, verb):
-        body = b"".join(create_body(self.req).pieces())
-        if verb == "behaviour":
-            self.standin.change(msgspec.json.decode(body, type=Behaviour))
-            self._answer(200, b"{}")
-        else:
-            self._answer(200, msgspec.json.encode(self.standin.count()))
-
     def _run(self, path):
         standin = self.standin
         headers = self.req.inheaders.listed
@@ -316,7 +312,9 @@
 
     def _work(self, run):
         behaviour = self.standin.behaviour
-        time.sleep(HANG_S if behaviour.hang else self.standin.draw_latency())
+        if behaviour.hang:
+            self.standin.hang()
+        time.sleep(self.standin.draw_latency())
         if self.standin.draw(behaviour.reset_after_share):
             self._cut()
         elif self.standin.draw(behaviour.error_share):
@@ -360,7 +358,7 @@
         self.req.chunked_write = False
 
     def _fall_silent(self):
-        time.sleep(HANG_S)
+        self.standin.hang()
         self._cut()
 
 
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -23,6 +23,8 @@
 FROZEN_S = 20.0
 SETTLE_S = 3.0
 OUTAGE_S = 15.0
+# Time after which callers notice that a node leaves.
+NOTICED_S = 1.0
 UPLOAD_BYTES = 50 * 1024 * 1024
 UPLOAD_LIMIT_MB = 10.0
 
@@ -163,6 +165,7 @@
     node = cooperativa.fleet.nodes[name]
     cooperativa.note("node-stopping", name)
     node.signal(signal.SIGTERM)
+    time.sleep(NOTICED_S)
     cooperativa.avoid_node(node)
     status = node.wait()
     cooperativa.note("node-stopped", f"{name} with status {status}")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -82,12 +82,14 @@
 
     Attributes:
         servers: The `HostedServer` of each.
+        control: Address at which they are changed and counted.
     """
 
-    __slots__ = ("servers",)
+    __slots__ = ("servers", "control")
 
     def __init__(self, name, servers, settings, directory):
         self.servers = servers
+        self.control = settings["control"]
         path = directory / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
         super().__init__(
@@ -121,7 +123,7 @@
         self.store_address = self.reserve_address()
         arguments = ["persimmonlane.programs.standin", "store", self.store_address]
         self.store = Process("store", arguments, self.directory)
-        wait_until(lambda: can_connect(self.store_address), "the store listens")
+        await_listener(self.store_address)
 
     def start_standins(self, data_centre, services, behaviour=None, slots=4):
         """Start backend server stand-ins.
@@ -148,12 +150,14 @@
                 for number, server in enumerate(servers)
             ],
             "secrets": self._secrets,
+            "control": self.reserve_address(),
         }
         name = f"backends-{data_centre}"
         process = Standins(name, servers, settings, self.directory)
         self.standins[data_centre] = process
         for server in servers:
-            wait_until(lambda: can_connect(server.address), "a backend server listens")  # noqa: B023
+            await_listener(server.address)
+        await_listener(process.control)
 
     def start_node(self, name, data_centre, servers=(), **fields):
         """Start a node.
@@ -204,24 +208,24 @@
 
     def behave(self, address, behaviour):
         """Make a backend server stand-in behave in another way."""
-        self._http.request(
-            "POST",
-            f"http://{address}/standin/behaviour",
-            body=msgspec.json.encode(behaviour),
-        )
+        for process in self.standins.values():
+            for number, server in enumerate(process.servers):
+                if server.address == address:
+                    url = f"http://{process.control}/behaviour/{number}"
+                    body = msgspec.json.encode(behaviour)
+                    self._http.request("POST", url, body=body)
 
     def count(self):
-        """Return the `Counts` of all stand-ins that still answer."""
+        """Return the `Counts` of all stand-ins."""
         return [
-            self.read_counts(server.address)
+            self._read_counts(process, number)
             for process in self.standins.values()
-            for server in process.servers
+            for number in range(len(process.servers))
         ]
 
-    def read_counts(self, address):
-        """Return the `Counts` of one stand-in."""
-        answer = self._http.request("GET", f"http://{address}/standin/counts")
-        return msgspec.json.decode(answer.data, type=Counts)
+    def _read_counts(self, process, number):
+        url = f"http://{process.control}/counts/{number}"
+        return msgspec.json.decode(self._http.request("GET", url).data, type=Counts)
 
     def stop(self):
         """End all processes that were started here."""
@@ -248,6 +252,11 @@
                 return f"{HOST}:{port}"
 
 
+def await_listener(address):
+    """Wait until something listens at an address."""
+    wait_until(lambda: can_connect(address), f"something listens at {address}")
+
+
 def can_connect(address):
     """Return whether something listens at an address."""
     host, _, port = address.rpartition(":")
