--- a/persimmonlane/membership/gossip.py
+++ b/persimmonlane/membership/gossip.py
@@ -12,8 +12,6 @@
 REMEMBERED_PEERS = 64
 URGENT_GAP_S = 0.05
 NEWS_ROUNDS = 4
-# A node's own heartbeat comes back to it in others' messages about this late.
-ECHO_LAG_S = 2.0
 NEVER = float("-inf")
 
 
@@ -24,14 +22,16 @@
         address: RPC address of the other node.
         exchange: The message.
         sent_at: Monotonic seconds at which it was made.
+        is_follow_up: Whether it brings what a reply asked for.
     """
 
-    __slots__ = ("address", "exchange", "sent_at")
+    __slots__ = ("address", "exchange", "sent_at", "is_follow_up")
 
-    def __init__(self, address, exchange, sent_at):
+    def __init__(self, address, exchange, sent_at, is_follow_up=False):
         self.address = address
         self.exchange = exchange
         self.sent_at = sent_at
+        self.is_follow_up = is_follow_up
 
 
 class Gossip:
@@ -79,7 +79,7 @@
     def note_hosted(self):
         """Spread the hosted group's list, which has changed."""
         self._apply_hosted()
-        self._add_news([self.hosted.announcement.group])
+        self._add_news(self.hosted.announcement.group)
 
     def is_due(self):
         """Return whether a round of messages is due."""
@@ -104,7 +104,7 @@
         """Take in a request; return the reply."""
         delay_s = self.hosted.bound_delay(request.heartbeats)
         self.heard_at = max(self.heard_at, self._clock.now() - delay_s)
-        self._receive(request, max(0.0, delay_s - ECHO_LAG_S))
+        self._receive(request, delay_s)
         return self.table.answer(request)
 
     def receive_reply(self, message, reply):
@@ -112,31 +112,27 @@
         self.heard_at = max(self.heard_at, message.sent_at)
         self._receive(reply, self._clock.now() - message.sent_at)
         announcements = self.table.get_announcements(reply.wanted)
-        if not announcements:
+        if message.is_follow_up or not announcements:
             return None
         exchange = Exchange(
             sender=self.hosted.announcement.group,
             heartbeats=self.table.digest(),
             announcements=announcements,
         )
-        return Message(message.address, exchange, self._clock.now())
+        return Message(message.address, exchange, self._clock.now(), is_follow_up=True)
 
     def _receive(self, exchange, delay_s):
-        stamps = {item.group: item.stamp for item in exchange.announcements}
-        newer = [name for name, stamp in stamps.items() if self._is_news(name, stamp)]
-        self.table.receive(exchange, delay_s)
-        self._add_news(newer)
-        if self.hosted.outbid(exchange.heartbeats):
-            self.note_hosted()
-
-    def _is_news(self, name, stamp):
         own = self.hosted.announcement.group
-        return name != own and stamp > self.table.get_stamp(name)
+        for announcement in exchange.announcements:
+            if announcement.group != own and self.table.apply(announcement):
+                self._add_news(announcement.group)
+        for heartbeat in exchange.heartbeats:
+            if heartbeat.group != own:
+                self.table.renew(heartbeat, delay_s)
 
-    def _add_news(self, names):
-        for name in names:
-            self._news[name] = NEWS_ROUNDS
-            self._urgent = True
+    def _add_news(self, name):
+        self._news[name] = NEWS_ROUNDS
+        self._urgent = True
 
     def _apply_hosted(self):
         self.table.apply(self.hosted.announcement)
@@ -159,12 +155,11 @@
         remote = [peer.rpc for peer in peers if peer.data_centre != home]
         partners = self._sample(local, LOCAL_PARTNERS)
         partners += self._sample(remote, REMOTE_PARTNERS)
-        partners += self._choose_strangers({*local, *remote})
-        return partners
+        return partners + self._choose_strangers({*local, *remote})
 
     def _choose_strangers(self, live):
         now = self._clock.now()
-        if now - self._stranger_at < STRANGER_INTERVAL_S:
+        if live and now - self._stranger_at < STRANGER_INTERVAL_S:
             return []
         self._stranger_at = now
         own = self.hosted.announcement.rpc
--- a/persimmonlane/membership/hosted.py
+++ b/persimmonlane/membership/hosted.py
@@ -69,24 +69,6 @@
                 return self._clock.now() - self._issued[heartbeat.beat]
         return INFINITE_S
 
-    def outbid(self, heartbeats):
-        """Rise above an earlier incarnation of this node that others still know.
-
-        Returns:
-            Whether the incarnation was raised.
-        """
-        rivals = [
-            heartbeat.incarnation
-            for heartbeat in heartbeats
-            if heartbeat.group == self.announcement.group
-            and heartbeat.incarnation > self.announcement.incarnation
-        ]
-        if not rivals:
-            return False
-        self._issued.clear()
-        self._change(incarnation=max(rivals) + 1)
-        return True
-
     def add(self, address, service, slots, incarnation):
         """Announce a backend server, or a new incarnation of one."""
         server = AnnouncedServer(
--- a/persimmonlane/membership/table.py
+++ b/persimmonlane/membership/table.py
@@ -3,6 +3,8 @@
 The announcements that this node knows, each a lease that heartbeats renew.
 """
 
+import msgspec
+
 from ..invariants import check_invariant
 from .announcements import Exchange, Heartbeat
 from .messages import LoadReported
@@ -11,6 +13,8 @@
 
 BEAT_S = 0.5
 FORGET_S = 60.0
+# A heartbeat that is fresher by less than this is not passed on.
+AGE_GAIN_S = 0.05
 NEVER = float("-inf")
 
 
@@ -21,7 +25,7 @@
         announcement: The newest list, or None.
         known: Highest incarnation and version heard of.
         beat: Highest beat heard for the list.
-        heard_at: Monotonic seconds at which that beat was sent.
+        heard_at: Monotonic seconds at which its group lived for certain.
         touched_at: Monotonic seconds of the last message about the group.
         loads: Loads that came with the beat.
         first_seen: Monotonic seconds by address and incarnation.
@@ -51,17 +55,15 @@
         """Incarnation and version of the list that is held."""
         return self.announcement.stamp if self.announcement else (0, 0)
 
-    @property
-    def position(self):
-        """Incarnation, version and beat that is held."""
-        return (*self.stamp, self.beat)
-
 
 class ServerTable:
     """The backend servers and nodes that were heard of within the lease.
 
-    A heartbeat renews a list only if its beat rises, and only the list with its
-    very incarnation and version: word that a newer list exists renews nothing.
+    A heartbeat renews only the list with its very incarnation and version: word
+    that a newer list exists renews nothing. The time at which a heartbeat was
+    issued is never taken to be later than it was: ages and the most time that a
+    message can have been under way are both subtracted, so neither a delay nor a
+    pause makes old news fresh.
 
     Attributes:
         lease_s: Time an announcement stands without renewal, in seconds.
@@ -79,15 +81,15 @@
     def apply(self, announcement):
         """Take in a list; return whether it is newer than the one held."""
         group = self._touch(announcement.group)
-        if announcement.stamp <= group.stamp:
+        if not self._is_newer(group, announcement):
             return False
         if announcement.incarnation != group.stamp[0]:
             group.heard_at = NEVER
-        group.announcement = announcement
-        group.known = max(group.known, announcement.stamp)
+        group.announcement = keep_leaving(group.announcement, announcement)
+        group.known = announcement.stamp
         group.beat = 0
         group.loads = ()
-        self._note_leaving(announcement)
+        self._note_leaving(group.announcement)
         return True
 
     def renew(self, heartbeat, delay_s=0.0):
@@ -98,31 +100,20 @@
             delay_s: Seconds for which the message was under way.
         """
         group = self._touch(heartbeat.group)
-        group.known = max(group.known, heartbeat.stamp)
-        if heartbeat.stamp != group.stamp or heartbeat.beat <= group.beat:
-            return False
+        if heartbeat.stamp > group.known or not self._is_live(group):
+            group.known = heartbeat.stamp
         heard_at = self._clock.now() - heartbeat.age_s - delay_s
-        if heard_at <= group.heard_at:
+        if heartbeat.stamp != group.stamp or heard_at <= group.heard_at:
             return False
-        group.beat = heartbeat.beat
         group.heard_at = heard_at
+        if heartbeat.beat <= group.beat:
+            return False
+        group.beat = heartbeat.beat
         group.loads = heartbeat.loads
         self._note_servers(group)
         self._note_loads(group)
         return True
 
-    def receive(self, exchange, delay_s=0.0):
-        """Take in one side of an exchange; return whether a list changed.
-
-        Args:
-            exchange: The message.
-            delay_s: The most seconds for which the message was under way.
-        """
-        changed = [self.apply(item) for item in exchange.announcements]
-        for heartbeat in exchange.heartbeats:
-            self.renew(heartbeat, delay_s)
-        return any(changed)
-
     def digest(self):
         """Return the heartbeats of all groups that were heard within the lease."""
         return tuple(
@@ -142,7 +133,7 @@
             theirs = offered.get(name)
             if theirs is None or group.stamp > theirs.stamp:
                 announcements.append(group.announcement)
-            if theirs is None or group.position > (*theirs.stamp, theirs.beat):
+            if theirs is None or self._is_fresher(group, theirs):
                 heartbeats.append(self._export(name, group))
         return Exchange(
             heartbeats=tuple(heartbeats),
@@ -151,16 +142,11 @@
         )
 
     def wanted(self):
-        """Return the names of groups of which a newer list exists."""
+        """Return the names of groups of which another list is in force."""
         return tuple(
-            name for name, group in self._groups.items() if group.known > group.stamp
+            name for name, group in self._groups.items() if group.known != group.stamp
         )
 
-    def get_stamp(self, name):
-        """Return incarnation and version of the list held for a group."""
-        group = self._groups.get(name)
-        return group.stamp if group else (0, 0)
-
     def get_announcements(self, names):
         """Return the lists of these groups, as far as they stand."""
         groups = [self._groups.get(name) for name in names]
@@ -210,14 +196,10 @@
         for name, group in list(self._groups.items()):
             if group.touched_at < limit:
                 del self._groups[name]
-        announced = {
-            server.address
-            for group in self._groups.values()
-            if group.announcement is not None
-            for server in group.announcement.servers
-        }
-        for address in self._left.keys() - announced:
-            del self._left[address]
+        self._left.clear()
+        for group in self._groups.values():
+            if group.announcement is not None:
+                self._note_leaving(group.announcement)
 
     def _touch(self, name):
         group = self._groups.get(name)
@@ -226,9 +208,22 @@
         group.touched_at = self._clock.now()
         return group
 
+    def _is_newer(self, group, announcement):
+        if announcement.incarnation < group.stamp[0]:
+            # The VM's clock was set back, or these are words of an earlier life,
+            # which no heartbeat will renew.
+            return not self._is_live(group)
+        return announcement.stamp > group.stamp
+
     def _is_live(self, group):
         return self._clock.now() - group.heard_at <= self.lease_s
 
+    def _is_fresher(self, group, theirs):
+        if group.stamp != theirs.stamp:
+            return group.stamp > theirs.stamp
+        age_s = self._clock.now() - group.heard_at
+        return age_s + AGE_GAIN_S < theirs.age_s
+
     def _export(self, name, group):
         return Heartbeat(
             group=name,
@@ -241,7 +236,7 @@
 
     def _note_leaving(self, announcement):
         for server in announcement.servers:
-            if server.leaving or announcement.leaving:
+            if server.leaving:
                 left = self._left.get(server.address, 0)
                 self._left[server.address] = max(left, server.incarnation)
 
@@ -289,6 +284,30 @@
             )
 
 
+def keep_leaving(held, announcement):
+    """Return an announcement in which no leaving server has come back.
+
+    Args:
+        held: The list held before, or None.
+        announcement: The list that replaces it.
+    """
+    if held is None or held.incarnation != announcement.incarnation:
+        return announcement
+    left = {
+        (server.address, server.incarnation)
+        for server in held.servers
+        if server.leaving
+    }
+    servers = tuple(
+        msgspec.structs.replace(server, leaving=True)
+        if (server.address, server.incarnation) in left
+        else server
+        for server in announcement.servers
+    )
+    leaving = held.leaving or announcement.leaving
+    return msgspec.structs.replace(announcement, servers=servers, leaving=leaving)
+
+
 def create_peer(announcement):
     """Return the `Peer` that an announcement describes."""
     return Peer(
