--- a/persimmonlane/balancing/loads.py
+++ b/persimmonlane/balancing/loads.py
@@ -3,6 +3,8 @@
 What this node knows of the load of each backend server.
 """
 
+from .averages import Average
+
 REPORT_HALF_LIFE_S = 2.0
 
 
@@ -35,3 +37,17 @@
             return self.in_flight
         age_s = max(0.0, now - self.reported_at)
         return self.in_flight + self.foreign * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+
+
+class TimedLoad(Load):
+    """The load of one backend server, with its recent latency.
+
+    Attributes:
+        latency: `Average` of its latency.
+    """
+
+    __slots__ = ("latency",)
+
+    def __init__(self):
+        super().__init__()
+        self.latency = Average()
--- a/persimmonlane/balancing/policies.py
+++ b/persimmonlane/balancing/policies.py
@@ -6,11 +6,13 @@
 import itertools
 
 from ..registries import Registry
-from .loads import Load
+from .averages import Average
+from .loads import Load, TimedLoad
 
 balancers = Registry("balancing policy")
 
 LEAST_RAMP_WEIGHT = 0.1
+FAILURE_FACTOR = 5.0
 
 
 class Candidate:
@@ -175,10 +177,11 @@
         return min(best, other, key=lambda candidate: self._score(candidate, now))
 
     def _pick_of_two(self, candidates, now):
+        if len(candidates) == 1:
+            return candidates[0]
         first = self._draw(candidates)
-        second = self._draw(candidates)
-        if first is second:
-            return first
+        others = [candidate for candidate in candidates if candidate is not first]
+        second = self._draw(others)
         return min(first, second, key=lambda candidate: self._score(candidate, now))
 
     def _draw(self, candidates):
@@ -199,6 +202,35 @@
         return load.estimate(now) + 1 <= max(1.0, candidate.weight)
 
 
+@balancers.register
+class LatencyBalancer(LeastLoadedBalancer):
+    """Chooses as `least-loaded` does, with loads weighted by recent latency."""
+
+    name = "peak-ewma"
+    aliases = ("latency",)
+
+    def finish(self, address, latency_s, ok=True):
+        """Note that a request has ended, and how long it took."""
+        super().finish(address, latency_s, ok)
+        now = self._clock.now()
+        if not ok:
+            latency_s = max(latency_s, FAILURE_FACTOR * self._typical.read(now))
+        self._typical.record(latency_s, now)
+        self._get_load(address).latency.record(latency_s, now)
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._typical = Average()
+
+    def _create_load(self):
+        return TimedLoad()
+
+    def _score(self, candidate, now):
+        load = self._get_load(candidate.server.address)
+        factor = load.latency.compare(self._typical, now)
+        return factor * (load.estimate(now) + 1) / candidate.weight
+
+
 def create_balancer(service, data_centre, clock, rng):
     """Return the balancer that a service names.
 
