--- a/persimmonlane/balancing/loads.py
+++ b/persimmonlane/balancing/loads.py
@@ -6,6 +6,7 @@
 from .averages import Average
 
 REPORT_HALF_LIFE_S = 0.3
+REPORT_LIMIT_S = 3.0
 
 
 class Load:
@@ -36,6 +37,8 @@
         if not self.foreign:
             return self.in_flight
         age_s = max(0.0, now - self.reported_at)
+        if age_s > REPORT_LIMIT_S:
+            return self.in_flight
         return self.in_flight + self.foreign * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
 
--- a/persimmonlane/balancing/policies.py
+++ b/persimmonlane/balancing/policies.py
@@ -13,6 +13,7 @@
 
 LEAST_RAMP_WEIGHT = 0.1
 FAILURE_FACTOR = 5.0
+REMOTE_FACTOR = 3.0
 
 
 class Candidate:
@@ -204,11 +205,21 @@
 
 @balancers.register
 class LatencyBalancer(LeastLoadedBalancer):
-    """Chooses as `least-loaded` does, with loads weighted by recent latency."""
+    """Chooses the less loaded of two, with loads weighted by recent latency.
+
+    Latency shows what in-flight requests of one node cannot: a slow backend
+    server at low traffic, and the queues that other nodes have built up. Another
+    data centre is taken only where it is better by far, or where the own one has
+    no free slot.
+    """
 
     name = "peak-ewma"
     aliases = ("latency",)
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._typical = Average()
+
     def finish(self, address, latency_s, ok=True):
         """Note that a request has ended, and how long it took."""
         super().finish(address, latency_s, ok)
@@ -218,9 +229,17 @@
         self._typical.record(latency_s, now)
         self._get_load(address).latency.record(latency_s, now)
 
-    def __init__(self, *args):
-        super().__init__(*args)
-        self._typical = Average()
+    def _pick(self, candidates, now):
+        local = [candidate for candidate in candidates if candidate.is_local]
+        if not local or len(local) == len(candidates):
+            return self._pick_of_two(candidates, now)
+        best = self._pick_of_two(local, now)
+        remote = [candidate for candidate in candidates if not candidate.is_local]
+        other = self._pick_of_two(remote, now)
+        factor = REMOTE_FACTOR if self._has_free_slot(best, now) else 1.0
+        if factor * self._score(other, now) < self._score(best, now):
+            return other
+        return best
 
     def _create_load(self):
         return TimedLoad()
