--- a/persimmonlane/balancing/policies.py
+++ b/persimmonlane/balancing/policies.py
@@ -51,6 +51,10 @@
         self._rng = rng
         self._loads = {}
 
+    def set_service(self, service):
+        """Take another revision of the service's policy into force."""
+        self._service = service
+
     def choose(self, servers, context):
         """Return the `BackendServer` for a request, or None if there is none.
 
@@ -77,7 +81,8 @@
 
         Args:
             address: Address of the backend server.
-            latency_s: Seconds from its start to its end.
+            latency_s: Seconds from its start to its end; None if its end says
+                nothing of the backend server, as when the caller went away.
             ok: Whether it was answered as it should be.
         """
         load = self._get_load(address)
@@ -223,6 +228,8 @@
     def finish(self, address, latency_s, ok=True):
         """Note that a request has ended, and how long it took."""
         super().finish(address, latency_s, ok)
+        if latency_s is None:
+            return
         now = self._clock.now()
         if not ok:
             latency_s = max(latency_s, FAILURE_FACTOR * self._typical.read(now))
--- a/persimmonlane/balancing/tests/test_policies.py
+++ b/persimmonlane/balancing/tests/test_policies.py
@@ -90,9 +90,7 @@
             servers = self.create_servers(4, 4)
             servers += self.create_servers(4, 4, data_centre="dc1")
             counts = self.count(balancer, servers, hold=True, times=6)
-            self.assertEqual(
-                {"dc0"}, {address.partition("-")[0] for address in counts}
-            )
+            self.assertEqual({"dc0"}, {address.partition("-")[0] for address in counts})
             counts += self.count(balancer, servers, hold=True, times=10)
             remote = counts["dc1-0"] + counts["dc1-1"]
             self.assertTrue(7 <= remote <= 9, counts)
