--- a/persimmonlane/forwarding/dispatcher.py
+++ b/persimmonlane/forwarding/dispatcher.py
@@ -12,6 +12,7 @@
 from ..ejection.standing import State
 from ..errors import Refusal
 from ..invariants import check_invariant
+from ..membership.servers import BackendServer
 from ..overload import QueuedRequest, ServiceQueue
 from .plans import Plan
 
@@ -19,6 +20,8 @@
 SILENCE_MIN_S = 0.25
 SILENCE_FACTOR = 8.0
 LATENCY_SMOOTHING = 0.05
+# Ends that say nothing of the backend server.
+SILENT_KINDS = frozenset({Kind.STALE, Kind.CANCELLED})
 
 
 class Placement:
@@ -109,12 +112,15 @@
                 service, self._data_centre, self._clock, self._rng
             )
         self.service = service
+        self.balancer.set_service(service)
         self.ejector.set_service(service)
         self._queue.set_service(service)
 
     def update_servers(self, servers):
         """Take the backend servers of the service that take new work."""
+        servers = [fill_slots(server, self.service) for server in servers]
         self._servers = {server.address: server for server in servers}
+        self.balancer.forget(servers)
         self.ejector.update_servers(servers)
 
     def place(self, arrival):
@@ -158,7 +164,9 @@
         self._running[outcome.address] -= 1
         if self._running[outcome.address] <= 0:
             del self._running[outcome.address]
-        self.balancer.finish(outcome.address, outcome.latency_s)
+        is_telling = outcome.kind not in SILENT_KINDS
+        latency_s = outcome.latency_s if is_telling else None
+        self.balancer.finish(outcome.address, latency_s, outcome.kind is Kind.OK)
         self.ejector.observe(outcome)
         if outcome.kind is Kind.OK:
             self._note_latency(outcome.latency_s)
@@ -229,3 +237,17 @@
         if not self._latency_s:
             self._latency_s = latency_s
         self._latency_s += LATENCY_SMOOTHING * (latency_s - self._latency_s)
+
+
+def fill_slots(server, service):
+    """Return a backend server with the service's slots if it announced none."""
+    if server.slots:
+        return server
+    return BackendServer(
+        server.address,
+        server.service,
+        server.data_centre,
+        service.slots,
+        server.incarnation,
+        server.since,
+    )
