--- a/persimmonlane/balancing/loads.py
+++ b/persimmonlane/balancing/loads.py
@@ -3,7 +3,10 @@
 What this node knows of the load of each backend server.
 """
 
-REPORT_HALF_LIFE_S = 2.0
+from .averages import Average
+
+REPORT_HALF_LIFE_S = 0.3
+REPORT_LIMIT_S = 3.0
 
 
 class Load:
@@ -34,4 +37,20 @@
         if not self.foreign:
             return self.in_flight
         age_s = max(0.0, now - self.reported_at)
+        if age_s > REPORT_LIMIT_S:
+            return self.in_flight
         return self.in_flight + self.foreign * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+
+
+class TimedLoad(Load):
+    """The load of one backend server, with its recent latency.
+
+    Attributes:
+        latency: `Average` of its latency.
+    """
+
+    __slots__ = ("latency",)
+
+    def __init__(self):
+        super().__init__()
+        self.latency = Average()
--- a/persimmonlane/balancing/policies.py
+++ b/persimmonlane/balancing/policies.py
@@ -6,11 +6,14 @@
 import itertools
 
 from ..registries import Registry
-from .loads import Load
+from .averages import Average
+from .loads import Load, TimedLoad
 
 balancers = Registry("balancing policy")
 
 LEAST_RAMP_WEIGHT = 0.1
+FAILURE_FACTOR = 5.0
+REMOTE_FACTOR = 3.0
 
 
 class Candidate:
@@ -48,6 +51,10 @@
         self._rng = rng
         self._loads = {}
 
+    def set_service(self, service):
+        """Take another revision of the service's policy into force."""
+        self._service = service
+
     def choose(self, servers, context):
         """Return the `BackendServer` for a request, or None if there is none.
 
@@ -74,7 +81,8 @@
 
         Args:
             address: Address of the backend server.
-            latency_s: Seconds from its start to its end.
+            latency_s: Seconds from its start to its end; None if its end says
+                nothing of the backend server, as when the caller went away.
             ok: Whether it was answered as it should be.
         """
         load = self._get_load(address)
@@ -175,10 +183,11 @@
         return min(best, other, key=lambda candidate: self._score(candidate, now))
 
     def _pick_of_two(self, candidates, now):
+        if len(candidates) == 1:
+            return candidates[0]
         first = self._draw(candidates)
-        second = self._draw(candidates)
-        if first is second:
-            return first
+        others = [candidate for candidate in candidates if candidate is not first]
+        second = self._draw(others)
         return min(first, second, key=lambda candidate: self._score(candidate, now))
 
     def _draw(self, candidates):
@@ -199,6 +208,55 @@
         return load.estimate(now) + 1 <= max(1.0, candidate.weight)
 
 
+@balancers.register
+class LatencyBalancer(LeastLoadedBalancer):
+    """Chooses the less loaded of two, with loads weighted by recent latency.
+
+    Latency shows what in-flight requests of one node cannot: a slow backend
+    server at low traffic, and the queues that other nodes have built up. Another
+    data centre is taken only where it is better by far, or where the own one has
+    no free slot.
+    """
+
+    name = "peak-ewma"
+    aliases = ("latency",)
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._typical = Average()
+
+    def finish(self, address, latency_s, ok=True):
+        """Note that a request has ended, and how long it took."""
+        super().finish(address, latency_s, ok)
+        if latency_s is None:
+            return
+        now = self._clock.now()
+        if not ok:
+            latency_s = max(latency_s, FAILURE_FACTOR * self._typical.read(now))
+        self._typical.record(latency_s, now)
+        self._get_load(address).latency.record(latency_s, now)
+
+    def _pick(self, candidates, now):
+        local = [candidate for candidate in candidates if candidate.is_local]
+        if not local or len(local) == len(candidates):
+            return self._pick_of_two(candidates, now)
+        best = self._pick_of_two(local, now)
+        remote = [candidate for candidate in candidates if not candidate.is_local]
+        other = self._pick_of_two(remote, now)
+        factor = REMOTE_FACTOR if self._has_free_slot(best, now) else 1.0
+        if factor * self._score(other, now) < self._score(best, now):
+            return other
+        return best
+
+    def _create_load(self):
+        return TimedLoad()
+
+    def _score(self, candidate, now):
+        load = self._get_load(candidate.server.address)
+        factor = load.latency.compare(self._typical, now)
+        return factor * (load.estimate(now) + 1) / candidate.weight
+
+
 def create_balancer(service, data_centre, clock, rng):
     """Return the balancer that a service names.
 
