--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -347,7 +347,8 @@
             change = changes[symptom]
             if rates[symptom] > COMMON_RATE:
                 change = min(change, (COMMON_KEPT - 1.0) * evidence.score)
-            evidence.add(change, self._window, self._threshold)
+            good = trials[symptom] > failures[symptom]
+            evidence.add(change, good, self._window, self._threshold)
         if rates[SLOW] <= COMMON_RATE and track.is_overdue(now):
             track.symptoms[SLOW].mark(self._window)
 
--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -22,9 +22,15 @@
         count: Number of distinct windows, less what good evidence outweighs.
     """
 
-    __slots__ = ("count", "_bits", "_index")
+    __slots__ = ("count", "_nats", "_bits", "_index")
 
-    def __init__(self):
+    def __init__(self, nats):
+        """Begin without windows.
+
+        Args:
+            nats: Good evidence that outweighs one window.
+        """
+        self._nats = nats
         self.count = 0.0
         self._bits = 0
         self._index = 0
@@ -44,11 +50,11 @@
 
     def outweigh(self, change):
         """Let good evidence, a negative change of the sum, count against windows."""
-        self.count = max(0.0, self.count + change / NATS_PER_WINDOW)
+        self.count = max(0.0, self.count + change / self._nats)
 
     def copy(self):
         """Return an equal mask of its own."""
-        other = WindowMask()
+        other = WindowMask(self._nats)
         other.count = self.count
         other._bits = self._bits
         other._index = self._index
@@ -106,12 +112,12 @@
         """The pooled CUSUM."""
         return self._sum - self._least
 
-    def add(self, change, index, threshold):
-        """Add this node's evidence of window `index`."""
+    def add(self, change, good, index, threshold):
+        """Add this node's evidence of one window; see `SymptomTrack.add`."""
         self._sum += change
         if change > 0.0:
             self.mask.add(1, index)
-        else:
+        elif good:
             self.mask.outweigh(change)
         if index - self._closed >= ROUND_WINDOWS:
             self._close_round(index)
--- a/persimmonlane/ejection/symptoms.py
+++ b/persimmonlane/ejection/symptoms.py
@@ -10,6 +10,9 @@
 
 SYMPTOMS = ("error", "wrong", "slow")
 ERROR, WRONG, SLOW = range(3)
+# Slowness comes in bursts that end at once, such as pauses; so good answers count
+# for more against it.
+OUTWEIGHING_NATS = (2.0, 2.0, 1.0)
 
 
 # Each attempt is put to yes-or-no trials. LATE asks whether the answer came after
--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -8,7 +8,7 @@
 
 from .evidence import RISE_WINDOWS, SymptomEvidence
 from .pool import CEILING, PooledSum, WindowMask
-from .symptoms import LEAST_RATES, SYMPTOMS, TRIAL_SYMPTOMS, TRIALS
+from .symptoms import LEAST_RATES, OUTWEIGHING_NATS, TRIAL_SYMPTOMS, TRIALS
 
 WINDOW_S = 0.125
 SHORT_S = 0.5
@@ -100,9 +100,14 @@
 
     __slots__ = ("score", "mask", "pool", "total", "_totals", "_concluded")
 
-    def __init__(self):
+    def __init__(self, nats):
+        """Begin without evidence.
+
+        Args:
+            nats: Good evidence that outweighs one bad window.
+        """
         self.score = 0.0
-        self.mask = WindowMask()
+        self.mask = WindowMask(nats)
         self.pool = None
         self.total = 0.0
         self._concluded = None
@@ -118,18 +123,25 @@
         """The number of bad windows of all nodes together."""
         return self.mask.count if self.pool is None else self.pool.mask.count
 
-    def add(self, change, index, threshold):
-        """Add this node's evidence of window `index`."""
+    def add(self, change, good, index, threshold):
+        """Add this node's evidence of one window.
+
+        Args:
+            change: Evidence, negative in favour of the backend server.
+            good: Whether an attempt ended without the symptom.
+            index: Number of the window.
+            threshold: Threshold of the CUSUM.
+        """
         self.total += change
         if self.pool is not None:
-            self.pool.add(change, index, threshold)
+            self.pool.add(change, good, index, threshold)
             if not self.pool.has_reports():
                 self.pool = None
         if change > 0.0:
             self.score = min(self.score + change, CEILING * threshold)
             self.mask.add(1, index)
         elif self.score > 0.0:
-            self._fall(change)
+            self._fall(change, good)
 
     def sample(self):
         """Keep the present total, once every `SAMPLE_WINDOWS`."""
@@ -158,7 +170,7 @@
         self.total -= amount
         if self.pool is not None:
             self.pool.take_back(amount)
-        self._fall(-amount)
+        self._fall(-amount, True)
 
     def export(self, index):
         """Return the `SymptomEvidence` for other nodes."""
@@ -183,9 +195,10 @@
         if self.pool is not None:
             self.pool.reset()
 
-    def _fall(self, change):
+    def _fall(self, change, good):
         self.score += change
-        self.mask.outweigh(change)
+        if good:
+            self.mask.outweigh(change)
         if self.score <= 0.0:
             self.score = 0.0
             self.mask.clear()
@@ -241,7 +254,7 @@
         self.log_typical = None
         self.limit_s = limit_s
         self.rates = LEAST_RATES
-        self.symptoms = [SymptomTrack() for _ in SYMPTOMS]
+        self.symptoms = [SymptomTrack(nats) for nats in OUTWEIGHING_NATS]
         self.connections_since = 0.0
 
     def note_latency(self, latency_s):
