--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -9,7 +9,6 @@
 from .detectors import CLEAR, Assessment, Detector, Level, registry
 from .evidence import ENTRY_LIMIT, ServerEvidence, ServiceEvidence
 from .outcome import Kind
-from .pool import NATS_PER_WINDOW
 from .references import Reference
 from .symptoms import (
     ERROR_TRIAL,
@@ -27,6 +26,8 @@
 
 DAY_S = 86400.0
 LEAST_TRAFFIC = 0.2
+BURST_EVERY_S = 20.0
+BURST_S = 0.125
 LEAST_THRESHOLD = 8.0
 SUSPECT_SHARE = 0.5
 SUSPECT_WINDOWS = 3
@@ -41,6 +42,7 @@
 COLD_FACTOR = 4.0
 LEAST_EXCESS_S = 0.005
 VETO_TRIALS = 2.0
+OTHERS_SHARE = 0.5
 EPOCH_LIMIT = 1 << 48
 
 
@@ -96,6 +98,7 @@
         self._assessments = {}
         self._reference = Reference()
         self._threshold = LEAST_THRESHOLD
+        self._windows = find_windows(service.detection)
         self._window = self._find_window()
         self._hot = {}
         self._observers = {}
@@ -105,6 +108,11 @@
         self._active = -math.inf
         self._peers = 0
 
+    def set_service(self, service):
+        """Take another version of the service's policy into force."""
+        super().set_service(service)
+        self._windows = find_windows(service.detection)
+
     def update_servers(self, servers):
         """Keep a track for each backend server that takes new work."""
         tracks = {}
@@ -390,14 +398,16 @@
         threshold = self._threshold
         if evidence.pooled_score < threshold:
             return False
-        if evidence.pooled_windows < math.ceil(threshold / NATS_PER_WINDOW):
+        if evidence.pooled_windows < self._windows:
             return False
         if evidence.pool is None or not self._find_observers():
             return self._is_alone(track) and evidence.score >= threshold
         if not evidence.score and track.short.trials[ERROR_TRIAL] >= VETO_TRIALS:
             return False
         own = evidence.export(self._window)
-        return evidence.pool.is_corroborated(own, threshold, self._window)
+        return evidence.pool.is_corroborated(
+            own, threshold * OTHERS_SHARE, self._windows * OTHERS_SHARE, self._window
+        )
 
     def _is_alone(self, track):
         """Return whether no other node answered though it had the time to."""
@@ -432,3 +442,17 @@
             track.server.incarnation,
             tuple(evidence.export(self._window) for evidence in track.symptoms),
         )
+
+
+def find_windows(policy):
+    """Return the number of bad windows that a verdict takes.
+
+    A healthy backend server has bursts of trouble, of exponential length, now and
+    then. So many windows are asked for that chance fills them with one burst only
+    once in the wanted time between false ejections.
+
+    Args:
+        policy: The service's `DetectionPolicy`.
+    """
+    bursts = max(math.e, policy.false_ejection_days * DAY_S / BURST_EVERY_S)
+    return math.ceil(math.log(bursts) * BURST_S / WINDOW_S)
--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -5,14 +5,11 @@
 
 from .evidence import RISE_WINDOWS
 
-SINGLE_SHARE = 0.6
-OTHERS_SHARE = 0.5
 STALE_WINDOWS = 40
 ROUND_WINDOWS = 8
 WINDOW_BITS = 32
 WINDOW_MASK = (1 << WINDOW_BITS) - 1
 CEILING = 1.02
-NATS_PER_WINDOW = 2.0
 
 
 class WindowMask:
@@ -141,15 +138,15 @@
         """Take back evidence of this node."""
         self._sum -= amount
 
-    def is_corroborated(self, own, threshold, index):
+    def is_corroborated(self, own, score, windows, index):
         """Return whether the nodes other than the worst agree.
 
-        The worst one may have a bad path of its own, so the others must hold half
-        of the evidence that a verdict takes.
+        The worst one may have a bad path of its own.
 
         Args:
             own: `SymptomEvidence` of this node.
-            threshold: Threshold of the pooled CUSUM.
+            score: Sum of CUSUMs that the others must hold.
+            windows: Distinct bad windows that they must have seen.
             index: Present window.
         """
         views = [Arrival(index, own)]
@@ -157,13 +154,11 @@
             if index - arrival.index <= STALE_WINDOWS:
                 views.append(arrival)
         views.sort(key=lambda view: view.evidence.score)
-        windows, score = 0, 0.0
+        seen, total = 0, 0.0
         for view in views[:-1]:
-            windows |= view.evidence.windows << (index - view.index)
-            score += min(view.evidence.score, SINGLE_SHARE * threshold)
-        needed = OTHERS_SHARE * threshold
-        enough = (windows & WINDOW_MASK).bit_count() >= needed / NATS_PER_WINDOW
-        return enough and score >= needed
+            seen |= view.evidence.windows << (index - view.index)
+            total += view.evidence.score
+        return total >= score and (seen & WINDOW_MASK).bit_count() >= windows
 
     def forget(self, node):
         """Forget the evidence of a node whose sums began anew."""
