--- a/persimmonlane/reporting/measures.py
+++ b/persimmonlane/reporting/measures.py
@@ -36,6 +36,13 @@
     address: str
 
 
+class ServerSuspected(Event):
+    """A backend server gets less work from one node."""
+
+    address: str
+    node: str = ""
+
+
 class ServerEjected(Event):
     """A backend server was taken out of use by one node."""
 
@@ -84,6 +91,8 @@
     Attributes:
         failures: Failures of backend servers.
         detected: Failures that were followed by an ejection before recovery.
+        avoided_median_s: Median time from failure to the first suspicion or ejection,
+            or None.
         detection_median_s: Median time from failure to ejection, or None.
         detection_worst_s: Longest such time, or None.
         ejections: Ejections of any backend server; those by several nodes at the
@@ -99,6 +108,7 @@
 
     failures: int
     detected: int
+    avoided_median_s: float | None
     detection_median_s: float | None
     detection_worst_s: float | None
     ejections: int
@@ -185,6 +195,8 @@
         "_failing",
         "_ejected",
         "_detections",
+        "_unavoided",
+        "_avoidances",
         "_failures",
         "_ejections",
         "_false",
@@ -199,12 +211,15 @@
         self._failing = {}
         self._ejected = {}
         self._detections = []
+        self._unavoided = {}
+        self._avoidances = []
         self._failures = 0
         self._ejections = 0
         self._false = 0
         self._handlers = {
             ServerFailed: self._fail,
             ServerRecovered: self._recover,
+            ServerSuspected: self._avoid,
             ServerEjected: self._eject,
             ServerReturned: self._return,
             RequestAdmitted: self._admit,
@@ -226,7 +241,8 @@
         return Summary(
             failures=self._failures,
             detected=len(detections),
-            detection_median_s=detections[len(detections) // 2] if detections else None,
+            avoided_median_s=find_median(self._avoidances),
+            detection_median_s=find_median(detections),
             detection_worst_s=detections[-1] if detections else None,
             ejections=self._ejections,
             false_ejections=self._false,
@@ -240,13 +256,21 @@
     def _fail(self, event):
         self._failures += 1
         self._failing[event.address] = event.at
+        self._unavoided[event.address] = event.at
         if event.address in self._ejected:
             self._detect(event)
 
     def _recover(self, event):
         self._failing.pop(event.address, None)
+        self._unavoided.pop(event.address, None)
+
+    def _avoid(self, event):
+        began = self._unavoided.pop(event.address, None)
+        if began is not None:
+            self._avoidances.append(event.at - began)
 
     def _eject(self, event):
+        self._avoid(event)
         nodes = self._ejected.setdefault(event.address, set())
         nodes.add(event.node)
         if len(nodes) > 1:
@@ -286,3 +310,8 @@
         counts.latency[find_bucket(event.latency_s)] += 1
         if event.status < SERVER_ERROR_STATUS and not event.late:
             counts.good += 1
+
+
+def find_median(values):
+    """Return the upper median of some values, or None without any."""
+    return sorted(values)[len(values) // 2] if values else None
--- a/persimmonlane/trials/fleet.py
+++ b/persimmonlane/trials/fleet.py
@@ -31,7 +31,11 @@
 LOCAL_DELAY_S = 0.0002
 MAX_DRIFT = 0.001
 CLOSING = (Kind.TIMEOUT, Kind.SHORT, Kind.CONNECT)
-SEEN = {"ejected": ms.ServerEjected, "returned": ms.ServerReturned}
+SEEN = {
+    "suspected": ms.ServerSuspected,
+    "ejected": ms.ServerEjected,
+    "returned": ms.ServerReturned,
+}
 
 
 class Request:
