--- a/persimmonlane/limits/part.py
+++ b/persimmonlane/limits/part.py
@@ -12,7 +12,7 @@
 import grpc
 import pykka
 
-from ..actors import Actor, Tick, Ticker
+from ..actors import Actor, Tick, Ticker, tell
 from ..application import Part
 from ..errors import StoreError
 from ..platform.client import StoreConflict
@@ -371,7 +371,7 @@
 
     def set_view(self, view):
         """Take a revision of the document into use."""
-        self._actor.tell(ViewChanged(view))
+        tell(self._actor, ViewChanged(view))
 
     def connect(self, traffic_ref):
         """Name the actor that takes `LoansChanged`."""
@@ -379,7 +379,7 @@
 
     def send(self, demands):
         """Send the `Demands` of this node's borrower; returns at once."""
-        self._actor.tell(SendDemands(demands))
+        tell(self._actor, SendDemands(demands))
 
     def drain(self):
         """Give up all shards, so that others may take them at once."""
