--- a/persimmonlane/forwarding/tests/scripted.py
+++ b/persimmonlane/forwarding/tests/scripted.py
@@ -107,3 +107,15 @@
     stated = len(body) if length is None else length
     lines.append(f"Content-Length: {stated}".encode())
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def read_all(sock):
+    data = b""
+    while True:
+        try:
+            piece = sock.recv(65536)
+        except ConnectionResetError:
+            return data
+        if not piece:
+            return data
+        data += piece
--- a/persimmonlane/forwarding/tests/test_strictness.py
+++ b/persimmonlane/forwarding/tests/test_strictness.py
@@ -5,6 +5,7 @@
 
 from ...standins.backend import BackendStandin, Behaviour
 from ..answers import Explanation
+from .scripted import read_all
 
 REFUSED = {
     "both lengths": (
@@ -84,15 +85,3 @@
         data = self.send(b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
         self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
         self.assertEqual(1, len(self.server.count().runs))
-
-
-def read_all(sock):
-    data = b""
-    while True:
-        try:
-            piece = sock.recv(65536)
-        except ConnectionResetError:
-            return data
-        if not piece:
-            return data
-        data += piece
--- /dev/null
+++ b/persimmonlane/tests/test_application.py
@@ -0,0 +1,101 @@
+import json
+import logging
+import os
+import signal
+import threading
+
+import testtools
+
+from ..actors import Actor, Ticker, tell
+from ..application import EXIT_FAILED, EXIT_OK, Application, Part
+from ..logs import FORMATTERS
+
+
+class RecordingPart(Part):
+    def __init__(self, name, calls):
+        self.name = name
+        self.calls = calls
+
+    def start(self):
+        self.calls.append(f"{self.name} starts")
+
+    def ready(self):
+        self.calls.append(f"{self.name} is ready")
+
+    def drain(self):
+        self.calls.append(f"{self.name} drains")
+
+    def stop(self):
+        self.calls.append(f"{self.name} stops")
+
+
+class Failing(Actor):
+    handlers = {str: "fail"}
+
+    def fail(self, message):
+        raise ValueError(message)
+
+
+class ApplicationTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.calls = []
+        self.application = Application()
+        for name in ("a", "b"):
+            self.application.add(RecordingPart(name, self.calls))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+
+    def test_parts_go_through_their_life_cycle_in_order(self):
+        self.application.end()
+        self.assertEqual(EXIT_OK, self.application.run())
+        expected = [
+            "a starts",
+            "b starts",
+            "a is ready",
+            "b is ready",
+            "a drains",
+            "b drains",
+            "b stops",
+            "a stops",
+        ]
+        self.assertEqual(expected, self.calls)
+
+    def test_signal_drains(self):
+        class Terminating(Part):
+            def ready(self):
+                os.kill(os.getpid(), signal.SIGTERM)
+
+        self.application.add(Terminating())
+        self.assertEqual(EXIT_OK, self.application.run())
+        self.assertIn("a drains", self.calls)
+
+    def test_actor_that_dies_ends_the_process_without_draining(self):
+        actor = Failing.start(self.application)
+        tell(actor, "broken")
+        self.assertEqual(EXIT_FAILED, self.application.run())
+        self.assertEqual("actor-died", self.application.failure)
+        self.assertNotIn("a drains", self.calls)
+        self.assertFalse(tell(actor, "again"))
+
+    def test_ticker_ends_with_its_actor(self):
+        ticked = threading.Event()
+
+        class Ticking(Actor):
+            def on_receive(self, message):
+                ticked.set()
+
+        actor = Ticking.start(self.application)
+        ticker = Ticker(actor, 0.001)
+        ticker.start()
+        self.assertTrue(ticked.wait(10))
+        actor.stop()
+        ticker.stop()
+        self.assertIsNone(self.application.failure)
+
+
+class LogTests(testtools.TestCase):
+    def test_json_lines_are_objects(self):
+        record = logging.makeLogRecord({"msg": "Limits: took shard %d.", "args": (7,)})
+        line = FORMATTERS["json"]().format(record)
+        self.assertEqual("Limits: took shard 7.", json.loads(line)["message"])
