Add draining as a decision class

The notice lasts one announcement lease, after which no table can list the node's backend servers; what runs then ends within the longest deadline. Weighed against waiting for every peer's acknowledgement: that is sooner by two seconds, but does not bound the stop when a peer is silent, and counts each peer at the two-year size.

--- a/persimmonlane/draining/__init__.py
+++ b/persimmonlane/draining/__init__.py
@@ -1,4 +1,8 @@
 """Draining.
 
-How servers and nodes leave without losing requests.
+Planned stops that cut no request.
 """
+
+from .drains import Drain, Stage, create_drain
+
+__all__ = ["Drain", "Stage", "create_drain"]
--- a/persimmonlane/membership/hosted.py
+++ b/persimmonlane/membership/hosted.py
@@ -106,6 +106,10 @@
         """Take in the load of a hosted backend server."""
         self._loads[address] = (running, waiting)
 
+    def total_load(self):
+        """Return the requests that run and wait on all hosted backend servers."""
+        return sum(running + waiting for running, waiting in self._loads.values())
+
     def _leave_all(self):
         servers = tuple(
             msgspec.structs.replace(server, leaving=True)
--- a/persimmonlane/membership/part.py
+++ b/persimmonlane/membership/part.py
@@ -104,14 +104,16 @@
         servers: Backend servers that take new work, as a tuple.
         peers: Nodes heard of lately, as a tuple of `Peer`.
         heard_at: Monotonic seconds at which any peer was last heard.
+        hosted_load: Requests that the hosted backend servers say they hold.
     """
 
-    __slots__ = ("servers", "peers", "heard_at")
+    __slots__ = ("servers", "peers", "heard_at", "hosted_load")
 
     def __init__(self):
         self.servers = ()
         self.peers = ()
         self.heard_at = NEVER
+        self.hosted_load = 0
 
 
 class MembershipActor(Actor):
@@ -163,6 +165,7 @@
         if message.running is not None:
             waiting = message.waiting or 0
             self._gossip.hosted.report(message.address, message.running, waiting)
+            self._snapshot.hosted_load = self._gossip.hosted.total_load()
         if advice is Advice.ANNOUNCE:
             self._announce(self._hosted[message.address], message.slots)
         elif advice is Advice.LEAVE:
@@ -312,6 +315,10 @@
         """Return the nodes heard of lately, as a tuple of `Peer`."""
         return self._snapshot.peers
 
+    def hosted_load(self):
+        """Return how many requests the hosted backend servers say they hold."""
+        return self._snapshot.hosted_load
+
     def heard_at(self):
         """Return the monotonic seconds at which any peer was last heard."""
         return self._snapshot.heard_at
