Prefer partners that answer

Cause: under one-way cuts a node kept asking neighbours that it could not reach, so its heartbeats came to the others late. Ruled out: the conservative age of pushes (with no cuts nothing lapsed). One change: an address that left a question open for over 1 s counts as a stranger, which is tried once a second.

--- a/persimmonlane/membership/gossip.py
+++ b/persimmonlane/membership/gossip.py
@@ -8,6 +8,8 @@
 
 LOCAL_PARTNERS = 2
 REMOTE_PARTNERS = 1
+PARTNERS = LOCAL_PARTNERS + REMOTE_PARTNERS
+ANSWER_LIMIT_S = 1.0
 STRANGER_INTERVAL_S = 1.0
 REMEMBERED_PEERS = 64
 URGENT_GAP_S = 0.05
@@ -59,6 +61,7 @@
         "_beat_at",
         "_stranger_at",
         "_urgent",
+        "_unanswered",
     )
 
     def __init__(self, clock, rng, hosted, table, seeds=()):
@@ -74,6 +77,7 @@
         self._beat_at = NEVER
         self._stranger_at = NEVER
         self._urgent = False
+        self._unanswered = {}
         self.note_hosted()
 
     def note_hosted(self):
@@ -109,6 +113,7 @@
 
     def receive_reply(self, message, reply):
         """Take in the reply to a message; return a `Message` to send, or None."""
+        self._unanswered.pop(message.address, None)
         self.heard_at = max(self.heard_at, message.sent_at)
         self._receive(reply, self._clock.now() - message.sent_at)
         announcements = self.table.get_announcements(reply.wanted)
@@ -151,11 +156,22 @@
         peers = self.table.peers(self.hosted.announcement.group)
         self._remember(peers)
         home = self.hosted.announcement.data_centre
-        local = [peer.rpc for peer in peers if peer.data_centre == home]
-        remote = [peer.rpc for peer in peers if peer.data_centre != home]
-        partners = self._sample(local, LOCAL_PARTNERS)
-        partners += self._sample(remote, REMOTE_PARTNERS)
-        return partners + self._choose_strangers({*local, *remote})
+        answering = [peer for peer in peers if self._answers(peer.rpc)]
+        local = [peer.rpc for peer in answering if peer.data_centre == home]
+        remote = [peer.rpc for peer in answering if peer.data_centre != home]
+        partners = self._sample(remote, REMOTE_PARTNERS)
+        partners += self._sample(local, LOCAL_PARTNERS)
+        rest = [rpc for rpc in (*local, *remote) if rpc not in partners]
+        partners += self._sample(rest, PARTNERS - len(partners))
+        partners += self._choose_strangers({*local, *remote})
+        for address in partners:
+            self._unanswered.setdefault(address, self._clock.now())
+        return partners
+
+    def _answers(self, address):
+        """Return whether the address has left no question open for long."""
+        asked_at = self._unanswered.get(address, self._clock.now())
+        return self._clock.now() - asked_at <= ANSWER_LIMIT_S
 
     def _choose_strangers(self, live):
         now = self._clock.now()
@@ -171,7 +187,9 @@
             self._known.pop(peer.rpc, None)
             self._known[peer.rpc] = True
         while len(self._known) > max(REMEMBERED_PEERS, len(peers)):
-            del self._known[next(iter(self._known))]
+            address = next(iter(self._known))
+            del self._known[address]
+            self._unanswered.pop(address, None)
 
     def _sample(self, addresses, count):
-        return self._rng.sample(addresses, min(count, len(addresses)))
+        return self._rng.sample(addresses, min(max(0, count), len(addresses)))
