Lend rates only where their buckets are seldom full

Now loans shrink with the share of demand, overflow goes back, rates follow what the pool can spare, and parts of tokens aren't lent.

--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -11,15 +11,15 @@
 from .messages import Demand, Demands
 from .policy import (
     ANSWER_S,
+    EMPTY_S,
     EXCHANGES_PER_LOAN,
-    HEADROOM,
     IDLE_S,
     LOOKAHEAD_S,
     MISSED_S,
     SCARCE_S,
     URGENT_S,
     compute_reserve,
-    compute_room,
+    is_step,
     smooth_demand,
 )
 
@@ -36,6 +36,8 @@
         rate: Tokens per second that the bucket gains.
         cap: Tokens that the bucket can hold.
         level: Tokens in the bucket at `at`.
+        surplus: Tokens to be handed back with the next batch.
+        standing: Tokens that the holder lets the bucket keep.
         at: Monotonic seconds of the last refill.
         expiry: Monotonic seconds at which the loan ends.
         epoch: Epoch of the holder that made the loan.
@@ -46,6 +48,7 @@
         asked_at: Monotonic seconds at which that batch was made.
         missed_at: Monotonic seconds at which no holder was found.
         scarce_until: Until then a miss is refused at once.
+        empty_until: Until then no tokens are fetched ahead of need.
         used_at: Monotonic seconds of the last request.
     """
 
@@ -53,6 +56,8 @@
         "rate",
         "cap",
         "level",
+        "surplus",
+        "standing",
         "at",
         "expiry",
         "epoch",
@@ -63,6 +68,7 @@
         "asked_at",
         "missed_at",
         "scarce_until",
+        "empty_until",
         "used_at",
     )
 
@@ -70,6 +76,8 @@
         self.rate = 0.0
         self.cap = 0.0
         self.level = 0.0
+        self.surplus = 0.0
+        self.standing = 0.0
         self.at = now
         self.expiry = NEVER
         self.epoch = 0
@@ -80,12 +88,13 @@
         self.asked_at = NEVER
         self.missed_at = NEVER
         self.scarce_until = NEVER
+        self.empty_until = NEVER
         self.used_at = now
 
     def refill(self, now):
         """Bring the bucket up to date; an expired loan leaves nothing."""
         if now >= self.expiry:
-            self.rate = self.cap = self.level = 0.0
+            self.rate = self.cap = self.level = self.surplus = 0.0
             self.epoch = 0
         elif now > self.at:
             self.level = min(self.cap, self.level + self.rate * (now - self.at))
@@ -253,12 +262,20 @@
 
     def _miss(self, organisation, account, now, again):
         if now < account.scarce_until:
+            self._want_ahead(organisation, account)
             return Admission.REFUSED
         if not again or not account.is_awaiting(now):
             account.waiting += 1
         self._urgent.add(organisation)
         return Admission.WAIT
 
+    def _want_ahead(self, organisation, account):
+        """Ask for tokens for the next requests of a loan without a rate."""
+        if not account.rate:
+            most = 1.0 + account.demand * SCARCE_S
+            account.waiting = min(account.waiting + 1, int(most))
+            self._urgent.add(organisation)
+
     def _check(self, account, now):
         check_invariant(
             "rate",
@@ -296,6 +313,7 @@
             account.asked_at + URGENT_S,
             account.missed_at + MISSED_S,
             account.scarce_until,
+            NEVER if account.waiting else account.empty_until,
         )
         return now >= ready_at
 
@@ -334,19 +352,23 @@
         """Return the demand, counting at once what came since the last exchange."""
         elapsed = max(now - self._exchanged_at, self._exchange_s)
         latest = account.count / elapsed
-        if latest > account.demand:
-            return smooth_demand(account.demand, latest, elapsed)
+        if latest > account.demand and is_step(account.demand, latest, elapsed):
+            return latest
         return account.demand
 
     def _trim(self, account, demand):
-        """Take what isn't needed off a bucket; return the tokens to hand back."""
+        """Take tokens that aren't needed off a bucket; return their number."""
         lacking = max(0.0, demand - account.rate) * self._exchange_s
-        needed = account.waiting + lacking * HEADROOM
+        needed = account.waiting + lacking
         needed += compute_reserve(demand, self._exchange_s)
+        needed = min(needed, account.waiting + account.standing)
         surplus = max(0.0, account.level - needed)
         account.level -= surplus
-        room = compute_room(account.rate, self._exchange_s)
-        account.cap = min(account.cap - surplus, account.level + room)
+        account.cap -= surplus
+        if not account.rate:
+            account.cap = account.level
+        surplus += account.surplus
+        account.surplus = 0.0
         return surplus
 
     def _apply_grant(self, account, grant, now):
@@ -357,15 +379,21 @@
         # The loan runs from before it was asked, so a late answer can't outlive it.
         expiry = account.asked_at + grant.duration_s
         account.refill(now)
+        if grant.tokens < 1.0:
+            account.empty_until = now + EMPTY_S
         if now >= expiry:
             return
         account.epoch = grant.epoch
         account.rate = grant.rate
         account.cap = grant.cap
-        account.level = min(account.level + grant.tokens, grant.cap)
+        account.standing = grant.standing
+        total = account.level + grant.tokens
+        account.level = min(total, grant.cap)
+        # The holder counts the old cap until the next batch, which hands this back.
+        account.surplus = total - account.level
         account.expiry = expiry
 
 
 def close_account(name, account):
     """Return the `Demand` that hands a whole loan back."""
-    return Demand(name, epoch=account.epoch, returned=account.level)
+    return Demand(name, epoch=account.epoch, returned=account.level + account.surplus)
--- a/persimmonlane/limits/ledger.py
+++ b/persimmonlane/limits/ledger.py
@@ -8,18 +8,23 @@
 Each loan is counted at the most that its borrower may believe it has.
 """
 
+import math
+
 from ..invariants import check_invariant
 from .messages import Grant
 from .policy import (
     EPSILON,
     EXCHANGES_PER_LOAN,
-    HEADROOM,
+    FACTORS,
+    POOL_SHARE,
+    PRIOR_DEMAND,
+    PRIOR_NODES,
+    ROOM_SHARE,
     SCARCE_FACTOR,
     SPARE_LENT,
     STEADY_SHARE,
-    TOKEN_LOAN_S,
+    compute_full_share,
     compute_reserve,
-    compute_room,
     lengthen,
     limit_rate,
 )
@@ -148,41 +153,73 @@
         self._clamp_pool()
 
     def _decide(self, loan, demand, loan_s, epoch, frozen):
-        rate = self._choose_rate(loan, frozen)
         horizon_s = loan_s / EXCHANGES_PER_LOAN
-        reserve = compute_reserve(loan.demand, horizon_s) + demand.waiting
-        reserve += max(0.0, loan.demand - rate) * horizon_s * HEADROOM
-        cap = self._choose_cap(loan, demand, reserve, compute_room(rate, horizon_s))
-        if frozen:
-            cap = min(cap, loan.cap)
-        if demand.demand <= 0 and not demand.waiting or cap < 1.0:
+        standing = self._choose_standing(loan, horizon_s)
+        rate = self._choose_rate(loan, standing, frozen)
+        lacking = max(0.0, loan.demand - rate) * horizon_s
+        reserve = compute_reserve(loan.demand, horizon_s) + lacking
+        reserve = min(reserve, standing) + demand.waiting
+        free = loan.cap if frozen else self.burst - (self.lent_cap - loan.cap)
+        cap = max(0.0, min(standing + demand.waiting, free))
+        if cap < 1.0 or not (demand.demand > 0 or demand.waiting):
             rate = cap = 0.0
         level = min(demand.level, cap)
         tokens = min(self.pool, max(0.0, min(reserve, cap) - level))
-        duration_s = loan_s if rate > 0 else min(loan_s, TOKEN_LOAN_S)
+        if not rate:
+            # Without a rate, room and parts of a token would be of no use there.
+            cap = float(math.floor(level + tokens + EPSILON))
+            tokens = max(0.0, cap - level)
         scarce = self.demand > self.rate * SCARCE_FACTOR
-        return Grant(demand.organisation, epoch, rate, cap, tokens, duration_s, scarce)
+        return Grant(
+            demand.organisation,
+            epoch=epoch,
+            rate=rate,
+            cap=cap,
+            tokens=tokens,
+            standing=standing,
+            duration_s=loan_s,
+            scarce=scarce,
+        )
 
-    def _choose_rate(self, loan, frozen):
-        others = self.lent_rate - loan.rate
+    def _choose_standing(self, loan, horizon_s):
+        """Return the cap of a borrower apart from what waits.
+
+        A borrower with a small share of the demand gets half of that share of the
+        burst at most; the rest stays with the pool, where every node can use it.
+        """
+        others = PRIOR_DEMAND * (len(self.loans) + PRIOR_NODES)
+        share = (loan.demand + PRIOR_DEMAND) / (max(0.0, self.demand) + others)
+        most = self.burst * share * (1.0 + share) / 2
+        gain = loan.demand * horizon_s
+        reserve = compute_reserve(loan.demand, horizon_s)
+        return min(most, reserve + min(gain, reserve + ROOM_SHARE * gain))
+
+    def _choose_rate(self, loan, standing, frozen):
         if frozen:
             return min(loan.rate, self.rate)
-        # Half of the spare rate stays with the pool, where every node can use it.
-        total = max(self.demand, EPSILON)
-        factor = self.rate / total
-        if factor > 1.0:
-            factor = min(HEADROOM, 1.0 + (factor - 1.0) * SPARE_LENT)
-        wanted = max(0.0, min(loan.demand * factor, self.rate - others))
+        if standing < 1.0:
+            return 0.0
+        wanted = loan.demand * self._choose_factor(standing)
+        most = max(0.0, self.rate - (self.lent_rate - loan.rate))
         # A small reduction frees less than counting it twice until it is confirmed.
-        if wanted < loan.rate and wanted > loan.rate * (1 - STEADY_SHARE):
-            return min(loan.rate, max(0.0, self.rate - others))
-        return wanted
-
-    def _choose_cap(self, loan, demand, reserve, room):
-        share = loan.demand / max(self.demand, EPSILON)
-        most = max(share * self.burst, 1.0 + demand.waiting)
-        free = self.burst - (self.lent_cap - loan.cap)
-        return max(0.0, min(reserve + room, most, free))
+        if loan.rate * (1 - STEADY_SHARE) < wanted < loan.rate:
+            wanted = loan.rate
+        return min(wanted, most)
+
+    def _choose_factor(self, standing):
+        """Return the share of a borrower's demand that its rate should cover.
+
+        What a full bucket gains is lost to all, so small buckets get less of
+        their demand as a rate, and the rest as tokens from the pool.
+        """
+        if self.demand >= self.rate:
+            return self.rate / self.demand
+        spare = SPARE_LENT * (self.rate - self.demand) / max(self.demand, EPSILON)
+        spare *= min(1.0, self.pool / (POOL_SHARE * self.burst))
+        for factor in FACTORS:
+            if factor * compute_full_share(factor, standing) <= spare:
+                return factor
+        return 0.0
 
     def _record(self, loan, grant, now):
         """Count a loan at the most that its borrower may now believe."""
--- a/persimmonlane/limits/messages.py
+++ b/persimmonlane/limits/messages.py
@@ -77,6 +77,7 @@
         rate: Tokens per second that the borrower's bucket gains from now on.
         cap: Tokens that the borrower's bucket can hold from now on.
         tokens: Tokens added to the bucket.
+        standing: Tokens that the borrower may keep when nothing waits.
         duration_s: Seconds for which the loan stands, from before it was asked.
         scarce: Whether the fleet's demand is beyond the organisation's rate.
     """
@@ -87,16 +88,29 @@
         "rate",
         "cap",
         "tokens",
+        "standing",
         "duration_s",
         "scarce",
     )
 
-    def __init__(self, organisation, epoch, rate, cap, tokens, duration_s, scarce):
+    def __init__(
+        self,
+        organisation,
+        *,
+        epoch,
+        rate,
+        cap,
+        tokens,
+        standing,
+        duration_s,
+        scarce=False,
+    ):
         self.organisation = organisation
         self.epoch = epoch
         self.rate = rate
         self.cap = cap
         self.tokens = tokens
+        self.standing = standing
         self.duration_s = duration_s
         self.scarce = scarce
 
--- a/persimmonlane/limits/policy.py
+++ b/persimmonlane/limits/policy.py
@@ -12,16 +12,20 @@
 LOOKAHEAD_S = 0.05
 ANSWER_S = 0.2
 IDLE_S = 1.5
-TOKEN_LOAN_S = 0.5
 SCARCE_FACTOR = 1.2
 SCARCE_S = 0.1
-HEADROOM = 1.2
+EMPTY_S = 0.1
 SPREAD = 2.0
-SPARE_LENT = 0.5
+SPARE_LENT = 0.7
+POOL_SHARE = 0.25
+PRIOR_DEMAND = 0.5
+PRIOR_NODES = 4
+FACTORS = (1.1, 1.0, 0.8, 0.6, 0.4, 0.2)
 ROOM_SHARE = 0.2
 WEIGHT_OF_LATEST = 0.25
 STEP_DEVIATIONS = 3.0
-STEADY_SHARE = 0.1
+STEP_REQUESTS = 0.5
+STEADY_SHARE = 0.3
 EPSILON = 1e-6
 
 SUCCESSORS = 2
@@ -72,14 +76,18 @@
     return 1.0 + SPREAD * math.sqrt(demand * horizon_s)
 
 
-def compute_room(rate, horizon_s):
-    """Return the room above the reserve for what a rate gains over a horizon.
+def compute_full_share(load, cap):
+    """Return the share of time that a bucket is full.
 
-    Spending takes most of the gain at once; room that stays empty is burst that
-    nobody can use.
+    Args:
+        load: Rate of the bucket over the rate of its requests, which come at
+            random.
+        cap: Tokens that the bucket can hold.
     """
-    gain = rate * horizon_s
-    return min(gain, compute_reserve(rate, horizon_s) + ROOM_SHARE * gain)
+    if abs(load - 1.0) < EPSILON:
+        return 1.0 / (cap + 1.0)
+    power = load**cap
+    return (1.0 - load) * power / (1.0 - power * load)
 
 
 def smooth_demand(demand, latest, elapsed_s):
@@ -87,7 +95,12 @@
 
     A measurement beyond what chance explains is a step and counts in full.
     """
-    deviation = math.sqrt(max(demand, 1.0 / elapsed_s) / elapsed_s)
-    if abs(latest - demand) > STEP_DEVIATIONS * deviation:
+    if is_step(demand, latest, elapsed_s):
         return latest
     return demand + WEIGHT_OF_LATEST * (latest - demand)
+
+
+def is_step(demand, latest, elapsed_s):
+    """Return whether a measurement is beyond what chance explains."""
+    deviation = math.sqrt(demand / elapsed_s) + STEP_REQUESTS / elapsed_s
+    return abs(latest - demand) > STEP_DEVIATIONS * deviation
--- a/persimmonlane/limits/tests/simulation.py
+++ b/persimmonlane/limits/tests/simulation.py
@@ -28,6 +28,7 @@
     def __init__(self, seed):
         self.now = 0.0
         self.rng = random.Random(seed)
+        self.check = None
         self._events = []
         self._numbers = itertools.count()
 
@@ -42,6 +43,8 @@
         while self._events and self._events[0][0] <= until:
             self.now, _, action, arguments = heapq.heappop(self._events)
             action(*arguments)
+            if self.check is not None:
+                self.check()
         self.now = until
 
 
@@ -61,6 +64,10 @@
     """An organisation got more than rate times time plus burst."""
 
 
+class TwoHolders(AssertionError):
+    """Two nodes could lend the rates of one shard at the same moment."""
+
+
 class Count:
     """All admissions of one organisation over the true clock."""
 
@@ -297,7 +304,7 @@
         late = rng.uniform(0.0, 3.0) if rng.random() < store.loss else 0.001
 
         def land():
-            if store.away or self.member.name in store_cut(self.fleet):
+            if store.away or self.member.name in self.fleet.cut_from_store:
                 return
             result = operate()
             if not lost and self.world.now < asked + STORE_TIMEOUT_S:
@@ -322,10 +329,6 @@
     }
 
 
-def store_cut(fleet):
-    return fleet.cut_from_store
-
-
 class Fleet:
     """Processes, network, store, and the count of all admissions.
 
@@ -364,6 +367,8 @@
         self.refusals = []
         self.gone = dict.fromkeys(self.counts, 0)
         self.incarnations = itertools.count(1)
+        if strict:
+            self.world.check = self.check_holders
         self.processes = {}
         for index in range(nodes):
             self.start(f"n{index}")
@@ -408,6 +413,16 @@
             if any(process.limits.holder.holds(one) for one in process_shards(process))
         ]
 
+    def check_holders(self):
+        """Check that each shard has one holder at most, paused ones included."""
+        seen = set()
+        for process in self.processes.values():
+            for shard in process.limits.holder.shards:
+                if process.limits.holder.holds(shard):
+                    if shard in seen:
+                        raise TwoHolders(f"of shard {shard} at {self.world.now}")
+                    seen.add(shard)
+
     def find_holder(self, shard):
         for name, process in self.processes.items():
             if process.limits.holder.holds(shard):
--- a/persimmonlane/limits/wire.py
+++ b/persimmonlane/limits/wire.py
@@ -146,6 +146,7 @@
         rate=grant.rate,
         cap=grant.cap,
         tokens=grant.tokens,
+        standing=grant.standing,
         duration_s=grant.duration_s,
         scarce=grant.scarce,
     )
@@ -155,12 +156,13 @@
     """Return the `Grant` of a wire form."""
     return Grant(
         message.organisation,
-        message.epoch,
-        clean_amount(message.rate),
-        clean_amount(message.cap),
-        clean_amount(message.tokens),
-        clean_amount(message.duration_s),
-        message.scarce,
+        epoch=message.epoch,
+        rate=clean_amount(message.rate),
+        cap=clean_amount(message.cap),
+        tokens=clean_amount(message.tokens),
+        standing=clean_amount(message.standing),
+        duration_s=clean_amount(message.duration_s),
+        scarce=message.scarce,
     )
 
 
