Prove that no window exceeds rate times its length plus burst

Seeded randomised runs: spending borrowers under holders that follow each other (machine.py) and a fleet under faults (faults.py), with skewed and paused clocks and a count over the true clock; at most one node may lend a shard at any moment.

--- a/persimmonlane/limits/ledger.py
+++ b/persimmonlane/limits/ledger.py
@@ -212,10 +212,11 @@
         What a full bucket gains is lost to all, so small buckets get less of
         their demand as a rate, and the rest as tokens from the pool.
         """
-        if self.demand >= self.rate:
-            return self.rate / self.demand
-        spare = SPARE_LENT * (self.rate - self.demand) / max(self.demand, EPSILON)
-        spare *= min(1.0, self.pool / (POOL_SHARE * self.burst))
+        demand = max(self.demand, EPSILON)
+        if demand >= self.rate:
+            return self.rate / demand
+        spare = SPARE_LENT * (self.rate - demand) / demand
+        spare *= min(1.0, self.pool / (POOL_SHARE * self.burst + EPSILON))
         for factor in FACTORS:
             if factor * compute_full_share(factor, standing) <= spare:
                 return factor
--- a/persimmonlane/limits/tests/broken.py
+++ b/persimmonlane/limits/tests/broken.py
@@ -38,20 +38,13 @@
 
     __slots__ = ()
 
-    def _trim(self, account, demand):
+    def _ask(self, name, now):
+        account = self._accounts[name]
+        account.refill(now)
         level, cap = account.level, account.cap
-        surplus = super()._trim(account, demand)
+        demand = super()._ask(name, now)
         account.level, account.cap = level, cap
-        return surplus
-
-
-class NamelessBorrower(Borrower):
-    """Has the same name in each process of a node."""
-
-    __slots__ = ()
-
-    def __init__(self, node, clock, incarnation=None):
-        super().__init__(node, clock, "same")
+        return demand
 
 
 class EndlessHolder(Holder):
@@ -70,6 +63,7 @@
 
     def take(self, number, epoch, deadline, *, first, longest_loan_s):
         super().take(number, epoch, deadline, first=first, longest_loan_s=0.0)
+        self.shards[number].longest_loan_s = longest_loan_s
 
 
 class GenerousHolder(Holder):
--- a/persimmonlane/limits/tests/machine.py
+++ b/persimmonlane/limits/tests/machine.py
@@ -46,6 +46,8 @@
         self.burst = self.rng.choice((5.0, 10.0, 60.0))
         self.view = self.create_view(RATE, self.burst)
         self.count = Count(RATE, self.burst, strict=True)
+        self.lower_at = float("inf")
+        self.lower_bounds = (RATE, self.burst)
         self.epoch = 0
         self.incarnations = 0
         self.pending = []
@@ -76,21 +78,26 @@
 
     def step(self):
         self.world.now += self.rng.choice(STEPS_S)
+        self.take_lower_bounds()
         chance = self.rng.random()
         if chance < 0.006:
             self.change_holder()
         elif chance < 0.012:
             self.restart_borrower()
-        elif chance < 0.02 and self.pending:
+        elif chance < 0.016:
+            self.change_document()
+        elif chance < 0.024 and self.pending:
             self.pending.pop(self.rng.randrange(len(self.pending)))
         active = self.rng.sample(self.borrowers, self.rng.choice((1, 1, 2, 3)))
         for borrower in active + self.stale:
-            self.spend(borrower)
+            if self.rng.random() < 0.8:
+                self.spend(borrower)
         for borrower in active:
             self.ask(borrower)
         self.deliver_some()
         for borrower in active:
-            self.spend(borrower)
+            if self.rng.random() < 0.8:
+                self.spend(borrower)
 
     def spend(self, borrower):
         """Spend all tokens of a borrower."""
@@ -129,6 +136,26 @@
         self.stale = [self.borrowers[index]]
         self.borrowers[index] = self.create_borrower(index)
 
+    def change_document(self):
+        """Change rate and burst; lower bounds hold once older loans have ended."""
+        rate = RATE * self.rng.choice((0.25, 1.0, 2.0))
+        burst = self.rng.choice((5.0, 10.0, 60.0))
+        self.view = self.create_view(rate, burst)
+        for one in (self.holder, *self.borrowers, *self.stale):
+            one.set_view(self.view)
+        self.count.settle(self.world.now)
+        self.count.rate = max(self.count.rate, rate)
+        self.count.burst = max(self.count.burst, burst)
+        self.lower_at = self.world.now + LOAN_S * (1 + 3 * DRIFT)
+        self.lower_bounds = (rate, burst)
+
+    def take_lower_bounds(self):
+        if self.world.now < self.lower_at:
+            return
+        self.count.settle(self.world.now)
+        self.count.rate, self.count.burst = self.lower_bounds
+        self.lower_at = float("inf")
+
     def change_holder(self):
         """Let another holder claim the shard after the end of the last one's right."""
         if self.holder is not None:
--- a/persimmonlane/limits/tests/simulation.py
+++ b/persimmonlane/limits/tests/simulation.py
@@ -80,15 +80,19 @@
         self.admitted = 0
         self.worst = 0.0
 
+    def settle(self, now):
+        elapsed = now - self.at
+        self.level = min(self.burst, self.level + self.rate * elapsed)
+        self.at = now
+
     def add(self, now):
         """Count an admission against a bucket that starts full.
 
         The bucket never falls below 0 exactly if every window holds at most rate
         times its length plus burst.
         """
-        elapsed = now - self.at
-        self.level = min(self.burst, self.level + self.rate * elapsed) - 1.0
-        self.at = now
+        self.settle(now)
+        self.level -= 1.0
         self.admitted += 1
         self.worst = max(self.worst, -self.level)
         if self.strict and self.level < -EPSILON:
