--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -12,13 +12,16 @@
 from .policy import (
     ANSWER_S,
     EMPTY_S,
+    EXCESS,
     EXCHANGES_PER_LOAN,
     IDLE_S,
     LOOKAHEAD_S,
     MISSED_S,
     SCARCE_S,
+    SWEEP_S,
     URGENT_S,
     compute_reserve,
+    is_silent,
     is_step,
     smooth_demand,
 )
@@ -142,6 +145,7 @@
         "_accounts",
         "_urgent",
         "_batches",
+        "_next_sweep",
         "_sequence",
         "_exchange_s",
         "_next_exchange",
@@ -155,6 +159,7 @@
         self._accounts = {}
         self._urgent = set()
         self._batches = collections.deque()
+        self._next_sweep = NEVER
         self._sequence = 0
         self._exchange_s = 0.5
         self._exchanged_at = clock.now()
@@ -216,6 +221,7 @@
         """Return the `Demands` that are due, or None; call at each tick."""
         now = self._clock.now()
         self._review(now)
+        self._sweep(now)
         regular = now >= self._next_exchange
         if not regular and not self._urgent:
             return None
@@ -292,6 +298,16 @@
                 if account is not None and account.sequence == batch.sequence:
                     self._urgent.add(name)
 
+    def _sweep(self, now):
+        """Note the organisations whose requests have stopped coming."""
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + SWEEP_S
+        for name, account in self._accounts.items():
+            if account.rate and is_silent(account.demand, now - account.used_at):
+                account.demand = 0.0
+                self._urgent.add(name)
+
     def _list_due(self, now, regular):
         if regular:
             self._measure(now)
@@ -358,6 +374,8 @@
 
     def _trim(self, account, demand):
         """Take tokens that aren't needed off a bucket; return their number."""
+        if account.rate > demand * EXCESS:
+            account.rate = demand
         lacking = max(0.0, demand - account.rate) * self._exchange_s
         needed = account.waiting + lacking
         needed += compute_reserve(demand, self._exchange_s)
--- a/persimmonlane/limits/ledger.py
+++ b/persimmonlane/limits/ledger.py
@@ -16,15 +16,17 @@
     EPSILON,
     EXCHANGES_PER_LOAN,
     FACTORS,
+    MIN_DEMAND,
+    MIN_STANDING,
     POOL_SHARE,
     PRIOR_DEMAND,
     PRIOR_NODES,
     ROOM_SHARE,
-    SCARCE_FACTOR,
     SPARE_LENT,
     STEADY_SHARE,
     compute_full_share,
     compute_reserve,
+    is_scarce,
     lengthen,
     limit_rate,
 )
@@ -169,7 +171,7 @@
             # Without a rate, room and parts of a token would be of no use there.
             cap = float(math.floor(level + tokens + EPSILON))
             tokens = max(0.0, cap - level)
-        scarce = self.demand > self.rate * SCARCE_FACTOR
+        scarce = self.pool < 1.0 and is_scarce(self.demand, self.rate)
         return Grant(
             demand.organisation,
             epoch=epoch,
@@ -197,7 +199,7 @@
     def _choose_rate(self, loan, standing, frozen):
         if frozen:
             return min(loan.rate, self.rate)
-        if standing < 1.0:
+        if standing < MIN_STANDING or loan.demand < MIN_DEMAND:
             return 0.0
         wanted = loan.demand * self._choose_factor(standing)
         most = max(0.0, self.rate - (self.lent_rate - loan.rate))
--- a/persimmonlane/limits/policy.py
+++ b/persimmonlane/limits/policy.py
@@ -14,17 +14,22 @@
 IDLE_S = 1.5
 SCARCE_FACTOR = 1.2
 SCARCE_S = 0.1
+EXCESS = 1.5
+SILENT_REQUESTS = 5.0
+SWEEP_S = 0.05
 EMPTY_S = 0.1
 SPREAD = 2.0
 SPARE_LENT = 0.7
 POOL_SHARE = 0.25
+MIN_STANDING = 2.0
+MIN_DEMAND = 2.0
 PRIOR_DEMAND = 0.5
 PRIOR_NODES = 4
 FACTORS = (1.1, 1.0, 0.8, 0.6, 0.4, 0.2)
 ROOM_SHARE = 0.2
 WEIGHT_OF_LATEST = 0.25
 STEP_DEVIATIONS = 3.0
-STEP_REQUESTS = 0.5
+STEP_REQUESTS = 1.0
 STEADY_SHARE = 0.3
 EPSILON = 1e-6
 
@@ -104,3 +109,13 @@
     """Return whether a measurement is beyond what chance explains."""
     deviation = math.sqrt(demand / elapsed_s) + STEP_REQUESTS / elapsed_s
     return abs(latest - demand) > STEP_DEVIATIONS * deviation
+
+
+def is_scarce(demand, rate):
+    """Return whether demand is beyond a rate by more than chance explains."""
+    return demand > SCARCE_FACTOR * rate + STEP_DEVIATIONS * math.sqrt(rate)
+
+
+def is_silent(demand, seconds):
+    """Return whether a time without requests is too long for a demand."""
+    return demand * seconds > SILENT_REQUESTS
