--- a/persimmonlane/trials/backends.py
+++ b/persimmonlane/trials/backends.py
@@ -152,7 +152,16 @@
         leaving_at: Time at which it said that it leaves, or None.
     """
 
-    __slots__ = ("server", "failure", "runs", "leaving_at", "_free", "_pause", "_rng")
+    __slots__ = (
+        "server",
+        "failure",
+        "runs",
+        "leaving_at",
+        "_free",
+        "_begins",
+        "_pause",
+        "_rng",
+    )
 
     def __init__(self, server, rng):
         self.server = server
@@ -160,6 +169,7 @@
         self.runs = collections.Counter()
         self.leaving_at = None
         self._free = [0.0] * server.slots
+        self._begins = collections.deque()
         self._pause = rng.random() * PAUSE_INTERVAL_S
         self._rng = rng
 
@@ -190,10 +200,17 @@
         """Answer a probe on a new connection."""
         return self.failure.change(Answer(Kind.OK, FAST_S), now, now)
 
+    def measure_load(self, now):
+        """Return the numbers of requests that run and that wait."""
+        while self._begins and self._begins[0] <= now:
+            self._begins.popleft()
+        return sum(free > now for free in self._free), len(self._begins)
+
     def _run(self, now):
         begin = max(now, min(self._free))
         if begin - now > QUEUE_LIMIT * TYPICAL_LATENCY_S / len(self._free):
             return Answer(Kind.SHED, FAST_S, Verdict.NOT_RUN)
+        self._begins.append(begin)
         end = begin + self._draw_time(begin)
         self._free[self._free.index(min(self._free))] = end
         return Answer(Kind.OK, end - now)
--- a/persimmonlane/trials/fleet.py
+++ b/persimmonlane/trials/fleet.py
@@ -23,6 +23,8 @@
 
 TICK_S = 0.05
 EVIDENCE_S = 1.0
+REPORT_S = 0.5
+REPORT_AGE_S = 0.25
 WAIT_S = 0.02
 PROBE_S = 0.02
 DEADLINE_S = 3.0
@@ -175,6 +177,7 @@
         for node in self.nodes:
             self._repeat(node, TICK_S, self._tick)
             self._repeat(node, EVIDENCE_S, self._share)
+        self.schedule.call_every(REPORT_S, self._report_loads)
         self.schedule.run(duration_s + DEADLINE_S)
 
     def send_load(self, load, until_s):
@@ -419,6 +422,17 @@
             answer.latency_s,
         )
 
+    def _report_loads(self):
+        now = self.schedule.clock.seconds
+        for address, backend in self.backends.items():
+            running, waiting = backend.measure_load(now)
+            for node in self.nodes:
+                balancer = node.desks[backend.server.service].balancer
+                arguments = address, running, waiting, REPORT_AGE_S
+                self.schedule.call_later(
+                    REPORT_AGE_S, node.run, balancer.report_load, *arguments
+                )
+
     def _share(self, node):
         for name, desk in node.desks.items():
             evidence = desk.ejector.export_evidence()
--- a/persimmonlane/trials/sites.py
+++ b/persimmonlane/trials/sites.py
@@ -43,6 +43,8 @@
         delay_s: One-way delay between data centres, in seconds.
         client_delay_s: One-way delay from callers, in seconds.
         services: Names of services and their numbers of backend servers.
+        headroom: Rates of the document as a multiple of the loads; the burst is
+            one second of the rate.
         false_ejection_days: Wanted mean time between false ejections.
         latency_ms: Latency objective.
     """
@@ -56,6 +58,7 @@
     organisations = 8
     large = 3
     requests_per_s = 900.0
+    headroom = 1.5
     false_ejection_days = 30.0
     latency_ms = 250
 
@@ -87,8 +90,8 @@
             organisations=tuple(
                 Organisation(
                     name=load.organisation,
-                    rate=load.rate * 1.5,
-                    burst=max(10.0, load.rate * 0.5),
+                    rate=load.rate * self.headroom,
+                    burst=load.rate * self.headroom,
                     keys=(describe_example_key(number),),
                 )
                 for number, load in enumerate(self.list_loads())
