--- a/persimmonlane/traces/players.py
+++ b/persimmonlane/traces/players.py
@@ -262,7 +262,10 @@
 
     def receive(self, event):
         """Take in a message."""
-        self._table.receive(event.exchange, event.delay_s)
+        for announcement in event.exchange.announcements:
+            self._table.apply(announcement)
+        for heartbeat in event.exchange.heartbeats:
+            self._table.renew(heartbeat, event.delay_s)
 
     def expect_servers(self, event):
         """Compare the backend servers that take new work."""
