--- a/persimmonlane/membership/part.py
+++ b/persimmonlane/membership/part.py
@@ -12,6 +12,7 @@
 
 from ..actors import Actor, Tick, Ticker, tell
 from ..application import Part
+from ..reporting.metrics import NoMetrics
 from . import codec, membership_pb2_grpc
 from .announcements import Announcement
 from .gossip import Gossip
@@ -129,8 +130,9 @@
         LeaseChanged: "set_lease",
     }
 
-    def __init__(self, application, settings, gossip, channels, snapshot):
+    def __init__(self, application, settings, gossip, channels, snapshot, metrics):
         super().__init__(application)
+        self._metrics = metrics
         self._gossip = gossip
         self._channels = channels
         self._snapshot = snapshot
@@ -144,6 +146,8 @@
             for outgoing in self._gossip.start_round():
                 self._send(outgoing)
             self._gossip.table.forget()
+            self._metrics.gauge("membership.servers", len(self._snapshot.servers))
+            self._metrics.gauge("membership.peers", len(self._snapshot.peers))
         self._publish()
 
     def answer(self, message):
@@ -339,7 +343,7 @@
     return int(time.time() * MS_PER_S)
 
 
-def build_membership(application, settings, clock, rpc_server, channels):
+def build_membership(application, settings, clock, rpc_server, channels, metrics=None):
     """Build the membership part of a node and add its service to the server.
 
     Args:
@@ -348,6 +352,7 @@
         clock: Clock in monotonic seconds.
         rpc_server: The `RpcServer` of the process.
         channels: The `Channels` of the process.
+        metrics: Metrics of the process, or None.
     """
     announcement = Announcement(
         group=settings.name,
@@ -361,7 +366,9 @@
     table = ServerTable(clock, DEFAULT_LEASE_S)
     gossip = Gossip(clock, random.Random(), hosted, table, settings.seeds)
     snapshot = Snapshot()
-    actor_ref = MembershipActor.start(application, settings, gossip, channels, snapshot)
+    actor_ref = MembershipActor.start(
+        application, settings, gossip, channels, snapshot, metrics or NoMetrics()
+    )
     membership_pb2_grpc.add_MembershipServicer_to_server(
         MembershipServicer(actor_ref), rpc_server.server
     )
