--- a/persimmonlane/config/model.py
+++ b/persimmonlane/config/model.py
@@ -84,7 +84,7 @@
     name: Name
     slots: Count = 4
     floor: Share = 0.5
-    balancing: str = "least-loaded"
+    balancing: str = "peak-ewma"
     detection: DetectionPolicy = msgspec.field(default_factory=DetectionPolicy)
     retries: RetryPolicy = msgspec.field(default_factory=RetryPolicy)
     connect_timeout_ms: Milliseconds = 250
