--- a/persimmonlane/draining/tests/test_drains.py
+++ b/persimmonlane/draining/tests/test_drains.py
@@ -33,12 +33,14 @@
     def test_idle_node_ends_after_notice(self):
         self.drain.begin()
         self.clock.advance(LEASE_S)
-        self.assertIs(Stage.DONE, self.drain.observe(0))
+        self.assertIs(Stage.FINISHING, self.drain.observe(0))
         self.assertFalse(self.drain.accepts)
+        self.assertIs(Stage.DONE, self.drain.observe(0))
 
     def test_second_begin_changes_nothing(self):
         self.drain.begin()
         self.clock.advance(LEASE_S)
+        self.drain.observe(0)
         self.drain.begin()
         self.assertIs(Stage.DONE, self.drain.observe(0))
 
@@ -64,6 +66,14 @@
         self.clock.advance(DEADLINE_S + 1.0)
         self.assertRaises(InvariantError, self.drain.observe, 1)
 
+    def test_request_accepted_while_counting_is_not_cut(self):
+        self.drain.begin()
+        self.clock.advance(LEASE_S)
+        counted = 0
+        self.assertTrue(self.drain.accepts)
+        self.assertIs(Stage.FINISHING, self.drain.observe(counted))
+        self.assertIs(Stage.FINISHING, self.drain.observe(1))
+
     def test_random_requests_are_never_cut(self):
         for seed in range(50):
             self.run_random(random.Random(seed))
