--- a/persimmonlane/forwarding/gateway.py
+++ b/persimmonlane/forwarding/gateway.py
@@ -21,6 +21,7 @@
 
 log = logging.getLogger("persimmonlane.forwarding")
 
+RETRY_AFTER_S = 1.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -39,6 +40,7 @@
     def _respond(self):
         request = self._build_request()
         try:
+            self._check_accepts()
             answer = self.ingress.forwarder.forward(request)
         except Refusal as refusal:
             self._refuse(request, refusal)
@@ -52,6 +54,15 @@
         else:
             self._write(request, answer)
 
+    def _check_accepts(self):
+        if not self.ingress.accepts:
+            raise Refusal(
+                503,
+                "node-stopping",
+                "the node is stopping; another node takes the request",
+                retry_after=RETRY_AFTER_S,
+            )
+
     def _build_request(self):
         req = self.req
         return Request(
--- a/persimmonlane/forwarding/part.py
+++ b/persimmonlane/forwarding/part.py
@@ -6,7 +6,6 @@
 import contextlib
 import logging
 import threading
-import time
 
 import cheroot.server
 
@@ -27,9 +26,6 @@
 BACKLOG = 512
 KEPT_CALLERS = 4096
 CALLER_TIMEOUT_S = 30
-DRAIN_NOTICE_S = 1.5
-DRAIN_LIMIT_S = 60.0
-DRAIN_POLL_S = 0.02
 
 
 class Ports:
@@ -74,7 +70,6 @@
         forwarder: The `Forwarder`.
         clock: Clock in monotonic seconds.
         traffic: Reference to the traffic actor.
-        draining: Whether answers ask callers to close their connections.
         port: The bound port, known after `start`.
     """
 
@@ -82,7 +77,7 @@
 
     def __init__(self, application, settings, clock, metrics):
         self.clock = clock
-        self.draining = False
+        self._drain = None
         self.ports = Ports(ConnectionPool(clock))
         self.traffic = Traffic.start(application, settings, clock, metrics, self.ports)
         self.forwarder = Forwarder(self.traffic, self.ports.pool, clock)
@@ -99,13 +94,25 @@
         """The bound port."""
         return self._server.bind_addr[1]
 
-    def connect(self, membership, config, limits):
+    @property
+    def draining(self):
+        """Whether answers ask callers to close their connections."""
+        return self._drain.closes
+
+    @property
+    def accepts(self):
+        """Whether new requests are taken."""
+        return self._drain.accepts
+
+    def connect(self, membership, config, limits, draining):
         """Subscribe the traffic actor to the other parts."""
         self.ports.limits = limits
         self.ports.membership = membership
         limits.connect(self.traffic)
         membership.subscribe(self.traffic)
         config.subscribe(self.traffic)
+        self._drain = draining
+        draining.watch(lambda: self._running)
 
     @contextlib.contextmanager
     def track(self):
@@ -125,15 +132,6 @@
         self._thread.start()
         log.info("Forwarding: serves callers on port %d.", self.port)
 
-    def drain(self):
-        """Let callers move away, then let what runs end."""
-        self.draining = True
-        time.sleep(DRAIN_NOTICE_S)
-        end = self.clock.now() + DRAIN_LIMIT_S
-        while self._running and self.clock.now() < end:
-            time.sleep(DRAIN_POLL_S)
-        log.info("Forwarding: drained with %d requests running.", self._running)
-
     def stop(self):
         """Close the server and end the actor."""
         self._server.stop()
--- a/persimmonlane/forwarding/tests/support.py
+++ b/persimmonlane/forwarding/tests/support.py
@@ -104,6 +104,7 @@
     def __init__(self, addresses=(), **service):
         self.clock = SystemClock()
         self.draining = False
+        self.accepts = True
         self.traffic = FakeTraffic(addresses)
         pool = ConnectionPool(self.clock)
         self.forwarder = Forwarder(self.traffic, pool, self.clock)
--- a/persimmonlane/forwarding/tests/test_gateway.py
+++ b/persimmonlane/forwarding/tests/test_gateway.py
@@ -165,6 +165,18 @@
         self.ingress.draining = True
         self.assertEqual("close", self.ask()[0].headers["Connection"])
 
+    def test_stopping_node_takes_no_new_request(self):
+        server = self.serve([answer()])
+        self.start(server)
+        self.ingress.draining = True
+        self.ingress.accepts = False
+        response, _ = self.ask()
+        self.assertEqual(
+            (503, "close"), (response.status, response.headers["Connection"])
+        )
+        self.assertEqual("not-run", response.headers["Persimmon-Verdict"])
+        self.assertEqual([], server.requests)
+
     def test_server_error_of_a_post_is_passed_on(self):
         self.start(self.serve([answer(b"failed", "500 Error")]))
         response, body = self.ask("POST", body=b"x")
--- a/persimmonlane/node.py
+++ b/persimmonlane/node.py
@@ -5,9 +5,10 @@
 
 import sys
 
-from .application import Application, Part
+from .application import Application
 from .clocks import SystemClock
 from .config.part import build_config
+from .draining.part import build_draining
 from .ejection.part import build_evidence_exchange
 from .forwarding.part import Ingress
 from .limits.part import build_limits
@@ -22,19 +23,6 @@
 SWITCH_INTERVAL_S = 0.0005
 
 
-class Leaving(Part):
-    """Tells the fleet that this node leaves, before anything else drains."""
-
-    name = "leaving"
-
-    def __init__(self, membership):
-        self._membership = membership
-
-    def drain(self):
-        """Announce that the node and what it hosts leave."""
-        self._membership.announce_leaving(None)
-
-
 def build_node(settings):
     """Return the `Application` of a node.
 
@@ -50,12 +38,12 @@
     channels = application.add(Channels(settings.fleet_token))
     store = create_client(STORE_CLIENT, settings.store)
     membership = application.add(
-        build_membership(application, settings, clock, rpc_server, channels)
+        build_membership(application, settings, clock, rpc_server, channels, metrics)
     )
-    application.add(Leaving(membership))
     config = build_config(
         application, settings, clock, rpc_server, channels, store, membership.peers
     )
+    draining = application.add(build_draining(application, clock, membership, config))
     if "ingress" in settings.roles:
         ingress = application.add(Ingress(application, settings, clock, metrics))
         limits = application.add(
@@ -73,5 +61,5 @@
             application, settings, clock, rpc_server, channels, membership.peers
         )
         evidence.connect(ingress.traffic)
-        ingress.connect(membership, config, limits)
+        ingress.connect(membership, config, limits, draining)
     return application
