--- a/persimmonlane/membership/gossip.py
+++ b/persimmonlane/membership/gossip.py
@@ -62,6 +62,7 @@
         "_stranger_at",
         "_urgent",
         "_unanswered",
+        "_forgotten",
     )
 
     def __init__(self, clock, rng, hosted, table, seeds=()):
@@ -78,6 +79,7 @@
         self._stranger_at = NEVER
         self._urgent = False
         self._unanswered = {}
+        self._forgotten = []
         self.note_hosted()
 
     def note_hosted(self):
@@ -152,8 +154,18 @@
             announcements=announcements,
         )
 
+    def take_forgotten(self):
+        """Return the addresses that will not be asked any more, and clear them."""
+        forgotten, self._forgotten = self._forgotten, []
+        return forgotten
+
+    def peers(self):
+        """Return the other nodes that were heard within the lease, as a tuple."""
+        own = self.hosted.announcement.group
+        return tuple(peer for peer in self.table.peers() if peer.name != own)
+
     def _choose_partners(self):
-        peers = self.table.peers(self.hosted.announcement.group)
+        peers = self.peers()
         self._remember(peers)
         home = self.hosted.announcement.data_centre
         answering = [peer for peer in peers if self._answers(peer.rpc)]
@@ -190,6 +202,7 @@
             address = next(iter(self._known))
             del self._known[address]
             self._unanswered.pop(address, None)
+            self._forgotten.append(address)
 
     def _sample(self, addresses, count):
         return self._rng.sample(addresses, min(max(0, count), len(addresses)))
--- a/persimmonlane/membership/poller.py
+++ b/persimmonlane/membership/poller.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from ..actors import tell
 from ..settings import split_address
 from .watch import Health, HealthSeen
 
@@ -60,7 +61,7 @@
             host, port, maxsize=1, timeout=TIMEOUT_S, retries=False
         )
         while not self._ended.is_set():
-            self._actor.tell(look(pool, self._address))
+            tell(self._actor, look(pool, self._address))
             self._ended.wait(INTERVAL_S)
         pool.close()
 
--- a/persimmonlane/membership/table.py
+++ b/persimmonlane/membership/table.py
@@ -16,6 +16,7 @@
 # A heartbeat that is fresher by less than this is not passed on.
 AGE_GAIN_S = 0.05
 NEVER = float("-inf")
+FOREVER = float("inf")
 
 
 class Group:
@@ -65,18 +66,39 @@
     message can have been under way are both subtracted, so neither a delay nor a
     pause makes old news fresh.
 
-    Attributes:
-        lease_s: Time an announcement stands without renewal, in seconds.
+    What is listed is worked out anew only after a change or a lapse.
     """
 
-    __slots__ = ("lease_s", "_clock", "_groups", "_left", "_reports")
+    __slots__ = (
+        "_lease_s",
+        "_clock",
+        "_groups",
+        "_left",
+        "_reports",
+        "_servers",
+        "_peers",
+        "_lapse_at",
+    )
 
     def __init__(self, clock, lease_s):
-        self.lease_s = lease_s
+        self._lease_s = lease_s
         self._clock = clock
         self._groups = {}
         self._left = {}
         self._reports = {}
+        self._servers = ()
+        self._peers = ()
+        self._lapse_at = NEVER
+
+    @property
+    def lease_s(self):
+        """Time an announcement stands without renewal, in seconds."""
+        return self._lease_s
+
+    @lease_s.setter
+    def lease_s(self, lease_s):
+        self._lease_s = lease_s
+        self._lapse_at = NEVER
 
     def apply(self, announcement):
         """Take in a list; return whether it is newer than the one held."""
@@ -90,6 +112,7 @@
         group.beat = 0
         group.loads = ()
         self._note_leaving(group.announcement)
+        self._lapse_at = NEVER
         return True
 
     def renew(self, heartbeat, delay_s=0.0):
@@ -105,6 +128,8 @@
         heard_at = self._clock.now() - heartbeat.age_s - delay_s
         if heartbeat.stamp != group.stamp or heard_at <= group.heard_at:
             return False
+        if not self._is_live(group):
+            self._lapse_at = NEVER
         group.heard_at = heard_at
         if heartbeat.beat <= group.beat:
             return False
@@ -157,28 +182,20 @@
         )
 
     def servers(self):
-        """Return the backend servers that take new work, sorted by address."""
-        found = {}
-        for group in self._groups.values():
-            if self._is_live(group):
-                self._collect(group, found)
-        servers = tuple(found[address] for address in sorted(found))
-        self._check_leaving(servers)
-        return servers
+        """Return the backend servers that take new work, sorted by address.
+
+        The same tuple is returned until something has changed.
+        """
+        self._refresh()
+        return self._servers
 
-    def peers(self, own=""):
+    def peers(self):
         """Return the nodes that were heard within the lease, sorted by name.
 
-        Args:
-            own: Name of this node, which is left out.
+        The same tuple is returned until something has changed.
         """
-        live = [
-            group.announcement
-            for group in self._groups.values()
-            if self._is_live(group) and group.announcement.group != own
-        ]
-        live.sort(key=lambda announcement: announcement.group)
-        return tuple(create_peer(announcement) for announcement in live)
+        self._refresh()
+        return self._peers
 
     def take_loads(self):
         """Return the load reports since the last call, as `LoadReported`."""
@@ -201,6 +218,23 @@
             if group.announcement is not None:
                 self._note_leaving(group.announcement)
 
+    def _refresh(self):
+        if self._clock.now() <= self._lapse_at:
+            return
+        live = [group for group in self._groups.values() if self._is_live(group)]
+        heard_at = min((group.heard_at for group in live), default=FOREVER)
+        self._lapse_at = heard_at + self._lease_s
+        self._servers = self._list_servers(live)
+        self._check_leaving(self._servers)
+        peers = [create_peer(group.announcement) for group in live]
+        self._peers = tuple(sorted(peers, key=lambda peer: peer.name))
+
+    def _list_servers(self, live):
+        found = {}
+        for group in live:
+            self._collect(group, found)
+        return tuple(found[address] for address in sorted(found))
+
     def _touch(self, name):
         group = self._groups.get(name)
         if group is None:
@@ -216,7 +250,7 @@
         return announcement.stamp > group.stamp
 
     def _is_live(self, group):
-        return self._clock.now() - group.heard_at <= self.lease_s
+        return self._clock.now() - group.heard_at <= self._lease_s
 
     def _is_fresher(self, group, theirs):
         if group.stamp != theirs.stamp:
