--- a/persimmonlane/rpc.py
+++ b/persimmonlane/rpc.py
@@ -26,6 +26,13 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1000),
+    # A connection that has gone silent is given up and replaced.
+    ("grpc.keepalive_time_ms", 1000),
+    ("grpc.keepalive_timeout_ms", 1000),
+    ("grpc.http2.ping_timeout_ms", 1000),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", 500),
+    ("grpc.http2.max_ping_strikes", 0),
 )
 
 
