--- a/persimmonlane/overload/queue.py
+++ b/persimmonlane/overload/queue.py
@@ -9,6 +9,7 @@
 from ..errors import Refusal
 
 MIN_QUANTUM = 0.05
+FIRST_CREDIT = 1.0
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 SERVICE_TIME_SMOOTHING = 0.1
@@ -34,7 +35,11 @@
 
 
 class Flow:
-    """The waiting requests of one organisation."""
+    """The waiting requests of one organisation.
+
+    It begins with enough credit for one usual request, so that an organisation with
+    few requests waits for one round at most.
+    """
 
     __slots__ = ("organisation", "requests", "cost", "deficit")
 
@@ -42,7 +47,7 @@
         self.organisation = organisation
         self.requests = collections.deque()
         self.cost = 0.0
-        self.deficit = 0.0
+        self.deficit = FIRST_CREDIT
 
 
 class ServiceQueue:
