Hold retries to a share of the last second, and shed by deviation of latency

Cause of late work in the queue: a request was run if its deadline left the mean latency, so that a third of the head of a long queue came too late.

--- a/persimmonlane/overload/queue.py
+++ b/persimmonlane/overload/queue.py
@@ -13,6 +13,7 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 SERVICE_TIME_SMOOTHING = 0.1
+DEVIATIONS = 3.0
 
 
 class QueuedRequest:
@@ -69,6 +70,7 @@
         "_size",
         "_evicted",
         "_typical_s",
+        "_deviation_s",
         "_interval_s",
         "_taken_at",
     )
@@ -90,6 +92,7 @@
         self._size = 0
         self._evicted = []
         self._typical_s = 0.0
+        self._deviation_s = 0.0
         self._interval_s = 0.0
         self._taken_at = None
 
@@ -104,6 +107,8 @@
         """Take the latency of an answer, to tell which deadlines can be met."""
         change = latency_s - self._typical_s
         self._typical_s += SERVICE_TIME_SMOOTHING * change
+        spread = abs(change) - self._deviation_s
+        self._deviation_s += SERVICE_TIME_SMOOTHING * spread
 
     def offer(self, request):
         """Take a request that has to wait.
@@ -115,7 +120,7 @@
             Refusal: If the deadline can't be met, or the organisation itself holds
                 most of a full queue.
         """
-        if self._is_hopeless(request, self._clock.now()):
+        if request.deadline - self._clock.now() <= self._typical_s:
             raise self.refuse("deadline-too-short")
         flow = self._flows.get(request.organisation)
         if flow is None:
@@ -183,7 +188,14 @@
         self._taken_at = now if self._size else None
 
     def _is_hopeless(self, request, now):
-        return request.deadline - now <= self._typical_s
+        """Return whether a request can hardly be answered by its deadline.
+
+        The fuller the queue, the surer an answer in time has to be, since others
+        with more time left wait for the same slot.
+        """
+        fullness = self._size / self._service.queue_limit
+        margin_s = DEVIATIONS * self._deviation_s * fullness
+        return request.deadline - now <= self._typical_s + margin_s
 
     def _add_flow(self, organisation):
         flow = self._flows[organisation] = Flow(organisation)
--- a/persimmonlane/retries/budget.py
+++ b/persimmonlane/retries/budget.py
@@ -3,7 +3,7 @@
 Keeps retries to a share of recent requests.
 """
 
-WINDOW_S = 10.0
+WINDOW_S = 1.0
 SPARE_RETRIES = 2.0
 
 
