--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -49,6 +49,10 @@
         """Let good evidence, a negative change of the sum, count against windows."""
         self.count = max(0.0, self.count + change / self._nats)
 
+    def fill(self):
+        """Take all windows up to the last one for bad."""
+        self._bits = WINDOW_MASK
+
     def copy(self):
         """Return an equal mask of its own."""
         other = WindowMask(self._nats)
--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -184,6 +184,8 @@
     def conclude(self):
         """Begin anew, but go on telling other nodes what led to the verdict."""
         concluded = Conclusion(self.score, self.mask.copy())
+        # A node that follows need not have seen the windows itself.
+        concluded.mask.fill()
         self.reset()
         self._concluded = concluded
 
