--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -8,8 +8,10 @@
 
 from .detectors import CLEAR, Assessment, Detector, Level, registry
 from .evidence import ENTRY_LIMIT, ServerEvidence, ServiceEvidence
+from .observers import Observers
 from .outcome import Kind
 from .references import Reference
+from .suspicions import Suspicions
 from .symptoms import (
     ERROR_TRIAL,
     KIND_SYMPTOMS,
@@ -31,12 +33,8 @@
 LEAST_THRESHOLD = 8.0
 SUSPECT_SHARE = 0.5
 SUSPECT_WINDOWS = 3
-HOT_SCORE = 5.0
-HOT_S = 5.0
-EXPORT_S = 1.0
-URGENT_S = 2.0
+TOLD_SCORE = 5.0
 LONE_S = 1.0
-OBSERVER_S = 10.0
 COMMON_RATE = 0.4
 COMMON_KEPT = 0.8
 COLD_FACTOR = 4.0
@@ -46,38 +44,6 @@
 EPOCH_LIMIT = 1 << 48
 
 
-class Observer:
-    """Another node that reports evidence on the service.
-
-    Attributes:
-        epoch: Epoch of its evidence.
-        sequence: Highest sequence number that came.
-        active: Monotonic seconds of its last attempt.
-    """
-
-    __slots__ = ("epoch", "sequence", "active")
-
-    def __init__(self, epoch):
-        self.epoch = epoch
-        self.sequence = 0
-        self.active = 0.0
-
-
-class Hot:
-    """A backend server that some node suspects.
-
-    Attributes:
-        since: Monotonic seconds at which the suspicion arose.
-        until: Monotonic seconds at which it lapses.
-    """
-
-    __slots__ = ("since", "until")
-
-    def __init__(self, since):
-        self.since = since
-        self.until = since
-
-
 @registry.register
 class Cusum(Detector):
     """Bernoulli CUSUM per backend server and symptom.
@@ -101,11 +67,10 @@
         self._threshold = LEAST_THRESHOLD
         self._windows = find_windows(service.detection)
         self._window = self._find_window()
-        self._hot = {}
-        self._observers = {}
+        self._suspicions = Suspicions()
+        self._observers = Observers()
         self._epoch = rng.randrange(EPOCH_LIMIT)
         self._sequence = 0
-        self._exported = -math.inf
         self._active = -math.inf
         self._peers = 0
 
@@ -200,29 +165,30 @@
         self._peers = count
 
     def export_evidence(self):
-        """Return the evidence on the backend servers that some node suspects.
-
-        Evidence is due at each call while a suspicion is new, then once a second.
-        """
+        """Return the evidence on the backend servers that some node suspects."""
         now = self.clock.now()
-        self._hot = {a: hot for a, hot in self._hot.items() if hot.until > now}
-        if not self._is_export_due(now):
+        addresses = self._suspicions.find_addresses(now)
+        if not self._suspicions.is_due(now):
             return None
-        self._exported = now
+        self._suspicions.exported = now
         self._sequence += 1
-        addresses = sorted(self._hot, key=self._rank_hot)[:ENTRY_LIMIT]
+        addresses.sort(key=self._rank_suspect)
         return ServiceEvidence(
             self.service.name,
             self._epoch,
             self._sequence,
             min(now - self._active, DAY_S),
-            tuple(self._export_entry(address) for address in addresses),
+            tuple(self._export_entry(a) for a in addresses[:ENTRY_LIMIT]),
         )
 
     def merge_evidence(self, node, evidence):
         """Add the evidence of another node to the pool."""
         now = self.clock.now()
-        if not self._note_observer(node, evidence, now):
+        if not self._observers.is_known(node, evidence):
+            self._observers.add(node, evidence, now)
+            for track in self._tracks.values():
+                track.forget(node)
+        if not self._observers.accept(node, evidence, now):
             return
         for entry in evidence.entries:
             track = self._find_track(entry.address)
@@ -230,20 +196,9 @@
                 continue
             self._merge_entry(node, track, entry, now)
 
-    def _is_export_due(self, now):
-        if now - self._exported >= EXPORT_S:
-            return bool(self._hot)
-        return any(now - hot.since <= URGENT_S for hot in self._hot.values())
-
-    def _rank_hot(self, address):
+    def _rank_suspect(self, address):
         return -self._tracks[address].find_score()
 
-    def _heat(self, address, now):
-        hot = self._hot.get(address)
-        if hot is None:
-            hot = self._hot[address] = Hot(now)
-        hot.until = now + HOT_S
-
     def _find_window(self):
         return int(self.clock.now() / WINDOW_S)
 
@@ -253,7 +208,7 @@
 
     def _forget_untracked(self):
         tracks = self._tracks
-        self._hot = {a: hot for a, hot in self._hot.items() if a in tracks}
+        self._suspicions.retain(tracks)
         self._assessments = {a: v for a, v in self._assessments.items() if a in tracks}
 
     def _find_track(self, address):
@@ -356,15 +311,10 @@
         """Return the threshold for the wanted time between false ejections."""
         trials = sum(track.long.trials[ERROR_TRIAL] for track in active)
         rate = max(LEAST_TRAFFIC, trials / LONG_S / len(active))
-        rate *= 1 + len(self._find_observers())
+        rate *= 1 + self._observers.count_active(self.clock.now())
         trials = self.service.detection.false_ejection_days * DAY_S * rate
         return max(LEAST_THRESHOLD, math.log(trials * len(SYMPTOMS)))
 
-    def _find_observers(self):
-        now = self.clock.now()
-        observers = self._observers.values()
-        return [o for o in observers if now - o.active <= OBSERVER_S]
-
     def _weigh_track(self, track, trials, failures, now):
         rates = track.rates = self._reference.find_rates(track)
         changes = [0.0] * len(SYMPTOMS)
@@ -399,8 +349,8 @@
             return
         symptom = track.find_symptom()
         evidence = track.symptoms[symptom]
-        if evidence.score >= HOT_SCORE:
-            self._heat(address, now)
+        if evidence.score >= TOLD_SCORE:
+            self._suspicions.renew(address, now)
         self._assessments[address] = Assessment(
             self._find_level(track, evidence),
             SYMPTOMS[symptom],
@@ -422,7 +372,8 @@
             return False
         if evidence.pooled_windows < self._windows:
             return False
-        if evidence.pool is None or not self._find_observers():
+        observers = self._observers.count_active(self.clock.now())
+        if evidence.pool is None or not observers:
             return self._is_alone(track) and evidence.score >= threshold
         if not evidence.score and track.short.trials[ERROR_TRIAL] >= VETO_TRIALS:
             return False
@@ -435,27 +386,14 @@
         """Return whether no other node answered though it had the time to."""
         if not self._peers:
             return True
-        hot = self._hot.get(track.server.address)
-        return hot is not None and self.clock.now() - hot.since >= LONE_S
-
-    def _note_observer(self, node, evidence, now):
-        """Return whether evidence is new; note when its node was active."""
-        observer = self._observers.get(node)
-        if observer is None or observer.epoch != evidence.epoch:
-            observer = self._observers[node] = Observer(evidence.epoch)
-            for track in self._tracks.values():
-                track.forget(node)
-        if evidence.sequence <= observer.sequence:
-            return False
-        observer.sequence = evidence.sequence
-        observer.active = now - evidence.idle_s
-        return True
+        now = self.clock.now()
+        return self._suspicions.find_age(track.server.address, now) >= LONE_S
 
     def _merge_entry(self, node, track, entry, now):
         for evidence, reported in zip(track.symptoms, entry.symptoms, strict=False):
             evidence.merge(node, reported, self._window, self._threshold)
-            if reported.score >= HOT_SCORE:
-                self._heat(entry.address, now)
+            if reported.score >= TOLD_SCORE:
+                self._suspicions.renew(entry.address, now)
 
     def _export_entry(self, address):
         track = self._tracks[address]
--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -189,6 +189,10 @@
         self.reset()
         self._concluded = concluded
 
+    def is_concluded(self):
+        """Return whether the symptom led to an ejection that still stands."""
+        return self._concluded is not None
+
     def reset(self):
         """Forget what was seen; the cumulative sum stays."""
         self._concluded = None
@@ -326,8 +330,10 @@
 
     def conclude(self):
         """Begin anew, but go on telling other nodes what led to the verdict."""
+        self.symptoms[self.find_symptom()].conclude()
         for symptom in self.symptoms:
-            symptom.conclude()
+            if not symptom.is_concluded():
+                symptom.reset()
         self._begin_anew()
 
     def _begin_anew(self):
