Ask for fewer bad windows of errors than of slowness

Bursts of errors are rarer than pauses, so fewer windows give the same time between false ejections.

--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -28,7 +28,7 @@
 
 DAY_S = 86400.0
 LEAST_TRAFFIC = 0.2
-BURST_EVERY_S = 20.0
+BURSTS_EVERY_S = (120.0, 120.0, 20.0)
 BURST_S = 0.125
 LEAST_THRESHOLD = 8.0
 SUSPECT_SHARE = 0.5
@@ -352,25 +352,25 @@
         if evidence.score >= TOLD_SCORE:
             self._suspicions.renew(address, now)
         self._assessments[address] = Assessment(
-            self._find_level(track, evidence),
+            self._find_level(track, evidence, self._windows[symptom]),
             SYMPTOMS[symptom],
             min(1.0, max(evidence.score, evidence.pooled_score) / self._threshold),
             track.find_severity(symptom),
         )
 
-    def _find_level(self, track, evidence):
-        if self._is_failing(track, evidence):
+    def _find_level(self, track, evidence, windows):
+        if self._is_failing(track, evidence, windows):
             return Level.FAILING
         suspect = evidence.score >= SUSPECT_SHARE * self._threshold
         if suspect and evidence.mask.count >= SUSPECT_WINDOWS:
             return Level.SUSPECT
         return Level.CLEAR
 
-    def _is_failing(self, track, evidence):
+    def _is_failing(self, track, evidence, windows):
         threshold = self._threshold
         if evidence.pooled_score < threshold:
             return False
-        if evidence.pooled_windows < self._windows:
+        if evidence.pooled_windows < windows:
             return False
         observers = self._observers.count_active(self.clock.now())
         if evidence.pool is None or not observers:
@@ -379,7 +379,7 @@
             return False
         own = evidence.export(self._window)
         return evidence.pool.is_corroborated(
-            own, threshold * OTHERS_SHARE, self._windows * OTHERS_SHARE, self._window
+            own, threshold * OTHERS_SHARE, windows * OTHERS_SHARE, self._window
         )
 
     def _is_alone(self, track):
@@ -405,14 +405,16 @@
 
 
 def find_windows(policy):
-    """Return the number of bad windows that a verdict takes.
+    """Return the number of bad windows that a verdict takes, for each symptom.
 
     A healthy backend server has bursts of trouble, of exponential length, now and
-    then. So many windows are asked for that chance fills them with one burst only
-    once in the wanted time between false ejections.
+    then; pauses are more frequent than bursts of errors. So many windows are asked
+    for that chance fills them with one burst only once in the wanted time between
+    false ejections.
 
     Args:
         policy: The service's `DetectionPolicy`.
     """
-    bursts = max(math.e, policy.false_ejection_days * DAY_S / BURST_EVERY_S)
-    return math.ceil(math.log(bursts) * BURST_S / WINDOW_S)
+    wanted_s = policy.false_ejection_days * DAY_S
+    bursts = (max(math.e, wanted_s / every_s) for every_s in BURSTS_EVERY_S)
+    return [math.ceil(math.log(count) * BURST_S / WINDOW_S) for count in bursts]
