Tell a conclusion for ten seconds, not only while its windows last

Cause: the windows of a node that had ejected shifted out of its report after 4 s, so that the last node, with little traffic, found nobody to confirm it.

--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -17,9 +17,10 @@
 
     Attributes:
         count: Number of distinct windows, less what good evidence outweighs.
+        index: Last window that was added.
     """
 
-    __slots__ = ("count", "_nats", "_bits", "_index")
+    __slots__ = ("count", "index", "_nats", "_bits")
 
     def __init__(self, nats):
         """Begin without windows.
@@ -30,35 +31,31 @@
         self._nats = nats
         self.count = 0.0
         self._bits = 0
-        self._index = 0
+        self.index = 0
 
     def add(self, bits, index):
         """Add windows; the lowest bit stands for window `index`."""
         known = self.read(index)
         fresh = bits & ~known
         self._bits = known | fresh
-        self._index = index
+        self.index = index
         self.count += fresh.bit_count()
 
     def read(self, index):
         """Return the windows as bits whose lowest stands for window `index`."""
-        shift = min(index - self._index, WINDOW_BITS)
+        shift = min(index - self.index, WINDOW_BITS)
         return (self._bits << shift) & WINDOW_MASK
 
     def outweigh(self, change):
         """Let good evidence, a negative change of the sum, count against windows."""
         self.count = max(0.0, self.count + change / self._nats)
 
-    def fill(self):
-        """Take all windows up to the last one for bad."""
-        self._bits = WINDOW_MASK
-
     def copy(self):
         """Return an equal mask of its own."""
         other = WindowMask(self._nats)
         other.count = self.count
         other._bits = self._bits
-        other._index = self._index
+        other.index = self.index
         return other
 
     def clear(self):
--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -7,7 +7,7 @@
 import math
 
 from .evidence import RISE_WINDOWS, SymptomEvidence
-from .pool import CEILING, PooledSum, WindowMask
+from .pool import CEILING, WINDOW_MASK, PooledSum, WindowMask
 from .symptoms import LEAST_RATES, OUTWEIGHING_NATS, TRIAL_SYMPTOMS, TRIALS
 
 WINDOW_S = 0.125
@@ -20,6 +20,7 @@
 IDLE_TRIALS = 0.01
 NEGLIGIBLE = 1e-4
 SAMPLE_WINDOWS = 4
+CONCLUDED_WINDOWS = 80
 RANGE = range(TRIALS)
 
 
@@ -78,14 +79,14 @@
 
     Attributes:
         score: CUSUM at that time.
-        mask: `WindowMask` at that time.
+        index: Last window with bad evidence.
     """
 
-    __slots__ = ("score", "mask")
+    __slots__ = ("score", "index")
 
-    def __init__(self, score, mask):
+    def __init__(self, score, index):
         self.score = score
-        self.mask = mask
+        self.index = index
 
 
 class SymptomTrack:
@@ -174,18 +175,17 @@
 
     def export(self, index):
         """Return the `SymptomEvidence` for other nodes."""
-        score, mask = self.score, self.mask
-        if self._concluded is not None and not score:
-            score, mask = self._concluded.score, self._concluded.mask
-        rises = tuple(self._find_rise(windows) for windows in RISE_WINDOWS)
-        windows = mask.read(index)
+        score, windows = self.score, self.mask.read(index)
+        concluded = self._concluded
+        if concluded is not None and index - concluded.index <= CONCLUDED_WINDOWS:
+            # A node that follows need not have seen the windows itself.
+            score, windows = max(score, concluded.score), WINDOW_MASK
+        rises = tuple(self._find_rise(span) for span in RISE_WINDOWS)
         return SymptomEvidence(round(self.total, 2), rises, round(score, 2), windows)
 
     def conclude(self):
         """Begin anew, but go on telling other nodes what led to the verdict."""
-        concluded = Conclusion(self.score, self.mask.copy())
-        # A node that follows need not have seen the windows itself.
-        concluded.mask.fill()
+        concluded = Conclusion(self.score, self.mask.index)
         self.reset()
         self._concluded = concluded
 
@@ -209,10 +209,10 @@
             self.score = 0.0
             self.mask.clear()
 
-    def _find_rise(self, windows):
+    def _find_rise(self, span):
         if not self._totals:
             return round(self.total, 2)
-        back = min(windows // SAMPLE_WINDOWS, len(self._totals))
+        back = min(span // SAMPLE_WINDOWS, len(self._totals))
         return round(self.total - self._totals[-back], 2)
 
 
