--- a/persimmonlane/retries/attempts.py
+++ b/persimmonlane/retries/attempts.py
@@ -12,6 +12,9 @@
 def decide_retry(verdict, idempotent, attempt, remaining_s, policy, budget):
     """Return whether a request may be sent again.
 
+    It is asked only after an attempt that gave no usable answer: one that failed, was
+    refused, or ended short.
+
     Args:
         verdict: The `Verdict` of the attempt that ended.
         idempotent: Whether the request is idempotent.
@@ -20,9 +23,7 @@
         policy: The service's `RetryPolicy`.
         budget: The service's `RetryBudget`; charged if the answer is yes.
     """
-    if verdict is Verdict.RAN:
-        return False
-    if verdict is Verdict.MAY_HAVE_RUN and not idempotent:
+    if verdict is not Verdict.NOT_RUN and not idempotent:
         return False
     if attempt >= policy.attempts or remaining_s <= MIN_REMAINING_S:
         return False
--- a/persimmonlane/retries/tests/test_attempts.py
+++ b/persimmonlane/retries/tests/test_attempts.py
@@ -80,6 +80,13 @@
         request.begin("10.0.0.1:80")
         self.assertRaises(InvariantError, request.begin, "10.0.0.2:80")
 
+    def test_only_idempotent_request_is_sent_again_after_a_short_answer(self):
+        for idempotent in (True, False):
+            request, _ = create_attempts(idempotent)
+            request.begin("10.0.0.1:80")
+            request.end(RAN)
+            self.assertIs(idempotent, request.may_retry(RAN))
+
     def test_idempotent_request_is_sent_elsewhere(self):
         request, _ = create_attempts(idempotent=True)
         request.begin("10.0.0.1:80")
