--- a/persimmonlane/ejection/part.py
+++ b/persimmonlane/ejection/part.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import random
 import threading
 
 import grpc
@@ -21,6 +22,7 @@
 ASK_TIMEOUT_S = 1.0
 SEND_TIMEOUT_S = 1.0
 SENDING_LIMIT = 256
+RECEIVERS_LIMIT = 16
 
 
 class EvidenceServicer(ejection_pb2_grpc.EvidenceExchangeServicer):
@@ -45,6 +47,7 @@
         self._channels = channels
         self._peers = peers
         self._traffic = None
+        self._rng = random.Random()
         self._ended = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._sending = threading.Semaphore(SENDING_LIMIT)
@@ -83,9 +86,8 @@
             data_centre=self._settings.data_centre,
             services=[encode_evidence(evidence) for evidence in due],
         )
-        for peer in self._peers():
-            if peer.data_centre == self._settings.data_centre and peer.ingress:
-                self._send(peer, report)
+        for peer in choose_receivers(self._peers(), self._settings, self._rng):
+            self._send(peer, report)
 
     def _run(self):
         while not self._ended.wait(POLL_S):
@@ -118,6 +120,23 @@
             log.debug("Ejection: evidence came after the traffic actor's end.")
 
 
+def choose_receivers(peers, settings, rng):
+    """Return the peers that get a report.
+
+    In a large data centre these are a few at random each time: sums are cumulative, so
+    a peer that is left out loses nothing but time.
+
+    Args:
+        peers: All peers.
+        settings: The `NodeSettings`.
+        rng: A `random.Random`.
+    """
+    near = [p for p in peers if p.ingress and p.data_centre == settings.data_centre]
+    if len(near) <= RECEIVERS_LIMIT:
+        return near
+    return rng.sample(near, RECEIVERS_LIMIT)
+
+
 def decode_services(report):
     """Yield the evidence of a report that this version can read."""
     for data in report.services:
--- a/persimmonlane/ejection/tests/test_part.py
+++ b/persimmonlane/ejection/tests/test_part.py
@@ -1,3 +1,5 @@
+import random
+
 import pykka
 import testtools
 
@@ -8,7 +10,7 @@
 from ...settings import NodeSettings
 from ..evidence import ServerEvidence, ServiceEvidence, SymptomEvidence
 from ..messages import EvidenceArrived, EvidenceWanted
-from ..part import build_evidence_exchange
+from ..part import RECEIVERS_LIMIT, build_evidence_exchange, choose_receivers
 
 TOKEN = "a-token-for-tests-only"
 WAIT_S = 10.0
@@ -31,15 +33,19 @@
         return None
 
 
+def create_settings(name):
+    return NodeSettings(
+        name=name,
+        data_centre="east",
+        rpc="127.0.0.1:0",
+        store="127.0.0.1:1",
+        fleet_token=TOKEN,
+    )
+
+
 class ExchangeTests(testtools.TestCase):
     def build_node(self, name, due, peers):
-        settings = NodeSettings(
-            name=name,
-            data_centre="east",
-            rpc="127.0.0.1:0",
-            store="127.0.0.1:1",
-            fleet_token=TOKEN,
-        )
+        settings = create_settings(name)
         application = Application()
         server = application.add(RpcServer(settings.rpc, TOKEN))
         channels = application.add(Channels(TOKEN))
@@ -69,3 +75,13 @@
         self.assertEqual("a", message.node)
         self.assertEqual((evidence,), message.evidence)
         self.assertRaises(pykka.Timeout, far_arrived.get, timeout=0)
+
+    def test_large_data_centre_is_told_in_parts(self):
+        peers = [Peer(f"n{number}", "east", "127.0.0.1:1") for number in range(100)]
+        rng = random.Random(3)
+        told = set()
+        for _ in range(40):
+            chosen = choose_receivers(peers, create_settings("a"), rng)
+            self.assertEqual(RECEIVERS_LIMIT, len(chosen))
+            told.update(peer.name for peer in chosen)
+        self.assertEqual(100, len(told))
