Widen the trickle of a trial with time

Cause: ten good answers at a twentieth of 1 request/s take 200 s, so that a service with little traffic got its server back late. Seen failing first: without the doubling the test of a trial at 1 request/s does not see the return within 45 s.

--- a/persimmonlane/ejection/ejector.py
+++ b/persimmonlane/ejection/ejector.py
@@ -27,7 +27,9 @@
 HOLD_S = 2.0
 CERTAIN_SCORE = 0.99
 CONFIRM_S = 3.0
-IDEMPOTENT_TRICKLE = Standing(State.TRIAL, 0.05, idempotent_only=True)
+TRICKLE_WEIGHT = 0.05
+MOST_TRICKLE_WEIGHT = 0.4
+TRICKLE_DOUBLING_S = 5.0
 SPARED = Standing(State.SUSPECT, 0.5)
 DOUBTED = Standing(State.SUSPECT, 0.5, idempotent_only=True)
 AVOIDED = Standing(State.SUSPECT, 0.02, idempotent_only=True)
@@ -252,6 +254,8 @@
             self._eject(record, assessment, now)
         elif record.good >= TRIAL_GOOD:
             self._return(record, now)
+        else:
+            record.standing = trickle(now - record.changed)
 
     def _fail(self, record, assessment, now):
         records = self._records.values()
@@ -308,7 +312,8 @@
 
     def _begin_trial(self, record, now):
         record.state = State.TRIAL
-        record.standing = IDEMPOTENT_TRICKLE
+        record.standing = trickle(0.0)
+        record.changed = now
         record.good = 0
         record.bad = 0
         self._detector.reset(record.server.address)
@@ -370,3 +375,14 @@
 
     def _note(self, event, record, now):
         self._events.append(event(record.server.address, now, record.symptom))
+
+
+def trickle(age_s):
+    """Return the standing in a trial, which widens where traffic is scarce.
+
+    Args:
+        age_s: Seconds since the trial began.
+    """
+    weight = TRICKLE_WEIGHT * 2.0 ** min(age_s // TRICKLE_DOUBLING_S, 10.0)
+    weight = min(weight, MOST_TRICKLE_WEIGHT)
+    return Standing(State.TRIAL, weight, idempotent_only=True)
--- a/persimmonlane/ejection/tests/test_ejector.py
+++ b/persimmonlane/ejection/tests/test_ejector.py
@@ -206,6 +206,14 @@
         self.assertEqual(["ejected", "trial", "returned"], names[-3:])
         self.assertEqual(1.0, feed.standing().weight)
 
+    def test_trickle_widens_where_traffic_is_scarce(self):
+        feed = Feed()
+        self.eject(feed)
+        feed.run(10.0, rate=1.0)
+        self.probe(feed, seconds=2.0)
+        feed.run(45.0, rate=1.0)
+        self.assertEqual(1, len(feed.events_of("returned")))
+
     def test_second_ejection_lasts_longer(self):
         feed = Feed()
         self.eject(feed)
