Weigh bad windows apart from each other, and count a burst's edges

Cause 1: with little traffic a server that failed half of its requests was avoided by all nodes and ejected by few: no four seconds held the windows that the other nodes had to confirm, and a node left the server almost no traffic as soon as the pool, not itself, was certain.

--- a/persimmonlane/ejection/cusum.py
+++ b/persimmonlane/ejection/cusum.py
@@ -19,6 +19,7 @@
     OVERDUE_TRIAL,
     SLOW,
     SYMPTOMS,
+    TRAITS,
     TRIAL_SYMPTOMS,
     WRONG,
     WRONG_TRIAL,
@@ -28,7 +29,6 @@
 
 DAY_S = 86400.0
 LEAST_TRAFFIC = 0.2
-BURSTS_EVERY_S = (120.0, 120.0, 20.0)
 BURST_S = 0.125
 LEAST_THRESHOLD = 8.0
 SUSPECT_SHARE = 0.5
@@ -40,7 +40,8 @@
 COLD_FACTOR = 4.0
 LEAST_EXCESS_S = 0.005
 VETO_TRIALS = 2.0
-OTHERS_SHARE = 0.8
+OTHERS_SCORE_SHARE = 0.5
+OTHERS_WINDOWS_SHARE = 0.8
 EPOCH_LIMIT = 1 << 48
 
 
@@ -356,6 +357,7 @@
             SYMPTOMS[symptom],
             min(1.0, max(evidence.score, evidence.pooled_score) / self._threshold),
             track.find_severity(symptom),
+            evidence.score >= self._threshold,
         )
 
     def _find_level(self, track, evidence, windows):
@@ -379,7 +381,10 @@
             return False
         own = evidence.export(self._window)
         return evidence.pool.is_corroborated(
-            own, threshold * OTHERS_SHARE, windows * OTHERS_SHARE, self._window
+            own,
+            threshold * OTHERS_SCORE_SHARE,
+            windows * OTHERS_WINDOWS_SHARE,
+            self._window,
         )
 
     def _is_alone(self, track):
@@ -405,7 +410,7 @@
 
 
 def find_windows(policy):
-    """Return the number of bad windows that a verdict takes, for each symptom.
+    """Return the weight of bad windows that a verdict takes, for each symptom.
 
     A healthy backend server has bursts of trouble, of exponential length, now and
     then; pauses are more frequent than bursts of errors. So many windows are asked
@@ -416,5 +421,12 @@
         policy: The service's `DetectionPolicy`.
     """
     wanted_s = policy.false_ejection_days * DAY_S
-    bursts = (max(math.e, wanted_s / every_s) for every_s in BURSTS_EVERY_S)
-    return [math.ceil(math.log(count) * BURST_S / WINDOW_S) for count in bursts]
+    return [count_windows(traits, wanted_s) for traits in TRAITS]
+
+
+def count_windows(traits, wanted_s):
+    """Return the weight of bad windows that a verdict on one symptom takes."""
+    bursts = max(math.e, wanted_s / traits.bursts_every_s)
+    length = math.ceil(math.log(bursts) * BURST_S / WINDOW_S)
+    # A burst begins and ends within windows, so it touches one more.
+    return length + 1 + traits.row_weight
--- a/persimmonlane/ejection/detectors.py
+++ b/persimmonlane/ejection/detectors.py
@@ -26,15 +26,19 @@
         symptom: Name of the leading symptom, empty where there is none.
         score: Evidence as a share of what an ejection takes, from 0 to 1.
         severity: Share of bad outcomes lately, from 0 to 1.
+        certain: Whether this node alone has all the evidence that it takes.
     """
 
-    __slots__ = ("level", "symptom", "score", "severity")
+    __slots__ = ("level", "symptom", "score", "severity", "certain")
 
-    def __init__(self, level=Level.CLEAR, symptom="", score=0.0, severity=0.0):
+    def __init__(
+        self, level=Level.CLEAR, symptom="", score=0.0, severity=0.0, certain=False
+    ):
         self.level = level
         self.symptom = symptom
         self.score = score
         self.severity = severity
+        self.certain = certain
 
 
 CLEAR = Assessment()
--- a/persimmonlane/ejection/ejector.py
+++ b/persimmonlane/ejection/ejector.py
@@ -25,7 +25,6 @@
 TRIAL_GOOD = 10
 TRIAL_BAD = 3
 HOLD_S = 2.0
-CERTAIN_SCORE = 0.99
 CONFIRM_S = 3.0
 TRICKLE_WEIGHT = 0.05
 MOST_TRICKLE_WEIGHT = 0.4
@@ -286,7 +285,7 @@
 
     def _suspect(self, record, assessment, now):
         record.severity = assessment.severity
-        record.certain = assessment.score >= CERTAIN_SCORE
+        record.certain = assessment.certain
         record.held_until = now + HOLD_S
         if record.state is State.SUSPECT:
             return
--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -16,19 +16,19 @@
     """The windows with bad evidence in the present rise of a sum.
 
     Attributes:
-        count: Number of distinct windows, less what good evidence outweighs.
+        count: Weight of the windows, less what good evidence outweighs.
         index: Last window that was added.
     """
 
-    __slots__ = ("count", "index", "_nats", "_bits")
+    __slots__ = ("count", "index", "_traits", "_bits")
 
-    def __init__(self, nats):
+    def __init__(self, traits):
         """Begin without windows.
 
         Args:
-            nats: Good evidence that outweighs one window.
+            traits: `SymptomTraits` of the symptom.
         """
-        self._nats = nats
+        self._traits = traits
         self.count = 0.0
         self._bits = 0
         self.index = 0
@@ -39,7 +39,12 @@
         fresh = bits & ~known
         self._bits = known | fresh
         self.index = index
-        self.count += fresh.bit_count()
+        self.count += self.weigh(self._bits) - self.weigh(known)
+
+    def weigh(self, bits):
+        """Return the weight of some windows and their unbroken rows."""
+        rows = bits & ~(bits << 1)
+        return bits.bit_count() + self._traits.row_weight * rows.bit_count()
 
     def read(self, index):
         """Return the windows as bits whose lowest stands for window `index`."""
@@ -48,11 +53,11 @@
 
     def outweigh(self, change):
         """Let good evidence, a negative change of the sum, count against windows."""
-        self.count = max(0.0, self.count + change / self._nats)
+        self.count = max(0.0, self.count + change / self._traits.outweighing_nats)
 
     def copy(self):
         """Return an equal mask of its own."""
-        other = WindowMask(self._nats)
+        other = WindowMask(self._traits)
         other.count = self.count
         other._bits = self._bits
         other.index = self.index
@@ -147,7 +152,7 @@
         Args:
             own: `SymptomEvidence` of this node.
             score: Sum of CUSUMs that the others must hold.
-            windows: Distinct bad windows that they must have seen.
+            windows: Weight of the bad windows that they must have seen.
             index: Present window.
         """
         views = [Arrival(index, own)]
@@ -159,7 +164,7 @@
         for view in views[:-1]:
             seen |= view.evidence.windows << (index - view.index)
             total += view.evidence.score
-        return total >= score and (seen & WINDOW_MASK).bit_count() >= windows
+        return total >= score and self.mask.weigh(seen & WINDOW_MASK) >= windows
 
     def forget(self, node):
         """Forget the evidence of a node whose sums began anew."""
--- a/persimmonlane/ejection/symptoms.py
+++ b/persimmonlane/ejection/symptoms.py
@@ -8,13 +8,33 @@
 
 from .outcome import Kind
 
-SYMPTOMS = ("error", "wrong", "slow")
-ERROR, WRONG, SLOW = range(3)
-# Slowness comes in bursts that end at once, such as pauses; so good answers count
-# for more against it.
-OUTWEIGHING_NATS = (2.0, 2.0, 1.0)
 
+class SymptomTraits:
+    """How evidence of one symptom is weighed.
+
+    Attributes:
+        outweighing_nats: Good evidence that outweighs one bad window.
+        row_weight: Further weight of each unbroken row of bad windows, since errors
+            apart from each other take as many bursts to explain.
+        bursts_every_s: Mean time between bursts of a healthy backend server.
+    """
+
+    __slots__ = ("outweighing_nats", "row_weight", "bursts_every_s")
 
+    def __init__(self, outweighing_nats, row_weight, bursts_every_s):
+        self.outweighing_nats = outweighing_nats
+        self.row_weight = row_weight
+        self.bursts_every_s = bursts_every_s
+
+
+SYMPTOMS = ("error", "wrong", "slow")
+ERROR, WRONG, SLOW = range(3)
+# Pauses and late answers are common among healthy backend servers; errors are not.
+TRAITS = (
+    SymptomTraits(2.0, 1, 120.0),
+    SymptomTraits(2.0, 1, 120.0),
+    SymptomTraits(1.0, 0, 20.0),
+)
 # Each attempt is put to yes-or-no trials. LATE asks whether the answer came after
 # the late limit; OVERDUE asks, at each doubling of it, whether the attempt was still
 # in flight. The first two trials carry the numbers of their symptoms.
--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -8,7 +8,7 @@
 
 from .evidence import RISE_WINDOWS, SymptomEvidence
 from .pool import CEILING, WINDOW_MASK, PooledSum, WindowMask
-from .symptoms import LEAST_RATES, OUTWEIGHING_NATS, TRIAL_SYMPTOMS, TRIALS
+from .symptoms import LEAST_RATES, TRAITS, TRIAL_SYMPTOMS, TRIALS
 
 WINDOW_S = 0.125
 SHORT_S = 0.5
@@ -101,14 +101,14 @@
 
     __slots__ = ("score", "mask", "pool", "total", "_totals", "_concluded")
 
-    def __init__(self, nats):
+    def __init__(self, traits):
         """Begin without evidence.
 
         Args:
-            nats: Good evidence that outweighs one bad window.
+            traits: `SymptomTraits` of the symptom.
         """
         self.score = 0.0
-        self.mask = WindowMask(nats)
+        self.mask = WindowMask(traits)
         self.pool = None
         self.total = 0.0
         self._concluded = None
@@ -260,7 +260,7 @@
         self.log_typical = None
         self.limit_s = limit_s
         self.rates = LEAST_RATES
-        self.symptoms = [SymptomTrack(nats) for nats in OUTWEIGHING_NATS]
+        self.symptoms = [SymptomTrack(traits) for traits in TRAITS]
         self.connections_since = 0.0
 
     def note_latency(self, latency_s):
