Ask the other nodes for a span of bad windows

A burst is short while a fault lasts, so the others now need half of the windows over four fifths of the span.

--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -69,6 +69,11 @@
         self._bits = 0
 
 
+def measure_span(bits):
+    """Return the number of windows from the first to the last of some."""
+    return (bits // (bits & -bits)).bit_length() if bits else 0
+
+
 class Arrival:
     """The last evidence of one other node.
 
@@ -144,7 +149,7 @@
         """Take back evidence of this node."""
         self._sum -= amount
 
-    def is_corroborated(self, own, score, windows, index):
+    def is_corroborated(self, own, score, windows, span, index):
         """Return whether the nodes other than the worst agree.
 
         The worst one may have a bad path of its own.
@@ -153,6 +158,7 @@
             own: `SymptomEvidence` of this node.
             score: Sum of CUSUMs that the others must hold.
             windows: Weight of the bad windows that they must have seen.
+            span: Windows from the first to the last of these.
             index: Present window.
         """
         views = [Arrival(index, own)]
@@ -164,7 +170,9 @@
         for view in views[:-1]:
             seen |= view.evidence.windows << (index - view.index)
             total += view.evidence.score
-        return total >= score and self.mask.weigh(seen & WINDOW_MASK) >= windows
+        seen &= WINDOW_MASK
+        enough = total >= score and self.mask.weigh(seen) >= windows
+        return enough and measure_span(seen) >= span
 
     def forget(self, node):
         """Forget the evidence of a node whose sums began anew."""
