--- a/persimmonlane/ejection/ejector.py
+++ b/persimmonlane/ejection/ejector.py
@@ -25,9 +25,10 @@
 TRIAL_GOOD = 10
 TRIAL_BAD = 3
 HOLD_S = 2.0
-CERTAIN_SCORE = 0.99
 CONFIRM_S = 3.0
-IDEMPOTENT_TRICKLE = Standing(State.TRIAL, 0.05, idempotent_only=True)
+TRICKLE_WEIGHT = 0.05
+MOST_TRICKLE_WEIGHT = 0.4
+TRICKLE_DOUBLING_S = 5.0
 SPARED = Standing(State.SUSPECT, 0.5)
 DOUBTED = Standing(State.SUSPECT, 0.5, idempotent_only=True)
 AVOIDED = Standing(State.SUSPECT, 0.02, idempotent_only=True)
@@ -59,6 +60,7 @@
         "_departed",
         "_attempts",
         "_events",
+        "_watched",
     )
 
     def __init__(self, service, clock, rng):
@@ -71,6 +73,7 @@
         self._departed = {}
         self._attempts = itertools.count(1)
         self._events = []
+        self._watched = True
 
     def set_service(self, service):
         """Take another version of the service's policy into force."""
@@ -88,6 +91,7 @@
         records = {server.address: self._find_record(server, now) for server in servers}
         self._note_departures(records, now)
         self._records = records
+        self._watched = True
         self._detector.update_servers(servers)
         self._keep_floor()
 
@@ -112,12 +116,19 @@
     def tick(self):
         """Do what is due."""
         now = self._clock.now()
-        if not self._detector.tick():
+        if not self._detector.tick() and not self._watched:
             return
-        for record in sorted(self._records.values(), key=self._rank):
+        due = [record for record in self._records.values() if self._is_due(record)]
+        for record in sorted(due, key=self._rank):
             getattr(self, self.steps[record.state])(record, now)
-        self._keep_floor()
-        self._weigh_suspects()
+        self._watched = any(record.is_unsteady() for record in due)
+        if due:
+            self._keep_floor()
+            self._weigh_suspects()
+
+    def is_idle(self):
+        """Return whether `tick` has nothing to do until there is traffic."""
+        return not self._watched and self._detector.is_idle()
 
     def standing(self, address):
         """Return the `Standing` of a backend server."""
@@ -148,6 +159,7 @@
         record.probes += 1
         record.next_probe = now + PROBE_INTERVAL_S
         if record.probes >= PROBES_NEEDED:
+            self._watched = True
             self._begin_trial(record, now)
 
     def connections_since(self, address):
@@ -215,6 +227,11 @@
             if now - record.departed <= kept_s
         }
 
+    def _is_due(self, record):
+        if record.is_unsteady():
+            return True
+        return self._detector.assess(record.server.address).level is not Level.CLEAR
+
     def _rank(self, record):
         return -self._detector.assess(record.server.address).score
 
@@ -236,6 +253,8 @@
             self._eject(record, assessment, now)
         elif record.good >= TRIAL_GOOD:
             self._return(record, now)
+        else:
+            record.standing = trickle(now - record.changed)
 
     def _fail(self, record, assessment, now):
         records = self._records.values()
@@ -266,7 +285,7 @@
 
     def _suspect(self, record, assessment, now):
         record.severity = assessment.severity
-        record.certain = assessment.score >= CERTAIN_SCORE
+        record.certain = assessment.certain
         record.held_until = now + HOLD_S
         if record.state is State.SUSPECT:
             return
@@ -292,7 +311,8 @@
 
     def _begin_trial(self, record, now):
         record.state = State.TRIAL
-        record.standing = IDEMPOTENT_TRICKLE
+        record.standing = trickle(0.0)
+        record.changed = now
         record.good = 0
         record.bad = 0
         self._detector.reset(record.server.address)
@@ -324,6 +344,7 @@
 
     def _restore(self, record):
         now = self._clock.now()
+        self._watched = True
         record.state = State.SUSPECT
         record.standing = SPARED
         record.spared = True
@@ -353,3 +374,14 @@
 
     def _note(self, event, record, now):
         self._events.append(event(record.server.address, now, record.symptom))
+
+
+def trickle(age_s):
+    """Return the standing in a trial, which widens where traffic is scarce.
+
+    Args:
+        age_s: Seconds since the trial began.
+    """
+    weight = TRICKLE_WEIGHT * 2.0 ** min(age_s // TRICKLE_DOUBLING_S, 10.0)
+    weight = min(weight, MOST_TRICKLE_WEIGHT)
+    return Standing(State.TRIAL, weight, idempotent_only=True)
