--- a/persimmonlane/limits/ledger.py
+++ b/persimmonlane/limits/ledger.py
@@ -13,6 +13,7 @@
 from ..invariants import check_invariant
 from .messages import Grant
 from .policy import (
+    EMPTY_SHARE,
     EPSILON,
     EXCHANGES_PER_LOAN,
     FACTORS,
@@ -218,7 +219,8 @@
         if demand >= self.rate:
             return self.rate / demand
         spare = SPARE_LENT * (self.rate - demand) / demand
-        spare *= min(1.0, self.pool / (POOL_SHARE * self.burst + EPSILON))
+        filled = self.pool / (POOL_SHARE * self.burst + EPSILON)
+        spare *= min(1.0, max(EMPTY_SHARE, filled))
         for factor in FACTORS:
             if factor * compute_full_share(factor, standing) <= spare:
                 return factor
--- a/tools/limits_experiment.py
+++ b/tools/limits_experiment.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from persimmonlane.config.model import Organisation
+from persimmonlane.limits.policy import find_shard
 from persimmonlane.limits.tests import simulation
 from persimmonlane.limits.tests.fakes import FakeView
 from persimmonlane.registries import Registry
@@ -48,8 +49,8 @@
         wrongful_share: Requests refused beyond what one exact bucket would have
             refused, as a share of those offered.
         worst_wrongful_share: The same for the worst-served organisation.
-        around_fault_share: The same for the organisation hit most, in the 30 s
-            from the fault, or None.
+        around_fault_share: The same for all in the 30 s from the fault, or None.
+        worst_around_fault_share: That of the organisation hit most.
         over_admitted: Most requests of one organisation above its bound.
         calls: Calls between nodes.
         store_calls: Calls to the store.
@@ -62,6 +63,7 @@
     wrongful_share: float
     worst_wrongful_share: float
     around_fault_share: float | None
+    worst_around_fault_share: float | None
     over_admitted: float
     calls: int
     store_calls: int
@@ -75,8 +77,7 @@
 
     def find_main(self):
         """Return the node that holds the large organisation."""
-        shard = simulation_shard("large")
-        return self.find_holder(shard) or "n0"
+        return self.find_holder(find_shard("large", SHARDS)) or "n0"
 
 
 class Point:
@@ -427,13 +428,6 @@
         fleet.world.at(back, setattr, fleet.store, "away", False)
 
 
-def simulation_shard(organisation):
-    """Return the shard of an organisation."""
-    from persimmonlane.limits.policy import find_shard
-
-    return find_shard(organisation, SHARDS)
-
-
 def run_scenario(scheme, scenario, seed):
     """Run one scheme in one scenario; return a `Result`."""
     organisations = tuple(
@@ -475,12 +469,7 @@
         shares = {one: self._share(fleet, one, *whole) for one in self.offered}
         total = sum(self._count(self.offered, one, *whole) for one in self.offered)
         wrongful = sum(self._wrongful(fleet, one, *whole) for one in self.offered)
-        around = None
-        if self.scenario.fault_at_s is not None:
-            start = self.scenario.fault_at_s
-            around = max(
-                self._share(fleet, one, start, start + AROUND_S) for one in self.offered
-            )
+        around, worst_around = self._look_around(fleet)
         return Result(
             name,
             self.scenario.name,
@@ -489,11 +478,23 @@
             wrongful / total,
             max(shares.values()),
             around,
+            worst_around,
             max(count.worst for count in fleet.counts.values()),
             fleet.network.calls,
             fleet.store.reads + fleet.store.writes,
         )
 
+    def _look_around(self, fleet):
+        """Return the shares of all and of the worst in the 30 s from the fault."""
+        start = self.scenario.fault_at_s
+        if start is None:
+            return None, None
+        window = (start, start + AROUND_S)
+        count = sum(self._count(self.offered, one, *window) for one in self.offered)
+        lost = sum(self._wrongful(fleet, one, *window) for one in self.offered)
+        worst = max(self._share(fleet, one, *window) for one in self.offered)
+        return lost / count, worst
+
     def _share(self, fleet, organisation, start, end):
         offered = self._count(self.offered, organisation, start, end)
         return self._wrongful(fleet, organisation, start, end) / max(offered, 1)
