Keep tokens to hand back within the cap that the holder counts

A borrower whose bucket had filled while an answer was under way set aside what did not fit the new cap, beyond the cap that the holder still counted, and was credited with it. The sum is now held to the larger of both caps. A first try (frozen loans held to the sum of a lowered rate and burst) didn't mend it, but was right in itself and stays.

--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -401,13 +401,15 @@
             account.empty_until = now + EMPTY_S
         if now >= expiry:
             return
+        # The holder counts the larger cap until the next batch, which hands back
+        # what is above the new one.
+        most = max(account.cap, grant.cap)
+        total = min(account.level + grant.tokens, most)
         account.epoch = grant.epoch
         account.rate = grant.rate
         account.cap = grant.cap
         account.standing = grant.standing
-        total = account.level + grant.tokens
         account.level = min(total, grant.cap)
-        # The holder counts the old cap until the next batch, which hands this back.
         account.surplus = total - account.level
         account.expiry = expiry
 
--- a/persimmonlane/limits/directory.py
+++ b/persimmonlane/limits/directory.py
@@ -7,6 +7,7 @@
 from .policy import SUSPECT_S, rank_names
 
 RANKED = 3
+NEVER = float("-inf")
 
 
 class Directory:
@@ -44,6 +45,25 @@
         """Note that a call to a node succeeded."""
         self._suspects.pop(member.name, None)
 
+    def find_lease(self, shard):
+        """Return the lease of a shard as far as it is known, or None."""
+        return self._leases.get(shard)
+
+    def is_suspect(self, member):
+        """Return whether a call to a node failed lately."""
+        return self._clock.now() < self._suspects.get(member.name, NEVER)
+
+    def needs_relay(self, shard, member):
+        """Return whether a node should pass demands on to a shard's holder.
+
+        That is so where the holder is known but a call to it failed lately: the
+        path to it may be cut, perhaps one way only, while others reach it.
+        """
+        lease = self._leases.get(shard)
+        if lease is None or lease.holder.name == member.name:
+            return False
+        return self.is_suspect(lease.holder)
+
     def choose(self, shard, tried=()):
         """Return the node to ask for a shard, or None if all were tried.
 
@@ -51,10 +71,9 @@
             shard: Number of the shard.
             tried: Names of nodes already asked.
         """
-        now = self._clock.now()
         candidates = [one for one in self._list(shard) if one.name not in tried]
         for member in candidates:
-            if now >= self._suspects.get(member.name, now):
+            if not self.is_suspect(member):
                 return member
         return candidates[0] if candidates else None
 
--- a/persimmonlane/limits/ledger.py
+++ b/persimmonlane/limits/ledger.py
@@ -162,7 +162,9 @@
         lacking = max(0.0, loan.demand - rate) * horizon_s
         reserve = compute_reserve(loan.demand, horizon_s) + lacking
         reserve = min(reserve, standing) + demand.waiting
-        free = loan.cap if frozen else self.burst - (self.lent_cap - loan.cap)
+        free = self.burst - (self.lent_cap - loan.cap)
+        if frozen:
+            free = min(free, loan.cap)
         cap = max(0.0, min(standing + demand.waiting, free))
         if cap < 1.0 or not (demand.demand > 0 or demand.waiting):
             rate = cap = 0.0
@@ -198,12 +200,12 @@
         return min(most, reserve + min(gain, reserve + ROOM_SHARE * gain))
 
     def _choose_rate(self, loan, standing, frozen):
+        most = max(0.0, self.rate - (self.lent_rate - loan.rate))
         if frozen:
-            return min(loan.rate, self.rate)
+            return min(loan.rate, most)
         if standing < MIN_STANDING or loan.demand < MIN_DEMAND:
             return 0.0
         wanted = loan.demand * self._choose_factor(standing)
-        most = max(0.0, self.rate - (self.lent_rate - loan.rate))
         # A small reduction frees less than counting it twice until it is confirmed.
         if loan.rate * (1 - STEADY_SHARE) < wanted < loan.rate:
             wanted = loan.rate
--- a/persimmonlane/limits/node.py
+++ b/persimmonlane/limits/node.py
@@ -19,14 +19,16 @@
         member: The node to ask.
         demands: The `Demands`.
         tried: Names of the nodes asked so far, this one included.
+        relay: Whether the node should pass the demands on to the holder.
     """
 
-    __slots__ = ("member", "demands", "tried")
+    __slots__ = ("member", "demands", "tried", "relay")
 
-    def __init__(self, member, demands, tried):
+    def __init__(self, member, demands, tried, relay=False):
         self.member = member
         self.demands = demands
         self.tried = tried
+        self.relay = relay
 
 
 class DeliverLoans:
@@ -63,13 +65,15 @@
     Attributes:
         loans: The `Loans`.
         unheld: Shards asked for that the node doesn't hold, as `Unheld`.
+        relay: The node whose answer the shell should pass on instead, or None.
     """
 
-    __slots__ = ("loans", "unheld")
+    __slots__ = ("loans", "unheld", "relay")
 
-    def __init__(self, loans, unheld=()):
+    def __init__(self, loans, unheld=(), relay=None):
         self.loans = loans
         self.unheld = unheld
+        self.relay = relay
 
 
 class LimitsNode:
@@ -124,14 +128,22 @@
         if self._ready:
             self._route(demands)
 
-    def answer(self, demands):
-        """Return the `Answer` to demands of any borrower."""
+    def answer(self, demands, relay=False):
+        """Return the `Answer` to demands of any borrower.
+
+        Args:
+            demands: The `Demands`.
+            relay: Whether the borrower can't reach the holder itself.
+        """
         if not self._ready:
             return Answer(Loans(demands.sequence, ()))
         loans = self.holder.lend(demands)
         shards = {self._find_shard(item) for item in demands.items}
         unheld = [one for one in shards if not self.holder.holds(one)]
-        return Answer(loans, tuple(self._explain(shard) for shard in unheld))
+        answer = Answer(loans, tuple(self._explain(shard) for shard in unheld))
+        if relay and not loans.grants:
+            answer.relay = self._find_relay(answer.unheld)
+        return answer
 
     def record_answer(self, call, answer):
         """Record the `Answer` to an `AskLoans`; try others for what it lacks."""
@@ -152,12 +164,26 @@
         self.directory.note_failure(call.member)
         self._forward(call, call.demands.items)
 
+    def _find_relay(self, unheld):
+        """Return the one holder of all shards, if this node may reach it."""
+        holders = {one.lease.holder for one in unheld if one.lease is not None}
+        if len(holders) != 1:
+            return None
+        holder = holders.pop()
+        if holder.name == self.member.name or self.directory.is_suspect(holder):
+            return None
+        return holder
+
     def _find_shard(self, item):
         return find_shard(item.organisation, self.holder.shard_count)
 
     def _explain(self, shard):
         self.keeper.want(shard)
-        return Unheld(shard, self.keeper.find_lease(shard))
+        seen = self.keeper.find_lease(shard)
+        heard = self.directory.find_lease(shard)
+        if seen is None or heard is not None and heard.epoch > seen.epoch:
+            seen = heard
+        return Unheld(shard, seen)
 
     def _forward(self, call, items):
         if not items:
@@ -173,16 +199,20 @@
         groups = {}
         missed = []
         for item in demands.items:
-            member = self.directory.choose(self._find_shard(item), tried)
+            shard = self._find_shard(item)
+            member = self.directory.choose(shard, tried)
             if member is None:
                 missed.append(item)
-            else:
-                groups.setdefault(member, []).append(item)
+                continue
+            relay = self.directory.needs_relay(shard, member)
+            # Demands to be passed on go by shard, as each has its own holder.
+            key = (member, relay, shard if relay else None)
+            groups.setdefault(key, []).append(item)
         if missed:
             self._miss(demands.sequence, missed)
-        for member, items in groups.items():
+        for (member, relay, _), items in groups.items():
             part = Demands(demands.borrower, demands.sequence, tuple(items))
-            self._ask(AskLoans(member, part, (*tried, member.name)))
+            self._ask(AskLoans(member, part, (*tried, member.name), relay))
 
     def _ask(self, call):
         if call.member.name == self.member.name:
--- a/persimmonlane/limits/part.py
+++ b/persimmonlane/limits/part.py
@@ -20,7 +20,7 @@
 from .lease import AskPromise, Member, ReadKey, WriteKey
 from .messages import LoansChanged
 from .node import AskLoans, DeliverLoans, LimitsNode
-from .policy import ANSWER_S
+from .policy import ANSWER_S, RELAY_S
 from .wire import (
     decode_answer,
     decode_demands,
@@ -83,12 +83,27 @@
 
     Attributes:
         demands: The `Demands`.
+        relay: Whether to name the holder that they should be passed on to.
     """
 
-    __slots__ = ("demands",)
+    __slots__ = ("demands", "relay")
 
-    def __init__(self, demands):
+    def __init__(self, demands, relay):
         self.demands = demands
+        self.relay = relay
+
+
+class NoteFailure:
+    """A call to a node failed outside of the actor.
+
+    Attributes:
+        member: The node.
+    """
+
+    __slots__ = ("member",)
+
+    def __init__(self, member):
+        self.member = member
 
 
 class GivePromise:
@@ -171,6 +186,7 @@
         SendDemands: "handle_demands",
         AnswerDemands: "handle_question",
         GivePromise: "handle_promise",
+        NoteFailure: "handle_failure",
         Answered: "handle_answered",
         Promised: "handle_promised",
         StoreAnswered: "handle_store",
@@ -226,7 +242,11 @@
 
     def handle_question(self, message):
         """Answer another node's demands."""
-        return self._node.answer(message.demands)
+        return self._node.answer(message.demands, message.relay)
+
+    def handle_failure(self, message):
+        """Note that a node can't be reached."""
+        self._node.directory.note_failure(message.member)
 
     def handle_promise(self, message):
         """Promise another holder not to claim its shards."""
@@ -268,7 +288,7 @@
 
     def _ask_loans(self, call):
         future = self._get_stub(call.member).Lend.future(
-            encode_demands(call.demands),
+            encode_demands(call.demands, call.relay),
             timeout=ANSWER_S,
             metadata=self._channels.metadata,
         )
@@ -334,21 +354,37 @@
 class LimitsServicer(limits_pb2_grpc.LimitsServicer):
     """Takes the calls of other nodes."""
 
-    def __init__(self, node, actor_ref):
+    def __init__(self, node, actor_ref, channels):
         self._name = node.member.name
         self._incarnation = node.incarnation
         self._actor = actor_ref
+        self._channels = channels
 
     def Lend(self, request, context):  # noqa: N802
         """Answer demands."""
-        message = AnswerDemands(decode_demands(request))
-        return encode_answer(self._ask(message, context))
+        message = AnswerDemands(decode_demands(request), request.relay)
+        answer = self._ask(message, context)
+        if answer.relay is not None:
+            relayed = self._relay(request, answer.relay)
+            if relayed is not None:
+                return relayed
+        return encode_answer(answer)
 
     def Promise(self, request, context):  # noqa: N802
         """Promise not to claim shards."""
         promised = self._ask(GivePromise(decode_shards(request.shards)), context)
         return encode_promise_reply(self._name, self._incarnation, promised)
 
+    def _relay(self, request, member):
+        """Return the holder's answer in wire form, or None."""
+        request.relay = False
+        stub = limits_pb2_grpc.LimitsStub(self._channels.get_channel(member.rpc))
+        try:
+            return stub.Lend(request, timeout=RELAY_S, metadata=self._channels.metadata)
+        except grpc.RpcError:
+            self._actor.tell(NoteFailure(member))
+            return None
+
     def _ask(self, message, context):
         try:
             return self._actor.ask(message, timeout=ANSWER_S)
@@ -413,6 +449,6 @@
     incarnation = secrets.token_hex(INCARNATION_BYTES)
     node = LimitsNode(member, incarnation, clock)
     actor_ref = LimitsActor.start(application, node, channels, store, peers)
-    servicer = LimitsServicer(node, actor_ref)
+    servicer = LimitsServicer(node, actor_ref, channels)
     limits_pb2_grpc.add_LimitsServicer_to_server(servicer, rpc_server.server)
     return LimitsPart(actor_ref)
--- a/persimmonlane/limits/tests/simulation.py
+++ b/persimmonlane/limits/tests/simulation.py
@@ -265,8 +265,18 @@
             self.run(self.limits.record_answer, call, answer)
 
         def serve():
-            answer = target.limits.answer(call.demands)
-            self.fleet.send(target, self, take, answer)
+            answer = target.limits.answer(call.demands, call.relay)
+            holder = answer.relay and self.fleet.find(answer.relay)
+            if holder is None:
+                self.fleet.send(target, self, take, answer)
+                return
+
+            def relay():
+                relayed = holder.limits.answer(call.demands)
+                back = (target, self, take, relayed)
+                self.fleet.send(holder, target, self.fleet.send, *back)
+
+            self.fleet.send(target, holder, holder.run, relay)
 
         self.world.after(ANSWER_S, fail)
         if target is not None:
--- a/persimmonlane/limits/wire.py
+++ b/persimmonlane/limits/wire.py
@@ -23,12 +23,13 @@
 MAX_ITEMS = 4096
 
 
-def encode_demands(demands):
+def encode_demands(demands, relay=False):
     """Return the wire form of a batch of demands."""
     return DemandsMessage(
         borrower=demands.borrower,
         sequence=demands.sequence,
         items=[encode_demand(item) for item in demands.items],
+        relay=relay,
     )
 
 
