--- a/persimmonlane/limits/tests/fakes.py
+++ b/persimmonlane/limits/tests/fakes.py
@@ -1,6 +1,34 @@
 """Fakes of the interfaces that the limits use."""
 
+import threading
+
 from persimmonlane.config.model import Document, FleetPolicy, Organisation
+from persimmonlane.errors import StoreError
+from persimmonlane.platform.client import Entry, StoreConflict
+
+
+class ThreadedStore:
+    """Keys with versions, shared by threads; counts its calls."""
+
+    def __init__(self):
+        self.entries = {}
+        self.away = False
+        self.calls = 0
+        self.lock = threading.Lock()
+
+    def get(self, key):
+        self.calls += 1
+        if self.away:
+            raise StoreError("the store is away")
+        return self.entries.get(key, Entry(key))
+
+    def compare_and_swap(self, key, value, version, lease=None):
+        with self.lock:
+            entry = self.get(key)
+            if entry.version != version:
+                raise StoreConflict(entry)
+            self.entries[key] = Entry(key, value, version + 1)
+            return self.entries[key]
 
 
 class FakeView:
--- a/persimmonlane/limits/tests/test_part.py
+++ b/persimmonlane/limits/tests/test_part.py
@@ -6,41 +6,17 @@
 
 from persimmonlane.application import Application
 from persimmonlane.clocks import SystemClock
-from persimmonlane.errors import StoreError
 from persimmonlane.limits.admission import Admission
 from persimmonlane.limits.borrower import Borrower
 from persimmonlane.limits.part import build_limits
-from persimmonlane.limits.tests.fakes import create_view
+from persimmonlane.limits.tests.fakes import ThreadedStore, create_view
 from persimmonlane.membership.peers import Peer
-from persimmonlane.platform.client import Entry, StoreConflict
 from persimmonlane.rpc import Channels, RpcServer
 
 TOKEN = "0123456789abcdef"
 PATIENCE_S = 20.0
 
 
-class FakeStore:
-    """Keys with versions, shared by threads."""
-
-    def __init__(self):
-        self.entries = {}
-        self.away = False
-        self.lock = threading.Lock()
-
-    def get(self, key):
-        if self.away:
-            raise StoreError("the store is away")
-        return self.entries.get(key, Entry(key))
-
-    def compare_and_swap(self, key, value, version, lease=None):
-        with self.lock:
-            entry = self.get(key)
-            if entry.version != version:
-                raise StoreConflict(entry)
-            self.entries[key] = Entry(key, value, version + 1)
-            return self.entries[key]
-
-
 class Traffic(pykka.ThreadingActor):
     """Applies loans and counts what is admitted."""
 
@@ -114,7 +90,7 @@
 
 class PartTests(testtools.TestCase):
     def test_nodes_borrow_over_grpc_and_shards_move_on_drain(self):
-        store, peers = FakeStore(), []
+        store, peers = ThreadedStore(), []
         view = create_view(rate=100.0, burst=50.0, shards=1)
         members = [Member(self, f"n{index}", store, peers, view) for index in range(3)]
         for member in members:
