--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -11,9 +11,11 @@
 from .messages import Demand, Demands
 from .policy import (
     ANSWER_S,
+    BUSY_DEMAND,
     EMPTY_S,
     EXCESS,
     EXCHANGES_PER_LOAN,
+    FETCH_S,
     IDLE_S,
     LOOKAHEAD_S,
     MISSED_S,
@@ -146,6 +148,7 @@
         "_urgent",
         "_batches",
         "_next_sweep",
+        "_next_fetch",
         "_sequence",
         "_exchange_s",
         "_next_exchange",
@@ -160,6 +163,7 @@
         self._urgent = set()
         self._batches = collections.deque()
         self._next_sweep = NEVER
+        self._next_fetch = NEVER
         self._sequence = 0
         self._exchange_s = 0.5
         self._exchanged_at = clock.now()
@@ -318,6 +322,8 @@
             ]
         else:
             names = [name for name in self._urgent if self._is_urgent(name, now)]
+            if now >= self._next_fetch:
+                self._next_fetch = now + FETCH_S
         self._urgent.difference_update(names)
         return names
 
@@ -329,8 +335,12 @@
             account.asked_at + URGENT_S,
             account.missed_at + MISSED_S,
             account.scarce_until,
-            NEVER if account.waiting else account.empty_until,
         )
+        if not account.waiting:
+            ready_at = max(ready_at, account.empty_until)
+            # Fetching ahead goes in larger batches, unless tokens run out sooner.
+            if account.demand < BUSY_DEMAND:
+                ready_at = max(ready_at, self._next_fetch)
         return now >= ready_at
 
     def _measure(self, now):
