Wait longer with each miss of a holder

Cause: with 8 nodes in one busy process (slopes_limits, 50 requests/s and node) calls began to time out, each miss was asked again after 0.06 s over three nodes, and 99.96 % of requests were refused for the whole measurement (129 calls/s and node).

--- a/persimmonlane/limits/policy.py
+++ b/persimmonlane/limits/policy.py
@@ -51,7 +51,9 @@
 SUSPECT_S = 2.0
 RELAY_S = 0.12
 MISSED_S = 0.06
+MAX_DOUBLINGS = 3
 HOPS = 3
+HOPS_AFTER_FAILURE = 2
 
 
 def find_shard(organisation, shards):
