--- a/persimmonlane/limits/part.py
+++ b/persimmonlane/limits/part.py
@@ -177,6 +177,40 @@
         self.released = threading.Event()
 
 
+class Stubs:
+    """Stubs for calls to other nodes; each channel has one."""
+
+    __slots__ = ("_channels", "_stubs")
+
+    def __init__(self, channels):
+        self._channels = channels
+        self._stubs = {}
+
+    def get(self, member):
+        """Return the stub for calls to a node."""
+        channel = self._channels.get_channel(member.rpc)
+        kept = self._stubs.get(member.rpc)
+        if kept is None or kept.channel is not channel:
+            kept = KeptStub(channel, limits_pb2_grpc.LimitsStub(channel))
+            self._stubs[member.rpc] = kept
+        return kept.stub
+
+
+class KeptStub:
+    """A stub and the channel that it was made for.
+
+    Attributes:
+        channel: The channel.
+        stub: The stub.
+    """
+
+    __slots__ = ("channel", "stub")
+
+    def __init__(self, channel, stub):
+        self.channel = channel
+        self.stub = stub
+
+
 class LimitsActor(Actor):
     """Shell around a `LimitsNode`: carries out its steps."""
 
@@ -198,6 +232,7 @@
         super().__init__(application)
         self._node = node
         self._channels = channels
+        self._stubs = Stubs(channels)
         self._store = store
         self._peers = peers
         self._traffic = None
@@ -287,7 +322,7 @@
         self._node.keeper.drain()
 
     def _ask_loans(self, call):
-        future = self._get_stub(call.member).Lend.future(
+        future = self._stubs.get(call.member).Lend.future(
             encode_demands(call.demands, call.relay),
             timeout=ANSWER_S,
             metadata=self._channels.metadata,
@@ -301,7 +336,7 @@
         future.add_done_callback(finish)
 
     def _ask_promise(self, step):
-        future = self._get_stub(step.member).Promise.future(
+        future = self._stubs.get(step.member).Promise.future(
             encode_promise_request(step.shards),
             timeout=ANSWER_S,
             metadata=self._channels.metadata,
@@ -313,10 +348,6 @@
 
         future.add_done_callback(finish)
 
-    def _get_stub(self, member):
-        channel = self._channels.get_channel(member.rpc)
-        return limits_pb2_grpc.LimitsStub(channel)
-
     def _read(self, step):
         self._threads.submit(self._use_store, step, lambda: self._store.get(step.key))
 
@@ -359,6 +390,7 @@
         self._incarnation = node.incarnation
         self._actor = actor_ref
         self._channels = channels
+        self._stubs = Stubs(channels)
 
     def Lend(self, request, context):  # noqa: N802
         """Answer demands."""
@@ -378,9 +410,10 @@
     def _relay(self, request, member):
         """Return the holder's answer in wire form, or None."""
         request.relay = False
-        stub = limits_pb2_grpc.LimitsStub(self._channels.get_channel(member.rpc))
         try:
-            return stub.Lend(request, timeout=RELAY_S, metadata=self._channels.metadata)
+            return self._stubs.get(member).Lend(
+                request, timeout=RELAY_S, metadata=self._channels.metadata
+            )
         except grpc.RpcError:
             self._actor.tell(NoteFailure(member))
             return None
