--- a/persimmonlane/limits/part.py
+++ b/persimmonlane/limits/part.py
@@ -36,7 +36,6 @@
 TICK_S = 0.1
 DRAIN_S = 1.0
 STORE_THREADS = 2
-CALL_THREADS = 8
 INCARNATION_BYTES = 8
 
 
@@ -239,7 +238,6 @@
         self._traffic = None
         self._released = None
         self._threads = futures.ThreadPoolExecutor(STORE_THREADS, "limits-store")
-        self._callers = futures.ThreadPoolExecutor(CALL_THREADS, "limits-calls")
         self._steps = {
             AskLoans: self._ask_loans,
             AskPromise: self._ask_promise,
@@ -258,9 +256,8 @@
         return result
 
     def on_stop(self):
-        """End the threads that call the store and other nodes."""
-        for threads in (self._threads, self._callers):
-            threads.shutdown(wait=False, cancel_futures=True)
+        """End the threads that call the store."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
 
     def handle_view(self, message):
         """Take a revision of the document into use."""
@@ -325,31 +322,31 @@
         self._node.keeper.drain()
 
     def _ask_loans(self, call):
-        message = encode_demands(call.demands, call.relay)
-        self._callers.submit(self._call_lend, call, message)
+        future = self._stubs.get(call.member).Lend.future(
+            encode_demands(call.demands, call.relay),
+            timeout=ANSWER_S,
+            metadata=self._channels.metadata,
+        )
+
+        def finish(done):
+            failed = done.cancelled() or done.exception() is not None
+            answer = None if failed else decode_answer(done.result())
+            self._tell_self(Answered(call, answer))
 
-    def _call_lend(self, call, message):
-        method = self._stubs.get(call.member).Lend
-        reply = self._call(method, message)
-        answer = None if reply is None else decode_answer(reply)
-        self._tell_self(Answered(call, answer))
+        future.add_done_callback(finish)
 
     def _ask_promise(self, step):
-        message = encode_promise_request(step.shards)
-        self._callers.submit(self._call_promise, step, message)
+        future = self._stubs.get(step.member).Promise.future(
+            encode_promise_request(step.shards),
+            timeout=ANSWER_S,
+            metadata=self._channels.metadata,
+        )
 
-    def _call_promise(self, step, message):
-        reply = self._call(self._stubs.get(step.member).Promise, message)
-        if reply is not None:
-            self._tell_self(Promised(step, reply))
+        def finish(done):
+            if not done.cancelled() and done.exception() is None:
+                self._tell_self(Promised(step, done.result()))
 
-    def _call(self, method, message):
-        """Return the reply to a call, or None if it failed or came too late."""
-        try:
-            return method(message, timeout=ANSWER_S, metadata=self._channels.metadata)
-        except (grpc.RpcError, ValueError):
-            # Channels that were closed raise ValueError.
-            return None
+        future.add_done_callback(finish)
 
     def _read(self, step):
         self._threads.submit(self._use_store, step, lambda: self._store.get(step.key))
