--- a/persimmonlane/config/replica.py
+++ b/persimmonlane/config/replica.py
@@ -4,10 +4,12 @@
 force, and whether it has heard enough of late. Free of I/O.
 """
 
+import math
+
 from ..invariants import check_invariant
 from .relays import RELAYS, STANDBYS, rank_node
 from .root import EMPTY_ROOT
-from .roster import Roster
+from .roster import FORGET_S, Roster
 
 STORE = ""
 EXCHANGE_S = 1.0
@@ -66,6 +68,8 @@
         "_rng",
         "_started",
         "_peers",
+        "_seeds",
+        "_rank",
         "_known",
         "_sources",
         "_behind_since",
@@ -77,7 +81,16 @@
         "_read_due",
     )
 
-    def __init__(self, name, data_centre, clock, rng):
+    def __init__(self, name, data_centre, clock, rng, seeds=()):
+        """Create the replica of a node that has just started.
+
+        Args:
+            name: Name of the node.
+            data_centre: Name of its data centre.
+            clock: Clock in monotonic seconds.
+            rng: Random generator.
+            seeds: `Peer`s to ask before any peer is heard of.
+        """
         self.root = EMPTY_ROOT
         self.roster = Roster(name, clock)
         self.leaving = False
@@ -88,6 +101,8 @@
         self._rng = rng
         self._started = clock.now()
         self._peers = ()
+        self._seeds = seeds
+        self._rank = 0
         self._known = 0
         self._sources = []
         self._behind_since = None
@@ -100,12 +115,12 @@
 
     def set_peers(self, peers):
         """Take the `Peer`s heard of lately."""
+        if peers is self._peers:
+            return
         self._peers = peers
+        self._rank = rank_node(self._name, self._data_centre, peers)
         for peer in peers:
             self.roster.add(peer.name)
-        age = self.compute_store_age()
-        if age is not None and age < STANDBY_AGE_S:
-            self.roster.forget({peer.name for peer in peers})
 
     def make_report(self):
         """Return what to tell a peer."""
@@ -125,6 +140,7 @@
         if now >= self._exchange_due:
             self._exchange_due = now + EXCHANGE_S * self._rng.uniform(0.9, 1.1)
             self._replacements = REPLACEMENTS
+            self._forget_dead()
             chosen += self._choose(1, self._is_near)
             if not chosen or self.is_relay() or self._rng.random() < FAR_SHARE:
                 chosen += self._choose(1, self._is_far)
@@ -133,6 +149,10 @@
             chosen += self._choose(extra, lambda peer: peer not in chosen)
         return chosen
 
+    def choose_confidants(self):
+        """Return the peers to tell that this node leaves."""
+        return self._choose(NUDGES, lambda peer: True)
+
     def note_report(self, report):
         """Take a report that a peer sent unasked.
 
@@ -158,7 +178,8 @@
         if report.revision > self.root.revision:
             return
         self.roster.hear(report.node, sent_at, report.leaving)
-        self.roster.merge(report.heard, sent_at)
+        within_s = FORGET_S if self._hears_store() else math.inf
+        self.roster.merge(report.heard, sent_at, within_s)
         if report.store_age_s is not None and self._agrees(report):
             self._confirm(sent_at - report.store_age_s)
 
@@ -218,12 +239,10 @@
 
     def is_relay(self):
         """Return whether this node is to follow the store."""
-        rank = rank_node(self._name, self._data_centre, self._peers)
-        if rank < RELAYS:
+        if self._rank < RELAYS:
             return True
-        age = self.compute_store_age()
-        unheard = age is None or age > STANDBY_AGE_S
-        return unheard and rank < RELAYS + STANDBYS
+        unheard = not self._hears_store()
+        return unheard and self._rank < RELAYS + STANDBYS
 
     def wants_store(self):
         """Return whether to call the store now."""
@@ -290,7 +309,16 @@
     def _has_joined(self):
         if self.root.revision or self._clock.now() - self._started >= JOIN_S:
             return True
-        return self._answers >= min(JOIN_PEERS, len(self._peers))
+        return self._answers >= min(JOIN_PEERS, len(self._peers or self._seeds))
+
+    def _hears_store(self):
+        age = self.compute_store_age()
+        return age is not None and age <= STANDBY_AGE_S
+
+    def _forget_dead(self):
+        # Without the store, nodes that vanish may only be cut off: keep them.
+        if self._hears_store():
+            self.roster.forget({peer.name for peer in self._peers})
 
     def _is_near(self, peer):
         return peer.data_centre == self._data_centre
@@ -299,5 +327,5 @@
         return peer.data_centre != self._data_centre
 
     def _choose(self, count, fits):
-        peers = [peer for peer in self._peers if fits(peer)]
+        peers = [peer for peer in self._peers or self._seeds if fits(peer)]
         return self._rng.sample(peers, min(count, len(peers)))
--- a/persimmonlane/config/roster.py
+++ b/persimmonlane/config/roster.py
@@ -3,6 +3,8 @@
 Which nodes of the fleet a node knows, and when each was last heard by any path.
 """
 
+import math
+
 FORGET_S = 30.0
 
 
@@ -64,9 +66,18 @@
             for name, (at, gone) in self._entries.items()
         )
 
-    def merge(self, entries, at):
-        """Take another node's entries, exported no earlier than a time."""
+    def merge(self, entries, at, within_s=math.inf):
+        """Take another node's entries, exported no earlier than a time.
+
+        Args:
+            entries: The entries, as `Heard`.
+            at: Monotonic seconds.
+            within_s: Entries of a greater age, or of none, are left out.
+        """
         for entry in entries:
+            age_s = math.inf if entry.age_s is None else entry.age_s
+            if age_s > within_s:
+                continue
             heard_at = None if entry.age_s is None else at - entry.age_s
             self.hear(entry.name, heard_at, entry.gone)
 
