--- a/persimmonlane/settings.py
+++ b/persimmonlane/settings.py
@@ -41,6 +41,7 @@
         http: Address for callers, needed for the ingress role.
         rpc: Address for calls between nodes.
         store: Address of the platform's key-value service.
+        admin: Address of the administration API, or None.
         seeds: RPC addresses of a few nodes to begin from.
         servers: Backend servers beside this process.
         fleet_token: Secret shared by the processes of the fleet.
@@ -57,6 +58,7 @@
     fleet_token: Annotated[str, msgspec.Meta(min_length=16)]
     roles: tuple[Role, ...] = ("ingress", "sidecar")
     http: Address | None = None
+    admin: Address | None = None
     seeds: tuple[Address, ...] = ()
     servers: tuple[HostedServer, ...] = ()
     statsd: Address | None = None
