--- a/persimmonlane/config/checks.py
+++ b/persimmonlane/config/checks.py
@@ -64,15 +64,10 @@
 
     __slots__ = ("fleet", "items", "names")
 
-    def __init__(self, values):
-        self.fleet = convert(values.get("fleet"), FleetPolicy)
-        self.items = {}
-        self.names = {}
-        for section, kind in SECTIONS.items():
-            items = values.get(section)
-            items = items if isinstance(items, list) else []
-            self.items[section] = convert_items(section, kind, items)
-            self.names[section] = {item["name"] for item in items if is_named(item)}
+    def __init__(self, fleet, items, names):
+        self.fleet = fleet
+        self.items = items
+        self.names = names
 
 
 class DuplicateNames(Check):
@@ -261,25 +256,57 @@
     Raises:
         DocumentInvalid: If it has faults; lists all of them.
     """
+    try:
+        document = msgspec.json.decode(data, type=Document)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        # The decoder stops at its first fault; this finds them all.
+        raise DocumentInvalid(find_all_faults(data)) from None
+    faults = find_rule_faults(draft_document(document))
+    if faults:
+        raise DocumentInvalid(faults)
+    return document
+
+
+def find_all_faults(data):
+    """Return the faults of JSON text that is no document."""
     try:
         values = msgspec.json.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        fault = InputError(str(error), code="bad-json", place="$")
-        raise DocumentInvalid([fault]) from error
+        return [InputError(str(error), code="bad-json", place="$")]
     faults = find_type_faults(values, Document, "$")
     if isinstance(values, dict):
-        faults += find_rule_faults(values)
-    if faults:
-        raise DocumentInvalid(faults)
-    return msgspec.convert(values, Document)
+        faults += find_rule_faults(draft_values(values))
+    return faults
 
 
-def find_rule_faults(values):
-    """Return the faults of a decoded document beyond its types."""
-    draft = Draft(values)
+def find_rule_faults(draft):
+    """Return the faults of a `Draft` beyond its types."""
     return [fault for check in CHECKS for fault in check.find_faults(draft)]
 
 
+def draft_document(document):
+    """Return the draft of a document whose types are right."""
+    items, names = {}, {}
+    for section in SECTIONS:
+        records = getattr(document, section)
+        items[section] = [
+            (f"$.{section}[{index}]", record) for index, record in enumerate(records)
+        ]
+        names[section] = {record.name for record in records}
+    return Draft(document.fleet, items, names)
+
+
+def draft_values(values):
+    """Return the draft of decoded JSON with the items whose types are right."""
+    items, names = {}, {}
+    for section, kind in SECTIONS.items():
+        given = values.get(section)
+        given = given if isinstance(given, list) else []
+        items[section] = convert_items(section, kind, given)
+        names[section] = {item["name"] for item in given if is_named(item)}
+    return Draft(convert(values.get("fleet"), FleetPolicy), items, names)
+
+
 def convert_items(section, kind, items):
     """Return pairs of place and record for the items whose types are right."""
     pairs = []
--- a/persimmonlane/config/relays.py
+++ b/persimmonlane/config/relays.py
@@ -29,6 +29,13 @@
     )
 
 
+def choose_relays(data_centre, peers):
+    """Return the names of the peers in a data centre with the lowest scores."""
+    names = [peer.name for peer in peers if peer.data_centre == data_centre]
+    names.sort(key=lambda name: compute_score(data_centre, name))
+    return names[:RELAYS]
+
+
 def compute_score(data_centre, name):
     """Return the score of a node; the lowest scores make the relays."""
     return hashlib.blake2b(f"{data_centre}/{name}".encode(), digest_size=8).digest()
--- a/persimmonlane/config/replica.py
+++ b/persimmonlane/config/replica.py
@@ -7,7 +7,7 @@
 import math
 
 from ..invariants import check_invariant
-from .relays import RELAYS, STANDBYS, rank_node
+from .relays import RELAYS, STANDBYS, choose_relays, rank_node
 from .root import EMPTY_ROOT
 from .roster import FORGET_S, Roster
 
@@ -16,7 +16,7 @@
 FAR_SHARE = 0.25
 NUDGES = 3
 REPLACEMENTS = 2
-STANDBY_AGE_S = 2.0
+STANDBY_AGE_S = 2.5
 JOIN_S = 1.0
 JOIN_PEERS = 3
 JOIN_READ_S = 5.0
@@ -70,6 +70,7 @@
         "_peers",
         "_seeds",
         "_rank",
+        "_relays",
         "_known",
         "_sources",
         "_behind_since",
@@ -103,6 +104,7 @@
         self._peers = ()
         self._seeds = seeds
         self._rank = 0
+        self._relays = frozenset()
         self._known = 0
         self._sources = []
         self._behind_since = None
@@ -119,6 +121,7 @@
             return
         self._peers = peers
         self._rank = rank_node(self._name, self._data_centre, peers)
+        self._relays = frozenset(choose_relays(self._data_centre, peers))
         for peer in peers:
             self.roster.add(peer.name)
 
@@ -141,7 +144,7 @@
             self._exchange_due = now + EXCHANGE_S * self._rng.uniform(0.9, 1.1)
             self._replacements = REPLACEMENTS
             self._forget_dead()
-            chosen += self._choose(1, self._is_near)
+            chosen += self._choose_near()
             if not chosen or self.is_relay() or self._rng.random() < FAR_SHARE:
                 chosen += self._choose(1, self._is_far)
         extra, self._extra = self._extra, 0
@@ -320,6 +323,14 @@
         if self._hears_store():
             self.roster.forget({peer.name for peer in self._peers})
 
+    def _choose_near(self):
+        if self._rank < RELAYS + STANDBYS:
+            # Those who may have to stand in hear the relays first-hand.
+            relays = self._choose(1, lambda peer: peer.name in self._relays)
+            if relays:
+                return relays
+        return self._choose(1, self._is_near)
+
     def _is_near(self, peer):
         return peer.data_centre == self._data_centre
 
