--- a/persimmonlane/config/checks.py
+++ b/persimmonlane/config/checks.py
@@ -210,8 +210,6 @@
 
     def _check(self, place, name):
         registry = find_registry(place.rpartition(".")[2])
-        if registry is None:
-            return
         try:
             registry.get_by_name(name)
         except InputError as error:
--- a/persimmonlane/config/tests/test_checks.py
+++ b/persimmonlane/config/tests/test_checks.py
@@ -155,6 +155,15 @@
             expected = [(code, f"$.{section}{place}")]
             self.assertEqual(expected, find_faults(values), code)
 
+    def test_unknown_variants(self):
+        values = build_values()
+        values["services"][0] |= {"balancing": "x", "detection": {"detector": "y"}}
+        expected = [
+            ("unknown-variant", "$.services[0].balancing"),
+            ("unknown-variant", "$.services[0].detection.detector"),
+        ]
+        self.assertEqual(expected, find_faults(values))
+
     def test_key_of_two_organisations(self):
         values = build_values()
         key = {"id": "a", "digest": "ab" * 32}
--- a/persimmonlane/programs/ctl.py
+++ b/persimmonlane/programs/ctl.py
@@ -24,6 +24,7 @@
 from ..config.model import Document
 from ..config.publishing import PublishUncertain, RevisionConflict
 from ..errors import InputError, PersimmonError
+from ..keys import compute_digest, create_key
 from ..platform import create_client
 
 EXIT_CONFLICT = 3
@@ -210,6 +211,26 @@
     report(target.json, made, f"Revision {made.revision} is accepted.")
 
 
+@program.command
+def token(path: pathlib.Path, *, json: bool = False):
+    """Make an operators' token and print it this once, with its digest.
+
+    The digest goes into the document as fleet.operator_digest.
+
+    Args:
+        path: File with the document, for its salt.
+        json: Print JSON.
+    """
+    salt = validate(read_file(path)).fleet.key_salt
+    secret = create_key("operators")
+    digest = compute_digest(salt, secret)
+    report(
+        json,
+        {"token": secret, "operator_digest": digest},
+        f"token            {secret}\noperator_digest  {digest}",
+    )
+
+
 @program.command
 def schema():
     """Print the JSON Schema of the document."""
--- a/persimmonlane/programs/tests/test_ctl.py
+++ b/persimmonlane/programs/tests/test_ctl.py
@@ -7,6 +7,7 @@
 import testtools
 
 from ...config import publishing
+from ...keys import compute_digest
 from ...platform import remote
 from ...platform.memory import Faults
 from ...standins.store import StoreStandin
@@ -124,6 +125,12 @@
         self.standin.store.set_faults(Faults(away=True))
         self.assertEqual(1, self.run_ctl("show")[0])
 
+    def test_token_matches_its_digest(self):
+        _, output = self.run_ctl("token", str(self.path), "--json", target=False)
+        made = msgspec.json.decode(output)
+        digest = compute_digest(VALUES["fleet"]["key_salt"], made["token"])
+        self.assertEqual(digest, made["operator_digest"])
+
     def test_schema(self):
         code, output = self.run_ctl("schema", target=False)
         self.assertIn("Document", msgspec.json.decode(output)["$defs"])
