--- a/persimmonlane/config/part.py
+++ b/persimmonlane/config/part.py
@@ -171,7 +171,7 @@
         try:
             entry = self._store.watch(ROOT_KEY, version, WATCH_S)
         except StoreError as error:
-            log.warning("Config: the store can't be watched: %s.", error)
+            log.debug("Config: the store can't be watched: %s.", error)
             tell(actor_ref, StoreSeen(None, None))
             return
         at = started
@@ -241,6 +241,7 @@
         self._store_version = NO_VERSION
         self._store_root = EMPTY_ROOT
         self._store_due = clock.now()
+        self._store_answers = True
         self._watching = False
         self._pulling = False
         self._repairing = False
@@ -273,6 +274,7 @@
     def take_store(self, message):
         """Take what the store holds and go on watching it."""
         self._watching = False
+        self._note_store(message.at is not None)
         if message.at is None:
             pause = STORE_RETRY_S * self._rng.uniform(0.75, 1.25)
             self._store_due = self._clock.now() + pause
@@ -331,6 +333,15 @@
             self._watching = True
             self._jobs.watch(self.actor_ref, self._store_version)
 
+    def _note_store(self, answers):
+        if answers == self._store_answers:
+            return
+        self._store_answers = answers
+        if answers:
+            log.info("Config: the store answers again.")
+        else:
+            log.warning("Config: the store does not answer.")
+
     def _exchange(self):
         chosen = self._replica.choose_exchanges()
         if not chosen:
--- a/persimmonlane/config/replica.py
+++ b/persimmonlane/config/replica.py
@@ -220,7 +220,9 @@
         """
         if not self._sources or not self._has_joined():
             return None
-        return self._rng.choice(self._sources)
+        # Peers come first: they are closer and cost no calls to the store.
+        peers = [source for source in self._sources if source != STORE]
+        return self._rng.choice(peers or self._sources)
 
     def drop_source(self, source):
         """Take note that a source could not be read, until it is heard again."""
