--- a/persimmonlane/admin/operations.py
+++ b/persimmonlane/admin/operations.py
@@ -14,7 +14,7 @@
 from ..config.parts import join_document
 from ..config.publishing import Publisher
 from ..config.root import ROOT_KEY, read_root
-from ..errors import InputError
+from ..errors import InputError, StoreError
 from ..keys import compute_digest, create_key
 
 
@@ -154,23 +154,35 @@
 class StoreOperations(Operations):
     """The verbs, carried out on the store."""
 
-    __slots__ = ("_store", "_publisher", "_list_states")
+    __slots__ = ("_store", "_publisher", "_list_states", "_get_view")
 
-    def __init__(self, store, list_states=None):
+    def __init__(self, store, list_states=None, get_view=None):
         """Create the verbs.
 
         Args:
             store: The store's client.
             list_states: Returns the `NodeState` of each node; None if no node is
                 at hand.
+            get_view: Returns the `DocumentView` in force or None, to show while
+                the store is away.
         """
         self._store = store
         self._publisher = Publisher(store)
         self._list_states = list_states
+        self._get_view = get_view
 
     def show(self):
-        """Return the document that was last accepted, as a `Current`."""
-        snapshot = load_snapshot(self._store)
+        """Return the document that was last accepted, as a `Current`.
+
+        While the store is away, that is the newest that this node knows of.
+        """
+        try:
+            snapshot = load_snapshot(self._store)
+        except StoreError:
+            view = self._get_view and self._get_view()
+            if view is None:
+                raise
+            return describe_view(view)
         root = snapshot.root
         if not root.revision:
             raise InputError("nothing was ever published", code="document-missing")
@@ -194,6 +206,13 @@
         return self._list_states()
 
 
+def describe_view(view):
+    """Return a view as a `Current`."""
+    return Current(
+        revision=view.revision, digest=view.digest, document=make_plain(view.document)
+    )
+
+
 def describe_change(made):
     """Return a change of the root as a `ChangeMade`."""
     return ChangeMade(**msgspec.structs.asdict(made))
--- a/persimmonlane/admin/part.py
+++ b/persimmonlane/admin/part.py
@@ -102,7 +102,7 @@
     if settings.admin is None:
         return None
     reader = StateReader(config_part.status, peers, channels)
-    operations = StoreOperations(store, reader.list_states)
+    operations = StoreOperations(store, reader.list_states, config_part.view)
 
     def get_fleet():
         view = config_part.view()
--- a/persimmonlane/admin/tests/test_admin.py
+++ b/persimmonlane/admin/tests/test_admin.py
@@ -78,8 +78,13 @@
         self.assertEqual(first, again)
 
     def test_store_that_is_away(self):
+        view = build_view(load_snapshot(self.store))
         self.store.set_faults(Faults(away=True))
         self.assertRaises(StoreError, self.operations.show)
+        document = encode_document(rate=6)
+        self.assertRaises(StoreError, self.operations.publish, document)
+        current = StoreOperations(self.store, get_view=lambda: view).show()
+        self.assertEqual((1, build_document()), (current.revision, current.document))
 
     def test_wrong_or_missing_token_changes_nothing(self):
         for token in ("", "wrong", "Bearer"):
--- a/persimmonlane/config/part.py
+++ b/persimmonlane/config/part.py
@@ -54,13 +54,15 @@
 
     Attributes:
         report: The peer's `Report`.
+        address: RPC address of the peer.
         sent_at: Monotonic seconds at which the request was sent.
     """
 
-    __slots__ = ("report", "sent_at")
+    __slots__ = ("report", "address", "sent_at")
 
-    def __init__(self, report, sent_at):
+    def __init__(self, report, address, sent_at):
         self.report = report
+        self.address = address
         self.sent_at = sent_at
 
 
@@ -186,7 +188,7 @@
         except PersimmonError:
             tell(actor_ref, ExchangeFailed())
             return
-        tell(actor_ref, ReplyReceived(answer, sent_at))
+        tell(actor_ref, ReplyReceived(answer, peer.rpc, sent_at))
 
     def _pull(self, actor_ref, source, address):
         started = self._clock.now()
@@ -241,6 +243,7 @@
         self._store_version = NO_VERSION
         self._store_root = EMPTY_ROOT
         self._store_due = clock.now()
+        self._answered = None
         self._store_answers = True
         self._watching = False
         self._pulling = False
@@ -263,6 +266,7 @@
 
     def take_reply(self, message):
         """Take a peer's answer."""
+        self._answered = message
         self._replica.hear_report(message.report, message.sent_at)
         self._pull()
 
@@ -370,6 +374,9 @@
         self._jobs.repair(self.actor_ref, self._replica.root)
 
     def _find_address(self, name):
+        # A seed may answer before the membership knows its name.
+        if self._answered is not None and self._answered.report.node == name:
+            return self._answered.address
         addresses = (peer.rpc for peer in self._peers() if peer.name == name)
         return next(addresses, None)
 
--- a/persimmonlane/config/publishing.py
+++ b/persimmonlane/config/publishing.py
@@ -7,8 +7,8 @@
 import time
 import uuid
 
-from ..errors import PersimmonError, StoreError
-from ..platform.client import StoreConflict, StoreUncertain
+from ..errors import InputError, PersimmonError, StoreError
+from ..platform.client import VALUE_LIMIT_BYTES, StoreConflict, StoreUncertain
 from .parts import split_document
 from .root import (
     HISTORY_LENGTH,
@@ -114,6 +114,8 @@
         if expected is not None and root.revision != expected:
             raise RevisionConflict(root.revision)
         parts = split_document(document)
+        for part in parts:
+            check_size(f"part {part.bucket} of {part.section}", part.content)
         writer = uuid.uuid4().hex[:WRITER_LENGTH]
         refs = choose_refs(parts, root, writer)
         if root.revision and compute_document_digest(refs) == root.digest:
@@ -125,6 +127,7 @@
             root.revision + 1, compute_document_digest(refs), change, author, now
         )
         following = build_root(root, refs, made, kept)
+        check_size("the root", encode(following))
         try:
             made = self._swap_root(entry.version, following, change)
         except RevisionConflict:
@@ -244,6 +247,12 @@
         return True
 
 
+def check_size(what, value):
+    """Refuse a document of which a value would be too large for the store."""
+    if len(value) > VALUE_LIMIT_BYTES:
+        raise InputError(f"{what} is too large", code="document-too-large")
+
+
 def read_pending(entry):
     """Return the publications under way that a store entry holds."""
     return decode_pending(entry.value) if entry.version else ()
--- a/persimmonlane/config/tables.py
+++ b/persimmonlane/config/tables.py
@@ -14,6 +14,8 @@
 from .model import Key, Organisation, Route, Service
 
 ROWS_PER_BUCKET = 64
+# More buckets than this would make the root larger than a value may be.
+MAX_BUCKETS = 4096
 
 
 class KeyRow(msgspec.Struct, frozen=True, array_like=True):
@@ -211,7 +213,7 @@
 def count_buckets(records):
     """Return the number of buckets, a power of two, for a number of records."""
     buckets = 1
-    while buckets * ROWS_PER_BUCKET < records:
+    while buckets < MAX_BUCKETS and buckets * ROWS_PER_BUCKET < records:
         buckets *= 2
     return buckets
 
--- a/persimmonlane/config/tests/test_part.py
+++ b/persimmonlane/config/tests/test_part.py
@@ -10,9 +10,11 @@
 from ...platform.memory import Faults, MemoryStore
 from ...rpc import Channels, RpcServer
 from ...settings import NodeSettings
+from ..loading import load_snapshot
 from ..messages import DocumentChanged, FreshnessChanged
 from ..part import build_config
 from ..publishing import Publisher
+from ..root import ROOT_KEY, read_root
 from ..transport import SpreadClient
 from .test_publishing import build_document
 
@@ -46,7 +48,7 @@
         self.listeners = []
         self.nodes = []
 
-    def build_node(self, number, stores=True):
+    def build_node(self, number, stores=True, seeds=()):
         application = Application()
         server = application.add(RpcServer("127.0.0.1:0", TOKEN))
         channels = application.add(Channels(TOKEN))
@@ -56,6 +58,7 @@
             rpc=f"127.0.0.1:{server.port}",
             store="127.0.0.1:1",
             fleet_token=TOKEN,
+            seeds=seeds,
         )
         store = self.store if stores else self.build_absent_store()
         config = build_config(
@@ -121,6 +124,24 @@
         self.assertTrue(status.relay)
         self.assertEqual(0, status.lag_s)
 
+    def test_store_that_lost_everything_is_brought_up_again(self):
+        self.publisher.publish(build_document(1))
+        made = self.publisher.publish(build_document(2))
+        self.build_node(0)
+        self.start()
+        self.wait_for(2)
+        self.store.restore_entries({})
+        entry = self.store.watch(ROOT_KEY, 0, WAIT_S)
+        self.assertEqual(made, read_root(entry).history[-1])
+        self.assertEqual(made.digest, load_snapshot(self.store).root.digest)
+
+    def test_node_finds_the_document_through_a_seed(self):
+        self.publisher.publish(build_document(1))
+        seed = self.build_node(0)
+        self.build_node(1, stores=False, seeds=(seed.rpc,))
+        self.start()
+        self.wait_for(1)
+
     def test_late_subscriber_is_told_of_the_revision_in_force(self):
         self.publisher.publish(build_document(1))
         self.build_node(0)
--- a/persimmonlane/config/tests/test_publishing.py
+++ b/persimmonlane/config/tests/test_publishing.py
@@ -3,10 +3,10 @@
 from hypothesis import strategies
 
 from ...clocks import ManualClock
-from ...errors import StoreError
+from ...errors import InputError, StoreError
 from ...platform.memory import Faults, MemoryStore
 from ..loading import load_snapshot
-from ..model import Document, FleetPolicy, Organisation
+from ..model import Document, FleetPolicy, Key, Organisation
 from ..parts import join_document, split_document
 from ..publishing import (
     RETIRED_S,
@@ -89,6 +89,16 @@
         )
         self.assertEqual(1, error.revision)
 
+    def test_part_over_the_limit_is_refused(self):
+        keys = tuple(Key(id=f"{n}", digest=f"{n:064x}") for n in range(30_000))
+        document = Document(
+            fleet=FleetPolicy(key_salt=SALT),
+            organisations=(Organisation(name="a", rate=1, burst=1, keys=keys),),
+        )
+        error = self.assertRaises(InputError, self.publisher.publish, document)
+        self.assertEqual("document-too-large", error.code)
+        self.assertEqual({}, self.store.export_entries())
+
     def test_same_document_makes_no_revision(self):
         self.publisher.publish(build_document(1))
         self.assertEqual(1, self.publisher.publish(build_document(1)).revision)
