--- a/persimmonlane/node.py
+++ b/persimmonlane/node.py
@@ -5,6 +5,7 @@
 
 import sys
 
+from .admin.part import build_admin
 from .application import Application
 from .clocks import SystemClock
 from .config.part import build_config
@@ -43,6 +44,7 @@
     config = build_config(
         application, settings, clock, rpc_server, channels, store, membership.peers
     )
+    build_admin(application, settings, config, store, channels, membership.peers)
     draining = application.add(build_draining(application, clock, membership, config))
     if "ingress" in settings.roles:
         ingress = application.add(Ingress(application, settings, clock, metrics))
