--- a/persimmonlane/trials/breaks.py
+++ b/persimmonlane/trials/breaks.py
@@ -6,7 +6,10 @@
 import contextlib
 from unittest import mock
 
+from ..config import replica
+from ..config.replica import Replica
 from ..ejection import ejector
+from ..keys import KeyTable
 from ..limits.borrower import Borrower
 from ..limits.ledger import Ledger
 from ..registries import Registry
@@ -76,6 +79,25 @@
     return attempt < policy.attempts
 
 
+def adopt_any(self, root):
+    """Put any revision into force."""
+    self._put_in_force(root)
+    return True
+
+
+def adopt_first(self, root):
+    """Put the first revision into force and no other."""
+    return not self.root.revision and _adopt(self, root)
+
+
+_adopt = Replica.adopt
+
+
+def take_first(self, presented):
+    """Take every key for one of the first organisation."""
+    return self._organisations[0].name
+
+
 @breaks.register
 class FloorIgnored(Break):
     """Ejections don't look at the floor, and nothing is taken back below it."""
@@ -156,3 +178,54 @@
     name = "verdict-unknown"
     code = "not-run"
     patches = ((attempts, "combine", lambda first, second: Verdict.NOT_RUN),)
+
+
+@breaks.register
+class RevisionLowered(Break):
+    """Late answers put older revisions into force."""
+
+    name = "revision-lowered"
+    code = "revision"
+    patches = ((Replica, "adopt", adopt_any),)
+
+
+@breaks.register
+class RevisionUnchecked(Break):
+    """The same with the replica's own check gone; the audit has to see it."""
+
+    name = "revision-unchecked"
+    code = "revision"
+    patches = (
+        (Replica, "adopt", adopt_any),
+        (replica, "check_invariant", ignore_all),
+    )
+
+
+@breaks.register
+class NewsIgnored(Break):
+    """Nodes neither learn of newer revisions nor stop serving without them."""
+
+    name = "news-ignored"
+    code = "key-withdrawn"
+    patches = (
+        (Replica, "adopt", adopt_first),
+        (Replica, "is_isolated", lambda self, within_s: False),
+    )
+
+
+@breaks.register
+class IsolationIgnored(Break):
+    """Nodes that hear nobody go on serving."""
+
+    name = "isolation-ignored"
+    code = "key-withdrawn"
+    patches = ((Replica, "is_isolated", lambda self, within_s: False),)
+
+
+@breaks.register
+class KeysMixed(Break):
+    """Keys are taken for those of another organisation."""
+
+    name = "keys-mixed"
+    code = "organisation"
+    patches = ((KeyTable, "authenticate", take_first),)
--- a/persimmonlane/trials/fleet.py
+++ b/persimmonlane/trials/fleet.py
@@ -155,9 +155,9 @@
         self.schedule = Schedule()
         self.rng = random.Random(seed)
         self.store = MemoryStore(self.schedule.clock)
-        self.network = FakeNetwork(self.schedule, self._derive(), self._find_delay)
+        self.network = FakeNetwork(self.schedule, self.derive_rng(), self._find_delay)
         self.backends = {
-            server.address: FakeBackend(server, self._derive())
+            server.address: FakeBackend(server, self.derive_rng())
             for server in site.list_servers()
         }
         self.measures = ms.Measures(document.organisations)
@@ -175,14 +175,14 @@
         for load in self.site.list_loads():
             self.send_load(load, duration_s)
         for node in self.nodes:
-            self._repeat(node, TICK_S, self._tick)
-            self._repeat(node, EVIDENCE_S, self._share)
+            self.repeat(node, TICK_S, self._tick, node)
+            self.repeat(node, EVIDENCE_S, self._share, node)
         self.schedule.call_every(REPORT_S, self._report_loads)
         self.schedule.run(duration_s + DEADLINE_S)
 
     def send_load(self, load, until_s):
         """Send an organisation's requests at random times up to a time."""
-        rng = self._derive()
+        rng = self.derive_rng()
 
         def send():
             if self.schedule.clock.seconds >= until_s:
@@ -219,11 +219,15 @@
         """Pause a node's process; what comes meanwhile waits."""
         node.paused_until = self.schedule.clock.seconds + duration_s
 
-    def _repeat(self, node, interval_s, method):
+    def repeat(self, node, interval_s, method, *arguments):
+        """Call a method on a node at a fixed interval in seconds."""
         offset_s = self.rng.random() * interval_s
-        self.schedule.call_every(interval_s, lambda: node.run(method, node), offset_s)
+        self.schedule.call_every(
+            interval_s, lambda: node.run(method, *arguments), offset_s
+        )
 
-    def _derive(self):
+    def derive_rng(self):
+        """Return a random generator that depends on the seed alone."""
         return random.Random(self.rng.getrandbits(53))
 
     def _create_node(self, number):
@@ -251,9 +255,11 @@
         if recorded:
             make_ejector = self.recorder.create_ejector
             make_balancer = self.recorder.create_balancer
-        ejector = make_ejector(service, node.clock, self._derive())
+        ejector = make_ejector(service, node.clock, self.derive_rng())
         ejector.update_servers(servers)
-        balancer = make_balancer(service, node.data_centre, node.clock, self._derive())
+        balancer = make_balancer(
+            service, node.data_centre, node.clock, self.derive_rng()
+        )
         budget = RetryBudget(service.retries, node.clock)
         return Desk(service, servers, ejector, balancer, budget)
 
