--- a/persimmonlane/traces/scenarios.py
+++ b/persimmonlane/traces/scenarios.py
@@ -189,8 +189,57 @@
         ]
 
 
+class TableScenario(Scenario):
+    """Base of the scenarios of a server table that hears one sidecar."""
+
+    on = "table"
+    lease_s = 3.0
+
+    def open(self):
+        """Return the table's opening and the first list with its heartbeat."""
+        return [
+            ev.TableOpened(at=0.0, on=self.on, seed=0, lease_s=self.lease_s),
+            self.receive(0.1, self.announce(1), self.beat(1, 1, 0.0)),
+        ]
+
+    def receive(self, at, *messages):
+        """Return the receipt of announcements and heartbeats."""
+        exchange = Exchange(
+            sender="node-2",
+            announcements=tuple(m for m in messages if isinstance(m, Announcement)),
+            heartbeats=tuple(m for m in messages if isinstance(m, Heartbeat)),
+        )
+        return ev.ExchangeReceived(at=at, on=self.on, exchange=exchange)
+
+    def expect(self, at, *addresses):
+        """Return a statement of the addresses that take new work."""
+        return ev.ServersExpected(at=at, on=self.on, addresses=addresses)
+
+    @staticmethod
+    def announce(version, leaving=False):
+        """Return a list of the sidecar."""
+        server = AnnouncedServer(
+            address=FAILING, service="baskets", slots=4, incarnation=1, leaving=leaving
+        )
+        return Announcement(
+            group="sidecar-1",
+            data_centre="uy-sur-a",
+            rpc="10.0.0.1:90",
+            incarnation=1,
+            version=version,
+            servers=(server,),
+        )
+
+    @staticmethod
+    def beat(version, beat, age_s):
+        """Return a heartbeat of the sidecar."""
+        return Heartbeat(
+            group="sidecar-1", incarnation=1, version=version, beat=beat, age_s=age_s
+        )
+
+
 @scenarios.register
-class OneWayPartition(Scenario):
+class OneWayPartition(TableScenario):
     """A path that is cut in one direction."""
 
     name = "one-way-partition"
@@ -198,49 +247,40 @@
         "A sidecar's own messages are lost; another node's relay keeps its backend "
         "server in use, and it goes when that is cut too."
     )
-    lease_s = 3.0
 
     def list_events(self):
         """Return the messages that one node's table took in."""
-        on = "table"
-        announcement = Announcement(
-            group="sidecar-1",
-            data_centre="uy-sur-a",
-            rpc="10.0.0.1:90",
-            incarnation=1,
-            version=1,
-            servers=(
-                AnnouncedServer(
-                    address=FAILING, service="baskets", slots=4, incarnation=1
-                ),
-            ),
-        )
-        listed = [ev.TableOpened(at=0.0, on=on, seed=0, lease_s=self.lease_s)]
-        first = Exchange(
-            sender="sidecar-1",
-            announcements=(announcement,),
-            heartbeats=(self.make_heartbeat(1, 0.0),),
-        )
-        listed.append(ev.ExchangeReceived(at=0.1, on=on, exchange=first))
+        listed = self.open()
         for second in range(1, 10):
-            relayed = Exchange(
-                sender="node-2", heartbeats=(self.make_heartbeat(1 + second, 0.6),)
-            )
             at = float(second)
-            listed.append(ev.ExchangeReceived(at=at, on=on, exchange=relayed))
-            expected = ev.ServersExpected(at=at, on=on, addresses=(FAILING,))
-            listed.append(expected)
-        stale = Exchange(sender="node-3", heartbeats=(self.make_heartbeat(5, 7.5),))
-        listed.append(ev.ExchangeReceived(at=11.0, on=on, exchange=stale))
-        listed.append(ev.ServersExpected(at=12.0, on=on, addresses=()))
+            listed.append(self.receive(at, self.beat(1, 1 + second, 0.6)))
+            listed.append(self.expect(at, FAILING))
+        listed.append(self.receive(11.0, self.beat(1, 5, 7.5)))
+        listed.append(self.expect(12.0))
         return listed
 
-    @staticmethod
-    def make_heartbeat(beat, age_s):
-        """Return a heartbeat of the sidecar."""
-        return Heartbeat(
-            group="sidecar-1", incarnation=1, version=1, beat=beat, age_s=age_s
-        )
+
+@scenarios.register
+class Leaving(TableScenario):
+    """A backend server that leaves."""
+
+    name = "leaving"
+    title = "A backend server leaves; older lists and heartbeats come late and twice."
+
+    def list_events(self):
+        """Return the messages that one node's table took in."""
+        leaving = self.announce(2, leaving=True)
+        return [
+            *self.open(),
+            self.expect(1.0, FAILING),
+            self.receive(2.0, leaving, self.beat(2, 2, 0.1)),
+            self.expect(2.0),
+            self.receive(2.1, self.announce(1), self.beat(1, 3, 0.0)),
+            self.expect(2.1),
+            self.receive(2.2, leaving, self.beat(2, 2, 0.1)),
+            self.receive(2.3, self.announce(3), self.beat(3, 4, 0.0)),
+            self.expect(2.3),
+        ]
 
 
 def make_document(keys=(1,), rate=100.0):
--- a/persimmonlane/traces/tests/test_kept.py
+++ b/persimmonlane/traces/tests/test_kept.py
@@ -44,6 +44,9 @@
     def test_one_way_partition(self):
         self.check("one-way-partition")
 
+    def test_leaving(self):
+        self.check("leaving")
+
     def test_key_withdrawn(self):
         self.check("key-withdrawn")
 
@@ -95,6 +98,11 @@
             ServerTable, "renew", lambda self, h, delay_s=0: False, "one-way-partition"
         )
 
+    def test_leaving_forgotten(self):
+        self.assert_found(
+            ServerTable, "_note_leaving", lambda self, announcement: None, "leaving"
+        )
+
     def test_leases_without_end(self):
         self.assert_found(
             ServerTable, "_is_live", lambda self, group: True, "one-way-partition"
