--- a/persimmonlane/programs/replay.py
+++ b/persimmonlane/programs/replay.py
@@ -3,28 +3,18 @@
 Replays a recorded trace and compares the decisions with those that it states.
 """
 
-import sys
-
-import cyclopts
-
-from .. import __version__
-from ..application import EXIT_FAILED, EXIT_INPUT, EXIT_OK
-from ..errors import PersimmonError
-from ..invariants import InvariantError
+from ..application import EXIT_FAILED, EXIT_OK
 from ..traces.files import read_trace
 from ..traces.replay import replay_trace
+from .common import create_program, run_program
 
-app = cyclopts.App(
-    name="persimmon-replay",
-    version=__version__,
-    help=(
-        "Replay a trace. Exit status: 0 all as stated, 1 a difference or a broken "
-        "invariant, 2 bad input."
-    ),
+program = create_program(
+    "persimmon-replay",
+    "Replay a trace; exit code 1 at the first difference or broken invariant.",
 )
 
 
-@app.default
+@program.default
 def replay(trace: str):
     """Replay a trace and print the first difference.
 
@@ -42,12 +32,4 @@
 
 def main(arguments=None):
     """Run the program and exit."""
-    try:
-        status = app(arguments, result_action="return_value")
-    except InvariantError as error:
-        print(f"persimmon-replay: {error}", file=sys.stderr)
-        status = EXIT_FAILED
-    except PersimmonError as error:
-        print(f"persimmon-replay: {error}", file=sys.stderr)
-        status = EXIT_INPUT
-    sys.exit(status or EXIT_OK)
+    run_program(program, arguments)
--- a/persimmonlane/programs/report.py
+++ b/persimmonlane/programs/report.py
@@ -7,27 +7,23 @@
 import sys
 from typing import Literal
 
-import cyclopts
 import urllib3
 
-from .. import __version__
-from ..application import EXIT_INPUT, EXIT_OK
-from ..errors import InputError, PersimmonError
+from ..application import EXIT_OK
+from ..errors import InputError
 from ..reporting.burn import compute_burns
 from ..reporting.formats import create_report, formats
 from ..reporting.records import decode_records, read_records
+from .common import create_program, run_program
 
 EXIT_FAST_BURN = 3
 FETCH_TIMEOUT_S = 10.0
 RECORDS_PATH = "/v1/records"
 
-app = cyclopts.App(
-    name="persimmon-report",
-    version=__version__,
-    help=(
-        "Report service-level burn per service and organisation. Exit status: 0 no "
-        "fast burn, 2 bad input, 3 a fast burn is on."
-    ),
+program = create_program(
+    "persimmon-report",
+    "Report service-level burn per service and organisation; exit code 3: a fast burn "
+    "is on.",
 )
 
 
@@ -78,7 +74,7 @@
         ) from error
 
 
-@app.default
+@program.default
 def report(
     *sources: str,
     format: Literal["text", "json", "html"] = "text",
@@ -107,9 +103,4 @@
 
 def main(arguments=None):
     """Run the program and exit."""
-    try:
-        status = app(arguments, result_action="return_value")
-    except PersimmonError as error:
-        print(f"persimmon-report: {error}", file=sys.stderr)
-        status = EXIT_INPUT
-    sys.exit(status or EXIT_OK)
+    run_program(program, arguments)
--- a/persimmonlane/programs/tests/test_replay.py
+++ b/persimmonlane/programs/tests/test_replay.py
@@ -55,4 +55,4 @@
 
     def test_version_and_help(self):
         self.assertEqual(0, self.run_program("--version")[0])
-        self.assertIn("Exit status", self.run_program("--help")[1])
+        self.assertIn("Exit codes", self.run_program("--help")[1])
