--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -184,9 +184,15 @@
     def conclude(self):
         """Begin anew, but go on telling other nodes what led to the verdict."""
         concluded = Conclusion(self.score, self.mask.copy())
+        # A node that follows need not have seen the windows itself.
+        concluded.mask.fill()
         self.reset()
         self._concluded = concluded
 
+    def is_concluded(self):
+        """Return whether the symptom led to an ejection that still stands."""
+        return self._concluded is not None
+
     def reset(self):
         """Forget what was seen; the cumulative sum stays."""
         self._concluded = None
@@ -324,8 +330,10 @@
 
     def conclude(self):
         """Begin anew, but go on telling other nodes what led to the verdict."""
+        self.symptoms[self.find_symptom()].conclude()
         for symptom in self.symptoms:
-            symptom.conclude()
+            if not symptom.is_concluded():
+                symptom.reset()
         self._begin_anew()
 
     def _begin_anew(self):
