--- a/persimmonlane/programs/report.py
+++ b/persimmonlane/programs/report.py
@@ -13,7 +13,7 @@
 from ..errors import InputError
 from ..reporting.burn import compute_burns
 from ..reporting.formats import create_report, formats
-from ..reporting.records import decode_records, read_records
+from ..reporting.records import decode_list, read_records
 from .common import create_program, run_program
 
 EXIT_FAST_BURN = 3
@@ -48,7 +48,7 @@
         ) from error
     if answer.status != 200:
         raise InputError(f"status {answer.status}", code="admin-refused", place=url)
-    return decode_records(answer.data, url)
+    return decode_list(answer.data, url)
 
 
 def collect_records(sources, token):
--- a/persimmonlane/programs/tests/test_report.py
+++ b/persimmonlane/programs/tests/test_report.py
@@ -7,6 +7,7 @@
 import threading
 import xml.etree.ElementTree
 
+import msgspec
 import testtools
 
 from persimmonlane.programs import report
@@ -85,7 +86,7 @@
         self.assertIn(f"[record-invalid] at {path}:1", err)
 
     def test_admin_api(self):
-        AdminHandler.data = encode_records([make_record(n) for n in range(60)])
+        AdminHandler.data = msgspec.json.encode([make_record(n) for n in range(60)])
         server = http.server.HTTPServer(("127.0.0.1", 0), AdminHandler)
         threading.Thread(target=server.serve_forever, daemon=True).start()
         self.addCleanup(server.server_close)
--- a/persimmonlane/reporting/records.py
+++ b/persimmonlane/reporting/records.py
@@ -116,17 +116,39 @@
     Raises:
         InputError: With code `record-invalid` or `record-format`, and the place.
     """
+    record = decode(line, ServiceRecord, place)
+    check_format(record, place)
+    return record
+
+
+def decode_list(data, place):
+    """Return the records of one JSON array, as an admin API gives them.
+
+    Raises:
+        InputError: With code `record-invalid` or `record-format`, and the place.
+    """
+    records = decode(data, list[ServiceRecord], place)
+    for record in records:
+        check_format(record, place)
+    return records
+
+
+def decode(data, kind, place):
+    """Return what JSON holds, as a value of a kind."""
     try:
-        record = msgspec.json.decode(line, type=ServiceRecord)
+        return msgspec.json.decode(data, type=kind)
     except msgspec.DecodeError as error:
         raise InputError(str(error), code="record-invalid", place=place) from error
+
+
+def check_format(record, place):
+    """Check that a record's format is known."""
     if record.format != FORMAT:
         raise InputError(
             f"format {record.format} is not known, only {FORMAT}",
             code="record-format",
             place=place,
         )
-    return record
 
 
 def decode_records(data, place="records"):
