--- a/persimmonlane/reporting/formats.py
+++ b/persimmonlane/reporting/formats.py
@@ -28,6 +28,26 @@
 .latency { stroke: #1f5fa8; }
 .limit { stroke: #888; stroke-dasharray: 4 3; }
 """
+HEADS = (
+    "Service",
+    "Organisation",
+    "Objective",
+    "Requests",
+    "Bad",
+    "Budget left",
+    "1 h",
+    "5 min",
+)
+PAGE = """<!doctype html>
+<html lang="en"><head><meta charset="utf-8">
+<title>Service-level burn</title><style>{style}</style></head>
+<body><h1>Service-level burn</h1>
+<p>{span} s of records. {state} Burn rates; 1 spends the budget over 30 days.</p>
+{charts}
+<table><tr>{heads}</tr>
+{rows}
+</table></body></html>
+"""
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,7 +92,7 @@
             f" {'bad':>7} {'left':>8} {'1 h':>8} {'5 min':>8}"
         )
         lines += [self._write_burn(burn) for burn in sort_burns(report.burns)]
-        lines.append("A fast burn is on." if report.fast else "No fast burn is on.")
+        lines.append(describe_state(report))
         return "\n".join(lines) + "\n"
 
     def _write_burn(self, burn):
@@ -107,25 +127,14 @@
 
     def write(self, report, records):
         """Return the report as an HTML page."""
-        rows = [self._write_row(burn) for burn in sort_burns(report.burns)]
         services = sorted({record.service for record in records if record.service})
-        charts = [draw_service(name, records, report) for name in services]
-        state = "A fast burn is on." if report.fast else "No fast burn is on."
-        span = report.end_s - report.start_s
-        heads = "Service,Organisation,Objective,Requests,Bad,Budget left,1 h,5 min"
-        cells = "".join(f"<th>{head}</th>" for head in heads.split(","))
-        return "\n".join(
-            (
-                "<!doctype html>",
-                '<html lang="en"><head><meta charset="utf-8">',
-                f"<title>Service-level burn</title><style>{STYLE}</style></head>",
-                f"<body><h1>Service-level burn</h1><p>{span:.0f} s of records.",
-                f"{state} Burn rates; 1 spends the budget over 30 days.</p>",
-                *charts,
-                f"<table><tr>{cells}</tr>",
-                *rows,
-                "</table></body></html>\n",
-            )
+        return PAGE.format(
+            style=STYLE,
+            span=f"{report.end_s - report.start_s:.0f}",
+            state=describe_state(report),
+            charts="\n".join(draw_service(name, records, report) for name in services),
+            heads="".join(f"<th>{head}</th>" for head in HEADS),
+            rows="\n".join(self._write_row(burn) for burn in sort_burns(report.burns)),
         )
 
     def _write_row(self, burn):
@@ -144,6 +153,11 @@
         return f"<tr{mark}>{''.join(f'<td>{cell}</td>' for cell in cells)}</tr>"
 
 
+def describe_state(report):
+    """Return a sentence on whether a fast burn is on."""
+    return "A fast burn is on." if report.fast else "No fast burn is on."
+
+
 def find_fast_window(burn):
     """Return the burn rates of the fast pair of windows."""
     return next(window for window in burn.windows if window.name == FAST.name)
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -152,6 +152,27 @@
     )
 
 
+def run_all(seeds, seconds, nodes, processes):
+    """Run all variants on both sites; return their `Row`s."""
+    rows = []
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        for site in sites.names():
+            for variant in VARIANTS:
+                arguments = site, variant, seconds, nodes
+                rows.append((site, variant, submit_runs(pool, seeds, *arguments)))
+        return [
+            join_summaries(site, variant, [run.result() for run in runs])
+            for site, variant, runs in rows
+        ]
+
+
+def submit_runs(pool, seeds, site, variant, seconds, nodes):
+    """Begin the runs of one variant with all seeds."""
+    return [
+        pool.submit(run_variant, site, variant, seed, seconds, nodes) for seed in seeds
+    ]
+
+
 def format_number(value):
     """Return a number for the table."""
     return "-" if value is None else f"{value:.2f}"
@@ -228,20 +249,7 @@
         nodes: Number of nodes; each backend server has one beside it today.
         processes: Number of runs at a time.
     """
-    rows = []
-    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
-        runs = {
-            (site, variant.name): [
-                pool.submit(run_variant, site, variant, seed, seconds, nodes)
-                for seed in range(1, seeds + 1)
-            ]
-            for site in sites.names()
-            for variant in VARIANTS
-        }
-        for site in sites.names():
-            for variant in VARIANTS:
-                summaries = [run.result() for run in runs[site, variant.name]]
-                rows.append(join_summaries(site, variant, summaries))
+    rows = run_all(range(1, seeds + 1), seconds, nodes, processes)
     print(f"seeds 1 to {seeds}, {seconds:.0f} s each, {nodes} nodes\n")
     print(format_table(rows))
     FOLDER.mkdir(exist_ok=True)
