--- a/persimmonlane/forwarding/dispatcher.py
+++ b/persimmonlane/forwarding/dispatcher.py
@@ -54,6 +54,15 @@
         self.refusal = refusal
 
 
+class Makers:
+    """Creates the decision classes of a service."""
+
+    __slots__ = ()
+
+    create_ejector = staticmethod(create_ejector)
+    create_balancer = staticmethod(create_balancer)
+
+
 class Dispatcher:
     """The requests of one service on this node.
 
@@ -76,9 +85,12 @@
         "_latency_s",
         "_returned",
         "_has_kept",
+        "_makers",
     )
 
-    def __init__(self, service, data_centre, weights, clock, rng, has_kept):
+    def __init__(
+        self, service, data_centre, weights, clock, rng, has_kept, makers=None
+    ):
         """Begin without backend servers.
 
         Args:
@@ -89,10 +101,13 @@
             rng: A `random.Random`.
             has_kept: Callable that tells whether there is a kept connection to
                 an address.
+            makers: Creates the ejector and the balancer; a `traces.Recorder`
+                records what they are given.
         """
         self.service = service
-        self.ejector = create_ejector(service, clock, rng)
-        self.balancer = create_balancer(service, data_centre, clock, rng)
+        self._makers = makers or Makers()
+        self.ejector = self._makers.create_ejector(service, clock, rng)
+        self.balancer = self._makers.create_balancer(service, data_centre, clock, rng)
         self._clock = clock
         self._rng = rng
         self._data_centre = data_centre
@@ -108,7 +123,7 @@
         if service == self.service:
             return
         if service.balancing != self.service.balancing:
-            self.balancer = create_balancer(
+            self.balancer = self._makers.create_balancer(
                 service, self._data_centre, self._clock, self._rng
             )
         self.service = service
--- a/persimmonlane/forwarding/tests/test_dispatcher.py
+++ b/persimmonlane/forwarding/tests/test_dispatcher.py
@@ -1,4 +1,6 @@
+import pathlib
 import random
+import tempfile
 
 import testtools
 
@@ -8,6 +10,9 @@
 from ...errors import Refusal
 from ...invariants import InvariantError
 from ...membership.servers import BackendServer
+from ...traces.files import read_trace
+from ...traces.recorder import Recorder
+from ...traces.replay import replay_trace
 from ...verdicts import Verdict
 from ..dispatcher import Dispatcher
 from ..plans import Arrival
@@ -19,7 +24,7 @@
         self.clock = ManualClock(100.0)
         self.dispatcher = self.create()
 
-    def create(self, **service):
+    def create(self, makers=None, **service):
         return Dispatcher(
             Service(name="prices", **service),
             "a",
@@ -27,6 +32,7 @@
             self.clock,
             random.Random(7),
             lambda address: False,
+            makers,
         )
 
     def serve(self, *addresses, slots=1):
@@ -127,3 +133,19 @@
         self.dispatcher.set_service(Service(name="prices", queue_limit=5))
         self.end(plan)
         self.assertEqual(1, len(list(self.dispatcher.place_queued())))
+
+    def test_recorded_decisions_replay_to_the_same_answers(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "trace.jsonl"
+        recorder = Recorder(path, 10**6, self.clock)
+        self.dispatcher = self.create(recorder, balancing="random")
+        self.serve("s1", "s2", "s3", slots=4)
+        for _ in range(20):
+            self.clock.advance(0.0123456789)
+            self.end(self.dispatcher.place(self.arrive()))
+            self.dispatcher.ejector.tick()
+        recorder.close()
+        trace = read_trace(path)
+        self.assertTrue(len(trace.events) > 100)
+        self.assertIsNone(replay_trace(trace))
--- a/persimmonlane/forwarding/traffic.py
+++ b/persimmonlane/forwarding/traffic.py
@@ -16,6 +16,7 @@
 from ..limits.messages import LoansChanged
 from ..membership.messages import LoadReported, PeersChanged, ServersChanged
 from ..reporting.ledger import Ledger, UnixClock
+from ..traces.recorder import open_recorder
 from .budgets import SharedBudget
 from .dispatcher import Dispatcher
 from .plans import Arrival, AttemptEnded, ConnectionSuspected, RequestEnded, Snapshot
@@ -111,6 +112,12 @@
         self._borrower = Borrower(settings.name, clock)
         self._waiting = []
         self._ledger = Ledger(UnixClock(), settings.name)
+        self._recorder = open_recorder(settings, clock)
+
+    def on_stop(self):
+        """Close the trace, if one is recorded."""
+        if self._recorder is not None:
+            self._recorder.close()
 
     def arrive(self, arrival):
         """Admit a request and find its backend server."""
@@ -330,6 +337,7 @@
             self._clock,
             self._rng,
             self._ports.pool.has_kept,
+            self._recorder,
         )
         dispatcher.ejector.update_peers(self._peer_count)
         self._dispatchers[service.name] = dispatcher
--- a/persimmonlane/settings.py
+++ b/persimmonlane/settings.py
@@ -49,6 +49,8 @@
         log_level: Least level that is logged.
         log_format: Form of the log lines.
         threads: Requests served at a time by the ingress role.
+        trace: File to which the decisions are recorded, or None.
+        trace_limit_bytes: Most bytes of that file.
     """
 
     name: str
@@ -65,6 +67,8 @@
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     log_format: Literal["text", "json"] = "text"
     threads: Annotated[int, msgspec.Meta(ge=1, le=512)] = 48
+    trace: str | None = None
+    trace_limit_bytes: Annotated[int, msgspec.Meta(ge=4096)] = 64 * 1024 * 1024
 
 
 def read_settings(path, model=NodeSettings):
--- a/persimmonlane/traces/recorder.py
+++ b/persimmonlane/traces/recorder.py
@@ -96,6 +96,15 @@
         return RecordedBalancer(balancer, self, name, frozen)
 
 
+def open_recorder(settings, clock):
+    """Return the `Recorder` that a node's settings ask for, or None."""
+    if settings.trace is None:
+        return None
+    return Recorder(
+        settings.trace, settings.trace_limit_bytes, clock, node=settings.name
+    )
+
+
 class FrozenClock(ManualClock):
     """A clock that stands still during each recorded call, as it does in replay."""
 
