--- a/persimmonlane/programs/replay.py
+++ b/persimmonlane/programs/replay.py
@@ -15,13 +15,15 @@
 
 
 @program.default
-def replay(trace: str):
+def replay(trace: str, *, partial: bool = False):
     """Replay a trace and print the first difference.
 
     Args:
         trace: File with the trace.
+        partial: Take the whole lines of a trace without an end, as a node leaves it
+            that was killed.
     """
-    read = read_trace(trace)
+    read = read_trace(trace, partial)
     difference = replay_trace(read)
     if difference is not None:
         print(f"{trace}: {difference}")
--- a/persimmonlane/programs/tests/test_replay.py
+++ b/persimmonlane/programs/tests/test_replay.py
@@ -10,10 +10,10 @@
 
 
 class ReplayTest(testtools.TestCase):
-    def run_on(self, data):
+    def run_on(self, data, *options):
         with tempfile.NamedTemporaryFile(suffix=".jsonl") as file:
             pathlib.Path(file.name).write_bytes(data)
-            return self.run_program(file.name)
+            return self.run_program(file.name, *options)
 
     def run_program(self, *arguments):
         out, err = io.StringIO(), io.StringIO()
@@ -43,6 +43,15 @@
         self.assertEqual(2, code)
         self.assertIn("[trace-unreadable]", err)
 
+    def test_cut_file(self):
+        data = KeyWithdrawn().build()[:-90]
+        code, _, err = self.run_on(data)
+        self.assertEqual(2, code)
+        self.assertIn("[trace-truncated]", err)
+        code, out, _ = self.run_on(data, "--partial")
+        self.assertEqual(0, code)
+        self.assertIn("8 events as stated", out)
+
     def test_unknown_instance(self):
         data = (
             KeyWithdrawn()
--- a/persimmonlane/traces/events.py
+++ b/persimmonlane/traces/events.py
@@ -239,10 +239,10 @@
 
 
 class RequestFinished(Event):
-    """A request to a backend server ended."""
+    """A request ended; without a latency, it says nothing of the server's speed."""
 
     address: str
-    latency_s: float
+    latency_s: float | None
     ok: bool = True
 
 
--- a/persimmonlane/traces/files.py
+++ b/persimmonlane/traces/files.py
@@ -66,9 +66,13 @@
     return b"".join(encode_line(line) + b"\n" for line in lines)
 
 
-def read_trace(path):
+def read_trace(path, partial=False):
     """Return the trace of a file.
 
+    Args:
+        path: Path of the file.
+        partial: Whether to take the whole lines of a trace without an end.
+
     Raises:
         TraceError: If the file can't be read or is no whole trace.
     """
@@ -81,6 +85,8 @@
             code="trace-unreadable",
             place=str(path),
         ) from error
+    if partial:
+        data = complete(data)
     return decode_trace(data, str(path))
 
 
@@ -109,6 +115,25 @@
     return Trace(header, numbered)
 
 
+def complete(data):
+    """Return the whole lines of a trace, with an end if it has none."""
+    lines = data.splitlines(keepends=True)
+    if lines and not lines[-1].endswith(b"\n"):
+        lines.pop()
+    if lines and is_end(lines[-1]):
+        return b"".join(lines)
+    lines.append(encode_line(End(lines=len(lines))) + b"\n")
+    return b"".join(lines)
+
+
+def is_end(line):
+    """Return whether a line is an end."""
+    try:
+        return isinstance(create_decoder().decode(line), End)
+    except msgspec.DecodeError:
+        return False
+
+
 def decode_header(line, place):
     """Return the header of a trace."""
     try:
@@ -133,12 +158,9 @@
 def check_end(lines, data, place):
     """Check that the last line is the end of the whole trace."""
     place = f"{place}:{len(lines)}"
-    try:
-        end = create_decoder().decode(lines[-1])
-    except msgspec.DecodeError:
-        end = None
-    if not isinstance(end, End) or not data.endswith(b"\n"):
+    if not is_end(lines[-1]) or not data.endswith(b"\n"):
         raise TraceError("the end is missing", code="trace-truncated", place=place)
+    end = create_decoder().decode(lines[-1])
     if end.lines != len(lines) - 1:
         raise TraceError(
             f"the end states {end.lines} lines, there are {len(lines) - 1}",
--- a/persimmonlane/traces/players.py
+++ b/persimmonlane/traces/players.py
@@ -147,7 +147,13 @@
         """End an attempt."""
         attempt = self._find_attempt(event.attempt)
         self._ejector.observe(
-            Outcome(event.address, attempt, event.kind, event.latency_s, event.verdict)
+            Outcome(
+                event.address,
+                attempt,
+                event.kind,
+                event.latency_s,
+                event.verdict,
+            )
         )
 
     def _find_attempt(self, number):
--- a/persimmonlane/traces/recorder.py
+++ b/persimmonlane/traces/recorder.py
@@ -204,7 +204,12 @@
     def record_probe(self, address, ok, latency_s):
         """Record and pass on."""
         self._begin()
-        self._write(ev.ProbeEnded, address=address, ok=ok, latency_s=latency_s)
+        self._write(
+            ev.ProbeEnded,
+            address=address,
+            ok=ok,
+            latency_s=latency_s,
+        )
         self._inner.record_probe(address, ok, latency_s)
 
     def export_evidence(self):
@@ -281,7 +286,12 @@
     def finish(self, address, latency_s, ok=True):
         """Record and pass on."""
         self._begin()
-        self._write(ev.RequestFinished, address=address, latency_s=latency_s, ok=ok)
+        self._write(
+            ev.RequestFinished,
+            address=address,
+            latency_s=latency_s,
+            ok=ok,
+        )
         self._inner.finish(address, latency_s, ok)
 
     def report_load(self, address, running, waiting, age_s):
--- a/persimmonlane/traces/tests/test_recorder.py
+++ b/persimmonlane/traces/tests/test_recorder.py
@@ -56,3 +56,16 @@
         self.assertEqual(0.0, ejector.connections_since("10.0.0.1:80"))
         recorder.close()
         recorder.close()
+
+    def test_a_request_without_latency(self):
+        clock = ManualClock(5.0)
+        recorder = Recorder(self.path, 10**6, clock)
+        balancer = recorder.create_balancer(
+            Service(name="prices"), "a", clock, random.Random(1)
+        )
+        balancer.start("10.0.0.1:80")
+        balancer.finish("10.0.0.1:80", None, False)
+        recorder.close()
+        trace = read_trace(self.path)
+        self.assertIsNone(trace.events[-1].event.latency_s)
+        self.assertIsNone(replay_trace(trace))
