--- a/persimmonlane/traces/recorder.py
+++ b/persimmonlane/traces/recorder.py
@@ -96,6 +96,15 @@
         return RecordedBalancer(balancer, self, name, frozen)
 
 
+def open_recorder(settings, clock):
+    """Return the `Recorder` that a node's settings ask for, or None."""
+    if settings.trace is None:
+        return None
+    return Recorder(
+        settings.trace, settings.trace_limit_bytes, clock, node=settings.name
+    )
+
+
 class FrozenClock(ManualClock):
     """A clock that stands still during each recorded call, as it does in replay."""
 
@@ -141,6 +150,18 @@
 
     __slots__ = ()
 
+    def set_service(self, service):
+        """Record and pass on."""
+        self._begin()
+        self._write(ev.ServiceChanged, service=service)
+        self._inner.set_service(service)
+
+    def update_peers(self, count):
+        """Record and pass on."""
+        self._begin()
+        self._write(ev.PeersCounted, count=count)
+        self._inner.update_peers(count)
+
     def update_servers(self, servers):
         """Record and pass on."""
         self._begin()
@@ -183,7 +204,12 @@
     def record_probe(self, address, ok, latency_s):
         """Record and pass on."""
         self._begin()
-        self._write(ev.ProbeEnded, address=address, ok=ok, latency_s=latency_s)
+        self._write(
+            ev.ProbeEnded,
+            address=address,
+            ok=ok,
+            latency_s=latency_s,
+        )
         self._inner.record_probe(address, ok, latency_s)
 
     def export_evidence(self):
@@ -211,11 +237,18 @@
 class RecordedBalancer(Recorded):
     """A balancer that records its calls."""
 
-    __slots__ = ("_servers",)
+    __slots__ = ("_known", "_addresses")
 
     def __init__(self, *args):
         super().__init__(*args)
-        self._servers = None
+        self._known = {}
+        self._addresses = None
+
+    def set_service(self, service):
+        """Record and pass on."""
+        self._begin()
+        self._write(ev.ServiceChanged, service=service)
+        self._inner.set_service(service)
 
     def choose(self, servers, context):
         """Record and pass on."""
@@ -223,17 +256,27 @@
         standings = describe_standings(servers, context.standings)
         server = self._inner.choose(servers, context)
         described = describe_servers(servers)
+        changed = [each for each in described if self._known.get(each.address) != each]
+        self._known |= {each.address: each for each in changed}
+        addresses = tuple(each.address for each in described)
         self._write(
             ev.ServerChosen,
-            servers=None if described == self._servers else described,
+            servers=tuple(changed),
+            addresses=None if addresses == self._addresses else addresses,
             idempotent=context.idempotent,
             excluded=tuple(sorted(context.excluded)),
             standings=standings,
             chosen=server.address if server else "",
         )
-        self._servers = described
+        self._addresses = addresses
         return server
 
+    def forget(self, servers):
+        """Record and pass on."""
+        self._begin()
+        self._write(ev.ServersKept, servers=describe_servers(servers))
+        self._inner.forget(servers)
+
     def start(self, address):
         """Record and pass on."""
         self._begin()
@@ -243,7 +286,12 @@
     def finish(self, address, latency_s, ok=True):
         """Record and pass on."""
         self._begin()
-        self._write(ev.RequestFinished, address=address, latency_s=latency_s, ok=ok)
+        self._write(
+            ev.RequestFinished,
+            address=address,
+            latency_s=latency_s,
+            ok=ok,
+        )
         self._inner.finish(address, latency_s, ok)
 
     def report_load(self, address, running, waiting, age_s):
