Check inside the node that refusals and answers say what happened

not-run: a request refused as not run had no attempt that may have run; whole-answer: as many bytes went to the caller as the answer stated. Both seen to notice a deliberate break (describe_failure that forgets, a lost piece).

--- a/persimmonlane/forwarding/forwarder.py
+++ b/persimmonlane/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 
 from ..ejection.outcome import Kind, Outcome
 from ..errors import Refusal
+from ..invariants import check_invariant
 from ..keys import Header, extract_keys
 from ..retries.attempts import RequestAttempts
 from ..verdicts import Verdict
@@ -53,6 +54,7 @@
         idempotent: Whether the request is idempotent.
         arrived: Monotonic seconds of its arrival.
         deadline: Monotonic seconds at which the caller gives up.
+        attempts: The `RequestAttempts`, or None before the first.
     """
 
     __slots__ = (
@@ -68,6 +70,7 @@
         "idempotent",
         "arrived",
         "deadline",
+        "attempts",
     )
 
     def __init__(self, method, target, headers, body, caller, arrived):
@@ -83,6 +86,7 @@
         self.idempotent = False
         self.arrived = arrived
         self.deadline = None
+        self.attempts = None
 
 
 class ForwardedAnswer:
@@ -131,9 +135,17 @@
             Refusal: If the node answers itself.
             CallerLeft: If the caller went away.
         """
+        try:
+            return self._forward(request)
+        except Refusal as refusal:
+            check_refusal(request, refusal)
+            raise
+
+    def _forward(self, request):
         self._identify(request)
         request.body.read_ahead()
-        return self._run_attempts(request, self._create_attempts(request))
+        request.attempts = self._create_attempts(request)
+        return self._run_attempts(request, request.attempts)
 
     def note_end(self, request, status, code, verdict):
         """Report the end of a request for measures.
@@ -346,6 +358,21 @@
         self._traffic.tell(AttemptEnded(self._service, outcome))
 
 
+def check_refusal(request, refusal):
+    """Check that a request refused as not run was not sent to a server that ran it.
+
+    Raises:
+        InvariantError: If an attempt may have run.
+    """
+    attempts = request.attempts
+    untouched = attempts is None or attempts.verdict is Verdict.NOT_RUN
+    check_invariant(
+        "not-run",
+        untouched or refusal.verdict is not Verdict.NOT_RUN,
+        f"a request refused with {refusal.code} may have run",
+    )
+
+
 def decode_path(target):
     """Return the decoded path of a request target."""
     return urllib.parse.unquote(target.partition("?")[0])
--- a/persimmonlane/forwarding/gateway.py
+++ b/persimmonlane/forwarding/gateway.py
@@ -10,7 +10,7 @@
 import cheroot.server
 
 from ..errors import Refusal
-from ..invariants import InvariantError
+from ..invariants import InvariantError, check_invariant
 from ..keys import Header
 from ..verdicts import Verdict
 from .answers import get_reason, render_refusal
@@ -101,7 +101,7 @@
         status, code = answer.status, ""
         try:
             self._write_body(answer)
-        except (AttemptError, OSError) as error:
+        except (AttemptError, InvariantError, OSError) as error:
             status, code = 0, getattr(error, "code", "caller-left")
             self._cut()
         finally:
@@ -110,9 +110,16 @@
 
     def _write_body(self, answer):
         self.req.ensure_headers_sent()
+        sent_bytes = 0
         for piece in answer.pieces:
             if piece:
                 self.req.write(piece)
+                sent_bytes += len(piece)
+        check_invariant(
+            "whole-answer",
+            answer.length is None or sent_bytes == answer.length,
+            f"{sent_bytes} of {answer.length} bytes were passed on",
+        )
 
     def _set_head(self, status, headers):
         self.req.status = f"{status} {get_reason(status)}".encode("latin-1")
--- a/persimmonlane/forwarding/tests/test_exchange.py
+++ b/persimmonlane/forwarding/tests/test_exchange.py
@@ -79,6 +79,14 @@
         self.assertEqual(b"x", self.read(self.create(server)))
         self.assertEqual(1, server.connections)
 
+    def test_connection_with_bytes_after_a_chunked_answer_is_not_kept(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        surplus = head + b"3\r\nabc\r\n0\r\n\r\n" + answer(b"surplus")
+        server = self.serve([surplus], [answer(b"own")])
+        self.assertEqual(b"abc", self.read(self.create(server)))
+        self.assertEqual(b"own", self.read(self.create(server)))
+        self.assertEqual(2, server.connections)
+
     def test_short_answer_is_an_error(self):
         server = self.serve([answer(b"half", length=9), ScriptedServer.CLOSE])
         self.assert_fails(self.create(server), Kind.SHORT, Verdict.MAY_HAVE_RUN)
--- a/persimmonlane/forwarding/tests/test_gateway.py
+++ b/persimmonlane/forwarding/tests/test_gateway.py
@@ -7,7 +7,9 @@
 from ...ejection.outcome import Kind
 from ...errors import Refusal
 from ...verdicts import Verdict
+from .. import forwarder
 from ..answers import Explanation
+from ..forwarder import describe_failure
 from ..plans import AttemptEnded, RequestEnded
 from .scripted import ScriptedServer, answer, read_all
 from .support import KEY, OTHER_KEY, FakeIngress, build_document
@@ -274,6 +276,25 @@
         self.connection.close()
         self.assertTrue(server.closed.wait(10))
 
+    def test_refusal_that_forgets_an_attempt_is_noticed(self):
+        self.start(self.serve([ScriptedServer.CLOSE]))
+        forgetful = describe_failure
+        self.patch(
+            forwarder,
+            "describe_failure",
+            lambda error, verdict: forgetful(error, Verdict.NOT_RUN),
+        )
+        self.assert_refused(
+            500, "invariant-not-run", "may-have-run", method="POST", body=b"x"
+        )
+
+    def test_answer_that_lost_a_piece_is_noticed(self):
+        self.start(self.serve([answer(b"whole")]))
+        self.patch(forwarder, "read_ahead", lambda pieces, length: iter([b"who"]))
+        self.connection.request("GET", "/prices/1", headers=HEADERS)
+        response = self.connection.getresponse()
+        self.assertRaises((ConnectionError, http.client.IncompleteRead), response.read)
+
     def test_end_of_each_request_is_reported(self):
         self.start(self.serve([answer()]))
         self.ask()
