--- a/persimmonlane/balancing/policies.py
+++ b/persimmonlane/balancing/policies.py
@@ -236,6 +236,9 @@
         self._typical.record(latency_s, now)
         self._get_load(address).latency.record(latency_s, now)
 
+    def report_load(self, address, running, waiting, age_s):
+        """Ignore the report: latency tells of other nodes' requests, and sooner."""
+
     def _pick(self, candidates, now):
         local = [candidate for candidate in candidates if candidate.is_local]
         if not local or len(local) == len(candidates):
