--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -16,45 +16,51 @@
     """The windows with bad evidence in the present rise of a sum.
 
     Attributes:
-        count: Number of distinct windows, less what good evidence outweighs.
+        count: Weight of the windows, less what good evidence outweighs.
+        index: Last window that was added.
     """
 
-    __slots__ = ("count", "_nats", "_bits", "_index")
+    __slots__ = ("count", "index", "_traits", "_bits")
 
-    def __init__(self, nats):
+    def __init__(self, traits):
         """Begin without windows.
 
         Args:
-            nats: Good evidence that outweighs one window.
+            traits: `SymptomTraits` of the symptom.
         """
-        self._nats = nats
+        self._traits = traits
         self.count = 0.0
         self._bits = 0
-        self._index = 0
+        self.index = 0
 
     def add(self, bits, index):
         """Add windows; the lowest bit stands for window `index`."""
         known = self.read(index)
         fresh = bits & ~known
         self._bits = known | fresh
-        self._index = index
-        self.count += fresh.bit_count()
+        self.index = index
+        self.count += self.weigh(self._bits) - self.weigh(known)
+
+    def weigh(self, bits):
+        """Return the weight of some windows and their unbroken rows."""
+        rows = bits & ~(bits << 1)
+        return bits.bit_count() + self._traits.row_weight * rows.bit_count()
 
     def read(self, index):
         """Return the windows as bits whose lowest stands for window `index`."""
-        shift = min(index - self._index, WINDOW_BITS)
+        shift = min(index - self.index, WINDOW_BITS)
         return (self._bits << shift) & WINDOW_MASK
 
     def outweigh(self, change):
         """Let good evidence, a negative change of the sum, count against windows."""
-        self.count = max(0.0, self.count + change / self._nats)
+        self.count = max(0.0, self.count + change / self._traits.outweighing_nats)
 
     def copy(self):
         """Return an equal mask of its own."""
-        other = WindowMask(self._nats)
+        other = WindowMask(self._traits)
         other.count = self.count
         other._bits = self._bits
-        other._index = self._index
+        other.index = self.index
         return other
 
     def clear(self):
@@ -63,6 +69,11 @@
         self._bits = 0
 
 
+def measure_span(bits):
+    """Return the number of windows from the first to the last of some."""
+    return (bits // (bits & -bits)).bit_length() if bits else 0
+
+
 class Arrival:
     """The last evidence of one other node.
 
@@ -138,7 +149,7 @@
         """Take back evidence of this node."""
         self._sum -= amount
 
-    def is_corroborated(self, own, score, windows, index):
+    def is_corroborated(self, own, score, windows, span, index):
         """Return whether the nodes other than the worst agree.
 
         The worst one may have a bad path of its own.
@@ -146,7 +157,8 @@
         Args:
             own: `SymptomEvidence` of this node.
             score: Sum of CUSUMs that the others must hold.
-            windows: Distinct bad windows that they must have seen.
+            windows: Weight of the bad windows that they must have seen.
+            span: Windows from the first to the last of these.
             index: Present window.
         """
         views = [Arrival(index, own)]
@@ -158,7 +170,9 @@
         for view in views[:-1]:
             seen |= view.evidence.windows << (index - view.index)
             total += view.evidence.score
-        return total >= score and (seen & WINDOW_MASK).bit_count() >= windows
+        seen &= WINDOW_MASK
+        enough = total >= score and self.mask.weigh(seen) >= windows
+        return enough and measure_span(seen) >= span
 
     def forget(self, node):
         """Forget the evidence of a node whose sums began anew."""
--- a/persimmonlane/ejection/tracks.py
+++ b/persimmonlane/ejection/tracks.py
@@ -7,8 +7,8 @@
 import math
 
 from .evidence import RISE_WINDOWS, SymptomEvidence
-from .pool import CEILING, PooledSum, WindowMask
-from .symptoms import LEAST_RATES, OUTWEIGHING_NATS, TRIAL_SYMPTOMS, TRIALS
+from .pool import CEILING, WINDOW_MASK, PooledSum, WindowMask
+from .symptoms import LEAST_RATES, TRAITS, TRIAL_SYMPTOMS, TRIALS
 
 WINDOW_S = 0.125
 SHORT_S = 0.5
@@ -20,6 +20,7 @@
 IDLE_TRIALS = 0.01
 NEGLIGIBLE = 1e-4
 SAMPLE_WINDOWS = 4
+CONCLUDED_WINDOWS = 80
 RANGE = range(TRIALS)
 
 
@@ -78,14 +79,14 @@
 
     Attributes:
         score: CUSUM at that time.
-        mask: `WindowMask` at that time.
+        index: Last window with bad evidence.
     """
 
-    __slots__ = ("score", "mask")
+    __slots__ = ("score", "index")
 
-    def __init__(self, score, mask):
+    def __init__(self, score, index):
         self.score = score
-        self.mask = mask
+        self.index = index
 
 
 class SymptomTrack:
@@ -100,14 +101,14 @@
 
     __slots__ = ("score", "mask", "pool", "total", "_totals", "_concluded")
 
-    def __init__(self, nats):
+    def __init__(self, traits):
         """Begin without evidence.
 
         Args:
-            nats: Good evidence that outweighs one bad window.
+            traits: `SymptomTraits` of the symptom.
         """
         self.score = 0.0
-        self.mask = WindowMask(nats)
+        self.mask = WindowMask(traits)
         self.pool = None
         self.total = 0.0
         self._concluded = None
@@ -174,19 +175,24 @@
 
     def export(self, index):
         """Return the `SymptomEvidence` for other nodes."""
-        score, mask = self.score, self.mask
-        if self._concluded is not None and not score:
-            score, mask = self._concluded.score, self._concluded.mask
-        rises = tuple(self._find_rise(windows) for windows in RISE_WINDOWS)
-        windows = mask.read(index)
+        score, windows = self.score, self.mask.read(index)
+        concluded = self._concluded
+        if concluded is not None and index - concluded.index <= CONCLUDED_WINDOWS:
+            # A node that follows need not have seen the windows itself.
+            score, windows = max(score, concluded.score), WINDOW_MASK
+        rises = tuple(self._find_rise(span) for span in RISE_WINDOWS)
         return SymptomEvidence(round(self.total, 2), rises, round(score, 2), windows)
 
     def conclude(self):
         """Begin anew, but go on telling other nodes what led to the verdict."""
-        concluded = Conclusion(self.score, self.mask.copy())
+        concluded = Conclusion(self.score, self.mask.index)
         self.reset()
         self._concluded = concluded
 
+    def is_concluded(self):
+        """Return whether the symptom led to an ejection that still stands."""
+        return self._concluded is not None
+
     def reset(self):
         """Forget what was seen; the cumulative sum stays."""
         self._concluded = None
@@ -203,10 +209,10 @@
             self.score = 0.0
             self.mask.clear()
 
-    def _find_rise(self, windows):
+    def _find_rise(self, span):
         if not self._totals:
             return round(self.total, 2)
-        back = min(windows // SAMPLE_WINDOWS, len(self._totals))
+        back = min(span // SAMPLE_WINDOWS, len(self._totals))
         return round(self.total - self._totals[-back], 2)
 
 
@@ -254,7 +260,7 @@
         self.log_typical = None
         self.limit_s = limit_s
         self.rates = LEAST_RATES
-        self.symptoms = [SymptomTrack(nats) for nats in OUTWEIGHING_NATS]
+        self.symptoms = [SymptomTrack(traits) for traits in TRAITS]
         self.connections_since = 0.0
 
     def note_latency(self, latency_s):
@@ -324,8 +330,10 @@
 
     def conclude(self):
         """Begin anew, but go on telling other nodes what led to the verdict."""
+        self.symptoms[self.find_symptom()].conclude()
         for symptom in self.symptoms:
-            symptom.conclude()
+            if not symptom.is_concluded():
+                symptom.reset()
         self._begin_anew()
 
     def _begin_anew(self):
--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -11,11 +11,14 @@
 from .messages import Demand, Demands
 from .policy import (
     ANSWER_S,
+    BUSY_DEMAND,
     EMPTY_S,
     EXCESS,
     EXCHANGES_PER_LOAN,
+    FETCH_S,
     IDLE_S,
     LOOKAHEAD_S,
+    MAX_DOUBLINGS,
     MISSED_S,
     SCARCE_S,
     SWEEP_S,
@@ -49,7 +52,8 @@
         waiting: Requests that wait for a token.
         sequence: Number of the batch whose answer is awaited, or 0.
         asked_at: Monotonic seconds at which that batch was made.
-        missed_at: Monotonic seconds at which no holder was found.
+        misses: Times in a row that no holder was found or none answered.
+        retry_at: Monotonic seconds before which no holder is asked again.
         scarce_until: Until then a miss is refused at once.
         empty_until: Until then no tokens are fetched ahead of need.
         used_at: Monotonic seconds of the last request.
@@ -69,7 +73,8 @@
         "waiting",
         "sequence",
         "asked_at",
-        "missed_at",
+        "misses",
+        "retry_at",
         "scarce_until",
         "empty_until",
         "used_at",
@@ -89,7 +94,8 @@
         self.waiting = 0
         self.sequence = 0
         self.asked_at = NEVER
-        self.missed_at = NEVER
+        self.misses = 0
+        self.retry_at = NEVER
         self.scarce_until = NEVER
         self.empty_until = NEVER
         self.used_at = now
@@ -107,6 +113,12 @@
         """Return whether an answer is still awaited."""
         return self.sequence != 0 and now < self.asked_at + ANSWER_S
 
+    def miss(self, now):
+        """Note that no holder answered; each time in a row waits longer."""
+        self.misses += 1
+        wait_s = MISSED_S * 2 ** min(self.misses - 1, MAX_DOUBLINGS)
+        self.retry_at = now + wait_s
+
     def limit(self, rate, burst):
         """Keep the loan within a rate and burst that may have been lowered."""
         self.rate = min(self.rate, rate)
@@ -146,6 +158,7 @@
         "_urgent",
         "_batches",
         "_next_sweep",
+        "_next_fetch",
         "_sequence",
         "_exchange_s",
         "_next_exchange",
@@ -160,6 +173,7 @@
         self._urgent = set()
         self._batches = collections.deque()
         self._next_sweep = NEVER
+        self._next_fetch = NEVER
         self._sequence = 0
         self._exchange_s = 0.5
         self._exchanged_at = clock.now()
@@ -245,7 +259,7 @@
             account = self._accounts.get(name)
             if account is not None and account.sequence == loans.sequence:
                 account.sequence = 0
-                account.missed_at = now
+                account.miss(now)
                 self._urgent.add(name)
 
     def surrender(self):
@@ -296,6 +310,7 @@
             for name in batch.names:
                 account = self._accounts.get(name)
                 if account is not None and account.sequence == batch.sequence:
+                    account.miss(now)
                     self._urgent.add(name)
 
     def _sweep(self, now):
@@ -318,6 +333,8 @@
             ]
         else:
             names = [name for name in self._urgent if self._is_urgent(name, now)]
+            if now >= self._next_fetch:
+                self._next_fetch = now + FETCH_S
         self._urgent.difference_update(names)
         return names
 
@@ -327,10 +344,14 @@
             return False
         ready_at = max(
             account.asked_at + URGENT_S,
-            account.missed_at + MISSED_S,
+            account.retry_at,
             account.scarce_until,
-            NEVER if account.waiting else account.empty_until,
         )
+        if not account.waiting:
+            ready_at = max(ready_at, account.empty_until)
+            # Fetching ahead goes in larger batches, unless tokens run out sooner.
+            if account.demand < BUSY_DEMAND:
+                ready_at = max(ready_at, self._next_fetch)
         return now >= ready_at
 
     def _measure(self, now):
@@ -391,6 +412,7 @@
 
     def _apply_grant(self, account, grant, now):
         account.sequence = 0
+        account.misses = 0
         account.waiting = 0
         if grant.scarce:
             account.scarce_until = now + SCARCE_S
@@ -401,13 +423,15 @@
             account.empty_until = now + EMPTY_S
         if now >= expiry:
             return
+        # The holder counts the larger cap until the next batch, which hands back
+        # what is above the new one.
+        most = max(account.cap, grant.cap)
+        total = min(account.level + grant.tokens, most)
         account.epoch = grant.epoch
         account.rate = grant.rate
         account.cap = grant.cap
         account.standing = grant.standing
-        total = account.level + grant.tokens
         account.level = min(total, grant.cap)
-        # The holder counts the old cap until the next batch, which hands this back.
         account.surplus = total - account.level
         account.expiry = expiry
 
--- a/persimmonlane/settings.py
+++ b/persimmonlane/settings.py
@@ -41,6 +41,7 @@
         http: Address for callers, needed for the ingress role.
         rpc: Address for calls between nodes.
         store: Address of the platform's key-value service.
+        admin: Address of the administration API, or None.
         seeds: RPC addresses of a few nodes to begin from.
         servers: Backend servers beside this process.
         fleet_token: Secret shared by the processes of the fleet.
@@ -48,6 +49,8 @@
         log_level: Least level that is logged.
         log_format: Form of the log lines.
         threads: Requests served at a time by the ingress role.
+        trace: File to which the decisions are recorded, or None.
+        trace_limit_bytes: Most bytes of that file.
     """
 
     name: str
@@ -57,12 +60,15 @@
     fleet_token: Annotated[str, msgspec.Meta(min_length=16)]
     roles: tuple[Role, ...] = ("ingress", "sidecar")
     http: Address | None = None
+    admin: Address | None = None
     seeds: tuple[Address, ...] = ()
     servers: tuple[HostedServer, ...] = ()
     statsd: Address | None = None
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     log_format: Literal["text", "json"] = "text"
     threads: Annotated[int, msgspec.Meta(ge=1, le=512)] = 48
+    trace: str | None = None
+    trace_limit_bytes: Annotated[int, msgspec.Meta(ge=4096)] = 64 * 1024 * 1024
 
 
 def read_settings(path, model=NodeSettings):
--- a/persimmonlane/trials/fleet.py
+++ b/persimmonlane/trials/fleet.py
@@ -3,7 +3,6 @@
 Nodes made of the decision classes, before fake backend servers and callers.
 """
 
-import collections
 import random
 
 from ..balancing import Choice, create_balancer
@@ -19,10 +18,11 @@
 from .backends import FakeBackend
 from .limiters import limiters
 from .network import FakeNetwork
+from .nodes import Desk, Node, Request
 from .schedule import Schedule, SkewedClock
 
 TICK_S = 0.05
-EVIDENCE_S = 1.0
+EVIDENCE_S = 0.25
 REPORT_S = 0.5
 REPORT_AGE_S = 0.25
 WAIT_S = 0.02
@@ -40,89 +40,6 @@
 }
 
 
-class Request:
-    """A caller's request.
-
-    Attributes:
-        number: Number of the request.
-        organisation: Name of its organisation.
-        service: Name of its service.
-        idempotent: Whether it may run more than once.
-        at: Time at which it came, in seconds of the trial.
-        attempts: Its `RequestAttempts`, once admitted.
-    """
-
-    __slots__ = ("number", "organisation", "service", "idempotent", "at", "attempts")
-
-    def __init__(self, number, organisation, service, idempotent, at):
-        self.number = number
-        self.organisation = organisation
-        self.service = service
-        self.idempotent = idempotent
-        self.at = at
-        self.attempts = None
-
-
-class Desk:
-    """What one node has for one service.
-
-    Attributes:
-        service: The `Service`.
-        servers: Its backend servers that take new work.
-        ejector: The ejector.
-        balancer: The balancer.
-        budget: The retry budget.
-        idle: Times at which the idle connections were opened, by address.
-    """
-
-    __slots__ = ("service", "servers", "ejector", "balancer", "budget", "idle")
-
-    def __init__(self, service, servers, ejector, balancer, budget):
-        self.service = service
-        self.servers = servers
-        self.ejector = ejector
-        self.balancer = balancer
-        self.budget = budget
-        self.idle = collections.defaultdict(list)
-
-
-class Node:
-    """One node of the trial.
-
-    Attributes:
-        name: Its name.
-        data_centre: Name of its data centre.
-        clock: Its clock.
-        desks: A `Desk` for each service, by name.
-        paused_until: Time at which its present pause ends.
-    """
-
-    __slots__ = (
-        "name",
-        "data_centre",
-        "clock",
-        "desks",
-        "paused_until",
-        "_schedule",
-    )
-
-    def __init__(self, name, data_centre, clock, schedule):
-        self.name = name
-        self.data_centre = data_centre
-        self.clock = clock
-        self.desks = {}
-        self.paused_until = 0.0
-        self._schedule = schedule
-
-    def run(self, function, *arguments):
-        """Call a function now, or once the pause is over."""
-        left_s = self.paused_until - self._schedule.clock.seconds
-        if left_s > 0:
-            self._schedule.call_later(left_s, self.run, function, *arguments)
-        else:
-            function(*arguments)
-
-
 class Fleet:
     """A fleet in trial.
 
@@ -155,9 +72,9 @@
         self.schedule = Schedule()
         self.rng = random.Random(seed)
         self.store = MemoryStore(self.schedule.clock)
-        self.network = FakeNetwork(self.schedule, self._derive(), self._find_delay)
+        self.network = FakeNetwork(self.schedule, self.derive_rng(), self._find_delay)
         self.backends = {
-            server.address: FakeBackend(server, self._derive())
+            server.address: FakeBackend(server, self.derive_rng())
             for server in site.list_servers()
         }
         self.measures = ms.Measures(document.organisations)
@@ -175,14 +92,14 @@
         for load in self.site.list_loads():
             self.send_load(load, duration_s)
         for node in self.nodes:
-            self._repeat(node, TICK_S, self._tick)
-            self._repeat(node, EVIDENCE_S, self._share)
+            self.repeat(node, TICK_S, self._tick, node)
+            self.repeat(node, EVIDENCE_S, self._share, node)
         self.schedule.call_every(REPORT_S, self._report_loads)
         self.schedule.run(duration_s + DEADLINE_S)
 
     def send_load(self, load, until_s):
         """Send an organisation's requests at random times up to a time."""
-        rng = self._derive()
+        rng = self.derive_rng()
 
         def send():
             if self.schedule.clock.seconds >= until_s:
@@ -219,11 +136,15 @@
         """Pause a node's process; what comes meanwhile waits."""
         node.paused_until = self.schedule.clock.seconds + duration_s
 
-    def _repeat(self, node, interval_s, method):
+    def repeat(self, node, interval_s, method, *arguments):
+        """Call a method on a node at a fixed interval in seconds."""
         offset_s = self.rng.random() * interval_s
-        self.schedule.call_every(interval_s, lambda: node.run(method, node), offset_s)
+        self.schedule.call_every(
+            interval_s, lambda: node.run(method, *arguments), offset_s
+        )
 
-    def _derive(self):
+    def derive_rng(self):
+        """Return a random generator that depends on the seed alone."""
         return random.Random(self.rng.getrandbits(53))
 
     def _create_node(self, number):
@@ -251,12 +172,19 @@
         if recorded:
             make_ejector = self.recorder.create_ejector
             make_balancer = self.recorder.create_balancer
-        ejector = make_ejector(service, node.clock, self._derive())
+        ejector = make_ejector(service, node.clock, self.derive_rng())
         ejector.update_servers(servers)
-        balancer = make_balancer(service, node.data_centre, node.clock, self._derive())
+        ejector.update_peers(self._count_peers(node))
+        balancer = make_balancer(
+            service, node.data_centre, node.clock, self.derive_rng()
+        )
         budget = RetryBudget(service.retries, node.clock)
         return Desk(service, servers, ejector, balancer, budget)
 
+    def _count_peers(self, node):
+        near = [each for each in self.nodes if each.data_centre == node.data_centre]
+        return len(near) - 1
+
     def _find_delay(self, source, target):
         places = {node.name: node.data_centre for node in self.nodes}
         same = places[source] == places[target]
