--- a/persimmonlane/overload/queue.py
+++ b/persimmonlane/overload/queue.py
@@ -153,6 +153,19 @@
             return request
         return None
 
+    def put_back(self, request):
+        """Return a request, just taken, that no backend server could take.
+
+        It keeps its place and its organisation's turn.
+        """
+        flow = self._flows.get(request.organisation)
+        if flow is None:
+            flow = self._add_flow(request.organisation)
+        flow.requests.appendleft(request)
+        flow.cost += request.cost
+        flow.deficit += request.cost
+        self._size += 1
+
     def expire(self):
         """Return the requests to refuse: given up, or too late to be answered."""
         now = self._clock.now()
--- a/persimmonlane/overload/tests/test_queue.py
+++ b/persimmonlane/overload/tests/test_queue.py
@@ -39,6 +39,14 @@
         self.assertIsNone(self.queue.take())
         self.assertEqual(0, len(self.queue))
 
+    def test_request_that_is_put_back_keeps_its_place(self):
+        self.offer("large", 3)
+        self.offer("small", 2)
+        first = self.queue.take()
+        self.queue.put_back(first)
+        self.assertEqual(5, len(self.queue))
+        self.assertIs(first, self.queue.take())
+
     def test_full_queue_refuses_the_greediest(self):
         self.offer("large", 40)
         error = self.assertRaises(Refusal, self.offer, "large")
