--- a/persimmonlane/admin/tests/test_admin.py
+++ b/persimmonlane/admin/tests/test_admin.py
@@ -3,9 +3,9 @@
 
 from ...clocks import ManualClock
 from ...config.checks import DocumentInvalid
+from ...config.jobs import build_view
 from ...config.loading import load_snapshot
 from ...config.model import Document, FleetPolicy, Organisation
-from ...config.part import build_view
 from ...config.publishing import PublishUncertain, RevisionConflict
 from ...errors import InputError, StoreError
 from ...keys import KeyTable, compute_digest
--- a/persimmonlane/config/tests/test_view.py
+++ b/persimmonlane/config/tests/test_view.py
@@ -2,9 +2,9 @@
 
 from ...errors import Refusal
 from ...platform.memory import MemoryStore
+from ..jobs import build_view
 from ..loading import load_snapshot
 from ..model import Document, FleetPolicy, Organisation, Route, Service
-from ..part import build_view
 from ..publishing import Publisher
 from ..view import DocumentView
 from .test_publishing import SALT, ManualClock
--- a/tools/slopes_config.py
+++ b/tools/slopes_config.py
@@ -13,6 +13,7 @@
 
 from persimmonlane.clocks import SystemClock
 from persimmonlane.config.checks import validate
+from persimmonlane.config.jobs import build_view
 from persimmonlane.config.loading import load_snapshot
 from persimmonlane.config.model import (
     Document,
@@ -22,7 +23,7 @@
     Route,
     Service,
 )
-from persimmonlane.config.part import ConfigPart, build_view
+from persimmonlane.config.part import ConfigPart
 from persimmonlane.config.publishing import Publisher
 from persimmonlane.config.root import encode
 from persimmonlane.membership.peers import Peer
