Survive a root that can't be read

Cause: a root of a later format or none at all ended the configuration actor, and with it each relay and standby in turn; a part that can't be decoded left a fetch under way for good. Jobs now always tell their end, and such a root counts as an answer that did not come; it is not repaired, since a newer version may have written it. Seen failing first with the check of the format taken out.

--- a/persimmonlane/config/actor.py
+++ b/persimmonlane/config/actor.py
@@ -19,7 +19,7 @@
 )
 from .messages import DocumentChanged, FreshnessChanged
 from .replica import STORE
-from .root import EMPTY_ROOT, read_root
+from .root import EMPTY_ROOT
 from .shelf import NodeStatus
 
 log = logging.getLogger("persimmonlane.config")
@@ -96,9 +96,9 @@
             pause = STORE_RETRY_S * self._rng.uniform(0.75, 1.25)
             self._store_due = self._clock.now() + pause
             return
-        if message.entry is not None:
-            self._store_version = message.entry.version
-            self._store_root = read_root(message.entry)
+        if message.root is not None:
+            self._store_version = message.version
+            self._store_root = message.root
         self._replica.hear_store(self._store_root, message.at)
         self._repair()
         self._pull()
@@ -155,9 +155,9 @@
             return
         self._store_answers = answers
         if answers:
-            log.info("Config: the store answers again.")
+            log.info("Config: the store gives the root again.")
         else:
-            log.warning("Config: the store does not answer.")
+            log.warning("Config: the store gives no root.")
 
     def _exchange(self):
         chosen = self._replica.choose_exchanges()
--- a/persimmonlane/config/events.py
+++ b/persimmonlane/config/events.py
@@ -44,14 +44,16 @@
     """A call to the store has ended.
 
     Attributes:
-        entry: The root's entry; None if it is unchanged, or if the call failed.
+        root: The root; None if it is unchanged, or if the call failed.
+        version: Version of its key; None with the root.
         at: Monotonic seconds at which the store held it; None if the call failed.
     """
 
-    __slots__ = ("entry", "at")
+    __slots__ = ("root", "version", "at")
 
-    def __init__(self, entry, at):
-        self.entry = entry
+    def __init__(self, root, version, at):
+        self.root = root
+        self.version = version
         self.at = at
 
 
--- a/persimmonlane/config/jobs.py
+++ b/persimmonlane/config/jobs.py
@@ -7,13 +7,13 @@
 from concurrent import futures
 
 from ..actors import tell
-from ..errors import PersimmonError, StoreError
+from ..errors import PersimmonError
 from .events import ExchangeFailed, Pulled, RepairEnded, ReplyReceived, StoreSeen
 from .loading import load_snapshot
 from .parts import join_document
 from .repair import repair_store
 from .replica import STORE
-from .root import ROOT_KEY
+from .root import ROOT_KEY, read_root
 from .transport import SpreadClient
 from .view import DocumentView
 
@@ -41,70 +41,75 @@
 
     def watch(self, actor_ref, version):
         """Wait for the root to leave a version; tells `StoreSeen`."""
-        self._watcher.submit(self._watch, actor_ref, version)
+        failure = StoreSeen(None, None, None)
+        self._watcher.submit(run_job, actor_ref, failure, self._watch, version)
 
     def exchange(self, actor_ref, peer, report):
         """Exchange reports with a peer; returns the future."""
-        return self._workers.submit(self._exchange, actor_ref, peer, report)
+        return self._workers.submit(
+            run_job, actor_ref, ExchangeFailed(), self._exchange, peer, report
+        )
 
     def pull(self, actor_ref, source, address):
         """Fetch a newer revision and build its view; tells `Pulled`."""
-        self._workers.submit(self._pull, actor_ref, source, address)
+        failure = Pulled(source, None, None, None)
+        self._workers.submit(run_job, actor_ref, failure, self._pull, source, address)
 
     def repair(self, actor_ref, root):
         """Bring the store up to a root; tells `RepairEnded`."""
-        self._workers.submit(self._repair, actor_ref, root)
+        failure = RepairEnded()
+        self._workers.submit(run_job, actor_ref, failure, self._repair, root)
 
     def stop(self):
         """Stop taking jobs; a waiting watch ends by itself."""
         self._watcher.shutdown(wait=False, cancel_futures=True)
         self._workers.shutdown(wait=False, cancel_futures=True)
 
-    def _watch(self, actor_ref, version):
+    def _watch(self, version):
         started = self._clock.now()
-        try:
-            entry = self._store.watch(ROOT_KEY, version, WATCH_S)
-        except StoreError as error:
-            log.debug("Config: the store can't be watched: %s.", error)
-            tell(actor_ref, StoreSeen(None, None))
-            return
-        at = started
+        entry = self._store.watch(ROOT_KEY, version, WATCH_S)
         if entry is None:
-            at = min(self._clock.now(), started + WATCH_S)
-        tell(actor_ref, StoreSeen(entry, at))
+            return StoreSeen(None, None, min(self._clock.now(), started + WATCH_S))
+        return StoreSeen(read_root(entry), entry.version, started)
 
-    def _exchange(self, actor_ref, peer, report):
+    def _exchange(self, peer, report):
         sent_at = self._clock.now()
-        try:
-            answer = self._client.exchange(peer.rpc, report)
-        except PersimmonError:
-            tell(actor_ref, ExchangeFailed())
-            return
-        tell(actor_ref, ReplyReceived(answer, peer.rpc, sent_at))
-
-    def _pull(self, actor_ref, source, address):
+        answer = self._client.exchange(peer.rpc, report)
+        return ReplyReceived(answer, peer.rpc, sent_at)
+
+    def _pull(self, source, address):
         started = self._clock.now()
         held = self._shelf.snapshot.contents
-        try:
-            if source == STORE:
-                snapshot = load_snapshot(self._store, held)
-            else:
-                snapshot = self._client.fetch_snapshot(address, held)
-            view = build_view(snapshot, self._shelf.view)
-        except PersimmonError as error:
-            log.warning("Config: a newer revision can't be fetched: %s.", error)
-            tell(actor_ref, Pulled(source, None, None, started))
-            return
-        tell(actor_ref, Pulled(source, snapshot, view, started))
-
-    def _repair(self, actor_ref, root):
-        try:
-            repair_store(self._store, root, self._shelf.find_part)
-        except PersimmonError as error:
-            log.warning("Config: the store can't be repaired: %s.", error)
-        except KeyError:
-            log.info("Config: the repair was overtaken by a newer revision.")
-        tell(actor_ref, RepairEnded())
+        if source == STORE:
+            snapshot = load_snapshot(self._store, held)
+        else:
+            snapshot = self._client.fetch_snapshot(address, held)
+        view = build_view(snapshot, self._shelf.view)
+        return Pulled(source, snapshot, view, started)
+
+    def _repair(self, root):
+        repair_store(self._store, root, self._shelf.find_part)
+        return RepairEnded()
+
+
+def run_job(actor_ref, failure, work, *arguments):
+    """Tell an actor the result of a call.
+
+    Args:
+        actor_ref: The actor.
+        failure: Message to tell if the call fails; the actor waits for one.
+        work: The call.
+        *arguments: Its arguments.
+    """
+    try:
+        message = work(*arguments)
+    except PersimmonError as error:
+        log.debug("Config: a call failed: %s.", error)
+        message = failure
+    except Exception:
+        log.exception("Config: a job failed.")
+        message = failure
+    tell(actor_ref, message)
 
 
 def build_view(snapshot, previous=None):
--- a/persimmonlane/config/root.py
+++ b/persimmonlane/config/root.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ..errors import StoreError
+
 ROOT_KEY = "config/root"
 PENDING_KEY = "config/pending"
 PART_PREFIX = "config/parts/"
@@ -120,8 +122,21 @@
 
 
 def read_root(entry):
-    """Return the root that a store entry holds; empty if the key is absent."""
-    return decode_root(entry.value) if entry.version else EMPTY_ROOT
+    """Return the root that a store entry holds; empty if the key is absent.
+
+    Raises:
+        StoreError: With code `root-unreadable` if it is of a later format or none.
+    """
+    if not entry.version:
+        return EMPTY_ROOT
+    try:
+        root = decode_root(entry.value)
+    except msgspec.MsgspecError as error:
+        raise StoreError("the root can't be read", code="root-unreadable") from error
+    if root.format > FORMAT:
+        message = f"the root has format {root.format}"
+        raise StoreError(message, code="root-unreadable")
+    return root
 
 
 def compute_part_digest(content):
--- a/persimmonlane/config/tests/test_part.py
+++ b/persimmonlane/config/tests/test_part.py
@@ -6,6 +6,7 @@
 from ...actors import Actor
 from ...application import Application
 from ...clocks import SystemClock
+from ...errors import StoreError
 from ...membership.peers import Peer
 from ...platform.memory import Faults, MemoryStore
 from ...rpc import Channels, RpcServer
@@ -14,7 +15,7 @@
 from ..messages import DocumentChanged, FreshnessChanged
 from ..part import build_config
 from ..publishing import Publisher
-from ..root import ROOT_KEY, read_root
+from ..root import ROOT_KEY, Root, encode, read_root
 from ..transport import SpreadClient
 from .test_publishing import build_document
 
@@ -135,6 +136,28 @@
         self.assertEqual(made, read_root(entry).history[-1])
         self.assertEqual(made.digest, load_snapshot(self.store).root.digest)
 
+    def test_root_that_can_not_be_read_changes_nothing(self):
+        self.publisher.publish(build_document(1))
+        self.build_node(0)
+        self.start()
+        self.wait_for(1)
+        whole = self.store.get(ROOT_KEY)
+        for value in (b"no root", encode(Root(revision=9, format=2))):
+            entry = self.store.get(ROOT_KEY)
+            self.store.compare_and_swap(ROOT_KEY, value, entry.version)
+            document = build_document(2)
+            error = self.assertRaises(StoreError, self.publisher.publish, document)
+            self.assertEqual("root-unreadable", error.code)
+            calls = self.store.counts["watch"]
+            while self.store.counts["watch"] < calls + 2:
+                pass
+            self.assertEqual(value, self.store.get(ROOT_KEY).value)
+            self.assertEqual(1, self.nodes[0][1].view().revision)
+        entry = self.store.get(ROOT_KEY)
+        self.store.compare_and_swap(ROOT_KEY, whole.value, entry.version)
+        self.publisher.publish(build_document(2))
+        self.wait_for(2)
+
     def test_node_finds_the_document_through_a_seed(self):
         self.publisher.publish(build_document(1))
         seed = self.build_node(0)
--- a/persimmonlane/config/transport.py
+++ b/persimmonlane/config/transport.py
@@ -6,11 +6,18 @@
 import grpc
 
 from ..errors import PersimmonError
+from ..platform.client import Entry
 from . import config_pb2 as messages
 from . import config_pb2_grpc as services
 from .loading import Snapshot
 from .parts import PartMissing
-from .root import compute_document_digest, compute_part_digest, decode_root, encode
+from .root import (
+    ROOT_KEY,
+    compute_document_digest,
+    compute_part_digest,
+    encode,
+    read_root,
+)
 from .shelf import NodeStatus
 from .wire import MS_PER_S, decode_age, decode_report, encode_age, encode_report
 
@@ -61,7 +68,7 @@
         reply = self._call(address, "FetchRoot", messages.RootRequest())
         if not reply.root:
             raise PartMissing("the peer has no revision in force")
-        root = decode_root(reply.root)
+        root = read_root(Entry(ROOT_KEY, reply.root, 1))
         if compute_document_digest(root.parts) != root.digest:
             raise PartMissing("the peer's root does not match its digest")
         contents = {ref.digest: held.get(ref.digest) for ref in root.parts}
