Give isolation as a deadline that holds right after a pause

Cause: a process that wakes from a pause served keyed requests until the next tick, with a document from before the pause. ConfigPart.is_isolated() compares the clock with the deadline.

--- a/persimmonlane/config/actor.py
+++ b/persimmonlane/config/actor.py
@@ -213,7 +213,11 @@
 
     def _is_isolated(self):
         view = self._shelf.view
-        return view is None or self._replica.is_isolated(view.fleet.isolation_s)
+        if view is None:
+            return True
+        until = self._replica.compute_fresh_until(view.fleet.isolation_s)
+        self._shelf.fresh_until = until
+        return self._clock.now() > until
 
     def _tell_all(self, message):
         self._subscribers = [ref for ref in self._subscribers if tell(ref, message)]
--- a/persimmonlane/config/part.py
+++ b/persimmonlane/config/part.py
@@ -33,6 +33,7 @@
     def __init__(
         self, application, settings, clock, rpc_server, channels, store, peers
     ):
+        self._clock = clock
         self._shelf = Shelf()
         self._jobs = Jobs(store, channels, clock, self._shelf)
         replica = Replica(
@@ -57,6 +58,13 @@
         """Return the `DocumentView` in force, or None before the first."""
         return self._shelf.view
 
+    def is_isolated(self):
+        """Return whether keyed requests are to be refused now; thread-safe.
+
+        It holds by its own deadline, also right after a pause of the process.
+        """
+        return self._clock.now() > self._shelf.fresh_until
+
     def status(self):
         """Return the `NodeStatus` of this node, or None before the first tick."""
         return self._shelf.status
--- a/persimmonlane/config/replica.py
+++ b/persimmonlane/config/replica.py
@@ -260,18 +260,31 @@
         return True
 
     def is_isolated(self, within_s):
-        """Return whether the node may have missed a change for too long.
+        """Return whether the node may have missed a change for too long."""
+        return self._clock.now() > self.compute_fresh_until(within_s)
 
-        It has not if the store was heard lately, by itself or by a node that it
-        hears, or else if it hears most of the fleet. A node that knows of a newer
-        revision and can't get it is isolated too.
+    def compute_fresh_until(self, within_s):
+        """Return until when the node can't have missed a change for too long.
+
+        It can't while the store was heard lately, by itself or by a node that it
+        hears, or else while it hears most of the fleet. A node that knows of a
+        newer revision and can't get it is not fresh either. The time is a deadline
+        for the request path, which may wake from a pause before anything else.
+
+        Args:
+            within_s: The bound in seconds.
+
+        Returns:
+            Monotonic seconds; negative infinity if it never was.
         """
-        if not self.root.revision or self.compute_lag() > within_s:
-            return True
-        age = self.compute_store_age()
-        if age is not None and age <= within_s:
-            return False
-        return not self.roster.hears_majority(within_s)
+        if not self.root.revision:
+            return -math.inf
+        until = self.roster.compute_majority_until(within_s)
+        if self._confirmed is not None:
+            until = max(until, self._confirmed + within_s)
+        if self._behind_since is not None:
+            until = min(until, self._behind_since + within_s)
+        return until
 
     def compute_lag(self):
         """Return seconds since a newer revision became known; 0 if none is."""
--- a/persimmonlane/config/roster.py
+++ b/persimmonlane/config/roster.py
@@ -81,16 +81,21 @@
             heard_at = None if entry.age_s is None else at - entry.age_s
             self.hear(entry.name, heard_at, entry.gone)
 
-    def hears_majority(self, within_s):
-        """Return whether more than half of the fleet was heard lately.
+    def compute_majority_until(self, within_s):
+        """Return until when more than half of the fleet counts as heard.
 
         This node counts as heard; nodes that said that they leave do not count.
-        With no other node known, or none heard, the answer is no.
+        With no other node heard, that time has never been.
+
+        Args:
+            within_s: Seconds for which a node counts once it was heard.
         """
-        since = self._clock.now() - within_s
         present = [at for at, gone in self._entries.values() if not gone]
-        heard = sum(1 for at in present if at is not None and at >= since)
-        return heard > 0 and 2 * (heard + 1) > len(present) + 1
+        heard = sorted((at for at in present if at is not None), reverse=True)
+        needed = (len(present) + 1) // 2
+        if not heard or needed > len(heard):
+            return -math.inf
+        return heard[max(needed, 1) - 1] + within_s
 
     def forget(self, names):
         """Drop nodes that were not heard for long, but for those named."""
--- a/persimmonlane/config/shelf.py
+++ b/persimmonlane/config/shelf.py
@@ -3,6 +3,8 @@
 The revision in force as other threads read it.
 """
 
+import math
+
 from .loading import Snapshot
 from .root import EMPTY_ROOT
 
@@ -14,14 +16,16 @@
         view: The `DocumentView`, or None before the first.
         snapshot: The root and the contents of its parts.
         status: The node's `NodeStatus`, or None before the first tick.
+        fresh_until: Monotonic seconds until which the node is not isolated.
     """
 
-    __slots__ = ("view", "snapshot", "status")
+    __slots__ = ("view", "snapshot", "status", "fresh_until")
 
     def __init__(self):
         self.view = None
         self.snapshot = Snapshot(EMPTY_ROOT, {})
         self.status = None
+        self.fresh_until = -math.inf
 
     def put(self, view, snapshot):
         """Put a revision on the shelf."""
--- a/persimmonlane/config/tests/test_replica.py
+++ b/persimmonlane/config/tests/test_replica.py
@@ -2,11 +2,13 @@
 
 import testtools
 
+from ...clocks import ManualClock
 from ...errors import PersimmonError
 from ...invariants import InvariantError
 from ...platform.memory import Faults
 from ..replica import Report
 from ..root import ROOT_KEY, Root, read_root
+from ..roster import Roster
 from .fleet import Fleet
 from .test_publishing import build_document
 
@@ -199,6 +201,25 @@
         self.fleet.advance(3)
         self.assertEqual(set(), self.fleet.isolated())
 
+    def test_node_that_was_paused_is_isolated_before_it_does_anything(self):
+        replica = self.fleet.nodes["node-0"].replica
+        until = replica.compute_fresh_until(self.fleet.isolation_s)
+        self.fleet.skip(until - self.fleet.clock.now())
+        self.assertFalse(replica.is_isolated(self.fleet.isolation_s))
+        self.fleet.skip(0.1)
+        self.assertTrue(replica.is_isolated(self.fleet.isolation_s))
+
+    def test_more_than_half_of_the_fleet_is_needed(self):
+        for size in range(1, 9):
+            for heard in range(size):
+                roster = Roster("self", ManualClock())
+                for number in range(size - 1):
+                    roster.hear(f"node-{number}", 0.0 if number < heard else None)
+                    roster.add(f"node-{number}")
+                until = roster.compute_majority_until(5.0)
+                expected = heard > 0 and 2 * (heard + 1) > size
+                self.assertEqual(expected, until >= 0, (size, heard))
+
     def test_two_nodes_cut_off_together(self):
         self.fleet.cut_off(["node-0", "node-3"])
         self.fleet.advance(8)
