--- a/persimmonlane/ejection/pool.py
+++ b/persimmonlane/ejection/pool.py
@@ -42,9 +42,8 @@
         self.count += self.weigh(self._bits) - self.weigh(known)
 
     def weigh(self, bits):
-        """Return the weight of some windows and of the rows that they form."""
-        near = bits << 1 | bits << 2 | bits << 3 | bits << 4
-        rows = bits & ~near
+        """Return the weight of some windows and their unbroken rows."""
+        rows = bits & ~(bits << 1)
         return bits.bit_count() + self._traits.row_weight * rows.bit_count()
 
     def read(self, index):
--- a/persimmonlane/ejection/symptoms.py
+++ b/persimmonlane/ejection/symptoms.py
@@ -14,8 +14,8 @@
 
     Attributes:
         outweighing_nats: Good evidence that outweighs one bad window.
-        row_weight: Further weight of each row of bad windows, half a second or more
-            from the next, since it takes as many bursts to explain them.
+        row_weight: Further weight of each unbroken row of bad windows, since errors
+            apart from each other take as many bursts to explain.
         bursts_every_s: Mean time between bursts of a healthy backend server.
     """
 
