Count tokens on their way beside the bucket that they go to

While an answer with tokens was on its way, the old bucket could fill up to its cap and be spent as well; the holder counted the larger of both caps, not the old cap and the tokens. It now counts both, and borrowers shrink their cap when they ask.

--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -403,9 +403,9 @@
         needed = min(needed, account.waiting + account.standing)
         surplus = max(0.0, account.level - needed)
         account.level -= surplus
-        account.cap -= surplus
-        if not account.rate:
-            account.cap = account.level
+        # Until the answer comes, the holder counts this cap beside what it sends.
+        room = account.rate * ANSWER_S
+        account.cap = min(account.cap - surplus, account.level + room)
         surplus += account.surplus
         account.surplus = 0.0
         return surplus
--- a/persimmonlane/limits/ledger.py
+++ b/persimmonlane/limits/ledger.py
@@ -230,7 +230,9 @@
 
     def _record(self, loan, grant, now):
         """Count a loan at the most that its borrower may now believe."""
-        rate, cap = max(loan.rate, grant.rate), max(loan.cap, grant.cap)
+        rate = max(loan.rate, grant.rate)
+        # The old bucket may fill up while the tokens are on their way.
+        cap = max(loan.cap + grant.tokens, grant.cap)
         self.pool -= grant.tokens
         self.lent_rate += rate - loan.rate
         self.lent_cap += cap - loan.cap
--- a/persimmonlane/limits/tests/broken.py
+++ b/persimmonlane/limits/tests/broken.py
@@ -154,3 +154,15 @@
         return LimitsNode(*arguments[:3], holder, keeper_class(*arguments))
 
     return create
+
+
+class TransitLedger(ledger.Ledger):
+    """Doesn't count tokens on their way beside the bucket that they go to."""
+
+    __slots__ = ()
+
+    def _record(self, loan, grant, now):
+        most = max(loan.cap, grant.cap)
+        super()._record(loan, grant, now)
+        self.lent_cap -= loan.cap - most
+        loan.cap = most
--- a/persimmonlane/limits/tests/test_bounds.py
+++ b/persimmonlane/limits/tests/test_bounds.py
@@ -21,6 +21,7 @@
 STEPS = 1500
 MACHINE_SEEDS = range(30)
 FLEET_SEEDS = range(12)
+TRANSIT_SEEDS = range(200)
 FOREVER = float("inf")
 
 
@@ -31,9 +32,9 @@
         admitted = sum(LoanMachine(seed).run(STEPS) for seed in MACHINE_SEEDS)
         self.assertTrue(admitted > 1000, admitted)
 
-    def assert_noticed(self, **options):
+    def assert_noticed(self, seeds=MACHINE_SEEDS, **options):
         def run():
-            for seed in MACHINE_SEEDS:
+            for seed in seeds:
                 LoanMachine(seed, **options).run(STEPS)
 
         self.assertRaises(OverAdmission, run)
@@ -51,6 +52,10 @@
             self.patch(holder, "Ledger", getattr(broken, name))
             self.assert_noticed()
 
+    def test_uncounted_tokens_on_their_way_are_noticed(self):
+        self.patch(holder, "Ledger", broken.TransitLedger)
+        self.assert_noticed(seeds=TRANSIT_SEEDS)
+
     def test_clocks_beyond_the_assumed_drift_are_noticed(self):
         self.assert_noticed(drift=0.2)
 
--- a/persimmonlane/limits/tests/test_loans.py
+++ b/persimmonlane/limits/tests/test_loans.py
@@ -53,6 +53,29 @@
                 admitted += self.request(borrower)
         self.assertTrue(admitted <= 50, admitted)
 
+    def test_surrender_hands_back_all_tokens(self):
+        borrower = self.borrowers[0]
+        for _ in range(10):
+            borrower.admit("acme")
+        self.exchange(borrower)
+        (ledger,) = [
+            shard.ledgers["acme"]
+            for shard in self.holder.shards.values()
+            if "acme" in shard.ledgers
+        ]
+        pool, level = ledger.pool, borrower._accounts["acme"].level
+        self.holder.lend(borrower.surrender())
+        self.assertEqual((pool + level, 0.0), (ledger.pool, ledger.lent_cap))
+        self.assertIsNot(Admission.ADMITTED, borrower.admit("acme"))
+
+    def test_removed_organisation_is_refused_and_gets_no_loan(self):
+        borrower = self.borrowers[0]
+        borrower.admit("acme")
+        demands = borrower.demands()
+        self.set_view(create_view(names=("bolt",)))
+        self.assertIs(Admission.REFUSED, borrower.admit("acme"))
+        self.assertEqual((), self.holder.lend(demands).grants)
+
     def test_steady_traffic_within_the_rate_is_admitted(self):
         refused, waiting = 0, []
         for step in range(6000):
