--- a/persimmonlane/limits/part.py
+++ b/persimmonlane/limits/part.py
@@ -18,8 +18,8 @@
 from ..platform.client import StoreConflict
 from . import limits_pb2_grpc
 from .lease import AskPromise, Member, ReadKey, WriteKey
-from .messages import Loans, LoansChanged
-from .node import Answer, AskLoans, DeliverLoans, LimitsNode
+from .messages import LoansChanged
+from .node import AskLoans, DeliverLoans, LimitsNode
 from .policy import ANSWER_S, RELAY_S
 from .wire import (
     decode_answer,
@@ -84,15 +84,13 @@
     Attributes:
         demands: The `Demands`.
         relay: Whether to name the holder that they should be passed on to.
-        is_active: Callable that says whether the caller still waits.
     """
 
-    __slots__ = ("demands", "relay", "is_active")
+    __slots__ = ("demands", "relay")
 
-    def __init__(self, demands, relay, is_active):
+    def __init__(self, demands, relay):
         self.demands = demands
         self.relay = relay
-        self.is_active = is_active
 
 
 class NoteFailure:
@@ -279,9 +277,6 @@
 
     def handle_question(self, message):
         """Answer another node's demands."""
-        # Work for callers that gave up would keep a busy node busy.
-        if not message.is_active():
-            return Answer(Loans(message.demands.sequence, ()))
         return self._node.answer(message.demands, message.relay)
 
     def handle_failure(self, message):
@@ -399,8 +394,7 @@
 
     def Lend(self, request, context):  # noqa: N802
         """Answer demands."""
-        demands = decode_demands(request)
-        message = AnswerDemands(demands, request.relay, context.is_active)
+        message = AnswerDemands(decode_demands(request), request.relay)
         answer = self._ask(message, context)
         if answer.relay is not None:
             relayed = self._relay(request, answer.relay)
@@ -425,8 +419,6 @@
             return None
 
     def _ask(self, message, context):
-        if not context.is_active():
-            context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, "the caller gave up")
         try:
             return self._actor.ask(message, timeout=ANSWER_S)
         except (pykka.Timeout, pykka.ActorDeadError):
