--- a/persimmonlane/settings.py
+++ b/persimmonlane/settings.py
@@ -87,9 +87,25 @@
             place=path,
         ) from error
     try:
-        return msgspec.json.decode(data, type=model)
+        settings = msgspec.json.decode(data, type=model)
     except msgspec.DecodeError as error:
         raise describe_fault(error, "settings-invalid") from error
+    check_roles(settings)
+    return settings
+
+
+def check_roles(settings):
+    """Check that a node has what its roles need.
+
+    Raises:
+        InputError: If the ingress role has no address.
+    """
+    if "ingress" in settings.roles and settings.http is None:
+        raise InputError(
+            "the ingress role needs an address for callers",
+            code="settings-invalid",
+            place="$.http",
+        )
 
 
 def describe_fault(error, code):
--- a/persimmonlane/tests/test_settings.py
+++ b/persimmonlane/tests/test_settings.py
@@ -13,6 +13,7 @@
     "name": "node-1",
     "data_centre": "uy-sur-a",
     "rpc": "127.0.0.1:1",
+    "http": "127.0.0.1:3",
     "store": "127.0.0.1:2",
     "fleet_token": "0123456789abcdef",
 }
@@ -42,6 +43,9 @@
         self.assert_fault(json.dumps({**VALID, "rpc": "nowhere"}), "$.rpc")
         self.assert_fault(json.dumps({**VALID, "roles": ["boss"]}), "$.roles[0]")
 
+    def test_ingress_without_address_is_a_fault(self):
+        self.assert_fault(json.dumps({**VALID, "http": None}), "$.http")
+
     def test_text_that_is_not_json_is_a_fault(self):
         self.assert_fault("{", "$")
 
