--- a/persimmonlane/limits/borrower.py
+++ b/persimmonlane/limits/borrower.py
@@ -53,6 +53,7 @@
         sequence: Number of the batch whose answer is awaited, or 0.
         asked_at: Monotonic seconds at which that batch was made.
         misses: Times in a row that no holder was found or none answered.
+        retry_at: Monotonic seconds before which no holder is asked again.
         scarce_until: Until then a miss is refused at once.
         empty_until: Until then no tokens are fetched ahead of need.
         used_at: Monotonic seconds of the last request.
@@ -73,6 +74,7 @@
         "sequence",
         "asked_at",
         "misses",
+        "retry_at",
         "scarce_until",
         "empty_until",
         "used_at",
@@ -93,6 +95,7 @@
         self.sequence = 0
         self.asked_at = NEVER
         self.misses = 0
+        self.retry_at = NEVER
         self.scarce_until = NEVER
         self.empty_until = NEVER
         self.used_at = now
@@ -110,6 +113,12 @@
         """Return whether an answer is still awaited."""
         return self.sequence != 0 and now < self.asked_at + ANSWER_S
 
+    def miss(self, now):
+        """Note that no holder answered; each time in a row waits longer."""
+        self.misses += 1
+        wait_s = MISSED_S * 2 ** min(self.misses - 1, MAX_DOUBLINGS)
+        self.retry_at = now + wait_s
+
     def limit(self, rate, burst):
         """Keep the loan within a rate and burst that may have been lowered."""
         self.rate = min(self.rate, rate)
@@ -150,7 +159,6 @@
         "_batches",
         "_next_sweep",
         "_next_fetch",
-        "_retry_at",
         "_sequence",
         "_exchange_s",
         "_next_exchange",
@@ -166,7 +174,6 @@
         self._batches = collections.deque()
         self._next_sweep = NEVER
         self._next_fetch = NEVER
-        self._retry_at = NEVER
         self._sequence = 0
         self._exchange_s = 0.5
         self._exchanged_at = clock.now()
@@ -252,7 +259,7 @@
             account = self._accounts.get(name)
             if account is not None and account.sequence == loans.sequence:
                 account.sequence = 0
-                account.misses += 1
+                account.miss(now)
                 self._urgent.add(name)
 
     def surrender(self):
@@ -303,7 +310,7 @@
             for name in batch.names:
                 account = self._accounts.get(name)
                 if account is not None and account.sequence == batch.sequence:
-                    account.misses += 1
+                    account.miss(now)
                     self._urgent.add(name)
 
     def _sweep(self, now):
@@ -323,30 +330,21 @@
                 name
                 for name, account in self._accounts.items()
                 if not account.is_awaiting(now)
-                and (not account.misses or now >= self._retry_at)
             ]
         else:
             names = [name for name in self._urgent if self._is_urgent(name, now)]
             if now >= self._next_fetch:
                 self._next_fetch = now + FETCH_S
-        self._delay_retry(names, now)
         self._urgent.difference_update(names)
         return names
 
-    def _delay_retry(self, names, now):
-        """Let what no holder answered wait together, longer each time in a row."""
-        misses = max((self._accounts[name].misses for name in names), default=0)
-        if misses:
-            wait_s = MISSED_S * 2 ** min(misses, MAX_DOUBLINGS)
-            self._retry_at = max(self._retry_at, now + wait_s)
-
     def _is_urgent(self, name, now):
         account = self._accounts.get(name)
         if account is None or account.is_awaiting(now):
             return False
         ready_at = max(
             account.asked_at + URGENT_S,
-            self._retry_at if account.misses else NEVER,
+            account.retry_at,
             account.scarce_until,
         )
         if not account.waiting:
