--- a/persimmonlane/balancing/loads.py
+++ b/persimmonlane/balancing/loads.py
@@ -7,6 +7,8 @@
 
 REPORT_HALF_LIFE_S = 0.3
 REPORT_LIMIT_S = 3.0
+# All nodes act on the same report; a whole step on each makes them swing together.
+REPORT_WEIGHT = 0.1
 
 
 class Load:
@@ -14,7 +16,7 @@
 
     Attributes:
         in_flight: Requests of this node that it runs.
-        foreign: Requests of others, as last reported.
+        foreign: Requests of others, as reported, smoothed.
         reported_at: Monotonic seconds at which the report was read.
     """
 
@@ -22,14 +24,15 @@
 
     def __init__(self):
         self.in_flight = 0
-        self.foreign = 0
+        self.foreign = 0.0
         self.reported_at = 0.0
 
     def report(self, running, waiting, at):
         """Take in a load report; one older than the last is ignored."""
         if at < self.reported_at:
             return
-        self.foreign = max(0, running + waiting - self.in_flight)
+        foreign = max(0, running + waiting - self.in_flight)
+        self.foreign += REPORT_WEIGHT * (foreign - self.foreign)
         self.reported_at = at
 
     def estimate(self, now):
