--- a/persimmonlane/trials/tests/test_failures.py
+++ b/persimmonlane/trials/tests/test_failures.py
@@ -4,12 +4,13 @@
 
 from persimmonlane.ejection.ejector import Ejector
 from persimmonlane.trials.fleet import Fleet
-from persimmonlane.trials.sites import sites
+from persimmonlane.trials.sites import BALANCING, sites
 
 FAILING = "10.0.0.1:80"
 FAIL_S = 4.0
 RUN_S = 9.0
 AVOIDED_S = 3.0
+REPORTS_S = 6.0
 MOST_SHARE = 0.25
 
 
@@ -68,3 +69,16 @@
         for seed in range(1, 7):
             fleet = self.run_failure("silent-connection", seed)
             self.assertEqual(set(), self.list_ejected(fleet), seed)
+
+
+class ReportedLoadsTest(testtools.TestCase):
+    def run_balancing(self, balancing):
+        site = sites.get_by_name("cooperativa")()
+        document = site.build_document(balancing=balancing)
+        fleet = Fleet(site, document, 1, nodes=31)
+        fleet.run(REPORTS_S)
+        return fleet.measures.summarise().worst_good_share
+
+    def test_many_nodes_do_not_swing_together(self):
+        usual = self.run_balancing(BALANCING)
+        self.assertTrue(usual >= self.run_balancing("round-robin"), usual)
