--- a/persimmonlane/programs/ctl.py
+++ b/persimmonlane/programs/ctl.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from .. import __version__
-from ..admin.failures import Unauthorised
+from ..admin.failures import Unauthorised, describe_failure
 from ..admin.operations import StoreOperations
 from ..admin.remote import NodeOperations
 from ..application import EXIT_FAILED, EXIT_INPUT, EXIT_OK
@@ -24,6 +24,7 @@
 from ..config.model import Document
 from ..config.publishing import PublishUncertain, RevisionConflict
 from ..errors import InputError, PersimmonError
+from ..keys import compute_digest, create_key
 from ..platform import create_client
 
 EXIT_CONFLICT = 3
@@ -44,8 +45,10 @@
 {TOKEN_VARIABLE}) or, before any document names a token, on the store (--store).
 
 Exit codes: 0 success, 1 failure, 2 faulty input, 3 conflict with another revision,
-4 no answer on whether the change was accepted, 5 wrong token.
+4 no answer on whether the change was accepted, 5 wrong token. With --json, an error
+is one JSON object on the standard error output.
 """
+JSON_FLAG = "--json"
 MARKS = {"added": "+", "removed": "-", "changed": "~"}
 
 program = cyclopts.App(name="persimmonctl", version=__version__, help=HELP)
@@ -210,6 +213,26 @@
     report(target.json, made, f"Revision {made.revision} is accepted.")
 
 
+@program.command
+def token(path: pathlib.Path, *, json: bool = False):
+    """Make an operators' token and print it this once, with its digest.
+
+    The digest goes into the document as fleet.operator_digest.
+
+    Args:
+        path: File with the document, for its salt.
+        json: Print JSON.
+    """
+    salt = validate(read_file(path)).fleet.key_salt
+    secret = create_key("operators")
+    digest = compute_digest(salt, secret)
+    report(
+        json,
+        {"token": secret, "operator_digest": digest},
+        f"token            {secret}\noperator_digest  {digest}",
+    )
+
+
 @program.command
 def schema():
     """Print the JSON Schema of the document."""
@@ -266,22 +289,27 @@
     )
 
 
-def report_error(error, as_json=False):
+def report_error(error, as_json):
     """Print an error and return the exit code for it."""
-    faults = error.faults if isinstance(error, DocumentInvalid) else (error,)
-    for fault in faults:
-        print(f"error: {fault}", file=sys.stderr)
+    if as_json:
+        failure = msgspec.json.encode(describe_failure(error))
+        print(failure.decode(), file=sys.stderr)
+    else:
+        faults = error.faults if isinstance(error, DocumentInvalid) else (error,)
+        for fault in faults:
+            print(f"error: {fault}", file=sys.stderr)
     return next(code for kind, code in EXIT_CODES if isinstance(error, kind))
 
 
 def run(arguments=None):
     """Run a command line and return its exit code."""
+    arguments = sys.argv[1:] if arguments is None else arguments
     try:
         program(arguments, exit_on_error=False, result_action="return_value")
     except cyclopts.CycloptsError:
         return EXIT_INPUT
     except PersimmonError as error:
-        return report_error(error)
+        return report_error(error, JSON_FLAG in arguments)
     return EXIT_OK
 
 
--- a/persimmonlane/programs/tests/test_ctl.py
+++ b/persimmonlane/programs/tests/test_ctl.py
@@ -7,6 +7,7 @@
 import testtools
 
 from ...config import publishing
+from ...keys import compute_digest
 from ...platform import remote
 from ...platform.memory import Faults
 from ...standins.store import StoreStandin
@@ -102,6 +103,13 @@
         self.assertEqual(2, len(self.errors.splitlines()))
         self.assertIn("$.routes[0].service", self.errors)
 
+    def test_faults_come_as_json_for_scripts(self):
+        self.write(dict(VALUES, services=[]))
+        code, _ = self.run_ctl("validate", str(self.path), "--json", target=False)
+        failure = msgspec.json.decode(self.errors)
+        self.assertEqual(2, code)
+        self.assertEqual("unknown-service", failure["faults"][0]["code"])
+
     def test_key_is_printed_once_and_withdrawn(self):
         self.run_ctl("publish", str(self.path))
         code, key = self.run_ctl("key", "new", "salto", "--id", "tablet-1")
@@ -124,6 +132,12 @@
         self.standin.store.set_faults(Faults(away=True))
         self.assertEqual(1, self.run_ctl("show")[0])
 
+    def test_token_matches_its_digest(self):
+        _, output = self.run_ctl("token", str(self.path), "--json", target=False)
+        made = msgspec.json.decode(output)
+        digest = compute_digest(VALUES["fleet"]["key_salt"], made["token"])
+        self.assertEqual(digest, made["operator_digest"])
+
     def test_schema(self):
         code, output = self.run_ctl("schema", target=False)
         self.assertIn("Document", msgspec.json.decode(output)["$defs"])
