--- a/persimmonlane/trials/spread.py
+++ b/persimmonlane/trials/spread.py
@@ -92,9 +92,11 @@
 
     def _adopt_from_store(self):
         try:
-            self._adopt(read_revision(self._spread.open_store(self.node)))
+            revision = read_revision(self._spread.open_store(self.node))
         except PersimmonError:
             self.replica.drop_source(STORE)
+        else:
+            self._adopt(revision)
 
     def _adopt(self, revision):
         if revision is None or not self.replica.adopt(revision.root):
