--- a/persimmonlane/forwarding/part.py
+++ b/persimmonlane/forwarding/part.py
@@ -17,7 +17,7 @@
 from .gateway import CallerGateway
 from .probes import Prober
 from .strictness import StrictConnection
-from .traffic import Traffic
+from .traffic import Surrender, Traffic
 
 log = logging.getLogger("persimmonlane.forwarding")
 
@@ -132,6 +132,10 @@
         self._thread.start()
         log.info("Forwarding: serves callers on port %d.", self.port)
 
+    def drain(self):
+        """Hand loans back; nothing runs any more."""
+        self.traffic.ask(Surrender())
+
     def stop(self):
         """Close the server and end the actor."""
         self._server.stop()
--- a/persimmonlane/forwarding/traffic.py
+++ b/persimmonlane/forwarding/traffic.py
@@ -45,6 +45,12 @@
         self.latency_s = latency_s
 
 
+class Surrender:
+    """Asks to hand all loans back, since no request will come any more."""
+
+    __slots__ = ()
+
+
 class RecordsWanted:
     """Asks for the records since the last time."""
 
@@ -85,6 +91,7 @@
         LoansChanged: "change_loans",
         ProbeEnded: "end_probe",
         RecordsWanted: "drain_records",
+        Surrender: "surrender",
     }
 
     def __init__(self, application, settings, clock, metrics, ports):
@@ -235,6 +242,10 @@
         """Return the records since the last time."""
         return self._ledger.drain()
 
+    def surrender(self, message):
+        """Hand all loans back to their holders."""
+        self._ports.send_demands(self._borrower.surrender())
+
     def _admit(self, arrival):
         if arrival.retry:
             self._place(arrival)
