--- a/persimmonlane/config/transport.py
+++ b/persimmonlane/config/transport.py
@@ -26,7 +26,6 @@
 STATUS_TIMEOUT_S = 1.0
 PARTS_PER_CALL = 128
 REPLY_BYTES = 2 * 1024 * 1024
-FAILURES_TO_RECONNECT = 2
 
 
 class PeerUnreachable(PersimmonError):
@@ -36,17 +35,12 @@
 
 
 class SpreadClient:
-    """Calls other nodes.
+    """Calls other nodes."""
 
-    A connection on which calls go unanswered twice is dropped, because it may
-    have gone silent for good.
-    """
-
-    __slots__ = ("_channels", "_failures")
+    __slots__ = ("_channels",)
 
     def __init__(self, channels):
         self._channels = channels
-        self._failures = {}
 
     def exchange(self, address, report):
         """Send a report to a node and return its own."""
@@ -107,19 +101,9 @@
         try:
             channel = self._channels.get_channel(address)
             call = getattr(services.SpreadStub(channel), method)
-            reply = call(request, timeout=timeout_s, metadata=self._channels.metadata)
+            return call(request, timeout=timeout_s, metadata=self._channels.metadata)
         except (grpc.RpcError, ValueError) as error:
-            self._note_failure(address)
             raise PeerUnreachable(f"no answer from {address}") from error
-        self._failures.pop(address, None)
-        return reply
-
-    def _note_failure(self, address):
-        failures = self._failures.get(address, 0) + 1
-        if failures >= FAILURES_TO_RECONNECT:
-            self._channels.forget(address)
-            failures = 0
-        self._failures[address] = failures
 
 
 class SpreadServicer(services.SpreadServicer):
