Tell of peers also when no server changes; ask for isolation at each request

Cause of peers that stayed unknown in a fleet without backend servers: they were published only with a changed list of servers, and the empty list is one object. The forwarder now asks the configuration part itself, whose deadline holds also right after a pause of the process; the flag passed by message lagged by a tick.

--- a/persimmonlane/forwarding/forwarder.py
+++ b/persimmonlane/forwarding/forwarder.py
@@ -118,12 +118,15 @@
 
     Attributes:
         snapshot: The `Snapshot` in force, or None before the first document.
+        is_isolated: Callable that tells whether keyed requests are refused, since
+            the node can't know of withdrawn keys.
     """
 
-    __slots__ = ("snapshot", "_traffic", "_pool", "_clock")
+    __slots__ = ("snapshot", "is_isolated", "_traffic", "_pool", "_clock")
 
     def __init__(self, traffic, pool, clock):
         self.snapshot = None
+        self.is_isolated = is_never_isolated
         self._traffic = traffic
         self._pool = pool
         self._clock = clock
@@ -175,7 +178,7 @@
         request.route = snapshot.view.find_route(
             request.method, decode_path(request.target)
         )
-        check_isolation(snapshot)
+        self._check_isolation()
         request.organisation = snapshot.keys.authenticate(extraction.presented)
         check_allowed(request.route, request.organisation)
         request.service = snapshot.view.get_service(request.route.service)
@@ -183,6 +186,15 @@
         request.deadline = request.arrived + find_time_s(request)
         request.headers = self._clean(request, extraction.headers)
 
+    def _check_isolation(self):
+        if self.is_isolated():
+            raise Refusal(
+                503,
+                "node-isolated",
+                "the node hears neither store nor peers",
+                retry_after=1,
+            )
+
     def _clean(self, request, headers):
         kept = [
             header
@@ -378,15 +390,9 @@
     return urllib.parse.unquote(target.partition("?")[0])
 
 
-def check_isolation(snapshot):
-    """Refuse while the node can't know of withdrawn keys."""
-    if snapshot.isolated:
-        raise Refusal(
-            503,
-            "node-isolated",
-            "the node hears neither store nor peers",
-            retry_after=1,
-        )
+def is_never_isolated():
+    """Return False: a forwarder that no configuration part is connected to."""
+    return False
 
 
 def check_allowed(route, organisation):
--- a/persimmonlane/forwarding/part.py
+++ b/persimmonlane/forwarding/part.py
@@ -111,6 +111,7 @@
         limits.connect(self.traffic)
         membership.subscribe(self.traffic)
         config.subscribe(self.traffic)
+        self.forwarder.is_isolated = config.is_isolated
         self._drain = draining
         draining.watch(lambda: self._running)
 
--- a/persimmonlane/forwarding/plans.py
+++ b/persimmonlane/forwarding/plans.py
@@ -11,16 +11,14 @@
         view: The `DocumentView`.
         keys: The `KeyTable`.
         budgets: The retry budget of each service, by its name.
-        isolated: Whether keyed requests are refused.
     """
 
-    __slots__ = ("view", "keys", "budgets", "isolated")
+    __slots__ = ("view", "keys", "budgets")
 
-    def __init__(self, view, keys, budgets, isolated):
+    def __init__(self, view, keys, budgets):
         self.view = view
         self.keys = keys
         self.budgets = budgets
-        self.isolated = isolated
 
 
 class Arrival:
--- a/persimmonlane/forwarding/tests/support.py
+++ b/persimmonlane/forwarding/tests/support.py
@@ -59,13 +59,13 @@
     )
 
 
-def build_snapshot(document, clock, isolated=False):
+def build_snapshot(document, clock):
     view = DocumentView(document, 1, "d")
     budgets = {
         service.name: RetryBudget(service.retries, clock)
         for service in document.services
     }
-    return Snapshot(view, KeyTable(document), budgets, isolated)
+    return Snapshot(view, KeyTable(document), budgets)
 
 
 class FakeTraffic:
@@ -118,8 +118,8 @@
         self._server.prepare()
         threading.Thread(target=self._server.serve, daemon=True).start()
 
-    def publish(self, document, isolated=False):
-        self.forwarder.snapshot = build_snapshot(document, self.clock, isolated)
+    def publish(self, document):
+        self.forwarder.snapshot = build_snapshot(document, self.clock)
 
     def track(self):
         return contextlib.nullcontext()
--- a/persimmonlane/forwarding/tests/test_gateway.py
+++ b/persimmonlane/forwarding/tests/test_gateway.py
@@ -75,7 +75,7 @@
 
     def test_isolated_node_refuses(self):
         self.start()
-        self.ingress.publish(build_document(), isolated=True)
+        self.ingress.forwarder.is_isolated = lambda: True
         self.assert_refused(503, "node-isolated")
 
     def test_node_without_document_refuses(self):
--- a/persimmonlane/forwarding/traffic.py
+++ b/persimmonlane/forwarding/traffic.py
@@ -111,7 +111,6 @@
         self._ports = ports
         self._rng = random.Random()
         self._view = None
-        self._isolated = False
         self._dispatchers = {}
         self._budgets = {}
         self._servers = ()
@@ -182,12 +181,9 @@
         log.info("Traffic: revision %d is in force.", view.revision)
 
     def change_freshness(self, message):
-        """Begin or end refusing keyed requests."""
-        self._isolated = message.isolated
-        snapshot = self._ports.forwarder.snapshot
-        if snapshot is not None:
-            self._publish(snapshot.keys)
-        log.warning("Traffic: isolated is %s.", message.isolated)
+        """Log whether keyed requests are refused; the forwarder asks for itself."""
+        state = "isolated" if message.isolated else "informed"
+        log.warning("Traffic: the node is %s.", state)
 
     def change_servers(self, message):
         """Take the backend servers that take new work."""
@@ -367,9 +363,7 @@
         return found.rate if found else 1.0
 
     def _publish(self, keys):
-        self._ports.forwarder.snapshot = Snapshot(
-            self._view, keys, dict(self._budgets), self._isolated
-        )
+        self._ports.forwarder.snapshot = Snapshot(self._view, keys, dict(self._budgets))
 
 
 def refuse(arrival, error):
--- a/persimmonlane/membership/actor.py
+++ b/persimmonlane/membership/actor.py
@@ -221,7 +221,7 @@
         if servers is not self._listed:
             self._listed = servers
             self._publish_servers(servers)
-            self._publish_peers(self._gossip.peers())
+        self._publish_peers(self._gossip.peers())
         for report in self._gossip.table.take_loads():
             self._tell(report)
 
--- a/persimmonlane/membership/tests/test_part.py
+++ b/persimmonlane/membership/tests/test_part.py
@@ -7,7 +7,11 @@
 
 from persimmonlane.application import Application
 from persimmonlane.clocks import SystemClock
-from persimmonlane.membership.messages import LoadReported, ServersChanged
+from persimmonlane.membership.messages import (
+    LoadReported,
+    PeersChanged,
+    ServersChanged,
+)
 from persimmonlane.membership.part import build_membership
 from persimmonlane.rpc import Channels, RpcServer
 from persimmonlane.settings import HostedServer, NodeSettings
@@ -26,6 +30,7 @@
     def __init__(self):
         self.listed = threading.Event()
         self.emptied = threading.Event()
+        self.met = threading.Event()
         self.loaded = threading.Event()
 
 
@@ -39,6 +44,8 @@
     def on_receive(self, message):
         if isinstance(message, LoadReported) and message.running == 3:
             self.events.loaded.set()
+        if isinstance(message, PeersChanged) and message.peers:
+            self.events.met.set()
         if not isinstance(message, ServersChanged):
             return
         if message.servers:
@@ -100,3 +107,9 @@
         self.assertEqual(["n1"], [peer.name for peer in part.peers()])
         other.announce_leaving()
         self.assertTrue(events.emptied.wait(WAIT_S))
+
+    def test_nodes_without_backend_servers_meet(self):
+        part, events = self.start_node("n0", self.seed)
+        self.start_node("n1", find_address())
+        self.assertTrue(events.met.wait(WAIT_S))
+        self.assertEqual(["n1"], [peer.name for peer in part.peers()])
