--- a/persimmonlane/admin/api.py
+++ b/persimmonlane/admin/api.py
@@ -70,16 +70,19 @@
         ("GET", "/v1/history"): "list_history",
         ("GET", "/v1/status"): "list_states",
         ("GET", "/v1/schema"): "describe",
+        ("GET", "/v1/records"): "list_records",
     }
 
-    def __init__(self, operations, get_fleet):
+    def __init__(self, operations, get_fleet, get_records=tuple):
         """Create the application.
 
         Args:
             operations: The `Operations`.
             get_fleet: Returns the `FleetPolicy` in force, or None.
+            get_records: Returns the `ServiceRecord`s that this node keeps.
         """
         self._operations = operations
+        self._get_records = get_records
         self._get_fleet = get_fleet
 
     def __call__(self, environ, start_response):
@@ -113,6 +116,10 @@
         validate(call.body)
         return Valid()
 
+    def list_records(self, call):
+        """Return the records of this node, for the burn report."""
+        return self._get_records()
+
     def list_history(self, call):
         """Return the last changes."""
         return self._operations.list_history()
--- a/persimmonlane/admin/part.py
+++ b/persimmonlane/admin/part.py
@@ -85,7 +85,9 @@
     return msgspec.convert(status, NodeState, from_attributes=True)
 
 
-def build_admin(application, settings, config_part, store, channels, peers):
+def build_admin(
+    application, settings, config_part, store, channels, peers, get_records=tuple
+):
     """Create the administration API and add it to the application.
 
     Args:
@@ -95,6 +97,7 @@
         store: The store's client.
         channels: The `Channels`.
         peers: Returns a tuple of the `Peer`s heard of lately; thread-safe.
+        get_records: Returns the `ServiceRecord`s that this node keeps.
 
     Returns:
         The `AdminPart`, or None.
@@ -108,4 +111,5 @@
         view = config_part.view()
         return view.fleet if view else None
 
-    return application.add(AdminPart(settings.admin, AdminApi(operations, get_fleet)))
+    api = AdminApi(operations, get_fleet, get_records)
+    return application.add(AdminPart(settings.admin, api))
--- a/persimmonlane/forwarding/dispatcher.py
+++ b/persimmonlane/forwarding/dispatcher.py
@@ -17,6 +17,7 @@
 from .plans import Plan
 
 RETRY_AFTER_S = 1.0
+BLOCKED_LIMIT = 8
 SILENCE_MIN_S = 0.25
 SILENCE_FACTOR = 8.0
 LATENCY_SMOOTHING = 0.05
@@ -83,7 +84,6 @@
         "_running",
         "_queue",
         "_latency_s",
-        "_returned",
         "_has_kept",
         "_makers",
     )
@@ -116,7 +116,6 @@
         self._queue = ServiceQueue(service, clock, weights)
         self._latency_s = 0.0
         self._has_kept = has_kept
-        self._returned = []
 
     def set_service(self, service):
         """Take another policy into force; what still holds is kept."""
@@ -152,24 +151,32 @@
         return self._enqueue(arrival)
 
     def place_queued(self):
-        """Yield waiting arrivals with the plans that can be made for them now."""
-        while len(self._queue) and self._has_room():
+        """Yield a `Placement` for each waiting arrival that can go now.
+
+        One that no free server may take keeps its place, and lets others pass.
+        """
+        blocked = []
+        while self._has_room() and len(blocked) < BLOCKED_LIMIT:
             request = self._queue.take()
             if request is None:
-                return
+                break
             plan = self._choose(request.payload)
             if plan is None:
-                self._queue_again(request)
-                return
-            yield Placement(request.payload, plan)
+                blocked.append(request)
+            else:
+                yield Placement(request.payload, plan)
+        for request in reversed(blocked):
+            self._queue.put_back(request)
 
     def expire(self):
         """Yield a `Rejection` for each waiting arrival that is to be refused."""
-        rejections, self._returned = self._returned, []
-        yield from rejections
         for request in self._queue.expire():
             yield Rejection(request.payload, self._queue.refuse())
 
+    def is_idle(self):
+        """Return whether nothing runs, waits or is due."""
+        return not self._running and not len(self._queue) and self.ejector.is_idle()
+
     def running(self):
         """Return the addresses at which attempts run."""
         return list(self._running)
@@ -198,12 +205,6 @@
             QueuedRequest(arrival.organisation, arrival.deadline, payload=arrival)
         )
 
-    def _queue_again(self, request):
-        try:
-            self._queue.offer(request)
-        except Refusal as refusal:
-            self._returned.append(Rejection(request.payload, refusal))
-
     def _choose(self, arrival):
         free = [server for server in self._candidates(arrival) if self._is_free(server)]
         if not free:
--- a/persimmonlane/forwarding/part.py
+++ b/persimmonlane/forwarding/part.py
@@ -18,11 +18,12 @@
 from .indexing import Indexer
 from .probes import Prober
 from .strictness import StrictConnection
-from .traffic import Surrender, Traffic
+from .traffic import RecordsWanted, Surrender, Traffic
 
 log = logging.getLogger("persimmonlane.forwarding")
 
 TICK_S = 0.05
+RECORDS_TIMEOUT_S = 2.0
 HEADER_LIMIT_BYTES = 32 * 1024
 BACKLOG = 512
 KEPT_CALLERS = 4096
@@ -135,6 +136,14 @@
         self._thread.start()
         log.info("Forwarding: serves callers on port %d.", self.port)
 
+    def drain_records(self):
+        """Return the records of requests since the last call.
+
+        Raises:
+            pykka.Timeout: If the traffic actor does not answer in time.
+        """
+        return self.traffic.ask(RecordsWanted(), timeout=RECORDS_TIMEOUT_S)
+
     def drain(self):
         """Hand loans back; nothing runs any more."""
         self.traffic.ask(Surrender())
--- a/persimmonlane/forwarding/tests/test_dispatcher.py
+++ b/persimmonlane/forwarding/tests/test_dispatcher.py
@@ -10,6 +10,7 @@
 from ...errors import Refusal
 from ...invariants import InvariantError
 from ...membership.servers import BackendServer
+from ...overload import QueuedRequest
 from ...traces.files import read_trace
 from ...traces.recorder import Recorder
 from ...traces.replay import replay_trace
@@ -126,6 +127,22 @@
         error = self.assertRaises(Refusal, self.dispatcher.place, retry)
         self.assertEqual("no-backend-server", error.code)
 
+    def test_request_that_no_server_may_take_lets_others_pass(self):
+        self.serve("s1")
+        plan = self.dispatcher.place(self.arrive())
+        barred = self.arrive(excluded=frozenset(("s1",)))
+        self.dispatcher._queue.offer(
+            QueuedRequest("feria", barred.deadline, payload=barred)
+        )
+        waiting = self.arrive("almacen")
+        self.dispatcher.place(waiting)
+        self.end(plan)
+        placed = [item.arrival for item in self.dispatcher.place_queued()]
+        self.assertEqual([waiting], placed)
+        self.clock.advance(5.1)
+        refused = [item.arrival for item in self.dispatcher.expire()]
+        self.assertEqual([barred], refused)
+
     def test_change_of_policy_keeps_what_waits(self):
         self.serve("s1")
         plan = self.dispatcher.place(self.arrive())
--- a/persimmonlane/forwarding/traffic.py
+++ b/persimmonlane/forwarding/traffic.py
@@ -7,6 +7,7 @@
 import random
 
 from ..actors import Actor, Tick
+from ..ejection.journal import log_event
 from ..ejection.messages import EvidenceArrived, EvidenceWanted
 from ..errors import PersimmonError, Refusal
 from ..limits.admission import Admission
@@ -158,15 +159,19 @@
     def tick(self, message):
         """Do what is due."""
         for dispatcher in self._dispatchers.values():
-            dispatcher.ejector.tick()
-            self._expire(dispatcher)
-            self._place_queued(dispatcher)
-            self._probe(dispatcher)
-            self._log_events(dispatcher)
-            self._purge_connections(dispatcher)
+            if not dispatcher.is_idle():
+                self._tick_dispatcher(dispatcher)
         self._retry_waiting()
         self._send_demands()
 
+    def _tick_dispatcher(self, dispatcher):
+        dispatcher.ejector.tick()
+        self._expire(dispatcher)
+        self._place_queued(dispatcher)
+        self._probe(dispatcher)
+        self._log_events(dispatcher)
+        self._purge_connections(dispatcher)
+
     def change_document(self, message):
         """Take another revision of the document into force."""
         view = message.view
@@ -302,9 +307,7 @@
 
     def _log_events(self, dispatcher):
         for event in dispatcher.ejector.events():
-            log.info(
-                "Ejection: %s is %s, %s.", event.address, event.name, event.symptom
-            )
+            log_event(dispatcher.service.name, event)
             self._metrics.count(f"ejection.{event.name}")
 
     def _purge_connections(self, dispatcher):
--- a/persimmonlane/node.py
+++ b/persimmonlane/node.py
@@ -16,6 +16,7 @@
 from .membership.part import build_membership
 from .platform import create_client
 from .reporting.metrics import count_invariants, create_metrics
+from .reporting.part import build_reporting
 from .rpc import Channels, RpcServer
 
 STORE_CLIENT = "grpc"
@@ -44,8 +45,8 @@
     config = build_config(
         application, settings, clock, rpc_server, channels, store, membership.peers
     )
-    build_admin(application, settings, config, store, channels, membership.peers)
     draining = application.add(build_draining(application, clock, membership, config))
+    get_records = tuple
     if "ingress" in settings.roles:
         ingress = application.add(Ingress(application, settings, clock, metrics))
         limits = application.add(
@@ -64,4 +65,9 @@
         )
         evidence.connect(ingress.traffic)
         ingress.connect(membership, config, limits, draining)
+        reporting = build_reporting(application, ingress.drain_records, metrics)
+        get_records = reporting.history.list
+    build_admin(
+        application, settings, config, store, channels, membership.peers, get_records
+    )
     return application
