--- a/tools/bench.py
+++ b/tools/bench.py
@@ -266,7 +266,10 @@
             behaviour = Behaviour(latency_s=0.002)
             fleet.start_standins("bench", ["bench"] * SERVERS, behaviour, slots=16)
             servers = fleet.standins["bench"].servers
-            fleet.start_node("bench", "bench", servers)
+            # A slot holds one process beside one backend server or a few, so the
+            # other servers are announced by a sidecar.
+            fleet.start_node("bench", "bench", servers[:1])
+            fleet.start_sidecar("sidecar", "bench", servers[1:])
             fleet.wait_serving("/bench/1", key)
             report = measure(fleet, key, options.seconds)
         finally:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -103,7 +103,8 @@
     Attributes:
         directory: Where settings and logs are.
         store_address: Address of the store stand-in.
-        nodes: Nodes by name.
+        nodes: Nodes with the ingress role, by name.
+        sidecars: Nodes with the sidecar role alone.
         standins: Processes of backend server stand-ins by data centre.
     """
 
@@ -112,6 +113,7 @@
         self.store_address = ""
         self.store = None
         self.nodes = {}
+        self.sidecars = []
         self.standins = {}
         self._secrets = tuple(secrets)
         self._http = urllib3.PoolManager(retries=False, timeout=5.0)
@@ -183,6 +185,20 @@
         self._seeds = (*self._seeds, rpc)[:3]
         return self.run_node(settings)
 
+    def start_sidecar(self, name, data_centre, servers):
+        """Start a node that only announces the backend servers beside it."""
+        settings = NodeSettings(
+            name=name,
+            data_centre=data_centre,
+            rpc=self.reserve_address(),
+            store=self.store_address,
+            fleet_token=TOKEN,
+            roles=("sidecar",),
+            seeds=self._seeds,
+            servers=tuple(servers),
+        )
+        self.sidecars.append(Node(settings, self.directory))
+
     def run_node(self, settings):
         """Start a node with given settings."""
         node = Node(settings, self.directory)
@@ -229,7 +245,7 @@
 
     def stop(self):
         """End all processes that were started here."""
-        processes = [*self.nodes.values(), *self.standins.values()]
+        processes = [*self.nodes.values(), *self.sidecars, *self.standins.values()]
         if self.store is not None:
             processes.append(self.store)
         for process in processes:
