--- a/persimmonlane/actors.py
+++ b/persimmonlane/actors.py
@@ -58,9 +58,7 @@
 
     def _run(self):
         while not self._ended.wait(self._interval):
-            try:
-                self._actor.tell(Tick())
-            except pykka.ActorDeadError:
+            if not tell(self._actor, Tick()):
                 return
 
 
--- a/persimmonlane/draining/part.py
+++ b/persimmonlane/draining/part.py
@@ -72,7 +72,7 @@
 
 
 def build_draining(application, clock, membership, config):
-    """Build the draining part of a node.
+    """Build the draining part of a node and add it to the application.
 
     Args:
         application: The application.
@@ -80,4 +80,4 @@
         membership: The membership part.
         config: The configuration part.
     """
-    return DrainPart(application, clock, membership, config)
+    return application.add(DrainPart(application, clock, membership, config))
--- a/persimmonlane/ejection/part.py
+++ b/persimmonlane/ejection/part.py
@@ -11,6 +11,7 @@
 import msgspec
 import pykka
 
+from ..actors import tell
 from ..application import Part
 from . import ejection_pb2, ejection_pb2_grpc
 from .evidence import decode_evidence, encode_evidence
@@ -114,9 +115,7 @@
             log.debug("Ejection: evidence was not taken: %s.", call.code())
 
     def _tell(self, message):
-        try:
-            self._traffic.tell(message)
-        except pykka.ActorDeadError:
+        if not tell(self._traffic, message):
             log.debug("Ejection: evidence came after the traffic actor's end.")
 
 
--- a/persimmonlane/forwarding/part.py
+++ b/persimmonlane/forwarding/part.py
@@ -157,6 +157,18 @@
         self.traffic.stop()
 
 
+def build_ingress(application, settings, clock, metrics):
+    """Build the ingress role of a node and add it to the application.
+
+    Args:
+        application: The `Application`.
+        settings: The `NodeSettings`.
+        clock: Clock in monotonic seconds.
+        metrics: Where counters go.
+    """
+    return application.add(Ingress(application, settings, clock, metrics))
+
+
 def create_server(settings, ingress):
     """Return the cheroot server for callers."""
     server = cheroot.server.HTTPServer(
--- a/persimmonlane/limits/part.py
+++ b/persimmonlane/limits/part.py
@@ -368,17 +368,13 @@
         self._tell_self(StoreAnswered(step, entry))
 
     def _tell_self(self, message):
-        try:
-            self.actor_ref.tell(message)
-        except pykka.ActorDeadError:
+        if not tell(self.actor_ref, message):
             log.debug("Limits: an answer came after the end.")
 
     def _deliver(self, step):
         if self._traffic is None:
             return
-        try:
-            self._traffic.tell(LoansChanged(step.loans))
-        except pykka.ActorDeadError:
+        if not tell(self._traffic, LoansChanged(step.loans)):
             log.debug("Limits: loans came after the end of the traffic.")
 
 
@@ -463,7 +459,7 @@
 
 
 def build_limits(application, settings, clock, rpc_server, channels, store, peers):
-    """Build the limits part.
+    """Build the limits part and add it to the application.
 
     Args:
         application: The application, told of failures.
@@ -484,4 +480,4 @@
     actor_ref = LimitsActor.start(application, node, channels, store, peers)
     servicer = LimitsServicer(node, actor_ref, channels)
     limits_pb2_grpc.add_LimitsServicer_to_server(servicer, rpc_server.server)
-    return LimitsPart(actor_ref)
+    return application.add(LimitsPart(actor_ref))
--- a/persimmonlane/membership/actor.py
+++ b/persimmonlane/membership/actor.py
@@ -6,8 +6,6 @@
 import logging
 import time
 
-import pykka
-
 from ..actors import Actor, Tick, tell
 from . import codec, membership_pb2_grpc
 from .messages import PeersChanged, ServersChanged
@@ -242,9 +240,7 @@
 
     def _tell(self, message):
         for subscriber in list(self._subscribers):
-            try:
-                subscriber.tell(message)
-            except pykka.ActorDeadError:
+            if not tell(subscriber, message):
                 self._subscribers.remove(subscriber)
 
 
--- a/persimmonlane/membership/part.py
+++ b/persimmonlane/membership/part.py
@@ -140,4 +140,4 @@
     membership_pb2_grpc.add_MembershipServicer_to_server(
         MembershipServicer(actor_ref), rpc_server.server
     )
-    return MembershipPart(actor_ref, snapshot, settings)
+    return application.add(MembershipPart(actor_ref, snapshot, settings))
--- a/persimmonlane/membership/tests/test_part.py
+++ b/persimmonlane/membership/tests/test_part.py
@@ -81,14 +81,12 @@
             servers=servers,
         )
         application = Application()
-        rpc_server = RpcServer(rpc, TOKEN)
-        channels = Channels(TOKEN)
+        rpc_server = application.add(RpcServer(rpc, TOKEN))
+        channels = application.add(Channels(TOKEN))
         part = build_membership(
             application, settings, SystemClock(), rpc_server, channels
         )
-        for item in (rpc_server, channels, part):
-            application.add(item)
-            item.start()
+        application.start()
         self.addCleanup(application.stop)
         events = Events()
         subscriber = Subscriber.start(events)
--- a/persimmonlane/node.py
+++ b/persimmonlane/node.py
@@ -11,7 +11,7 @@
 from .config.part import build_config
 from .draining.part import build_draining
 from .ejection.part import build_evidence_exchange
-from .forwarding.part import Ingress
+from .forwarding.part import build_ingress
 from .limits.part import build_limits
 from .membership.part import build_membership
 from .platform import create_client
@@ -39,26 +39,18 @@
     rpc_server = application.add(RpcServer(settings.rpc, settings.fleet_token))
     channels = application.add(Channels(settings.fleet_token))
     store = create_client(STORE_CLIENT, settings.store)
-    membership = application.add(
-        build_membership(application, settings, clock, rpc_server, channels, metrics)
+    membership = build_membership(
+        application, settings, clock, rpc_server, channels, metrics
     )
     config = build_config(
         application, settings, clock, rpc_server, channels, store, membership.peers
     )
-    draining = application.add(build_draining(application, clock, membership, config))
+    draining = build_draining(application, clock, membership, config)
     get_records = tuple
     if "ingress" in settings.roles:
-        ingress = application.add(Ingress(application, settings, clock, metrics))
-        limits = application.add(
-            build_limits(
-                application,
-                settings,
-                clock,
-                rpc_server,
-                channels,
-                store,
-                membership.peers,
-            )
+        ingress = build_ingress(application, settings, clock, metrics)
+        limits = build_limits(
+            application, settings, clock, rpc_server, channels, store, membership.peers
         )
         evidence = build_evidence_exchange(
             application, settings, clock, rpc_server, channels, membership.peers
