--- a/persimmonlane/forwarding/tests/test_gateway.py
+++ b/persimmonlane/forwarding/tests/test_gateway.py
@@ -1,4 +1,6 @@
 import http.client
+import io
+import logging
 import socket
 
 import msgspec
@@ -189,6 +191,29 @@
         self.assertEqual([Kind.ERROR], self.list_kinds())
 
 
+class LogTests(GatewayTestCase):
+    def setUp(self):
+        super().setUp()
+        self.stream = io.StringIO()
+        handler = logging.StreamHandler(self.stream)
+        logger = logging.getLogger("persimmonlane")
+        self.addCleanup(logger.setLevel, logger.level)
+        self.addCleanup(logger.removeHandler, handler)
+        logger.addHandler(handler)
+        logger.setLevel(logging.DEBUG)
+
+    def test_neither_key_nor_body_is_logged(self):
+        broken, whole = self.serve([ScriptedServer.CLOSE]), self.serve([answer()])
+        self.start(broken, whole, RuntimeError("a fault of the node"))
+        self.ask("PUT", f"/prices/1?persimmon_key={KEY}", b"private body")
+        self.ask(headers={"X-Persimmon-Key": "wrong-key-0123456789"})
+        self.ask("POST", body=b"private body")
+        logged = self.stream.getvalue()
+        self.assertIn("Forwarding: a request failed.", logged)
+        for secret in (KEY, "wrong-key", "private body"):
+            self.assertNotIn(secret, logged)
+
+
 class AttemptTests(GatewayTestCase):
     def test_broken_post_is_not_sent_again(self):
         first, second = self.serve([ScriptedServer.CLOSE]), self.serve([answer()])
--- a/tools/cooperativa.py
+++ b/tools/cooperativa.py
@@ -130,6 +130,8 @@
     def finish(self):
         """Stop the callers; return the `Verification`."""
         results = [result for flow in self.flows for result in flow.stop()]
+        for name in self.fleet.list_leaks():
+            self.note("failed", f"a key stands in the log of {name}")
         return Verification(self.document, results, self.fleet.count(), self.moments)
 
     def note(self, name, subject):
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -243,6 +243,14 @@
         url = f"http://{process.control}/counts/{number}"
         return msgspec.json.decode(self._http.request("GET", url).data, type=Counts)
 
+    def list_leaks(self):
+        """Return the names of the logs in which a secret stands."""
+        return [
+            path.stem
+            for path in sorted(self.directory.glob("*.log"))
+            if any(secret in path.read_text() for secret in self._secrets)
+        ]
+
     def stop(self):
         """End all processes that were started here."""
         processes = [*self.nodes.values(), *self.sidecars, *self.standins.values()]
