--- a/tools/cooperativa.py
+++ b/tools/cooperativa.py
@@ -132,7 +132,13 @@
         results = [result for flow in self.flows for result in flow.stop()]
         for name in self.fleet.list_leaks():
             self.note("failed", f"a key stands in the log of {name}")
-        return Verification(self.document, results, self.fleet.count(), self.moments)
+        return Verification(
+            self.document,
+            results,
+            self.fleet.count(),
+            self.moments,
+            self.fleet.list_ejected(),
+        )
 
     def note(self, name, subject):
         """Record and print something that was done."""
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -5,6 +5,7 @@
 
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -22,6 +23,7 @@
 START_LIMIT_S = 15.0
 STOP_LIMIT_S = 20.0
 POLL_S = 0.05
+EJECTED = re.compile(r"Ejection: took (\S+) of \S+ out of service")
 
 
 class Process:
@@ -243,6 +245,11 @@
         url = f"http://{process.control}/counts/{number}"
         return msgspec.json.decode(self._http.request("GET", url).data, type=Counts)
 
+    def list_ejected(self):
+        """Return the addresses that the nodes' logs name as ejected."""
+        logs = (node.log.read_text() for node in self.nodes.values())
+        return {address for text in logs for address in EJECTED.findall(text)}
+
     def list_leaks(self):
         """Return the names of the logs in which a secret stands."""
         return [
--- a/tools/verification.py
+++ b/tools/verification.py
@@ -46,12 +46,14 @@
         results: The callers' `Result`s.
         counts: The stand-ins' `Counts`.
         moments: What was done to the fleet.
+        ejected: Addresses of the backend servers that some node ejected.
     """
 
-    def __init__(self, document, results, counts, moments):
+    def __init__(self, document, results, counts, moments, ejected=()):
         self.results = results
         self.counts = counts
         self.moments = moments
+        self.ejected = frozenset(ejected)
         self._organisations = {item.name: item for item in document.organisations}
         self._runs = [run for count in counts for run in count.runs]
         self._by_submission = collections.defaultdict(list)
@@ -202,6 +204,9 @@
                 yield self._describe_leaving(moment)
         for name in self._organisations:
             yield self._describe_organisation(name)
+        yield self._describe_false_ejections()
+        yield self._describe_wrongful_refusals()
+        yield self._describe_worst_served()
 
     def _runs_at(self, address):
         for count in self.counts:
@@ -225,6 +230,39 @@
         last = max(times, default=moment.at)
         return f"leaving: last new work {last - moment.at:.2f} s afterwards"
 
+    def _describe_false_ejections(self):
+        spoiled = {moment.subject for moment in self.moments}
+        false = sorted(self.ejected - spoiled)
+        return f"false ejections: {len(false)} {' '.join(false)}".rstrip()
+
+    def _describe_wrongful_refusals(self):
+        modest = [item for item in self.results if self._is_modest(item.organisation)]
+        refused = sum(result.code == "rate-exceeded" for result in modest)
+        return f"wrongful refusals: {refused} of {len(modest)}"
+
+    def _describe_worst_served(self):
+        shares = {
+            name: self._find_good_share(name)
+            for name in self._organisations
+            if self._is_modest(name)
+        }
+        worst = min(shares, key=shares.get)
+        return f"worst-served organisation: {worst} with {shares[worst]:.2%} answered"
+
+    def _is_modest(self, name):
+        """Return whether an organisation kept its rate and its key."""
+        withdrawn = {item.subject for item in self.find_moments("key-withdrawn")}
+        times = [item.at for item in self.results if item.organisation == name]
+        if name in withdrawn or not times:
+            return False
+        policy = self._organisations[name]
+        allowed = policy.rate * (max(times) - min(times)) + policy.burst
+        return len(times) <= allowed
+
+    def _find_good_share(self, name):
+        mine = [item for item in self.results if item.organisation == name]
+        return sum(item.status == 200 for item in mine) / len(mine)
+
     def _describe_organisation(self, name):
         results = [result for result in self.results if result.organisation == name]
         good = sum(result.status == 200 for result in results)
