--- a/persimmonlane/application.py
+++ b/persimmonlane/application.py
@@ -44,11 +44,12 @@
         failure: Code of the failure that ended the process, or None.
     """
 
-    __slots__ = ("parts", "failure", "_ending", "_signals")
+    __slots__ = ("parts", "failure", "_started", "_ending", "_signals")
 
     def __init__(self):
         self.parts = []
         self.failure = None
+        self._started = []
         self._ending = threading.Event()
         self._signals = 0
 
@@ -89,6 +90,7 @@
         """Start all parts, then tell each that all are ready."""
         for part in self.parts:
             part.start()
+            self._started.append(part)
         for part in self.parts:
             part.ready()
         log.info("Application: ready.")
@@ -100,9 +102,16 @@
             part.drain()
 
     def stop(self):
-        """Stop all parts in reverse order."""
-        for part in reversed(self.parts):
-            part.stop()
+        """Stop the parts that have started, in reverse order.
+
+        A part that fails to stop is logged and keeps no other from stopping.
+        """
+        while self._started:
+            part = self._started.pop()
+            try:
+                part.stop()
+            except Exception:
+                log.exception("Application: %s did not stop.", part.name)
         log.info("Application: stopped.")
 
     def _handle_signal(self, number, frame):
--- a/persimmonlane/forwarding/exchange.py
+++ b/persimmonlane/forwarding/exchange.py
@@ -4,8 +4,6 @@
 """
 
 import http.client
-import select
-import socket
 
 import urllib3.exceptions
 import urllib3.util
@@ -349,50 +347,6 @@
         )
 
 
-class CallerLeft(Exception):
-    """The caller closed its connection before the answer."""
-
-
-class CallerWatch:
-    """Waits for an answer while watching whether the caller leaves."""
-
-    __slots__ = ("_socket", "_watching")
-
-    def __init__(self, sock):
-        self._socket = sock
-        self._watching = True
-
-    def wait(self, backend, timeout_s):
-        """Return whether the backend socket became readable in time.
-
-        Raises:
-            CallerLeft: If the caller closed its connection meanwhile.
-        """
-        poll = select.poll()
-        poll.register(backend, select.POLLIN)
-        if self._watching:
-            poll.register(self._socket, select.POLLIN)
-        events = poll.poll(max(1, int(timeout_s * 1000)))
-        ready = {number for number, _ in events}
-        if backend.fileno() in ready:
-            return True
-        if ready:
-            self._check_caller()
-        return False
-
-    def _check_caller(self):
-        try:
-            data = self._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return
-        except OSError as error:
-            raise CallerLeft from error
-        if not data:
-            raise CallerLeft
-        # A pipelined request is waiting; it would wake every poll.
-        self._watching = False
-
-
 def build_headers(attempt):
     """Return the headers of an attempt, with the body's length if it is known."""
     headers = HTTPHeaderDict()
--- a/persimmonlane/forwarding/forwarder.py
+++ b/persimmonlane/forwarding/forwarder.py
@@ -6,7 +6,6 @@
 import itertools
 import logging
 import urllib.parse
-import uuid
 
 import pykka
 
@@ -27,6 +26,7 @@
     find_values,
 )
 from .plans import Arrival, AttemptEnded, ConnectionSuspected, RequestEnded
+from .requests import ForwardedAnswer
 
 log = logging.getLogger("persimmonlane.forwarding")
 
@@ -38,81 +38,6 @@
 REPLY_MARGIN_S = 1.0
 
 
-class Request:
-    """A caller's request on its way.
-
-    Attributes:
-        id: Identifier of the request.
-        method: HTTP method.
-        target: Request target without keys.
-        headers: The `Header`s, for the backend server once it is identified.
-        body: The `RequestBody`.
-        caller: The `CallerWatch`.
-        route: The route.
-        service: Policy of the service.
-        organisation: Name of the organisation.
-        idempotent: Whether the request is idempotent.
-        arrived: Monotonic seconds of its arrival.
-        deadline: Monotonic seconds at which the caller gives up.
-        attempts: The `RequestAttempts`, or None before the first.
-    """
-
-    __slots__ = (
-        "id",
-        "method",
-        "target",
-        "headers",
-        "body",
-        "caller",
-        "route",
-        "service",
-        "organisation",
-        "idempotent",
-        "arrived",
-        "deadline",
-        "attempts",
-    )
-
-    def __init__(self, method, target, headers, body, caller, arrived):
-        self.id = uuid.uuid4().hex
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.caller = caller
-        self.route = None
-        self.service = None
-        self.organisation = ""
-        self.idempotent = False
-        self.arrived = arrived
-        self.deadline = None
-        self.attempts = None
-
-
-class ForwardedAnswer:
-    """An answer of a backend server, ready to be passed on.
-
-    Attributes:
-        status: HTTP status.
-        headers: The `Header`s.
-        length: Stated length in bytes, or None if the body is chunked.
-        pieces: Iterator over the body.
-    """
-
-    __slots__ = ("status", "headers", "length", "pieces", "_source")
-
-    def __init__(self, status, headers, length, pieces, source):
-        self.status = status
-        self.headers = headers
-        self.length = length
-        self.pieces = pieces
-        self._source = source
-
-    def close(self):
-        """Cancel what has not arrived yet."""
-        self._source.close()
-
-
 class Forwarder:
     """Forwards requests; its methods may be called from many threads.
 
--- a/persimmonlane/forwarding/gateway.py
+++ b/persimmonlane/forwarding/gateway.py
@@ -15,9 +15,10 @@
 from ..verdicts import Verdict
 from .answers import get_reason, render_refusal
 from .bodies import create_body
-from .exchange import AttemptError, CallerLeft, CallerWatch, is_bodiless
-from .forwarder import Request
+from .callers import CallerLeft, CallerWatch
+from .exchange import AttemptError, is_bodiless
 from .headers import REQUEST_ID
+from .requests import Request
 
 log = logging.getLogger("persimmonlane.forwarding")
 
--- a/persimmonlane/forwarding/part.py
+++ b/persimmonlane/forwarding/part.py
@@ -11,6 +11,7 @@
 
 from ..actors import Ticker
 from ..application import Part
+from ..errors import PersimmonError
 from ..settings import split_address
 from .connections import ConnectionPool
 from .forwarder import Forwarder
@@ -132,10 +133,20 @@
     def start(self):
         """Bind, and begin to serve."""
         self._ticker.start()
-        self._server.prepare()
+        self._bind()
         self._thread.start()
         log.info("Forwarding: serves callers on port %d.", self.port)
 
+    def _bind(self):
+        try:
+            self._server.prepare()
+        except OSError as error:
+            raise PersimmonError(
+                "the address for callers can't be bound",
+                code="address-unavailable",
+                place="$.http",
+            ) from error
+
     def drain_records(self):
         """Return the records of requests since the last call.
 
--- a/persimmonlane/forwarding/tests/test_exchange.py
+++ b/persimmonlane/forwarding/tests/test_exchange.py
@@ -9,8 +9,9 @@
 from ...keys import Header
 from ...verdicts import Verdict
 from ..bodies import RequestBody
+from ..callers import CallerLeft, CallerWatch
 from ..connections import ConnectionPool
-from ..exchange import Attempt, AttemptError, CallerLeft, CallerWatch, Exchange
+from ..exchange import Attempt, AttemptError, Exchange
 from .scripted import ScriptedServer, answer
 
 REQUEST_ID = "request-1"
--- a/persimmonlane/rpc.py
+++ b/persimmonlane/rpc.py
@@ -12,6 +12,7 @@
 import grpc
 
 from .application import Part
+from .errors import PersimmonError
 
 log = logging.getLogger("persimmonlane.rpc")
 
@@ -71,7 +72,7 @@
             interceptors=(TokenChecker(token),),
             options=OPTIONS,
         )
-        self.port = self.server.add_insecure_port(address)
+        self.port = bind_port(self.server, address)
 
     def start(self):
         """Begin to serve."""
@@ -82,6 +83,22 @@
         self.server.stop(STOP_GRACE_S).wait()
 
 
+def bind_port(server, address):
+    """Bind a gRPC server to an address and return the port.
+
+    Raises:
+        PersimmonError: With code `address-unavailable`.
+    """
+    try:
+        return server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise PersimmonError(
+            "the address for calls between nodes can't be bound",
+            code="address-unavailable",
+            place=address,
+        ) from error
+
+
 class Channels(Part):
     """Channels to other processes, kept open and shared.
 
--- a/persimmonlane/tests/test_application.py
+++ b/persimmonlane/tests/test_application.py
@@ -61,6 +61,27 @@
         ]
         self.assertEqual(expected, self.calls)
 
+    def test_parts_that_did_not_start_are_not_stopped(self):
+        class Faulty(Part):
+            def start(self):
+                raise ValueError("no port")
+
+        self.application.add(Faulty())
+        self.application.add(RecordingPart("c", self.calls))
+        self.assertRaises(ValueError, self.application.run)
+        expected = ["a starts", "b starts", "b stops", "a stops"]
+        self.assertEqual(expected, self.calls)
+
+    def test_part_that_fails_to_stop_keeps_no_other_from_stopping(self):
+        class Faulty(Part):
+            def stop(self):
+                raise ValueError("stuck")
+
+        self.application.add(Faulty())
+        self.application.end()
+        self.assertEqual(EXIT_OK, self.application.run())
+        self.assertEqual("a stops", self.calls[-1])
+
     def test_signal_drains(self):
         class Terminating(Part):
             def ready(self):
