--- a/persimmonlane/forwarding/connections.py
+++ b/persimmonlane/forwarding/connections.py
@@ -4,14 +4,11 @@
 """
 
 import http.client
-import socket
 import threading
 
 import urllib3.connection
 import urllib3.util
 
-from .streams import CountingReader
-
 IDLE_LIMIT_S = 30.0
 KEPT_PER_ADDRESS = 64
 SUSPICION_INTERVAL_S = 10.0
@@ -28,13 +25,11 @@
         super().__init__(sock, *args, **kwargs)
         self.excess = False
         self._socket = sock
-        self.fp.close()
-        self.fp = CountingReader(sock)
 
     def _close_conn(self):
         # The buffer is discarded with the file, so this is the last moment
         # at which bytes beyond the body can be seen.
-        self.excess = self.fp.has_data() or has_bytes(self._socket)
+        self.excess = has_excess(self._socket, self.fp)
         super()._close_conn()
 
 
@@ -154,22 +149,19 @@
             return False
         # An idle connection that can be read was closed, or holds bytes that
         # belong to no request of ours.
-        return not can_read(connection.sock)
-
+        return not urllib3.util.wait_for_read(connection.sock, timeout=0.0)
 
-def can_read(sock):
-    """Return whether a socket that is still open can be read."""
-    return sock.fileno() != -1 and urllib3.util.wait_for_read(sock, timeout=0.0)
 
-
-def has_bytes(sock):
-    """Return whether bytes wait in a socket, and not only its end."""
-    if not can_read(sock):
-        return False
+def has_excess(sock, file):
+    """Return whether bytes are waiting in a response's buffer or socket."""
+    timeout = sock.gettimeout()
     try:
-        return bool(sock.recv(1, socket.MSG_PEEK))
-    except OSError:
+        sock.setblocking(False)
+        return bool(file.peek(1))
+    except (OSError, ValueError):
         return False
+    finally:
+        restore_timeout(sock, timeout)
 
 
 def restore_timeout(sock, timeout):
--- a/persimmonlane/forwarding/gateway.py
+++ b/persimmonlane/forwarding/gateway.py
@@ -82,11 +82,9 @@
         answer = render_refusal(refusal, request.id, close=False)
         self._set_head(answer.status, answer.headers)
         try:
-            self.req.conn.wfile.hold()
             self.req.ensure_headers_sent()
             if request.method != "HEAD":
                 self.req.write(answer.body)
-            self.req.conn.wfile.flush()
         finally:
             self.ingress.forwarder.note_end(
                 request, refusal.status, refusal.code, refusal.verdict
@@ -112,16 +110,12 @@
         self.ingress.forwarder.note_end(request, status, code, Verdict.RAN)
 
     def _write_body(self, answer):
-        writer = self.req.conn.wfile
-        writer.hold()
         self.req.ensure_headers_sent()
         sent_bytes = 0
         for piece in answer.pieces:
             if piece:
                 self.req.write(piece)
-                writer.flush()
                 sent_bytes += len(piece)
-        writer.flush()
         check_invariant(
             "whole-answer",
             answer.length is None or sent_bytes == answer.length,
