--- a/persimmonlane/forwarding/tests/test_exchange.py
+++ b/persimmonlane/forwarding/tests/test_exchange.py
@@ -88,6 +88,14 @@
         self.assertEqual(b"own", self.read(self.create(server)))
         self.assertEqual(2, server.connections)
 
+    def test_answer_before_the_end_of_the_connection_is_whole(self):
+        for headers in ((), ("Connection: close",)):
+            server = self.serve([answer(headers=headers), ScriptedServer.CLOSE])
+            exchange = self.create(server)
+            running = exchange.run()
+            self.assertTrue(server.closed.wait(10))
+            self.assertEqual(b"whole", b"".join(running.pieces()))
+
     def test_short_answer_is_an_error(self):
         server = self.serve([answer(b"half", length=9), ScriptedServer.CLOSE])
         self.assert_fails(self.create(server), Kind.SHORT, Verdict.MAY_HAVE_RUN)
