--- a/persimmonlane/forwarding/traffic.py
+++ b/persimmonlane/forwarding/traffic.py
@@ -247,8 +247,6 @@
         admission = self._borrower.admit(arrival.organisation)
         if admission is Admission.ADMITTED:
             self._place(arrival)
-            # Tokens that run low are asked for now, not at the next tick.
-            self._send_demands()
         elif admission is Admission.WAIT:
             self._await_loan(arrival)
         else:
