--- a/persimmonlane/forwarding/forwarder.py
+++ b/persimmonlane/forwarding/forwarder.py
@@ -128,6 +128,7 @@
         ]
         kept.append(Header(ORGANISATION, request.organisation))
         kept.append(Header(REQUEST_ID, request.id))
+        check_organisation(kept, request.organisation)
         return kept
 
     def _create_attempts(self, request):
@@ -295,6 +296,20 @@
         self._traffic.tell(AttemptEnded(self._service, outcome))
 
 
+def check_organisation(headers, organisation):
+    """Check that a backend server is told of the key's organisation alone.
+
+    Raises:
+        InvariantError: If it would be told of another one, or of several.
+    """
+    stated = find_values(headers, ORGANISATION.lower())
+    check_invariant(
+        "organisation",
+        stated == [organisation],
+        f"{len(stated)} organisations would be stated",
+    )
+
+
 def check_refusal(request, refusal):
     """Check that a request refused as not run was not sent to a server that ran it.
 
--- a/persimmonlane/forwarding/tests/test_gateway.py
+++ b/persimmonlane/forwarding/tests/test_gateway.py
@@ -8,6 +8,7 @@
 
 from ...ejection.outcome import Kind
 from ...errors import Refusal
+from ...keys import extract_keys
 from ...verdicts import Verdict
 from .. import forwarder
 from ..answers import Explanation
@@ -19,6 +20,12 @@
 HEADERS = {"X-Persimmon-Key": KEY}
 
 
+def leave_organisations(headers, target):
+    extraction = extract_keys(headers, target)
+    extraction.headers = [*extraction.headers, *headers]
+    return extraction
+
+
 class GatewayTestCase(testtools.TestCase):
     def serve(self, *scripts):
         server = ScriptedServer(scripts)
@@ -137,6 +144,16 @@
         self.assertNotIn(b"X-Hop", request)
         self.assertRegex(request.decode(), r"Persimmon-Deadline-Ms: [1-7]\d\d?\r\n")
 
+    def test_second_organisation_is_noticed(self):
+        server = self.serve([answer()])
+        self.start(server)
+        self.patch(forwarder, "extract_keys", leave_organisations)
+        headers = {**HEADERS, "X-Persimmon-Organisation": "almacen"}
+        self.assert_refused(
+            500, "invariant-organisation", "may-have-run", headers=headers
+        )
+        self.assertEqual([], server.requests)
+
     def test_each_method_is_forwarded_once(self):
         methods = ("GET", "POST", "PUT", "DELETE", "PATCH", "HEAD")
         server = self.serve(*([answer(b"")] for _ in methods))
