Give back what abandoned requests hold; refuse what waits for a removed service

Found by reading. Cause 1: after a pause of the process, a thread had given up its request when the actor placed it, and the slot stayed taken for good. Cause 2: a request that met a document without its service raised KeyError in the actor, which ends the process.

--- a/persimmonlane/forwarding/dispatcher.py
+++ b/persimmonlane/forwarding/dispatcher.py
@@ -160,6 +160,8 @@
             request = self._queue.take()
             if request is None:
                 break
+            if request.payload.abandoned:
+                continue
             plan = self._choose(request.payload)
             if plan is None:
                 blocked.append(request)
@@ -168,6 +170,16 @@
         for request in reversed(blocked):
             self._queue.put_back(request)
 
+    def dismiss(self):
+        """Yield the arrivals that wait, since the service is removed."""
+        while True:
+            request = self._queue.take()
+            if request is None:
+                break
+            yield request.payload
+        for rejection in self.expire():
+            yield rejection.arrival
+
     def expire(self):
         """Yield a `Rejection` for each waiting arrival that is to be refused."""
         for request in self._queue.expire():
--- a/persimmonlane/forwarding/forwarder.py
+++ b/persimmonlane/forwarding/forwarder.py
@@ -25,7 +25,7 @@
     drop_hop_by_hop,
     find_values,
 )
-from .plans import Arrival, AttemptEnded, ConnectionSuspected, RequestEnded
+from .plans import Abandoned, Arrival, AttemptEnded, ConnectionSuspected, RequestEnded
 from .requests import ForwardedAnswer
 
 log = logging.getLogger("persimmonlane.forwarding")
@@ -107,6 +107,7 @@
         request.organisation = snapshot.keys.authenticate(extraction.presented)
         check_allowed(request.route, request.organisation)
         request.service = snapshot.view.get_service(request.route.service)
+        request.budget = snapshot.budgets[request.route.service]
         request.idempotent = is_idempotent(request.route, request.method)
         request.deadline = request.arrived + find_time_s(request)
         request.headers = self._clean(request, extraction.headers)
@@ -132,12 +133,11 @@
         return kept
 
     def _create_attempts(self, request):
-        budget = self.snapshot.budgets[request.service.name]
         return RequestAttempts(
             request.idempotent,
             request.deadline,
             request.service.retries,
-            budget,
+            request.budget,
             self._clock,
         )
 
@@ -164,20 +164,22 @@
             raise failure from error
 
     def _plan(self, request, attempts):
-        reply = pykka.ThreadingFuture()
-        self._traffic.tell(
-            Arrival(
-                request.organisation,
-                request.service.name,
-                request.idempotent,
-                request.deadline,
-                frozenset(attempts.tried),
-                attempts.count > 0,
-                reply,
-            )
+        arrival = Arrival(
+            request.organisation,
+            request.service.name,
+            request.idempotent,
+            request.deadline,
+            frozenset(attempts.tried),
+            attempts.count > 0,
+            pykka.ThreadingFuture(),
         )
+        self._traffic.tell(arrival)
         remaining_s = request.deadline - self._clock.now()
-        return reply.get(timeout=max(0.0, remaining_s) + REPLY_MARGIN_S)
+        try:
+            return arrival.reply.get(timeout=max(0.0, remaining_s) + REPLY_MARGIN_S)
+        except pykka.Timeout:
+            self._traffic.tell(Abandoned(arrival))
+            raise Refusal(504, "deadline-passed", "no time is left") from None
 
     def _run_attempt(self, request, plan, attempts):
         started = self._clock.now()
--- a/persimmonlane/forwarding/plans.py
+++ b/persimmonlane/forwarding/plans.py
@@ -32,6 +32,8 @@
         excluded: Addresses that were tried before.
         retry: Whether it was admitted before and is sent again.
         reply: Future for the `Plan`, or a `Refusal`.
+        plan: The `Plan` that was made, or None.
+        abandoned: Whether nobody waits for the reply any more.
     """
 
     __slots__ = (
@@ -42,6 +44,8 @@
         "excluded",
         "retry",
         "reply",
+        "plan",
+        "abandoned",
     )
 
     def __init__(
@@ -54,6 +58,26 @@
         self.excluded = excluded
         self.retry = retry
         self.reply = reply
+        self.plan = None
+        self.abandoned = False
+
+    def answer(self, plan):
+        """Reply with a plan."""
+        self.plan = plan
+        self.reply.set(plan)
+
+
+class Abandoned:
+    """Nobody waits for the reply to an arrival any more, as after a pause.
+
+    Attributes:
+        arrival: The `Arrival`.
+    """
+
+    __slots__ = ("arrival",)
+
+    def __init__(self, arrival):
+        self.arrival = arrival
 
 
 class Plan:
--- a/persimmonlane/forwarding/requests.py
+++ b/persimmonlane/forwarding/requests.py
@@ -18,6 +18,7 @@
         caller: The `CallerWatch`.
         route: The route.
         service: Policy of the service.
+        budget: The service's retry budget.
         organisation: Name of the organisation.
         idempotent: Whether the request is idempotent.
         arrived: Monotonic seconds of its arrival.
@@ -34,6 +35,7 @@
         "caller",
         "route",
         "service",
+        "budget",
         "organisation",
         "idempotent",
         "arrived",
@@ -50,6 +52,7 @@
         self.caller = caller
         self.route = None
         self.service = None
+        self.budget = None
         self.organisation = ""
         self.idempotent = False
         self.arrived = arrived
--- a/persimmonlane/forwarding/traffic.py
+++ b/persimmonlane/forwarding/traffic.py
@@ -9,6 +9,7 @@
 from ..actors import Actor, Tick
 from ..ejection.journal import log_event
 from ..ejection.messages import EvidenceArrived, EvidenceWanted
+from ..ejection.outcome import Kind, Outcome
 from ..errors import PersimmonError, Refusal
 from ..limits.admission import Admission
 from ..limits.borrower import Borrower
@@ -16,10 +17,18 @@
 from ..membership.messages import LoadReported, PeersChanged, ServersChanged
 from ..reporting.ledger import Ledger, UnixClock
 from ..traces.recorder import open_recorder
+from ..verdicts import Verdict
 from .budgets import SharedBudget
 from .dispatcher import Dispatcher
 from .indexing import DocumentIndexed
-from .plans import Arrival, AttemptEnded, ConnectionSuspected, RequestEnded, Snapshot
+from .plans import (
+    Abandoned,
+    Arrival,
+    AttemptEnded,
+    ConnectionSuspected,
+    RequestEnded,
+    Snapshot,
+)
 
 log = logging.getLogger("persimmonlane.traffic")
 
@@ -77,6 +86,7 @@
 
     handlers = {
         Arrival: "arrive",
+        Abandoned: "abandon",
         AttemptEnded: "end_attempt",
         ConnectionSuspected: "disregard",
         RequestEnded: "end_request",
@@ -131,6 +141,18 @@
         except PersimmonError as error:
             refuse(arrival, error)
 
+    def abandon(self, message):
+        """Give back what an arrival holds for which nobody waits."""
+        arrival = message.arrival
+        arrival.abandoned = True
+        if arrival.plan is None:
+            return
+        plan = arrival.plan
+        outcome = Outcome(
+            plan.address, plan.attempt, Kind.CANCELLED, 0.0, Verdict.NOT_RUN
+        )
+        self.end_attempt(AttemptEnded(arrival.service, outcome))
+
     def end_attempt(self, message):
         """Take the end of an attempt."""
         dispatcher = self._dispatchers.get(message.service)
@@ -241,6 +263,8 @@
         self._ports.send_demands(self._borrower.surrender())
 
     def _admit(self, arrival):
+        if self._clock.now() >= arrival.deadline:
+            raise Refusal(504, "deadline-passed", "no time is left")
         if arrival.retry:
             self._place(arrival)
             return
@@ -287,15 +311,17 @@
         )
 
     def _place(self, arrival):
-        dispatcher = self._dispatchers[arrival.service]
+        dispatcher = self._dispatchers.get(arrival.service)
+        if dispatcher is None:
+            raise refuse_removed()
         plan = dispatcher.place(arrival)
         if plan is not None:
-            arrival.reply.set(plan)
+            arrival.answer(plan)
         self._expire(dispatcher)
 
     def _place_queued(self, dispatcher):
         for placement in dispatcher.place_queued():
-            placement.arrival.reply.set(placement.plan)
+            placement.arrival.answer(placement.plan)
 
     def _expire(self, dispatcher):
         for rejection in dispatcher.expire():
@@ -323,7 +349,8 @@
     def _update_dispatchers(self, view):
         services = {service.name: service for service in view.document.services}
         for name in self._dispatchers.keys() - services.keys():
-            del self._dispatchers[name]
+            for arrival in self._dispatchers.pop(name).dismiss():
+                refuse(arrival, refuse_removed())
             del self._budgets[name]
         for name, service in services.items():
             if name in self._dispatchers:
@@ -362,6 +389,13 @@
         self._ports.forwarder.snapshot = Snapshot(self._view, keys, dict(self._budgets))
 
 
+def refuse_removed():
+    """Return the refusal of a request whose service left the document."""
+    return Refusal(
+        503, "service-removed", "the service is no longer served", retry_after=1
+    )
+
+
 def refuse(arrival, error):
     """Answer an arrival with an error."""
     arrival.reply.set_exception((type(error), error, error.__traceback__))
