--- a/persimmonlane/admin/tests/test_admin.py
+++ b/persimmonlane/admin/tests/test_admin.py
@@ -9,7 +9,7 @@
 from ...config.publishing import PublishUncertain, RevisionConflict
 from ...errors import InputError, StoreError
 from ...keys import KeyTable, compute_digest
-from ...platform.memory import Faults, MemoryStore
+from ...store.memory import Faults, MemoryStore
 from ..api import AdminApi
 from ..failures import (
     NodeUnreachable,
--- a/persimmonlane/clocks.py
+++ b/persimmonlane/clocks.py
@@ -35,3 +35,13 @@
     def advance(self, seconds):
         """Move the clock forward by a number of seconds."""
         self.seconds += seconds
+
+
+class BootClock:
+    """Seconds since the VM's boot; time for which it was suspended counts."""
+
+    __slots__ = ()
+
+    def now(self):
+        """Return seconds since boot."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/persimmonlane/config/publishing.py
+++ b/persimmonlane/config/publishing.py
@@ -8,7 +8,7 @@
 import uuid
 
 from ..errors import InputError, PersimmonError, StoreError
-from ..platform.client import VALUE_LIMIT_BYTES, StoreConflict, StoreUncertain
+from ..store.client import VALUE_LIMIT_BYTES, StoreConflict, StoreUncertain
 from .parts import split_document
 from .root import (
     HISTORY_LENGTH,
--- a/persimmonlane/config/repair.py
+++ b/persimmonlane/config/repair.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..platform.client import StoreConflict
+from ..store.client import StoreConflict
 from .root import HISTORY_LENGTH, ROOT_KEY, encode, read_root
 
 
--- a/persimmonlane/config/tests/fleet.py
+++ b/persimmonlane/config/tests/fleet.py
@@ -8,7 +8,7 @@
 from ...clocks import ManualClock
 from ...errors import PersimmonError
 from ...membership.peers import Peer
-from ...platform.memory import Faults, MemoryStore
+from ...store.memory import Faults, MemoryStore
 from ..publishing import Publisher
 from ..repair import repair_store
 from ..replica import STORE, Replica
--- a/persimmonlane/config/tests/test_part.py
+++ b/persimmonlane/config/tests/test_part.py
@@ -8,9 +8,9 @@
 from ...clocks import SystemClock
 from ...errors import StoreError
 from ...membership.peers import Peer
-from ...platform.memory import Faults, MemoryStore
 from ...rpc import Channels, RpcServer
 from ...settings import NodeSettings
+from ...store.memory import Faults, MemoryStore
 from ..loading import load_snapshot
 from ..messages import DocumentChanged, FreshnessChanged
 from ..part import build_config
--- a/persimmonlane/config/tests/test_publishing.py
+++ b/persimmonlane/config/tests/test_publishing.py
@@ -4,7 +4,7 @@
 
 from ...clocks import ManualClock
 from ...errors import InputError, StoreError
-from ...platform.memory import Faults, MemoryStore
+from ...store.memory import Faults, MemoryStore
 from ..loading import load_snapshot
 from ..model import Document, FleetPolicy, Key, Organisation
 from ..parts import join_document, split_document
--- a/persimmonlane/config/tests/test_replica.py
+++ b/persimmonlane/config/tests/test_replica.py
@@ -5,7 +5,7 @@
 from ...clocks import ManualClock
 from ...errors import PersimmonError
 from ...invariants import InvariantError
-from ...platform.memory import Faults
+from ...store.memory import Faults
 from ..replica import Report
 from ..root import ROOT_KEY, Root, read_root
 from ..roster import Roster
--- a/persimmonlane/config/tests/test_spread_machine.py
+++ b/persimmonlane/config/tests/test_spread_machine.py
@@ -3,7 +3,7 @@
 from hypothesis import Phase, settings, stateful, strategies
 
 from ...errors import PersimmonError
-from ...platform.memory import Faults
+from ...store.memory import Faults
 from ..root import ROOT_KEY, read_root
 from .fleet import Fleet
 from .test_publishing import build_document
--- a/persimmonlane/config/tests/test_view.py
+++ b/persimmonlane/config/tests/test_view.py
@@ -1,7 +1,7 @@
 import testtools
 
 from ...errors import Refusal
-from ...platform.memory import MemoryStore
+from ...store.memory import MemoryStore
 from ..jobs import build_view
 from ..loading import load_snapshot
 from ..model import Document, FleetPolicy, Organisation, Route, Service
--- a/persimmonlane/config/transport.py
+++ b/persimmonlane/config/transport.py
@@ -6,7 +6,7 @@
 import grpc
 
 from ..errors import PersimmonError
-from ..platform.client import Entry
+from ..store.client import Entry
 from . import config_pb2 as messages
 from . import config_pb2_grpc as services
 from .loading import Snapshot
--- /dev/null
+++ b/persimmonlane/fleetsettings.py
@@ -0,0 +1,65 @@
+"""Fleet settings.
+
+What a node beside a backend server knows of itself and of its site.
+"""
+
+
+class FleetSettings:
+    """Settings of a node beside a backend server.
+
+    Attributes:
+        name: Name of the node, unique in the fleet.
+        ip: Address of its VM.
+        data_centre: Name of its data centre.
+        callers: Address for callers and for the backend server's own calls.
+        nodes: Address for requests from other nodes.
+        readiness: Address for questions whether the node is ready.
+        heartbeats: Address for the backend server's heartbeats.
+        gossip_port: UDP port for announcements between nodes.
+        store: Address of the platform's key-value service.
+        least_lease_s: Shortest lease that the store grants, in seconds.
+        server: Address of the backend server.
+        service: Name of its service.
+        heartbeat_s: Interval of its heartbeats, in seconds.
+        withdrawal_s: Seconds within which a withdrawn key stops working.
+        grace_s: Seconds between the signals to stop and to end at once.
+        retry_ratio: Second attempts allowed as a share of requests.
+        retry_slack: Second attempts allowed besides, over the whole fleet.
+        retry_window_s: Window of the retry budget, in seconds.
+        floor_share: Least share of a service's sound servers that get requests.
+    """
+
+    DEFAULTS = {
+        "withdrawal_s": 5.0,
+        "grace_s": 6.0,
+        "retry_ratio": 0.1,
+        "retry_slack": 10.0,
+        "retry_window_s": 10.0,
+        "floor_share": 0.7,
+    }
+
+    __slots__ = (
+        "name",
+        "ip",
+        "data_centre",
+        "callers",
+        "nodes",
+        "readiness",
+        "heartbeats",
+        "gossip_port",
+        "store",
+        "least_lease_s",
+        "server",
+        "service",
+        "heartbeat_s",
+        "withdrawal_s",
+        "grace_s",
+        "retry_ratio",
+        "retry_slack",
+        "retry_window_s",
+        "floor_share",
+    )
+
+    def __init__(self, **fields):
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
--- a/persimmonlane/limits/actor.py
+++ b/persimmonlane/limits/actor.py
@@ -9,7 +9,7 @@
 
 from ..actors import Actor, Tick, tell
 from ..errors import StoreError
-from ..platform.client import StoreConflict
+from ..store.client import StoreConflict
 from . import limits_pb2_grpc
 from .lease import AskPromise, ReadKey, WriteKey
 from .messages import LoansChanged
--- a/persimmonlane/limits/tests/fakes.py
+++ b/persimmonlane/limits/tests/fakes.py
@@ -4,7 +4,7 @@
 
 from persimmonlane.config.model import Document, FleetPolicy, Organisation
 from persimmonlane.errors import StoreError
-from persimmonlane.platform.client import Entry, StoreConflict
+from persimmonlane.store.client import Entry, StoreConflict
 
 
 class ThreadedStore:
--- a/persimmonlane/limits/tests/simulation.py
+++ b/persimmonlane/limits/tests/simulation.py
@@ -14,7 +14,7 @@
 from persimmonlane.limits.node import AskLoans, DeliverLoans, LimitsNode
 from persimmonlane.limits.policy import ANSWER_S
 from persimmonlane.membership.peers import Peer
-from persimmonlane.platform.client import Entry
+from persimmonlane.store.client import Entry
 
 TICK_S = 0.05
 STORE_TIMEOUT_S = 0.5
--- a/persimmonlane/limits/tests/test_bounds.py
+++ b/persimmonlane/limits/tests/test_bounds.py
@@ -16,7 +16,7 @@
     OverAdmission,
     TwoHolders,
 )
-from persimmonlane.platform.client import Entry
+from persimmonlane.store.client import Entry
 
 STEPS = 1500
 MACHINE_SEEDS = range(30)
--- a/persimmonlane/node.py
+++ b/persimmonlane/node.py
@@ -14,10 +14,10 @@
 from .forwarding.part import build_ingress
 from .limits.part import build_limits
 from .membership.part import build_membership
-from .platform import create_client
 from .reporting.metrics import count_invariants, create_metrics
 from .reporting.part import build_reporting
 from .rpc import Channels, RpcServer
+from .store import create_client
 
 STORE_CLIENT = "grpc"
 # The request path shares the interpreter with other threads; the usual 5 ms
--- /dev/null
+++ b/persimmonlane/owner/__init__.py
@@ -0,0 +1,4 @@
+"""Owner.
+
+The node beside a backend server: it alone hands it requests.
+"""
--- /dev/null
+++ b/persimmonlane/peers/__init__.py
@@ -0,0 +1,4 @@
+"""Peers.
+
+What the nodes of a fleet know of each other.
+"""
--- /dev/null
+++ b/persimmonlane/peers/gossip.py
@@ -0,0 +1,241 @@
+"""Gossip.
+
+The actor that owns what a node knows of the others, and its datagrams.
+"""
+
+import logging
+import random
+import socket
+import threading
+
+import msgspec
+
+from ..actors import Actor, Tick
+from ..quotas.limiter import Limiter
+from ..settings import split_address
+from .messages import Announcement, RateAnswer, RateAsk, decoder, encoder
+from .table import PeerTable
+
+log = logging.getLogger("persimmonlane.peers")
+
+ANNOUNCE_S = 1.0
+DATAGRAM_BYTES = 4096
+BOOT_LIMIT = 1 << 48
+
+
+class Received:
+    """A datagram that has come in."""
+
+    __slots__ = ("message", "sender")
+
+    def __init__(self, message, sender):
+        self.message = message
+        self.sender = sender
+
+
+class NodesRegistered:
+    """The nodes that the store names, as a table of names and addresses."""
+
+    __slots__ = ("addresses",)
+
+    def __init__(self, addresses):
+        self.addresses = addresses
+
+
+class FreshnessKnown:
+    """The document in force was the newest at a time in seconds."""
+
+    __slots__ = ("at",)
+
+    def __init__(self, at):
+        self.at = at
+
+
+class RateWanted:
+    """A request of an organisation needs leave to run; `reply` takes the wait."""
+
+    __slots__ = ("organisation", "reply")
+
+    def __init__(self, organisation, reply):
+        self.organisation = organisation
+        self.reply = reply
+
+
+class Gossip(Actor):
+    """Knows the other nodes and holds the rates that fall to this one.
+
+    Attributes:
+        table: The `PeerTable`; other threads only read it.
+    """
+
+    handlers = {
+        Received: "take_datagram",
+        NodesRegistered: "take_registered",
+        FreshnessKnown: "take_freshness",
+        RateWanted: "decide_rate",
+        Tick: "announce",
+    }
+
+    def __init__(self, application, settings, clock, wire, describe, document):
+        super().__init__(application)
+        self._settings = settings
+        self._clock = clock
+        self._wire = wire
+        self._describe = describe
+        self._document = document
+        self._boot = random.randrange(BOOT_LIMIT)
+        self._sequence = 0
+        self._asked = 0
+        self._asks = {}
+        self._limiter = Limiter(settings.name, clock)
+        self.table = PeerTable(settings.name, self._boot, clock)
+        self._takers = {
+            Announcement: self._take_news,
+            RateAsk: self._take_ask,
+            RateAnswer: self._take_answer,
+        }
+
+    def take_datagram(self, received):
+        """Handle a datagram."""
+        self._takers[type(received.message)](received.message, received.sender)
+
+    def take_registered(self, message):
+        """Learn of nodes from the store."""
+        for name, address in message.addresses.items():
+            self.table.note_registered(name, address)
+        self.announce(None)
+
+    def take_freshness(self, message):
+        """Learn from the store that the document is the newest."""
+        self.table.note_fresh(message.at)
+
+    def announce(self, _):
+        """Tell every known node of this one."""
+        self._sequence += 1
+        self.table.note_sent(self._sequence)
+        self.table.drop_forgotten()
+        news = self._describe()
+        # The age goes with the version read after it, or with a newer one.
+        fresh_age_s = self._find_fresh_age()
+        version = self._document.version
+        for peer in list(self.table.peers.values()):
+            heard = peer.news
+            message = Announcement(
+                self._settings.name,
+                self._boot,
+                self._sequence,
+                self._settings.nodes,
+                self._settings.data_centre,
+                news.leaving,
+                version,
+                fresh_age_s,
+                heard.sequence if heard else 0,
+                heard.boot if heard else 0,
+                news.server,
+            )
+            self._send(peer.address, message)
+
+    def decide_rate(self, wanted):
+        """Decide on a request, or ask the node that holds the rate."""
+        holder = self._find_holder(wanted.organisation)
+        if holder is None:
+            wanted.reply.set(self._decide_held(wanted.organisation))
+            return
+        self._asked += 1
+        self._asks[self._asked] = wanted
+        if len(self._asks) > 1000:
+            self._asks.pop(next(iter(self._asks)))
+        ask = RateAsk(self._asked, wanted.organisation.name, self._settings.name)
+        self._send(holder.address, ask)
+
+    def decide_alone(self, organisation):
+        """Decide by this node's share, since the holder did not answer."""
+        return self._limiter.decide_alone(organisation, self.table.count_members())
+
+    def _find_holder(self, organisation):
+        live = {peer.name: peer for peer in self.table.find_live()}
+        name = self._limiter.find_holder(organisation.name, live)
+        return live.get(name)
+
+    def _decide_held(self, organisation):
+        live = len(self.table.find_live()) + 1
+        return self._limiter.decide(organisation, live, self.table.count_members())
+
+    def _find_fresh_age(self):
+        age_s = self.table.find_fresh_age()
+        return age_s if age_s < 1e6 else -1.0
+
+    def _take_news(self, news, _):
+        peer = self.table.take(news)
+        if peer is None:
+            return
+        if news.version > self._document.version:
+            self._document.want(news.version, news.address)
+        elif news.version == self._document.version:
+            fresh_at = self.table.find_freshness(news)
+            if fresh_at is not None:
+                self.table.note_fresh(fresh_at)
+
+    def _take_ask(self, ask, sender):
+        rulebook = self._document.rulebook
+        organisation = (
+            rulebook.organisations.get(ask.organisation) if rulebook else None
+        )
+        if organisation is None:
+            return
+        wait_s = self._decide_held(organisation)
+        self._wire.send(sender, RateAnswer(ask.number, wait_s <= 0.0, wait_s))
+
+    def _take_answer(self, answer, _):
+        wanted = self._asks.pop(answer.number, None)
+        if wanted is not None:
+            wanted.reply.set(0.0 if answer.granted else max(answer.wait_s, 0.001))
+
+    def _send(self, address, message):
+        host, _ = split_address(address)
+        self._wire.send((host, self._settings.gossip_port), message)
+
+
+class DatagramWire:
+    """The UDP socket between nodes."""
+
+    __slots__ = ("_socket", "_thread", "_ended")
+
+    def __init__(self, ip, port):
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((ip, port))
+        self._thread = None
+        self._ended = False
+
+    def start(self, actor):
+        """Hand datagrams to an actor from now on."""
+        self._thread = threading.Thread(
+            target=self._receive, args=(actor,), daemon=True
+        )
+        self._thread.start()
+
+    def send(self, address, message):
+        """Send a message; what can't be sent is lost like a lost datagram."""
+        try:
+            self._socket.sendto(encoder.encode(message), socket.MSG_DONTWAIT, address)
+        except OSError as error:
+            log.debug("Peers: a datagram was not sent: %s.", error)
+
+    def stop(self):
+        """Close the socket."""
+        self._ended = True
+        self._socket.close()
+
+    def _receive(self, actor):
+        while not self._ended:
+            try:
+                raw, sender = self._socket.recvfrom(DATAGRAM_BYTES)
+                message = decoder.decode(raw)
+            except msgspec.MsgspecError as error:
+                log.warning("Peers: a datagram is invalid: %s.", error)
+                continue
+            except OSError as error:
+                if not self._ended:
+                    log.warning("Peers: receiving failed: %s.", error)
+                continue
+            actor.tell(Received(message, sender))
--- /dev/null
+++ b/persimmonlane/peers/messages.py
@@ -0,0 +1,95 @@
+"""Messages.
+
+What nodes send each other in datagrams.
+"""
+
+import msgspec
+
+
+class ServerNews(msgspec.Struct, array_like=True):
+    """A backend server as its owner sees it.
+
+    Attributes:
+        server_id: Identifier of the backend server.
+        service: Name of its service.
+        ready: Whether it takes new requests.
+        slots: Requests that it runs at a time.
+        running: Requests that hold a slot.
+        waiting: Requests that wait at the owner.
+        standing: Value of its `Standing`.
+        cold_s: Seconds for which it is still slow after its start.
+    """
+
+    server_id: str
+    service: str
+    ready: bool
+    slots: int
+    running: int
+    waiting: int
+    standing: str
+    cold_s: float
+
+
+class Announcement(msgspec.Struct, array_like=True, tag="a"):
+    """What a node says of itself.
+
+    Attributes:
+        node: Name of the node.
+        boot: Number drawn at the start of its process.
+        sequence: Number that rises with each announcement.
+        address: Address for requests from other nodes.
+        data_centre: Name of its data centre.
+        leaving: Whether the node is about to stop.
+        version: Version of the document that it has in force.
+        fresh_age_s: Seconds since that version was known to be the newest, or a
+            negative number if that is not known.
+        echo: Sequence of the newest announcement that came from the receiver.
+        echo_boot: Boot number of that announcement.
+        server: The backend server beside it, or None.
+    """
+
+    node: str
+    boot: int
+    sequence: int
+    address: str
+    data_centre: str
+    leaving: bool
+    version: int
+    fresh_age_s: float
+    echo: int
+    echo_boot: int
+    server: ServerNews | None
+
+
+class RateAsk(msgspec.Struct, array_like=True, tag="q"):
+    """Asks the holder of an organisation's rate for leave to run a request.
+
+    Attributes:
+        number: Number by which the answer is found.
+        organisation: Name of the organisation.
+        node: Name of the node that asks.
+    """
+
+    number: int
+    organisation: str
+    node: str
+
+
+class RateAnswer(msgspec.Struct, array_like=True, tag="r"):
+    """Answers a `RateAsk`.
+
+    Attributes:
+        number: Number of the question.
+        granted: Whether the request is within the rate.
+        wait_s: Seconds until the next one will be, if it is not.
+    """
+
+    number: int
+    granted: bool
+    wait_s: float
+
+
+Datagram = Announcement | RateAsk | RateAnswer
+
+encoder = msgspec.msgpack.Encoder()
+decoder = msgspec.msgpack.Decoder(Datagram)
--- /dev/null
+++ b/persimmonlane/peers/table.py
@@ -0,0 +1,177 @@
+"""Peer table.
+
+Which nodes live, what they say of their backend servers, and how new the document
+is known to be. Answers restarts, cuts and freezes of nodes.
+"""
+
+# A peer that is silent for longer is not sent requests.
+LIVE_S = 2.6
+# A peer that is silent for longer no longer counts as a member.
+MEMBER_S = 30.0
+UNREACHABLE_FIRST_S = 1.0
+UNREACHABLE_LONGEST_S = 4.0
+KEPT_SENDS = 64
+
+
+class Peer:
+    """Another node.
+
+    Attributes:
+        name: Name of the node.
+        address: Address for requests from other nodes.
+        data_centre: Name of its data centre, empty before it was heard.
+        news: Its newest `Announcement`, or None before it was heard.
+        heard_at: Seconds at which that came.
+        known_at: Seconds at which the store or a datagram last named it.
+        avoided_until: Seconds until which it is not sent requests.
+        pending: Requests of this node that are at it now.
+    """
+
+    __slots__ = (
+        "name",
+        "address",
+        "data_centre",
+        "news",
+        "heard_at",
+        "known_at",
+        "avoided_until",
+        "pending",
+        "_failures",
+    )
+
+    def __init__(self, name, address, known_at):
+        self.name = name
+        self.address = address
+        self.data_centre = ""
+        self.news = None
+        self.heard_at = None
+        self.known_at = known_at
+        self.avoided_until = 0.0
+        self.pending = 0
+        self._failures = 0
+
+    def note_unreachable(self, now):
+        """Avoid the peer for a while; longer each time until it is reached."""
+        avoided_s = UNREACHABLE_FIRST_S * 2**self._failures
+        self._failures += 1
+        self.avoided_until = now + min(UNREACHABLE_LONGEST_S, avoided_s)
+
+    def note_reached(self):
+        """Trust the path to the peer again."""
+        self._failures = 0
+        self.avoided_until = 0.0
+
+    def is_live(self, now):
+        """Return whether the peer was heard of late."""
+        return self.heard_at is not None and now - self.heard_at < LIVE_S
+
+
+class PeerTable:
+    """The other nodes, by name; not thread-safe.
+
+    Attributes:
+        peers: The `Peer`s by name.
+        fresh_at: Seconds at which the document in force was known to be the newest,
+            or None.
+    """
+
+    __slots__ = ("peers", "fresh_at", "_clock", "_own_name", "_boot", "_sent_at")
+
+    def __init__(self, own_name, boot, clock):
+        self.peers = {}
+        self.fresh_at = None
+        self._clock = clock
+        self._own_name = own_name
+        self._boot = boot
+        self._sent_at = {}
+
+    def note_registered(self, name, address):
+        """Take a node that the store names."""
+        if name == self._own_name:
+            return
+        now = self._clock.now()
+        peer = self.peers.get(name)
+        if peer is None or (peer.address != address and not peer.is_live(now)):
+            self.peers[name] = Peer(name, address, now)
+        else:
+            peer.known_at = now
+
+    def note_sent(self, sequence):
+        """Note that an announcement goes out now."""
+        self._sent_at[sequence] = self._clock.now()
+        while len(self._sent_at) > KEPT_SENDS:
+            self._sent_at.pop(next(iter(self._sent_at)))
+
+    def take(self, news):
+        """Take an announcement; return its `Peer`, or None if it is not news."""
+        if news.node == self._own_name:
+            return None
+        now = self._clock.now()
+        peer = self.peers.get(news.node)
+        if peer is None or peer.address != news.address:
+            peer = self.peers[news.node] = Peer(news.node, news.address, now)
+        old = peer.news
+        if old is not None and old.boot == news.boot and old.sequence >= news.sequence:
+            return None
+        if old is None or old.boot != news.boot:
+            peer.note_reached()
+        peer.news = news
+        peer.data_centre = news.data_centre
+        peer.heard_at = peer.known_at = now
+        return peer
+
+    def find_freshness(self, news):
+        """Return the seconds at which a peer's version was the newest, or None.
+
+        The peer's age counts from the moment at which this node sent what the peer
+        echoes, so that no delay on the way back makes it look younger.
+        """
+        sent_at = self._sent_at.get(news.echo)
+        if sent_at is None or news.echo_boot != self._boot or news.fresh_age_s < 0:
+            return None
+        return sent_at - news.fresh_age_s
+
+    def note_fresh(self, at):
+        """Note that the document in force was the newest at a time."""
+        if self.fresh_at is None or at > self.fresh_at:
+            self.fresh_at = at
+
+    def find_fresh_age(self):
+        """Return the seconds since the document was known to be the newest."""
+        if self.fresh_at is None:
+            return float("inf")
+        return self._clock.now() - self.fresh_at
+
+    def find_live(self):
+        """Return the `Peer`s that were heard of late."""
+        now = self._clock.now()
+        return [peer for peer in self.peers.values() if peer.is_live(now)]
+
+    def count_members(self):
+        """Return the number of nodes, this one included, that belong to the fleet."""
+        now = self._clock.now()
+        known = sum(1 for peer in self.peers.values() if now - peer.known_at < MEMBER_S)
+        return 1 + known
+
+    def drop_forgotten(self):
+        """Forget the nodes that neither the store nor datagrams name any more."""
+        oldest = self._clock.now() - MEMBER_S
+        gone = [name for name, peer in self.peers.items() if peer.known_at < oldest]
+        for name in gone:
+            del self.peers[name]
+
+    def is_relay(self, data_centre, rank):
+        """Return whether this node is among the first live ones of its data centre.
+
+        Args:
+            data_centre: Name of this node's data centre.
+            rank: Number of relays.
+        """
+        before = sum(
+            1
+            for peer in self.find_live()
+            if peer.data_centre == data_centre
+            and peer.name < self._own_name
+            and not peer.news.leaving
+        )
+        return before < rank
--- a/persimmonlane/platform/__init__.py
+++ b/persimmonlane/platform/__init__.py
@@ -1,20 +1,5 @@
-"""Platform.
+"""Platform adapter.
 
-Access to the platform's key-value service.
+Names, formats and calls of the users' platform; no decisions. Nothing outside this
+package knows a name that the platform gave.
 """
-
-
-def create_client(name, address):
-    """Return a client of the store.
-
-    Args:
-        name: Name of the client's class in the registry.
-        address: Address of the service.
-
-    Raises:
-        InputError: If there is no such client.
-    """
-    from . import remote  # noqa: F401 - fills the registry
-    from .client import clients
-
-    return clients.get_by_name(name)(address)
--- a/persimmonlane/programs/ctl.py
+++ b/persimmonlane/programs/ctl.py
@@ -25,7 +25,7 @@
 from ..config.publishing import PublishUncertain, RevisionConflict
 from ..errors import InputError, PersimmonError
 from ..keys import compute_digest, create_key
-from ..platform import create_client
+from ..store import create_client
 
 EXIT_CONFLICT = 3
 EXIT_UNCERTAIN = 4
--- /dev/null
+++ b/persimmonlane/programs/sidecar.py
@@ -0,0 +1,37 @@
+"""persimmon-sidecar.
+
+Runs the node beside a backend server on the users' platform.
+"""
+
+import logging
+import os
+import sys
+
+from ..logs import configure_logging
+from ..platform.settings import find_path, read_fleet_settings
+from ..sitenode import build_site_node
+from .common import create_program, run_program
+
+program = create_program(
+    "persimmon-sidecar", "Run the node beside a backend server of the platform."
+)
+
+
+@program.default
+def run():
+    """Run the node until SIGTERM; the settings file is named by the environment."""
+    configure_logging("info", "json")
+    status = build_site_node(read_fleet_settings(find_path())).run()
+    logging.shutdown()
+    sys.stdout.flush()
+    # Threads that wait for callers must not hold the end of the process up.
+    os._exit(status)
+
+
+def main():
+    """Run the program."""
+    run_program(program)
+
+
+if __name__ == "__main__":
+    main()
--- a/persimmonlane/programs/tests/test_ctl.py
+++ b/persimmonlane/programs/tests/test_ctl.py
@@ -8,9 +8,9 @@
 
 from ...config import publishing
 from ...keys import compute_digest
-from ...platform import remote
-from ...platform.memory import Faults
 from ...standins.store import StoreStandin
+from ...store import remote
+from ...store.memory import Faults
 from .. import ctl
 
 VALUES = {
--- /dev/null
+++ b/persimmonlane/quotas/__init__.py
@@ -0,0 +1,4 @@
+"""Quotas.
+
+Holds every organisation to its rate over all VMs together.
+"""
--- /dev/null
+++ b/persimmonlane/quotas/limiter.py
@@ -0,0 +1,80 @@
+"""Limiter.
+
+Decides on requests of organisations: exactly where this node holds the rate, by a
+small share of its own where the holder can't be asked. Answers one organisation that
+sends many times its rate, and cuts that leave several holders.
+"""
+
+from .buckets import Bucket, rank_holders
+
+# Nodes that may be missing before a holder takes itself for cut off.
+TOLERATED_LOSS = 2
+# Tokens with which a new holder begins, in seconds of the rate: another may have
+# held the rate until now.
+FIRST_TOKENS_S = 0.2
+# A share of the rate is too small for a burst of its own.
+LEAST_SHARE_BURST = 2.0
+
+
+class Limiter:
+    """Buckets of the organisations; not thread-safe."""
+
+    __slots__ = ("_clock", "_own_name", "_held", "_shares", "_begun_at")
+
+    def __init__(self, own_name, clock):
+        self._clock = clock
+        self._own_name = own_name
+        self._held = {}
+        self._shares = {}
+        self._begun_at = clock.now()
+
+    def find_holder(self, organisation, live_names):
+        """Return the name of the node that holds an organisation's rate."""
+        return rank_holders(organisation, [self._own_name, *live_names])[0]
+
+    def decide(self, organisation, live, members):
+        """Decide on a request as the holder of the rate.
+
+        Args:
+            organisation: The `Organisation`.
+            live: Number of live nodes, this one included.
+            members: Number of nodes that belong to the fleet.
+
+        Returns:
+            Seconds to wait; 0 grants the request.
+        """
+        now = self._clock.now()
+        share = min(1.0, (live + TOLERATED_LOSS) / members)
+        rate = organisation.rate * share
+        burst = max(1.0, organisation.burst * share)
+        bucket = self._held.get(organisation.name)
+        if bucket is None:
+            first = min(burst, rate * FIRST_TOKENS_S + 1.0)
+            bucket = self._held[organisation.name] = Bucket(rate, burst, first, now)
+        elif bucket.rate != rate or bucket.burst != burst:
+            bucket.set_rate(rate, burst, now)
+        return bucket.take(now)
+
+    def decide_alone(self, organisation, members):
+        """Decide on a request while the holder can't be asked.
+
+        Args:
+            organisation: The `Organisation`.
+            members: Number of nodes that belong to the fleet.
+
+        Returns:
+            Seconds to wait; 0 grants the request.
+        """
+        now = self._clock.now()
+        rate = organisation.rate / members
+        burst = max(LEAST_SHARE_BURST, organisation.burst / members)
+        bucket = self._shares.get(organisation.name)
+        if bucket is None:
+            bucket = self._shares[organisation.name] = Bucket(rate, burst, 1.0, now)
+        elif bucket.rate != rate or bucket.burst != burst:
+            bucket.set_rate(rate, burst, now)
+        return bucket.take(now)
+
+    def keep(self, names):
+        """Forget the rates that this node no longer holds."""
+        self._held = {name: item for name, item in self._held.items() if name in names}
--- /dev/null
+++ b/persimmonlane/routing/__init__.py
@@ -0,0 +1,4 @@
+"""Routing.
+
+Which service, organisation and limits a request has by the document in force.
+"""
--- /dev/null
+++ b/persimmonlane/serving/__init__.py
@@ -0,0 +1,4 @@
+"""Serving.
+
+Carries requests from callers through the owner of a backend server, and back.
+"""
--- /dev/null
+++ b/persimmonlane/serving/exchange.py
@@ -0,0 +1,398 @@
+"""Exchange.
+
+One request and its whole answer on a kept or new connection.
+"""
+
+import http.client
+import io
+import select
+import socket
+
+import urllib3.connection
+import urllib3.exceptions
+import urllib3.util
+
+from ..ejection.outcome import Kind
+from ..errors import PersimmonError
+from ..forwarding.connections import ConnectionPool
+from ..headers import Header, find_values
+from ..settings import split_address
+from ..verdicts import Verdict
+
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+PIECE_BYTES = 64 * 1024
+SEND_PIECE_BYTES = 16 * 1024
+IDLE_SHARE = 0.5
+IDLE_LIMIT_S = 4.0
+# Milliseconds after which the system gives up on bytes that are not confirmed.
+UNCONFIRMED_MS = 1500
+# Answers to other requests that may stand before the right one.
+STRAY_LIMIT = 3
+
+BROKEN = (OSError, urllib3.exceptions.HTTPError)
+MALFORMED = (ValueError, http.client.HTTPException)
+
+
+class ExchangeError(PersimmonError):
+    """An exchange ended without a whole answer.
+
+    Attributes:
+        kind: The `Kind` of the outcome.
+        verdict: Whether the request may have run.
+    """
+
+    def __init__(self, kind, verdict, code, message):
+        super().__init__(message, code=code)
+        self.kind = kind
+        self.verdict = verdict
+
+
+class WholeAnswer:
+    """An answer that has arrived completely.
+
+    Attributes:
+        status: HTTP status.
+        headers: The `Header`s.
+        body: Bytes.
+    """
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Call:
+    """What to send where.
+
+    Attributes:
+        address: Address of the other side.
+        method: HTTP method.
+        target: Request target.
+        headers: The `Header`s.
+        body: Bytes.
+        request_id: Identifier that the answer echoes.
+        idempotent: Whether the request may be sent twice.
+        deadline: Seconds by which the whole answer must be there.
+        connect_s: Time-out of a new connection, in seconds.
+        find_id: Callable from an answer's headers to the identifier it echoes.
+        on_wait: Called now and then while the answer is awaited; it returns the
+            seconds until the next call, and may raise `ExchangeError`.
+    """
+
+    __slots__ = (
+        "address",
+        "method",
+        "target",
+        "headers",
+        "body",
+        "request_id",
+        "idempotent",
+        "deadline",
+        "connect_s",
+        "find_id",
+        "on_wait",
+    )
+
+    def __init__(self, **fields):
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+
+class SharedResponse(http.client.HTTPResponse):
+    """A response that leaves its connection's buffer open for the next one."""
+
+    def _close_conn(self):
+        self.fp = None
+
+
+class KeptConnection(urllib3.connection.HTTPConnection):
+    """A connection that serves one request after another.
+
+    Attributes:
+        address: Address of the other side.
+        opened_at: Seconds at which it was opened.
+        used_at: Seconds of its last use, or None.
+        idle_limit_s: Seconds for which it may be idle and used again.
+        reader: Buffered input, shared by all its responses.
+    """
+
+    def __init__(self, address, timeout_s, opened_at):
+        host, port = split_address(address)
+        super().__init__(host, port, timeout=timeout_s)
+        self.address = address
+        self.opened_at = opened_at
+        self.used_at = None
+        self.idle_limit_s = IDLE_LIMIT_S
+        self.reader = None
+
+    def connect(self):
+        """Open the connection."""
+        super().connect()
+        self.sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_MS
+        )
+        self.reader = io.BufferedReader(socket.SocketIO(self.sock, "r"))
+
+    def makefile(self, mode):
+        """Return the shared input, as a response asks its socket for a file."""
+        return self.reader
+
+    def read_response(self, method):
+        """Return the next `SharedResponse`, whose head has arrived."""
+        response = SharedResponse(self, method=method)
+        response.begin()
+        return response
+
+    def finish(self):
+        """Make ready for the next request; the socket stays open."""
+        sock, self.sock = self.sock, None
+        # Without a socket this only ends the present request.
+        http.client.HTTPConnection.close(self)
+        self.sock = sock
+
+    def has_input(self):
+        """Return whether bytes are waiting to be read, or the end."""
+        self.sock.setblocking(False)
+        try:
+            return bool(self.reader.peek(1)) or self._is_readable()
+        except (OSError, ValueError):
+            return True
+        finally:
+            self.sock.settimeout(self.timeout)
+
+    def _is_readable(self):
+        return urllib3.util.wait_for_read(self.sock, timeout=0.0)
+
+
+class KeptPool(ConnectionPool):
+    """Idle connections by address, each used again within its own idle limit."""
+
+    __slots__ = ()
+
+    def _is_usable(self, connection):
+        idle_s = self._clock.now() - connection.used_at
+        if connection.sock is None or idle_s > connection.idle_limit_s:
+            return False
+        return not connection.has_input()
+
+
+class Exchange:
+    """Sends one call and reads its answer.
+
+    Attributes:
+        call: The `Call`.
+        sent: Whether any of the request may have left this process.
+    """
+
+    __slots__ = ("call", "sent", "_pool", "_clock", "_caller", "_connection", "_whole")
+
+    def __init__(self, call, pool, clock, caller):
+        self.call = call
+        self.sent = False
+        self._pool = pool
+        self._clock = clock
+        self._caller = caller
+        self._connection = None
+        self._whole = False
+
+    def run(self):
+        """Return the `WholeAnswer`.
+
+        Raises:
+            ExchangeError: If no whole answer came.
+            CallerLeft: If the caller went away.
+        """
+        try:
+            self._connection = self._take() or self._connect()
+            self._send()
+            answer = self._read()
+        except BaseException:
+            self._drop()
+            raise
+        return answer
+
+    def _take(self):
+        return self._pool.take(self.call.address)
+
+    def _connect(self):
+        timeout_s = min(self.call.connect_s, self._find_left())
+        connection = KeptConnection(self.call.address, timeout_s, self._clock.now())
+        try:
+            connection.connect()
+        except BROKEN as error:
+            connection.close()
+            raise ExchangeError(
+                Kind.CONNECT, Verdict.NOT_RUN, "unreachable", "no connection was made"
+            ) from error
+        return connection
+
+    def _find_left(self):
+        left_s = self.call.deadline - self._clock.now()
+        if left_s <= 0:
+            verdict = Verdict.MAY_HAVE_RUN if self.sent else Verdict.NOT_RUN
+            raise ExchangeError(
+                Kind.TIMEOUT, verdict, "deadline-passed", "no time is left"
+            )
+        return left_s
+
+    def _send(self):
+        call = self.call
+        connection = self._connection
+        connection.timeout = self._find_left()
+        connection.sock.settimeout(connection.timeout)
+        try:
+            connection.putrequest(
+                call.method, call.target, skip_host=True, skip_accept_encoding=True
+            )
+            for header in call.headers:
+                connection.putheader(header.name, header.value)
+            if call.body or call.method in ("POST", "PUT", "PATCH"):
+                connection.putheader("Content-Length", str(len(call.body)))
+            self.sent = True
+            whole = len(call.body) <= SEND_PIECE_BYTES
+            connection.endheaders(call.body if whole and call.body else None)
+            self._whole = whole or self._send_body()
+        except TimeoutError as error:
+            raise self._describe_timeout() from error
+        except ValueError as error:
+            verdict = Verdict.MAY_HAVE_RUN if self.sent else Verdict.NOT_RUN
+            raise ExchangeError(
+                Kind.CANCELLED, verdict, "request-unsendable", "it can't be sent on"
+            ) from error
+        except (OSError, http.client.HTTPException) as error:
+            raise self._describe_break() from error
+
+    def _send_body(self):
+        """Send a long body; return whether all of it went before the answer came."""
+        rest = memoryview(self.call.body)
+        sock = self._connection.sock
+        poll = select.poll()
+        poll.register(sock, select.POLLIN | select.POLLOUT)
+        while rest:
+            events = poll.poll(max(1, int(self._find_left() * 1000)))
+            if not events:
+                raise self._describe_timeout()
+            if events[0][1] & (select.POLLIN | select.POLLHUP | select.POLLERR):
+                return False
+            sock.setblocking(False)
+            try:
+                rest = rest[sock.send(rest[:SEND_PIECE_BYTES]) :]
+            except BlockingIOError:
+                continue
+        return True
+
+    def _read(self):
+        for number in range(STRAY_LIMIT):
+            if number == 0 or not self._connection.has_input():
+                self._await()
+            response, answer = self._read_one()
+            echoed = self.call.find_id(answer.headers)
+            if echoed == self.call.request_id:
+                self._release(response, answer)
+                return answer
+            if not echoed or not self._may_read_on(response):
+                break
+        raise self._describe_wrong("the answer belongs to another request")
+
+    def _await(self):
+        connection = self._connection
+        while True:
+            left_s = self.call.deadline - self._clock.now()
+            if left_s <= 0:
+                raise self._describe_timeout()
+            pause_s = self.call.on_wait()
+            if self._caller.wait(connection.sock, min(left_s, pause_s)):
+                return
+
+    def _read_one(self):
+        connection = self._connection
+        connection.timeout = self._find_left()
+        connection.sock.settimeout(connection.timeout)
+        try:
+            response = connection.read_response(self.call.method)
+            check_framing(response)
+            body = self._read_body(response)
+        except TimeoutError as error:
+            raise self._describe_timeout() from error
+        except http.client.RemoteDisconnected as error:
+            raise self._describe_break() from error
+        except MALFORMED as error:
+            raise self._describe_wrong("the answer is malformed") from error
+        except BROKEN as error:
+            raise self._describe_break() from error
+        headers = [Header(*item) for item in response.getheaders()]
+        return response, WholeAnswer(response.status, headers, body)
+
+    def _read_body(self, response):
+        pieces, size = [], 0
+        stated = response.length
+        while piece := response.read(PIECE_BYTES):
+            pieces.append(piece)
+            size += len(piece)
+            if size > ANSWER_LIMIT_BYTES:
+                raise ValueError("the answer is too long")
+            self._connection.sock.settimeout(self._find_left())
+        if stated is not None and size != stated:
+            raise ValueError("the answer ended early")
+        return b"".join(pieces)
+
+    def _may_read_on(self, response):
+        return not response.will_close
+
+    def _release(self, response, answer):
+        connection = self._connection
+        self._connection = None
+        reusable = self._whole and not response.will_close
+        if not reusable or connection.has_input():
+            connection.close()
+            return
+        connection.idle_limit_s = find_idle_limit(answer.headers)
+        connection.finish()
+        self._pool.put(connection)
+
+    def _drop(self):
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _describe_timeout(self):
+        return ExchangeError(
+            Kind.TIMEOUT, Verdict.MAY_HAVE_RUN, "deadline-passed", "no answer in time"
+        )
+
+    def _describe_break(self):
+        return ExchangeError(
+            Kind.ERROR, Verdict.MAY_HAVE_RUN, "connection-broke", "the connection broke"
+        )
+
+    def _describe_wrong(self, message):
+        return ExchangeError(
+            Kind.WRONG, Verdict.MAY_HAVE_RUN, "answer-refused", message
+        )
+
+
+def check_framing(response):
+    """Refuse an answer whose length could be read in two ways.
+
+    Raises:
+        ValueError: If it could.
+    """
+    lengths = set(response.headers.get_all("Content-Length", ()))
+    encodings = response.headers.get_all("Transfer-Encoding", ())
+    if len(lengths) > 1 or (lengths and encodings):
+        raise ValueError("the length is given twice")
+    if response.status < 200:
+        raise ValueError("the answer is not a final one")
+
+
+def find_idle_limit(headers):
+    """Return the seconds for which a connection may idle and be used again."""
+    for value in find_values(headers, "keep-alive"):
+        for part in value.split(","):
+            name, _, text = part.strip().partition("=")
+            if name.lower() == "timeout" and text.isdigit():
+                return min(IDLE_LIMIT_S, int(text) * IDLE_SHARE)
+    return IDLE_LIMIT_S
--- /dev/null
+++ b/persimmonlane/serving/ingress.py
@@ -0,0 +1,449 @@
+"""Ingress.
+
+Takes a caller's request through the document, the organisation's rate and the choice
+of a backend server.
+"""
+
+import logging
+import random
+import threading
+
+import msgspec
+import pykka
+
+from ..ejection.outcome import Kind
+from ..errors import Refusal
+from ..headers import Header, drop_hop_by_hop, find_values
+from ..owner.serving import OwnedCall
+from ..peers.gossip import RateWanted
+from ..platform import headers as wire
+from ..routing.orders import Order, OwnerReport
+from ..routing.rulebook import choose_part
+from ..verdicts import Verdict
+from .exchange import Call, Exchange, ExchangeError
+from .placement import Candidate, Placement
+
+log = logging.getLogger("persimmonlane.serving")
+
+ORDER = "Persimmon-Order"
+REPORT = "Persimmon-Report"
+
+# The document must have been the newest within this much less than the time in which
+# a withdrawn key stops working.
+FRESHNESS_MARGIN_S = 0.4
+# An older document may lack routes and keys that are in force.
+TRUSTED_AGE_S = 3.0
+RATE_ANSWER_S = 0.08
+CONNECT_S = 0.4
+OWNER_GRACE_S = 0.05
+CONNECT_SHARE = 0.25
+QUEUE_PATIENCE_S = (0.05, 0.15, 0.5)
+MOST_PLACES = 5
+LEAST_LEFT_S = 0.03
+RETRY_AFTER_S = 0.3
+SERVER_FAULT = 500
+# Calls of a running request go first: it holds a slot while it waits for them.
+CALL_RANK = -1
+
+
+class IngressRequest:
+    """A caller's request.
+
+    Attributes:
+        method: HTTP method.
+        target: Request target.
+        headers: The caller's `Header`s.
+        body: Bytes, read before the request is placed.
+        caller: The `CallerWatch`.
+        arrived: Seconds at which its head had been read.
+        wishes: The `CallerWishes`.
+        route: The `Route`, or None before it is found.
+        organisation: The `Organisation`, or None.
+        deadline: Seconds by which it must be answered.
+    """
+
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "caller",
+        "arrived",
+        "wishes",
+        "route",
+        "organisation",
+        "deadline",
+    )
+
+    def __init__(self, method, target, headers, caller, arrived):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = b""
+        self.caller = caller
+        self.arrived = arrived
+        self.wishes = wire.read_wishes(headers)
+        self.route = None
+        self.organisation = None
+        self.deadline = None
+
+
+class Attempt:
+    """One try to have a request served by a candidate.
+
+    Attributes:
+        answer: The `WholeAnswer`, or None.
+        verdict: The `Verdict` on this try.
+        code: Stable code of the failure.
+        wait_s: Seconds until the owner expects a free slot.
+        kind: The `Kind` of a failure.
+    """
+
+    __slots__ = ("answer", "verdict", "code", "wait_s", "kind")
+
+    def __init__(self, answer, verdict, code="", wait_s=0.0, kind=Kind.OK):
+        self.answer = answer
+        self.verdict = verdict
+        self.code = code
+        self.wait_s = wait_s
+        self.kind = kind
+
+
+class Ingress:
+    """Serves callers' requests; its methods may be called from any thread."""
+
+    __slots__ = (
+        "on_stale",
+        "_settings",
+        "_clock",
+        "_holder",
+        "_owner",
+        "_describe",
+        "_gossip",
+        "_actor",
+        "_pool",
+        "_budget",
+        "_lock",
+        "_rng",
+        "_placement",
+    )
+
+    def __init__(
+        self, settings, clock, holder, owner, describe, gossip, actor, pool, budget
+    ):
+        self.on_stale = lambda: None
+        self._settings = settings
+        self._clock = clock
+        self._holder = holder
+        self._owner = owner
+        self._describe = describe
+        self._gossip = gossip
+        self._actor = actor
+        self._pool = pool
+        self._budget = budget
+        self._lock = threading.Lock()
+        self._rng = random.Random()
+        self._placement = Placement(self._rng, settings.floor_share)
+
+    def identify(self, request):
+        """Find a request's route, organisation and deadline.
+
+        Raises:
+            Refusal: If the document does not allow the request.
+        """
+        rulebook = self._holder.rulebook
+        if rulebook is None:
+            raise Refusal(
+                503, "no-document", "no document is in force", retry_after=RETRY_AFTER_S
+            )
+        hosts = find_values(request.headers, "host")
+        path = request.target.partition("?")[0]
+        request.route = rulebook.find_route(hosts[0] if hosts else "", path)
+        if request.route is None:
+            raise self._deny(404, "no-route", "no route matches")
+        self._authenticate(request, rulebook)
+        time_s = request.route.timeout_s
+        if request.wishes.time_left_s is not None:
+            time_s = min(time_s, request.wishes.time_left_s)
+        request.deadline = request.arrived + time_s
+
+    def forward(self, request):
+        """Return the `WholeAnswer` for an identified request whose body was read.
+
+        Raises:
+            Refusal: If the node answers itself.
+            CallerLeft: If the caller went away.
+        """
+        self._check_rate(request)
+        service = choose_part(request.route, self._rng)
+        with self._lock:
+            self._budget.note_request(service, self._count_members())
+        return self._place(request, service)
+
+    def _authenticate(self, request, rulebook):
+        if request.route.open:
+            return
+        request.organisation = rulebook.find_organisation(request.wishes.key)
+        if request.organisation is None:
+            raise self._deny(401, "key-unknown", "the key is not known")
+        # The request was sent before this moment, so a document that was the newest
+        # shortly before it knows every key that had to be withdrawn by then.
+        limit_s = self._settings.withdrawal_s - FRESHNESS_MARGIN_S
+        if self._gossip.find_fresh_age() > limit_s:
+            self.on_stale()
+            raise Refusal(
+                503,
+                "document-stale",
+                "the node can't know of withdrawn keys",
+                retry_after=RETRY_AFTER_S,
+            )
+
+    def _deny(self, status, code, message):
+        if self._gossip.find_fresh_age() > TRUSTED_AGE_S:
+            self.on_stale()
+            return Refusal(503, "document-stale", message, retry_after=RETRY_AFTER_S)
+        return Refusal(status, code, message)
+
+    def _check_rate(self, request):
+        organisation = request.organisation
+        if organisation is None or organisation.rate <= 0:
+            return
+        wanted = RateWanted(organisation, pykka.ThreadingFuture())
+        self._actor.tell(wanted)
+        try:
+            wait_s = wanted.reply.get(timeout=RATE_ANSWER_S)
+        except pykka.Timeout:
+            wait_s = self._actor.proxy().decide_alone(organisation).get()
+        if wait_s > 0:
+            raise Refusal(
+                429,
+                "rate-exceeded",
+                "the organisation is beyond its rate",
+                retry_after=min(wait_s, RETRY_AFTER_S * 10),
+            )
+
+    def _count_members(self):
+        return self._gossip.count_members()
+
+    def _place(self, request, service):
+        tried, waits = set(), {}
+        handed = 0
+        failure = None
+        while True:
+            candidate, patience_s = self._choose(request, service, tried, waits)
+            if candidate is None:
+                raise failure or self._describe_full(service, waits)
+            if failure is not None and not self._take_token(service):
+                raise failure
+            attempt = self._attempt(request, service, candidate, patience_s, handed)
+            server_id = candidate.server.server_id
+            tried.add(server_id)
+            if attempt.verdict is Verdict.NOT_RUN:
+                waits[server_id] = attempt.wait_s
+                log.debug("Serving: %s was refused: %s.", server_id, attempt.code)
+                continue
+            handed += 1
+            if not self._may_repeat(request, attempt, handed):
+                if attempt.answer is not None:
+                    return attempt.answer
+                raise describe_failure(attempt)
+            failure = describe_failure(attempt)
+            if attempt.answer is not None:
+                failure = AnswerInHand(attempt.answer)
+
+    def _may_repeat(self, request, attempt, handed):
+        if attempt.answer is not None and attempt.answer.status < SERVER_FAULT:
+            return False
+        left_s = request.deadline - self._clock.now()
+        return (
+            request.route.idempotent
+            and handed < request.route.attempts
+            and left_s > LEAST_LEFT_S
+        )
+
+    def _take_token(self, service):
+        with self._lock:
+            return self._budget.take(service, self._count_members())
+
+    def _choose(self, request, service, tried, waits):
+        """Return the next candidate and the patience it is asked with."""
+        left_s = request.deadline - self._clock.now()
+        if left_s <= LEAST_LEFT_S:
+            return None, 0.0
+        candidates = self._find_candidates(service)
+        fresh = [item for item in candidates if item.server.server_id not in tried]
+        chosen = None
+        if len(waits) < MOST_PLACES:
+            chosen = self._placement.choose(
+                fresh, request.route.idempotent, len(request.body)
+            )
+            if chosen is None and self._placement.insists(candidates) and fresh:
+                chosen = self._rng.choice(fresh)
+        if chosen is not None:
+            return chosen, QUEUE_PATIENCE_S[min(len(waits), 2)]
+        return None, 0.0
+
+    def _find_candidates(self, service):
+        now = self._clock.now()
+        found = []
+        own = self._describe().server
+        if own is not None and own.service == service and own.ready:
+            found.append(Candidate(own, None, True))
+        for peer in self._gossip.find_live():
+            news = peer.news
+            server = news.server
+            if server is None or server.service != service or not server.ready:
+                continue
+            if news.leaving or peer.avoided_until > now:
+                continue
+            near = peer.data_centre == self._settings.data_centre
+            found.append(Candidate(server, peer, near))
+        return found
+
+    def _attempt(self, request, service, candidate, patience_s, handed):
+        server = candidate.server
+        may_abandon = request.route.idempotent and handed + 1 < request.route.attempts
+        if may_abandon:
+            with self._lock:
+                members = self._count_members()
+                may_abandon = self._budget.has_token(service, members)
+        order = Order(
+            request.wishes.request_id,
+            server.server_id,
+            service,
+            self._settings.service,
+            request.organisation.name if request.organisation else "",
+            request.route.idempotent,
+            find_rank(request),
+            request.route.name,
+            request.deadline - self._clock.now(),
+            patience_s,
+            may_abandon,
+            server.standing == "ejected",
+        )
+        headers = clean_headers(request.headers)
+        if candidate.peer is None:
+            return self._attempt_here(request, order, headers)
+        return self._attempt_there(request, order, headers, candidate.peer)
+
+    def _attempt_here(self, request, order, headers):
+        call = OwnedCall(
+            request.method, request.target, headers, request.body, self._clock.now()
+        )
+        try:
+            answer = self._owner.serve(order, call, request.caller)
+        except Refusal as refusal:
+            return Attempt(
+                None, Verdict.NOT_RUN, refusal.code, refusal.retry_after or 0.0
+            )
+        except ExchangeError as error:
+            return Attempt(None, error.verdict, error.code, kind=error.kind)
+        return Attempt(answer, Verdict.RAN)
+
+    def _attempt_there(self, request, order, headers, peer):
+        text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
+        left_s = request.deadline - self._clock.now()
+        call = Call(
+            address=peer.address,
+            method=request.method,
+            target=request.target,
+            headers=[*drop_hop_by_hop(headers), Header(ORDER, text)],
+            body=request.body,
+            request_id=order.request_id,
+            idempotent=order.idempotent,
+            deadline=request.deadline + OWNER_GRACE_S,
+            connect_s=min(CONNECT_S, left_s * CONNECT_SHARE),
+            find_id=find_reported_id,
+            on_wait=wait_long,
+        )
+        peer.pending += 1
+        try:
+            answer = Exchange(call, self._pool, self._clock, request.caller).run()
+        except ExchangeError as error:
+            if error.kind in (Kind.CONNECT, Kind.ERROR):
+                peer.note_unreachable(self._clock.now())
+            return Attempt(None, error.verdict, error.code, kind=error.kind)
+        finally:
+            peer.pending -= 1
+        peer.note_reached()
+        return read_report(answer, peer)
+
+    def _describe_full(self, service, waits):
+        wait_s = min(waits.values(), default=RETRY_AFTER_S)
+        return Refusal(
+            503,
+            "overloaded" if waits else "no-server",
+            f"no backend server of {service} can take the request",
+            retry_after=max(wait_s, 0.05),
+        )
+
+
+class AnswerInHand(Exception):
+    """A backend server's failure that is passed on if no second attempt is made.
+
+    Attributes:
+        answer: The `WholeAnswer`.
+    """
+
+    def __init__(self, answer):
+        super().__init__("a backend server's failure")
+        self.answer = answer
+
+
+def wait_long():
+    """Return the seconds between looks at an exchange that needs none."""
+    return 10.0
+
+
+def find_rank(request):
+    """Return the urgency of a request in the queues; 0 is the most urgent."""
+    organisation = request.organisation
+    if organisation is None:
+        return CALL_RANK
+    if organisation.priority is not None:
+        return organisation.priority
+    return request.route.priority
+
+
+def clean_headers(headers):
+    """Return the headers that a caller may pass on to a backend server."""
+    return [
+        header
+        for header in headers
+        if not wire.is_replaced(header.name)
+        and header.name.lower() not in ("content-length", ORDER.lower())
+    ]
+
+
+def find_reported_id(headers):
+    """Return the identifier of the request that an owner's answer names."""
+    values = find_values(headers, "persimmon-request")
+    return values[0] if values else ""
+
+
+def read_report(answer, peer):
+    """Return the `Attempt` that an owner's answer tells of."""
+    values = find_values(answer.headers, REPORT.lower())
+    try:
+        report = msgspec.json.decode(values[0] if values else "", type=OwnerReport)
+        verdict = Verdict(report.verdict)
+    except (msgspec.MsgspecError, ValueError) as error:
+        log.error("Serving: %s answered without a report: %s.", peer.name, error)
+        return Attempt(None, Verdict.MAY_HAVE_RUN, "report-missing", kind=Kind.WRONG)
+    if verdict is not Verdict.RAN:
+        kind = Kind.TIMEOUT if answer.status == 504 else Kind.ERROR
+        return Attempt(None, verdict, report.code, report.wait_s, kind)
+    own = (REPORT.lower(), "persimmon-request")
+    answer.headers = [h for h in answer.headers if h.name.lower() not in own]
+    return Attempt(answer, Verdict.RAN)
+
+
+def describe_failure(attempt):
+    """Return the `Refusal` for a request whose attempt may have run."""
+    status = 504 if attempt.kind is Kind.TIMEOUT else 502
+    return Refusal(
+        status,
+        attempt.code,
+        "the backend server did not answer",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/persimmonlane/serving/servers.py
@@ -0,0 +1,116 @@
+"""Servers.
+
+cheroot's HTTP server, strict on what could be read in two ways.
+"""
+
+import logging
+import threading
+
+import cheroot.server
+
+from ..errors import Refusal
+from ..forwarding.streams import open_stream
+from ..forwarding.strictness import (
+    CODES,
+    HeaderTable,
+    StrictHeaderReader,
+    check_framing,
+)
+from ..settings import split_address
+from ..verdicts import Verdict
+from .answers import encode_refusal
+
+log = logging.getLogger("persimmonlane.serving")
+
+BACKLOG = 1024
+KEPT_CONNECTIONS = 2000
+SERVER_NAME = "persimmonlane"
+
+
+class SiteRequest(cheroot.server.HTTPRequest):
+    """A request, checked before it is acted on."""
+
+    header_reader = StrictHeaderReader()
+
+    def __init__(self, server, conn, proxy_mode=False, strict_mode=True):
+        super().__init__(server, conn, proxy_mode, strict_mode)
+        self.inheaders = HeaderTable()
+        self.method = b""
+
+    def read_request_headers(self):
+        """Read the headers; answer and return False if they are refused."""
+        if not super().read_request_headers():
+            return False
+        try:
+            check_framing(self.inheaders.listed, self.request_protocol)
+        except Refusal as refusal:
+            self.write_refusal(refusal)
+            return False
+        self.conn.socket.settimeout(self.server.timeout)
+        return True
+
+    def simple_response(self, status, msg=""):
+        """Answer a request that cheroot refuses."""
+        number = str(status)[:3]
+        verdict = Verdict.MAY_HAVE_RUN if number == "500" else Verdict.NOT_RUN
+        code = CODES.get(number, "request-malformed")
+        message = str(msg) or str(status)[4:]
+        self.write_refusal(Refusal(int(number), code, message, verdict=verdict))
+
+    def write_refusal(self, refusal):
+        """Write an answer and close the connection afterwards."""
+        self.close_connection = True
+        self.conn.wfile.write(encode_refusal(refusal))
+
+
+class SiteConnection(cheroot.server.HTTPConnection):
+    """A connection of a caller or another node."""
+
+    RequestHandlerClass = SiteRequest
+
+    def __init__(self, server, sock, makefile=open_stream):
+        super().__init__(server, sock, open_stream)
+
+    def communicate(self):
+        """Serve one request; return whether the connection is kept."""
+        self.socket.settimeout(self.server.header_timeout_s)
+        return super().communicate()
+
+    def _conditional_error(self, req, response):
+        # A connection on which no request had begun gets no answer.
+        if req is not None and req.started_request:
+            super()._conditional_error(req, response)
+
+
+class SiteServer(cheroot.server.HTTPServer):
+    """An HTTP server of a node.
+
+    Attributes:
+        header_timeout_s: Longest time for a request's head.
+    """
+
+    ConnectionClass = SiteConnection
+
+    def __init__(self, address, gateway, threads):
+        super().__init__(
+            split_address(address),
+            gateway=gateway,
+            minthreads=threads,
+            maxthreads=threads,
+            server_name=SERVER_NAME,
+        )
+        self.header_timeout_s = 3.0
+        self.timeout = 17.0
+        self.request_queue_size = BACKLOG
+        self.keep_alive_conn_limit = KEPT_CONNECTIONS
+        self._thread = None
+
+    def error_log(self, msg="", level=logging.INFO, traceback=False):
+        """Log an error of cheroot without the request's content."""
+        log.log(level, "Serving: the HTTP server reports an error.", exc_info=traceback)
+
+    def begin(self):
+        """Bind and serve in a thread."""
+        self.prepare()
+        self._thread = threading.Thread(target=self.serve, daemon=True)
+        self._thread.start()
--- /dev/null
+++ b/persimmonlane/sitenode.py
@@ -0,0 +1,284 @@
+"""Site node.
+
+Assembles the one process that runs beside a backend server.
+"""
+
+import contextlib
+import logging
+import random
+import threading
+
+import urllib3
+import urllib3.exceptions
+
+from .actors import Tick
+from .application import Application, Part
+from .clocks import BootClock
+from .errors import Refusal
+from .owner.hosted import HostedServer
+from .owner.serving import Owner
+from .peers.gossip import ANNOUNCE_S, DatagramWire, Gossip
+from .peers.messages import ServerNews
+from .platform.documents import decode_document
+from .platform.store import SiteStore
+from .serving.budget import RetryBudget
+from .serving.events import RequestEvents
+from .serving.exchange import KeptPool
+from .serving.gateways import (
+    DOCUMENT_PATH,
+    CallerGateway,
+    HeartbeatGateway,
+    NodeGateway,
+    ReadinessGateway,
+)
+from .serving.ingress import Ingress
+from .serving.servers import SiteServer
+from .settings import split_address
+from .upkeep.documents import DocumentHolder
+from .upkeep.part import Upkeep
+
+log = logging.getLogger("persimmonlane.node")
+
+CALLER_THREADS = 128
+NODE_THREADS = 64
+SMALL_THREADS = 2
+# Callers' requests beyond this leave no threads for the calls of running requests.
+MOST_CALLERS = 96
+CONTROL_TICK_S = 0.1
+FETCH_TIMEOUT_S = 0.6
+RETRY_AFTER_S = 0.5
+IDLE_MARGIN_S = 2.0
+# Callers take two questions, a second apart, to learn that the node is leaving.
+LEAVE_NOTICE_S = 2.3
+END_MARGIN_S = 0.8
+LOOK_S = 0.05
+
+
+class OwnNews:
+    """What the node says of itself.
+
+    Attributes:
+        leaving: Whether it is about to stop.
+        server: The `ServerNews` of its backend server, or None.
+    """
+
+    __slots__ = ("leaving", "server")
+
+    def __init__(self, leaving, server):
+        self.leaving = leaving
+        self.server = server
+
+
+class SiteNode(Part):
+    """The node: its servers, its actor and its threads.
+
+    Attributes:
+        clock: Clock in seconds since boot.
+        documents: The `DocumentHolder`.
+        owner: The `Owner`.
+        ingress: The `Ingress`.
+        events: The `RequestEvents`.
+        closes_connections: Whether answers ask callers to connect anew.
+    """
+
+    name = "node"
+
+    def __init__(self, application, settings):
+        self.clock = clock = BootClock()
+        self.closes_connections = False
+        self._settings = settings
+        self._leaving = False
+        self._running = 0
+        self._lock = threading.Lock()
+        self._ended = threading.Event()
+        self.events = RequestEvents(clock)
+        self.documents = DocumentHolder(decode_document)
+        hosted = HostedServer(
+            settings.server, settings.service, settings.heartbeat_s, clock
+        )
+        pool = KeptPool(clock)
+        self.owner = Owner(settings, hosted, clock, pool)
+        self._wire = DatagramWire(settings.ip, settings.gossip_port)
+        self._gossip = Gossip.start(
+            application, settings, clock, self._wire, self.describe, self.documents
+        )
+        table = self._gossip.proxy().table.get()
+        self.ingress = Ingress(
+            settings,
+            clock,
+            self.documents,
+            self.owner,
+            self.describe,
+            table,
+            self._gossip,
+            pool,
+            RetryBudget(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window_s,
+                clock,
+            ),
+        )
+        self._upkeep = Upkeep(
+            settings,
+            clock,
+            SiteStore(settings.store),
+            self.documents,
+            self._gossip,
+            table,
+            self.fetch_document,
+        )
+        self._announcer = Announcer(self._gossip, random.random)
+        self.owner.on_change = self._announcer.wake
+        self.documents.watch(self._take_rulebook)
+        self._servers = [
+            SiteServer(settings.readiness, self._bind(ReadinessGateway), SMALL_THREADS),
+            SiteServer(
+                settings.heartbeats, self._bind(HeartbeatGateway), SMALL_THREADS
+            ),
+            SiteServer(settings.nodes, self._bind(NodeGateway), NODE_THREADS),
+            SiteServer(settings.callers, self._bind(CallerGateway), CALLER_THREADS),
+        ]
+        self._ticker = threading.Thread(target=self._tick, daemon=True)
+
+    def start(self):
+        """Bind and serve."""
+        for server in self._servers:
+            server.begin()
+        self._wire.start(self._gossip)
+        self._upkeep.start()
+        self._announcer.start()
+        self._ticker.start()
+        log.info("Node: %s serves.", self._settings.name)
+
+    def drain(self):
+        """Finish what runs; the callers learn meanwhile to go elsewhere."""
+        began = self.clock.now()
+        self._leaving = True
+        self.closes_connections = True
+        self._announcer.wake()
+        last_s = self._settings.grace_s - END_MARGIN_S
+        while (past_s := self.clock.now() - began) < last_s:
+            if past_s >= LEAVE_NOTICE_S and self._running == 0:
+                break
+            self._ended.wait(LOOK_S)
+        self._upkeep.stop()
+        log.info("Node: %d requests were running at the end.", self._running)
+
+    def stop(self):
+        """End threads and sockets."""
+        self._ended.set()
+        self._announcer.stop()
+        self._upkeep.stop()
+        self._wire.stop()
+
+    def describe(self):
+        """Return the `OwnNews` of this moment."""
+        owner = self.owner
+        current = owner.hosted.current
+        if current is None:
+            return OwnNews(self._leaving, None)
+        gate = owner.gate
+        server = ServerNews(
+            current.server_id,
+            current.service,
+            gate.slots > 0 and not self._leaving,
+            gate.slots,
+            gate.running,
+            gate.waiting,
+            owner.record.standing.value,
+            max(0.0, owner.hosted.cold_until - self.clock.now()),
+        )
+        return OwnNews(self._leaving, server)
+
+    def is_ready(self):
+        """Return whether callers may send requests to this node."""
+        return not self._leaving and self.documents.rulebook is not None
+
+    def admit(self, rank):
+        """Refuse callers' requests while too many run; calls of servers go on.
+
+        Raises:
+            Refusal: Not run, with code `node-busy`.
+        """
+        if rank >= 0 and self._running > MOST_CALLERS:
+            raise Refusal(
+                503, "node-busy", "the node is busy", retry_after=RETRY_AFTER_S
+            )
+
+    @contextlib.contextmanager
+    def track(self):
+        """Count a request as running."""
+        with self._lock:
+            self._running += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._running -= 1
+
+    def fetch_document(self, address):
+        """Take the document of another node; return whether that worked."""
+        host, port = split_address(address)
+        try:
+            with urllib3.HTTPConnectionPool(host, port, retries=False) as pool:
+                answer = pool.request("GET", DOCUMENT_PATH, timeout=FETCH_TIMEOUT_S)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            log.warning("Node: no document came from %s: %s.", address, error)
+            return False
+        return answer.status == 200 and self.documents.offer(answer.data, address)
+
+    def _bind(self, gateway):
+        return lambda request: gateway(request, self)
+
+    def _take_rulebook(self, rulebook):
+        limits = rulebook.limits
+        for server in self._servers[2:]:
+            server.header_timeout_s = limits.header_timeout_s
+            server.timeout = limits.idle_timeout_s + IDLE_MARGIN_S
+            server.max_request_header_size = limits.header_bytes * 2
+        self._announcer.wake()
+
+    def _tick(self):
+        while not self._ended.wait(CONTROL_TICK_S):
+            self.owner.tick()
+
+
+class Announcer:
+    """Makes the node announce itself regularly, and at once after a change."""
+
+    __slots__ = ("_gossip", "_rng", "_waker", "_ended", "_thread")
+
+    def __init__(self, gossip, rng):
+        self._gossip = gossip
+        self._rng = rng
+        self._waker = threading.Event()
+        self._ended = False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        """Begin to announce."""
+        self._thread.start()
+
+    def stop(self):
+        """End announcing."""
+        self._ended = True
+        self._waker.set()
+
+    def wake(self):
+        """Announce as soon as possible."""
+        self._waker.set()
+
+    def _run(self):
+        tick = Tick()
+        while not self._ended:
+            self._gossip.tell(tick)
+            self._waker.wait(ANNOUNCE_S * (0.9 + 0.2 * self._rng()))
+            self._waker.clear()
+
+
+def build_site_node(settings):
+    """Return the `Application` of a node beside a backend server."""
+    application = Application()
+    application.add(SiteNode(application, settings))
+    return application
--- a/persimmonlane/standins/store.py
+++ b/persimmonlane/standins/store.py
@@ -12,8 +12,8 @@
 
 from ..clocks import SystemClock
 from ..errors import StoreError
-from ..platform.client import StoreConflict, StoreUncertain
-from ..platform.memory import Faults, MemoryStore
+from ..store.client import StoreConflict, StoreUncertain
+from ..store.memory import Faults, MemoryStore
 from . import store_pb2 as messages
 from . import store_pb2_grpc as services
 
--- a/persimmonlane/standins/tests/test_store.py
+++ b/persimmonlane/standins/tests/test_store.py
@@ -3,9 +3,9 @@
 import testtools
 
 from ...errors import StoreError
-from ...platform import create_client, remote
-from ...platform.client import StoreConflict, StoreUncertain
-from ...platform.memory import Faults
+from ...store import create_client, remote
+from ...store.client import StoreConflict, StoreUncertain
+from ...store.memory import Faults
 from ..store import StoreControl, StoreStandin
 
 
--- a/persimmonlane/traces/players.py
+++ b/persimmonlane/traces/players.py
@@ -21,7 +21,7 @@
 from ..limits.holder import Holder
 from ..membership.servers import BackendServer
 from ..membership.table import ServerTable
-from ..platform.memory import Faults, MemoryStore
+from ..store.memory import Faults, MemoryStore
 from . import events as ev
 from .examples import make_example_key
 from .files import TraceError
--- a/persimmonlane/trials/faults.py
+++ b/persimmonlane/trials/faults.py
@@ -4,7 +4,7 @@
 the store, one after another, together and twice.
 """
 
-from ..platform.memory import Faults
+from ..store.memory import Faults
 from .backends import failures
 from .network import NetworkFaults
 
--- a/persimmonlane/trials/fleet.py
+++ b/persimmonlane/trials/fleet.py
@@ -10,9 +10,9 @@
 from ..ejection.evidence import decode_evidence, encode_evidence
 from ..ejection.outcome import Kind, Outcome
 from ..limits.admission import Admission
-from ..platform.memory import MemoryStore
 from ..reporting import measures as ms
 from ..retries import RequestAttempts, RetryBudget
+from ..store.memory import MemoryStore
 from ..verdicts import Verdict
 from .audits import Audit
 from .backends import FakeBackend
--- a/persimmonlane/trials/limiters.py
+++ b/persimmonlane/trials/limiters.py
@@ -11,9 +11,9 @@
 from ..limits.node import AskLoans, DeliverLoans, LimitsNode
 from ..limits.policy import ANSWER_S
 from ..membership.peers import Peer
-from ..platform.client import StoreConflict
 from ..registries import Registry
 from ..reporting.measures import ReferenceBucket
+from ..store.client import StoreConflict
 
 limiters = Registry("limiter")
 
--- /dev/null
+++ b/persimmonlane/upkeep/__init__.py
@@ -0,0 +1,4 @@
+"""Upkeep.
+
+Keeps the node's entry in the store, and its document the newest.
+"""
--- /dev/null
+++ b/persimmonlane/upkeep/documents.py
@@ -0,0 +1,71 @@
+"""Documents.
+
+The document in force, where it comes from, and that it never goes back.
+"""
+
+import logging
+import threading
+
+from ..errors import PersimmonError
+
+log = logging.getLogger("persimmonlane.upkeep")
+
+
+class DocumentHolder:
+    """The document in force; may be used from any thread.
+
+    Attributes:
+        rulebook: The `Rulebook` in force, or None before the first.
+    """
+
+    __slots__ = ("rulebook", "_decode", "_lock", "_wanted", "_waker", "_listeners")
+
+    def __init__(self, decode):
+        self.rulebook = None
+        self._decode = decode
+        self._lock = threading.Lock()
+        self._wanted = []
+        self._waker = threading.Event()
+        self._listeners = []
+
+    @property
+    def version(self):
+        """Number of the version in force, 0 before the first."""
+        return self.rulebook.version if self.rulebook else 0
+
+    def watch(self, listener):
+        """Call a function with each `Rulebook` that comes into force."""
+        self._listeners.append(listener)
+
+    def offer(self, raw, source):
+        """Take a document into force if it is newer; return whether it was valid.
+
+        Args:
+            raw: The document in bytes.
+            source: Where it came from, for the log.
+        """
+        try:
+            rulebook = self._decode(raw)
+        except PersimmonError as error:
+            log.error("Upkeep: a document from %s is invalid: %s.", source, error)
+            return False
+        with self._lock:
+            if rulebook.version <= self.version:
+                return True
+            self.rulebook = rulebook
+        log.info("Upkeep: version %08x is in force, from %s.", rulebook.version, source)
+        for listener in self._listeners:
+            listener(rulebook)
+        return True
+
+    def want(self, version, address):
+        """Note that a node has a newer version."""
+        self._wanted.append((version, address))
+        self._waker.set()
+
+    def await_wanted(self, timeout_s):
+        """Wait for a newer version; return the addresses that have one."""
+        self._waker.wait(timeout_s)
+        self._waker.clear()
+        wanted, self._wanted = self._wanted, []
+        return [address for version, address in wanted if version > self.version]
--- a/tools/cooperativa.py
+++ b/tools/cooperativa.py
@@ -17,8 +17,8 @@
     Service,
 )
 from persimmonlane.keys import compute_digest, create_key
-from persimmonlane.platform import create_client
 from persimmonlane.standins.backend import Behaviour
+from persimmonlane.store import create_client
 
 from .fleet import Fleet
 from .load import Flow
--- a/tools/slopes_config.py
+++ b/tools/slopes_config.py
@@ -27,9 +27,9 @@
 from persimmonlane.config.publishing import Publisher
 from persimmonlane.config.root import encode
 from persimmonlane.membership.peers import Peer
-from persimmonlane.platform.memory import MemoryStore
 from persimmonlane.rpc import Channels, RpcServer
 from persimmonlane.settings import NodeSettings
+from persimmonlane.store.memory import MemoryStore
 
 SEED = 1
 MS_PER_S = 1000
