Hedge idempotent requests; eject by the requests that run, and try servers one by one

Cause: at any time three in ten backend servers hang three in four requests, for nine seconds at a time (time line of each server from the owner's log). The first state waited for single requests to pass three times their usual time and forgot after 1.2 s.

--- a/persimmonlane/forwarding/callers.py
+++ b/persimmonlane/forwarding/callers.py
@@ -20,9 +20,14 @@
         self._socket = sock
         self._watching = True
 
-    def wait(self, backend, timeout_s):
+    def wait(self, backend, timeout_s, other=None):
         """Return whether the backend socket became readable in time.
 
+        Args:
+            backend: The socket.
+            timeout_s: Seconds to wait at most.
+            other: Something else that ends the wait once it is readable.
+
         Raises:
             CallerLeft: If the caller closed its connection meanwhile.
         """
@@ -30,11 +35,13 @@
         poll.register(backend, select.POLLIN)
         if self._watching:
             poll.register(self._socket, select.POLLIN)
+        if other is not None:
+            poll.register(other, select.POLLIN)
         events = poll.poll(max(1, int(timeout_s * 1000)))
         ready = {number for number, _ in events}
         if backend.fileno() in ready:
             return True
-        if ready:
+        if self._socket.fileno() in ready:
             self._check_caller()
         return False
 
--- a/persimmonlane/owner/gate.py
+++ b/persimmonlane/owner/gate.py
@@ -10,9 +10,6 @@
 from ..errors import Refusal
 
 RETRY_AFTER_LEAST_S = 0.05
-# Work that is expected of a route before any of its requests has ended.
-FIRST_WORK_S = 0.3
-WORK_SMOOTHING = 0.1
 # A request that has less than this share of its usual work time left is not begun.
 LEAST_WORK_SHARE = 0.5
 
@@ -21,7 +18,7 @@
     """A request at the gate.
 
     Attributes:
-        route: Name of its route.
+        times: The `RouteTimes` of its route.
         rank: Urgency; 0 is the most urgent.
         deadline: Seconds by which it must be answered.
         patience_s: Longest estimated wait that it accepts.
@@ -31,7 +28,7 @@
     """
 
     __slots__ = (
-        "route",
+        "times",
         "rank",
         "deadline",
         "patience_s",
@@ -40,8 +37,8 @@
         "wake",
     )
 
-    def __init__(self, route, rank, deadline, patience_s, wake):
-        self.route = route
+    def __init__(self, times, rank, deadline, patience_s, wake):
+        self.times = times
         self.rank = rank
         self.deadline = deadline
         self.patience_s = patience_s
@@ -57,7 +54,7 @@
         slots: Requests that the backend server runs at a time; 0 closes the gate.
     """
 
-    __slots__ = ("slots", "_clock", "_running", "_waiting", "_order", "_work_s")
+    __slots__ = ("slots", "_clock", "_running", "_waiting", "_order")
 
     def __init__(self, clock):
         self.slots = 0
@@ -65,7 +62,6 @@
         self._running = set()
         self._waiting = []
         self._order = itertools.count()
-        self._work_s = {}
 
     @property
     def running(self):
@@ -89,26 +85,19 @@
             self._grant(ticket)
             return
         wait_s = self.estimate_wait(ticket.rank)
-        need_s = self.find_work(ticket.route) * LEAST_WORK_SHARE
+        need_s = ticket.times.find_typical() * LEAST_WORK_SHARE
         left_s = ticket.deadline - self._clock.now()
         if wait_s > ticket.patience_s or wait_s + need_s > left_s:
             raise refuse("server-busy", wait_s)
         heapq.heappush(self._waiting, (ticket.rank, next(self._order), ticket))
 
-    def leave(self, ticket, done):
-        """Take a request's slot or place back, and let the next one in.
-
-        Args:
-            ticket: The `Ticket`.
-            done: Whether the backend server answered, so that its time counts.
-        """
+    def leave(self, ticket):
+        """Take a request's slot or place back, and let the next one in."""
         if ticket.granted_at is None:
             self._waiting = [row for row in self._waiting if row[2] is not ticket]
             heapq.heapify(self._waiting)
             return
         self._running.discard(ticket)
-        if done:
-            self._learn(ticket)
         self.admit_waiting()
 
     def resize(self, slots):
@@ -116,16 +105,20 @@
         self.slots = slots
         if slots > 0:
             self.admit_waiting()
-            return
+        else:
+            self.turn_away("server-leaving")
+
+    def turn_away(self, code):
+        """Refuse all that waits, as not run, with a code."""
         waiting, self._waiting = self._waiting, []
         for _, _, ticket in sorted(waiting, key=lambda row: row[:2]):
-            self._refuse(ticket, refuse("server-leaving", 0.0))
+            self._refuse(ticket, refuse(code, 0.0))
 
     def admit_waiting(self):
         """Give free slots to those that wait; refuse those that can't make it."""
         while self._waiting and self.running < self.slots:
             _, _, ticket = heapq.heappop(self._waiting)
-            need_s = self.find_work(ticket.route) * LEAST_WORK_SHARE
+            need_s = ticket.times.find_typical() * LEAST_WORK_SHARE
             if ticket.deadline - self._clock.now() < need_s:
                 self._refuse(ticket, refuse("server-busy", self.estimate_wait(0)))
                 continue
@@ -140,19 +133,15 @@
             return 0.0
         ahead = [row[2] for row in self._waiting if row[0] <= rank]
         now = self._clock.now()
-        work_s = sum(self.find_work(ticket.route) for ticket in ahead)
+        work_s = sum(ticket.times.find_typical() for ticket in ahead)
         for ticket in self._running:
-            usual_s = self.find_work(ticket.route)
+            usual_s = ticket.times.find_typical()
             work_s += max(usual_s * 0.25, usual_s - (now - ticket.granted_at))
         return work_s / self.slots
 
-    def find_work(self, route):
-        """Return the usual seconds that the server works on a route's request."""
-        return self._work_s.get(route, FIRST_WORK_S)
-
-    def find_oldest(self):
-        """Return the running `Ticket`s, the oldest first."""
-        return sorted(self._running, key=lambda ticket: ticket.granted_at)
+    def list_running(self):
+        """Return the `Ticket`s that hold a slot."""
+        return list(self._running)
 
     def _grant(self, ticket):
         ticket.granted_at = self._clock.now()
@@ -162,11 +151,6 @@
         ticket.refusal = refusal
         ticket.wake()
 
-    def _learn(self, ticket):
-        took_s = self._clock.now() - ticket.granted_at
-        usual_s = self._work_s.setdefault(ticket.route, took_s)
-        self._work_s[ticket.route] += WORK_SMOOTHING * (took_s - usual_s)
-
 
 def refuse(code, wait_s):
     """Return the refusal of a request that never reached the backend server."""
--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -16,18 +16,12 @@
 from ..serving.exchange import Call, Exchange, ExchangeError
 from ..verdicts import Verdict
 from .gate import Gate, Ticket
-from .standing import ServerRecord, Standing
+from .standing import DOUBT_SCORE, ServerRecord, Standing
+from .times import WorkTimes
 
 log = logging.getLogger("persimmonlane.owner")
 
 CONNECT_S = 0.5
-# A request that takes this many times its route's usual time counts as failed.
-OVERDUE_FACTOR = 3.0
-OVERDUE_LEAST_S = 0.25
-# What can be sent elsewhere is given up sooner once the server is in doubt.
-DOUBT_FACTOR = 2.0
-# Share of the time limit that a request that is sent elsewhere keeps at least.
-KEPT_SHARE = 0.4
 LEAST_LEFT_S = 0.02
 WATCH_S = 0.25
 SERVER_FAULT = 500
@@ -35,6 +29,8 @@
 ERROR_WEIGHT = 0.6
 SHED_WEIGHT = 0.4
 TRIAL_SLOTS = 1
+# Seconds on trial after which a server gets what can't be repeated, too.
+TRIAL_UNSAFE_S = 4.0
 
 
 class Owner:
@@ -55,19 +51,23 @@
         "_clock",
         "_pool",
         "_lock",
+        "_changed_since_tick",
         "_misdirected",
+        "_times",
     )
 
-    def __init__(self, settings, hosted, clock, pool):
+    def __init__(self, settings, hosted, clock, pool, may_eject):
         self.hosted = hosted
-        self.record = ServerRecord(clock)
+        self.record = ServerRecord(clock, may_eject)
         self.gate = Gate(clock)
         self.on_change = lambda: None
         self._settings = settings
         self._clock = clock
         self._pool = pool
         self._lock = threading.Lock()
+        self._changed_since_tick = False
         self._misdirected = None
+        self._times = WorkTimes()
 
     def take_heartbeat(self, heartbeat):
         """Take a heartbeat of the backend server."""
@@ -96,9 +96,12 @@
         """End ejections and forget a server that is silent for too long."""
         with self._lock:
             slots = self.gate.slots
-            changed = self.record.tick()
+            if self.record.tick():
+                self._changed_since_tick = True
+            self._weigh_running()
             self._update_gate()
-            changed = changed or slots != self.gate.slots
+            changed = self._changed_since_tick or slots != self.gate.slots
+            self._changed_since_tick = False
         if changed:
             self.on_change()
 
@@ -132,20 +135,17 @@
         """
         deadline = call.arrived + order.left_s
         wakener = Wakener()
-        ticket = Ticket(
-            order.route, order.rank, deadline, order.patience_s, wakener.wake
-        )
+        with self._lock:
+            times = self._times.find(order.route, order.objective_s)
+        ticket = Ticket(times, order.rank, deadline, order.patience_s, wakener.wake)
         try:
             self._enter(order, ticket)
-            done = False
             try:
                 self._await_slot(ticket, wakener, caller)
-                answer = self._exchange(order, call, ticket, caller)
-                done = answer.status < SERVER_FAULT
-                return answer
+                return self._exchange(order, call, ticket, caller)
             finally:
                 with self._lock:
-                    self.gate.leave(ticket, done)
+                    self.gate.leave(ticket)
         finally:
             wakener.close()
 
@@ -166,12 +166,23 @@
             self.gate.enter(ticket)
 
     def _check_standing(self, order):
-        standing = self.record.standing
-        if standing is Standing.SOUND or order.insist:
+        record = self.record
+        if order.insist:
             return
-        if standing is Standing.EJECTED:
+        if record.standing is Standing.EJECTED:
             raise refuse("server-ejected", "the backend server is ejected")
-        if not order.idempotent or self.gate.running >= TRIAL_SLOTS:
+        if record.standing is Standing.TRIAL:
+            self._check_trial(order)
+            return
+        self._weigh_running()
+        if not order.idempotent and record.suspicion > DOUBT_SCORE:
+            raise refuse("server-suspect", "the backend server may be failing")
+
+    def _check_trial(self, order):
+        since = self.record.since
+        fit = order.idempotent or self._clock.now() - since > TRIAL_UNSAFE_S
+        tried = sum(1 for item in self.gate.list_running() if item.granted_at >= since)
+        if not fit or tried >= TRIAL_SLOTS:
             raise refuse("server-on-trial", "the backend server is on trial")
 
     def _await_slot(self, ticket, wakener, caller):
@@ -190,7 +201,6 @@
         left_s = ticket.deadline - self._clock.now()
         headers = drop_hop_by_hop(call.headers)
         headers += wire.build_backend_headers(order, left_s, server_id)
-        watch = OverdueWatch(self, order, ticket)
         exchange = Exchange(
             Call(
                 address=self._settings.server,
@@ -203,7 +213,7 @@
                 deadline=ticket.deadline,
                 connect_s=CONNECT_S,
                 find_id=find_request_id,
-                on_wait=watch.check,
+                on_wait=call.on_wait,
             ),
             self._pool,
             self._clock,
@@ -213,16 +223,21 @@
             answer = exchange.run()
             self._check_answer(answer, server_id)
         except ExchangeError as error:
-            if not watch.counted:
-                self._note(error.kind, 1.0)
+            if error.kind is Kind.TIMEOUT:
+                self._note(error.kind, self._note_abandoned, ticket)
+            else:
+                self._note(error.kind, self.record.note_failure, 1.0)
             raise
         except Refusal:
-            self._note(Kind.SHED, SHED_WEIGHT)
+            self._note(Kind.SHED, self.record.note_failure, SHED_WEIGHT)
+            raise
+        except Exception:
+            self._note(Kind.CANCELLED, self._note_abandoned, ticket)
             raise
         if answer.status >= SERVER_FAULT:
-            self._note(Kind.ERROR, ERROR_WEIGHT)
-        elif not watch.counted:
-            self._note(Kind.OK, 0.0)
+            self._note(Kind.ERROR, self.record.note_failure, ERROR_WEIGHT)
+        else:
+            self._note(Kind.OK, self._note_success, ticket)
         return answer
 
     def _check_answer(self, answer, server_id):
@@ -247,84 +262,44 @@
         log.warning("Owner: another backend server has the address of %s.", server_id)
         self.on_change()
 
-    def note_failure(self, kind, weight=1.0):
-        """Count a failure of the backend server."""
-        self._note(kind, weight)
-
-    def _note(self, kind, weight):
-        with self._lock:
-            before = self.record.standing
-            if kind is Kind.OK:
-                self.record.note_success()
-            else:
-                self.record.note_failure(weight)
-            after = self.record.standing
-        if before is not after:
-            log.info(
-                "Owner: the backend server is %s after %s.", after.value, kind.value
-            )
-            self.on_change()
-
-    def is_doubtful(self):
-        """Return whether the backend server is not known to be sound."""
-        return self.record.standing is not Standing.SOUND
-
-    def find_usual(self, route):
-        """Return the usual seconds that the server works on a route's request."""
-        return self.gate.find_work(route)
-
-
-class OverdueWatch:
-    """Counts a request that takes too long, and gives up what can run elsewhere.
+    def _weigh_running(self):
+        """Weigh the running requests; return whether the standing has changed."""
+        now = self._clock.now()
+        running = [
+            (ticket.granted_at, ticket.times.find_survival(now - ticket.granted_at))
+            for ticket in self.gate.list_running()
+        ]
+        before = self.record.standing
+        self.record.weigh_running(running)
+        return self._has_changed(before, "overdue requests")
 
-    Attributes:
-        counted: Whether the request has been counted as a failure.
-    """
+    def _find_survival(self, ticket):
+        return ticket.times.find_survival(self._clock.now() - ticket.granted_at)
 
-    __slots__ = ("counted", "_owner", "_order", "_ticket", "_clock", "_began")
+    def _note_success(self, ticket):
+        self.record.note_success(self._find_survival(ticket))
+        ticket.times.learn(self._clock.now() - ticket.granted_at)
 
-    def __init__(self, owner, order, ticket):
-        self.counted = False
-        self._owner = owner
-        self._order = order
-        self._ticket = ticket
-        self._clock = owner._clock
-        self._began = self._clock.now()
+    def _note_abandoned(self, ticket):
+        self.record.note_abandoned(ticket.granted_at, self._find_survival(ticket))
 
-    def check(self):
-        """Return the seconds until the next check.
+    def _note(self, kind, note, argument):
+        with self._lock:
+            before = self.record.standing
+            note(argument)
+            changed = self._has_changed(before, kind.value)
+        if changed:
+            self.on_change()
 
-        Raises:
-            ExchangeError: If the request is better sent elsewhere.
-        """
-        now = self._clock.now()
-        age_s = now - self._began
-        usual_s = self._owner.find_usual(self._order.route)
-        overdue_s = max(OVERDUE_LEAST_S, usual_s * OVERDUE_FACTOR)
-        if age_s >= overdue_s and not self.counted:
-            self.counted = True
-            self._owner.note_failure(Kind.TIMEOUT)
-        if self._order.may_abandon:
-            self._consider_abandoning(now, age_s, overdue_s, usual_s)
-        return WATCH_S if age_s >= overdue_s else min(WATCH_S, overdue_s - age_s + 0.01)
-
-    def _consider_abandoning(self, now, age_s, overdue_s, usual_s):
-        left_s = self._ticket.deadline - now
-        if left_s < usual_s * DOUBT_FACTOR * KEPT_SHARE:
-            return
-        doubtful = self._owner.is_doubtful()
-        limit_s = usual_s * DOUBT_FACTOR if doubtful else overdue_s
-        limit_s = min(limit_s, (age_s + left_s) * (1.0 - KEPT_SHARE))
-        if age_s >= max(OVERDUE_LEAST_S, limit_s):
-            if not self.counted:
-                self.counted = True
-                self._owner.note_failure(Kind.TIMEOUT)
-            raise ExchangeError(
-                Kind.TIMEOUT,
-                Verdict.MAY_HAVE_RUN,
-                "server-overdue",
-                "it takes too long",
-            )
+    def _has_changed(self, before, cause):
+        after = self.record.standing
+        if before is after:
+            return False
+        log.info("Owner: the backend server is %s after %s.", after.value, cause)
+        self._changed_since_tick = True
+        if after is Standing.EJECTED:
+            self.gate.turn_away("server-ejected")
+        return True
 
 
 class OwnedCall:
@@ -336,16 +311,19 @@
         headers: The `Header`s for the backend server.
         body: Bytes.
         arrived: Seconds at which it came.
+        on_wait: Called now and then while the answer is awaited; returns the seconds
+            until the next call.
     """
 
-    __slots__ = ("method", "target", "headers", "body", "arrived")
+    __slots__ = ("method", "target", "headers", "body", "arrived", "on_wait")
 
-    def __init__(self, method, target, headers, body, arrived):
+    def __init__(self, method, target, headers, body, arrived, on_wait):
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
         self.arrived = arrived
+        self.on_wait = on_wait
 
 
 class Wakener:
--- a/persimmonlane/owner/standing.py
+++ b/persimmonlane/owner/standing.py
@@ -7,18 +7,25 @@
 import enum
 import math
 
-# Share of failed requests of a sound server, and of one that should be ejected.
+# A failing server hangs or fails this share of its requests.
+GRAY_FAILURES = 0.75
 SOUND_FAILURES = 0.02
-GRAY_FAILURES = 0.5
 FAILURE_SCORE = math.log(GRAY_FAILURES / SOUND_FAILURES)
 SUCCESS_SCORE = math.log((1 - GRAY_FAILURES) / (1 - SOUND_FAILURES))
-# Two failures in a row eject a server; two with a success between do not.
-EJECTION_SCORE = 6.0
-FIRST_EJECTION_S = 1.2
-EJECTION_GROWTH = 1.5
-LONGEST_EJECTION_S = 4.0
-# Successes on trial after which a server is sound again.
+# One request alone, however long it runs, ejects no server.
+SUSPICION_LIMIT = 2.8
+EJECTION_SCORE = 5.0
+LATE_SURVIVAL = 0.02
+# Beyond this, a server gets no request that can't be repeated.
+DOUBT_SCORE = 2.0
+FIRST_EJECTION_S = 1.0
+EJECTION_GROWTH = 1.3
+LONGEST_EJECTION_S = 2.0
+# Successes on trial, or seconds without a failure, after which a server is sound again.
 TRIAL_SUCCESSES = 2
+TRIAL_S = 5.0
+# A request on trial that only this share of sound requests outlasts has failed.
+TRIAL_SURVIVAL = 0.15
 FORGIVEN_AFTER_S = 10.0
 
 
@@ -36,14 +43,32 @@
     Attributes:
         standing: The `Standing`.
         since: Seconds at which it last changed.
+        suspicion: Evidence against the server at the last look, 0 if there is none.
     """
 
-    __slots__ = ("standing", "since", "_clock", "_score", "_ejection_s", "_successes")
+    __slots__ = (
+        "standing",
+        "since",
+        "suspicion",
+        "_clock",
+        "_may_eject",
+        "_score",
+        "_ejection_s",
+        "_successes",
+    )
 
-    def __init__(self, clock):
+    def __init__(self, clock, may_eject=lambda: True):
+        """Begin with a sound server.
+
+        Args:
+            clock: Clock in seconds.
+            may_eject: Callable that tells whether enough other servers are left.
+        """
         self.standing = Standing.SOUND
         self.since = clock.now()
+        self.suspicion = 0.0
         self._clock = clock
+        self._may_eject = may_eject
         self._score = 0.0
         self._ejection_s = FIRST_EJECTION_S
         self._successes = 0
@@ -54,42 +79,76 @@
         self._ejection_s = FIRST_EJECTION_S
         self._change(Standing.SOUND)
 
-    def note_success(self):
-        """Count a request that the server answered soundly."""
+    def note_success(self, survival):
+        """Count a request that the server answered soundly.
+
+        Args:
+            survival: Share of sound requests that take longer than it took.
+        """
+        if survival < LATE_SURVIVAL:
+            return
         if self.standing is Standing.SOUND:
             self._score = max(0.0, self._score + SUCCESS_SCORE)
             if self._clock.now() - self.since > FORGIVEN_AFTER_S:
                 self._ejection_s = FIRST_EJECTION_S
-            return
-        if self.standing is Standing.TRIAL:
+        elif self.standing is Standing.TRIAL:
             self._successes += 1
             if self._successes >= TRIAL_SUCCESSES:
-                self._score = 0.0
                 self._change(Standing.SOUND)
 
     def note_failure(self, weight=1.0):
-        """Count a request that failed, or that takes far longer than usual.
+        """Count a request that failed.
 
         Args:
             weight: How surely the failure is the server's own, 0 to 1.
         """
-        if self.standing is Standing.EJECTED:
-            return
+        self._score += FAILURE_SCORE * weight
+        self._decide(self._score)
+
+    def note_abandoned(self, began, survival):
+        """Count a request that ended without an answer before its time.
+
+        Args:
+            began: Seconds at which the server got it.
+            survival: Share of sound requests that take longer than it ran.
+        """
+        if began >= self.since:
+            self._score += suspect(survival)
+            self._decide(self._score)
+
+    def weigh_running(self, running):
+        """Weigh the requests that run now.
+
+        Args:
+            running: Pairs of the seconds at which one began and the share of sound
+                requests that run longer than it has.
+        """
+        fresh = [survival for began, survival in running if began >= self.since]
         if self.standing is Standing.TRIAL:
-            self._eject()
+            failed = any(survival < TRIAL_SURVIVAL for survival in fresh)
+            if failed and self._may_eject():
+                self._eject()
             return
-        self._score += FAILURE_SCORE * weight
-        if self._score >= EJECTION_SCORE:
-            self._eject()
+        self.suspicion = self._score + sum(suspect(survival) for survival in fresh)
+        self._decide(self.suspicion)
 
     def tick(self):
-        """End an ejection whose time is over; return whether that happened."""
-        if self.standing is not Standing.EJECTED:
-            return False
-        if self._clock.now() - self.since < self._ejection_s:
-            return False
-        self._change(Standing.TRIAL)
-        return True
+        """End an ejection or trial whose time is over; return whether one did."""
+        age_s = self._clock.now() - self.since
+        if self.standing is Standing.EJECTED and age_s >= self._ejection_s:
+            self._change(Standing.TRIAL)
+            return True
+        if self.standing is Standing.TRIAL and age_s >= TRIAL_S:
+            self._change(Standing.SOUND)
+            return True
+        return False
+
+    def _decide(self, score):
+        if self.standing is Standing.EJECTED:
+            return
+        limit = EJECTION_SCORE if self.standing is Standing.SOUND else SUSPICION_LIMIT
+        if score >= limit and self._may_eject():
+            self._eject()
 
     def _eject(self):
         if self.standing is Standing.TRIAL:
@@ -100,4 +159,18 @@
     def _change(self, standing):
         self.standing = standing
         self.since = self._clock.now()
+        self._score = 0.0
+        self.suspicion = 0.0
         self._successes = 0
+
+
+def suspect(survival):
+    """Return the evidence of one request that is not answered yet.
+
+    Args:
+        survival: Share of sound requests that run longer than it has.
+    """
+    if survival <= 0.0:
+        return SUSPICION_LIMIT
+    gray = GRAY_FAILURES + (1.0 - GRAY_FAILURES) * survival
+    return min(SUSPICION_LIMIT, math.log(gray / survival))
--- a/persimmonlane/routing/orders.py
+++ b/persimmonlane/routing/orders.py
@@ -73,8 +73,7 @@
         route: Name of the route, under which times are learned.
         left_s: Seconds left when the order was sent.
         patience_s: Longest estimated wait for a slot that is accepted.
-        may_abandon: Whether the ingress node may send it to another backend server
-            if this one takes too long.
+        objective_s: Latency objective of the route, in seconds.
         insist: Whether an ejected backend server is to take it all the same.
     """
 
@@ -88,7 +87,7 @@
     route: str
     left_s: float
     patience_s: float
-    may_abandon: bool = False
+    objective_s: float
     insist: bool = False
 
 
--- a/persimmonlane/serving/events.py
+++ b/persimmonlane/serving/events.py
@@ -21,8 +21,9 @@
     def note_refused(self, request, refusal):
         """Note a request that the node answered itself."""
         log.info(
-            "Serving: refused %s.",
+            "Serving: refused %s: %s.",
             request.wishes.request_id,
+            refusal.message,
             extra=self._describe(request, refusal.status, refusal.code),
         )
 
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -25,6 +25,7 @@
     AnswerInHand,
     IngressRequest,
     find_rank,
+    wait_long,
 )
 
 log = logging.getLogger("persimmonlane.serving")
@@ -211,6 +212,7 @@
             headers,
             body,
             arrived,
+            wait_long,
         )
         return self.node.owner.serve(order, call, self.build_watch())
 
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -4,6 +4,7 @@
 of a backend server.
 """
 
+import functools
 import logging
 import random
 import threading
@@ -15,12 +16,14 @@
 from ..errors import Refusal
 from ..headers import Header, drop_hop_by_hop, find_values
 from ..owner.serving import OwnedCall
+from ..owner.times import WorkTimes
 from ..peers.gossip import RateWanted
 from ..platform import headers as wire
 from ..routing.orders import Order, OwnerReport
 from ..routing.rulebook import choose_part
 from ..verdicts import Verdict
 from .exchange import Call, Exchange, ExchangeError
+from .hedge import Hedge, Superseded
 from .placement import Candidate, Placement
 
 log = logging.getLogger("persimmonlane.serving")
@@ -38,10 +41,13 @@
 OWNER_GRACE_S = 0.05
 CONNECT_SHARE = 0.25
 QUEUE_PATIENCE_S = (0.05, 0.15, 0.5)
-MOST_PLACES = 5
+MOST_PLACES = 4
+MOST_RESORTS = 3
 LEAST_LEFT_S = 0.03
 RETRY_AFTER_S = 0.3
 SERVER_FAULT = 500
+# Code of a refusal by the backend server itself, which counts as an arrival there.
+REACHED = "server-shed"
 # Calls of a running request go first: it holds a slot while it waits for them.
 CALL_RANK = -1
 
@@ -60,9 +66,11 @@
         route: The `Route`, or None before it is found.
         organisation: The `Organisation`, or None.
         deadline: Seconds by which it must be answered.
+        service: Name of the service that was chosen for it.
     """
 
     __slots__ = (
+        "service",
         "method",
         "target",
         "headers",
@@ -86,6 +94,24 @@
         self.route = None
         self.organisation = None
         self.deadline = None
+        self.service = ""
+
+
+class Choice:
+    """A candidate and how it is asked.
+
+    Attributes:
+        candidate: The `Candidate`.
+        patience_s: Longest estimated wait that is accepted.
+        insist: Whether it is to take the request though it is not sound.
+    """
+
+    __slots__ = ("candidate", "patience_s", "insist")
+
+    def __init__(self, candidate, patience_s, insist):
+        self.candidate = candidate
+        self.patience_s = patience_s
+        self.insist = insist
 
 
 class Attempt:
@@ -97,9 +123,10 @@
         code: Stable code of the failure.
         wait_s: Seconds until the owner expects a free slot.
         kind: The `Kind` of a failure.
+        last: Whether it was a last resort.
     """
 
-    __slots__ = ("answer", "verdict", "code", "wait_s", "kind")
+    __slots__ = ("answer", "verdict", "code", "wait_s", "kind", "last")
 
     def __init__(self, answer, verdict, code="", wait_s=0.0, kind=Kind.OK):
         self.answer = answer
@@ -107,6 +134,21 @@
         self.code = code
         self.wait_s = wait_s
         self.kind = kind
+        self.last = False
+
+    def was_last(self):
+        """Return whether this was a last resort, with all the patience there is."""
+        return self.last
+
+    def is_good(self):
+        """Return whether a backend server answered without a failure."""
+        return self.answer is not None and self.answer.status < SERVER_FAULT
+
+    def beats(self, first):
+        """Return whether this second attempt counts instead of the first."""
+        if self.verdict is Verdict.NOT_RUN:
+            return False
+        return self.is_good() or first.answer is None
 
 
 class Ingress:
@@ -126,6 +168,7 @@
         "_lock",
         "_rng",
         "_placement",
+        "_times",
     )
 
     def __init__(
@@ -143,7 +186,8 @@
         self._budget = budget
         self._lock = threading.Lock()
         self._rng = random.Random()
-        self._placement = Placement(self._rng, settings.floor_share)
+        self._placement = Placement(self._rng)
+        self._times = WorkTimes()
 
     def identify(self, request):
         """Find a request's route, organisation and deadline.
@@ -230,19 +274,21 @@
         handed = 0
         failure = None
         while True:
-            candidate, patience_s = self._choose(request, service, tried, waits)
-            if candidate is None:
+            choice = self._choose(request, service, tried, waits)
+            if choice is None:
                 raise failure or self._describe_full(service, waits)
             if failure is not None and not self._take_token(service):
                 raise failure
-            attempt = self._attempt(request, service, candidate, patience_s, handed)
-            server_id = candidate.server.server_id
+            attempt, hedged = self._race(request, choice, handed)
+            server_id = choice.candidate.server.server_id
             tried.add(server_id)
             if attempt.verdict is Verdict.NOT_RUN:
-                waits[server_id] = attempt.wait_s
-                log.debug("Serving: %s was refused: %s.", server_id, attempt.code)
+                attempt.last = choice.insist
+                waits[server_id] = attempt
+                if attempt.code == REACHED and not self._take_token(service):
+                    raise self._describe_full(service, waits)
                 continue
-            handed += 1
+            handed += 1 + hedged
             if not self._may_repeat(request, attempt, handed):
                 if attempt.answer is not None:
                     return attempt.answer
@@ -251,6 +297,60 @@
             if attempt.answer is not None:
                 failure = AnswerInHand(attempt.answer)
 
+    def _race(self, request, choice, handed):
+        """Run an attempt, and a second one beside it if it takes too long.
+
+        Returns:
+            The `Attempt` that counts, and the number of second attempts.
+        """
+        candidate = choice.candidate
+        route = request.route
+        if not route.idempotent or handed + 1 >= route.attempts:
+            return self._attempt(request, choice), 0
+        now = self._clock.now()
+        with self._lock:
+            times = self._times.find(route.name, route.objective_s)
+        hedge = Hedge(self, request, candidate, times, now)
+        request.service = candidate.server.service
+        try:
+            attempt = self._attempt(request, choice, hedge)
+            if attempt.is_good():
+                with self._lock:
+                    times.learn(self._clock.now() - now)
+            elif hedge.started:
+                outcome = hedge.await_outcome()
+                if outcome is not None and outcome.beats(attempt):
+                    return outcome, 1
+        except Superseded:
+            return hedge.outcome, 1
+        finally:
+            hedge.close()
+        return attempt, 1 if hedge.started else 0
+
+    def take_hedge(self, request):
+        """Return whether a second attempt of a request may be made now."""
+        return self._take_token(request.service)
+
+    def run_hedge(self, request, watch, first_id):
+        """Return the `Attempt` of a second attempt beside the first, or None.
+
+        Args:
+            request: The `IngressRequest`.
+            watch: The `RaceWatch` that ends the attempt.
+            first_id: Identifier of the backend server of the first attempt.
+        """
+        tried, waits = {first_id}, {}
+        while True:
+            choice = self._choose(request, request.service, tried, waits)
+            if choice is None:
+                return None
+            attempt = self._attempt(request, choice, watch=watch)
+            if attempt.verdict is not Verdict.NOT_RUN or attempt.code == REACHED:
+                return attempt
+            attempt.last = choice.insist
+            tried.add(choice.candidate.server.server_id)
+            waits[choice.candidate.server.server_id] = attempt
+
     def _may_repeat(self, request, attempt, handed):
         if attempt.answer is not None and attempt.answer.status < SERVER_FAULT:
             return False
@@ -266,22 +366,37 @@
             return self._budget.take(service, self._count_members())
 
     def _choose(self, request, service, tried, waits):
-        """Return the next candidate and the patience it is asked with."""
+        """Return the next `Choice`, or None."""
         left_s = request.deadline - self._clock.now()
         if left_s <= LEAST_LEFT_S:
-            return None, 0.0
+            return None
         candidates = self._find_candidates(service)
         fresh = [item for item in candidates if item.server.server_id not in tried]
         chosen = None
-        if len(waits) < MOST_PLACES:
+        if len(waits) < MOST_PLACES and not any(map(Attempt.was_last, waits.values())):
             chosen = self._placement.choose(
                 fresh, request.route.idempotent, len(request.body)
             )
-            if chosen is None and self._placement.insists(candidates) and fresh:
-                chosen = self._rng.choice(fresh)
         if chosen is not None:
-            return chosen, QUEUE_PATIENCE_S[min(len(waits), 2)]
-        return None, 0.0
+            return Choice(chosen, QUEUE_PATIENCE_S[min(len(waits), 2)], False)
+        if sum(map(Attempt.was_last, waits.values())) >= MOST_RESORTS:
+            return None
+        # Rather than refuse the request, let it wait where that is shortest.
+        untouched = [
+            item
+            for item in candidates
+            if item.server.server_id not in tried or item.server.server_id in waits
+        ]
+        untouched = [
+            item
+            for item in untouched
+            if item.server.server_id not in waits
+            or not waits[item.server.server_id].last
+        ]
+        chosen = self._placement.choose_last(untouched, waits)
+        if chosen is None:
+            return None
+        return Choice(chosen, left_s, True)
 
     def _find_candidates(self, service):
         now = self._clock.now()
@@ -300,38 +415,44 @@
             found.append(Candidate(server, peer, near))
         return found
 
-    def _attempt(self, request, service, candidate, patience_s, handed):
+    def _attempt(self, request, choice, hedge=None, watch=None):
+        candidate = choice.candidate
         server = candidate.server
-        may_abandon = request.route.idempotent and handed + 1 < request.route.attempts
-        if may_abandon:
-            with self._lock:
-                members = self._count_members()
-                may_abandon = self._budget.has_token(service, members)
         order = Order(
             request.wishes.request_id,
             server.server_id,
-            service,
+            server.service,
             self._settings.service,
             request.organisation.name if request.organisation else "",
             request.route.idempotent,
             find_rank(request),
             request.route.name,
             request.deadline - self._clock.now(),
-            patience_s,
-            may_abandon,
-            server.standing == "ejected",
+            choice.patience_s,
+            request.route.objective_s,
+            choice.insist,
         )
-        headers = clean_headers(request.headers)
+        if hedge is not None:
+            watch = hedge.watch
+            on_wait = functools.partial(check_hedge, hedge, self._clock)
+        else:
+            watch = watch or request.caller
+            on_wait = wait_long
         if candidate.peer is None:
-            return self._attempt_here(request, order, headers)
-        return self._attempt_there(request, order, headers, candidate.peer)
+            return self._attempt_here(request, order, watch, on_wait)
+        return self._attempt_there(request, order, candidate.peer, watch, on_wait)
 
-    def _attempt_here(self, request, order, headers):
+    def _attempt_here(self, request, order, watch, on_wait):
         call = OwnedCall(
-            request.method, request.target, headers, request.body, self._clock.now()
+            request.method,
+            request.target,
+            clean_headers(request.headers),
+            request.body,
+            self._clock.now(),
+            on_wait,
         )
         try:
-            answer = self._owner.serve(order, call, request.caller)
+            answer = self._owner.serve(order, call, watch)
         except Refusal as refusal:
             return Attempt(
                 None, Verdict.NOT_RUN, refusal.code, refusal.retry_after or 0.0
@@ -340,25 +461,26 @@
             return Attempt(None, error.verdict, error.code, kind=error.kind)
         return Attempt(answer, Verdict.RAN)
 
-    def _attempt_there(self, request, order, headers, peer):
+    def _attempt_there(self, request, order, peer, watch, on_wait):
         text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
         left_s = request.deadline - self._clock.now()
+        headers = drop_hop_by_hop(clean_headers(request.headers))
         call = Call(
             address=peer.address,
             method=request.method,
             target=request.target,
-            headers=[*drop_hop_by_hop(headers), Header(ORDER, text)],
+            headers=[*headers, Header(ORDER, text)],
             body=request.body,
             request_id=order.request_id,
             idempotent=order.idempotent,
             deadline=request.deadline + OWNER_GRACE_S,
             connect_s=min(CONNECT_S, left_s * CONNECT_SHARE),
             find_id=find_reported_id,
-            on_wait=wait_long,
+            on_wait=on_wait,
         )
         peer.pending += 1
         try:
-            answer = Exchange(call, self._pool, self._clock, request.caller).run()
+            answer = Exchange(call, self._pool, self._clock, watch).run()
         except ExchangeError as error:
             if error.kind in (Kind.CONNECT, Kind.ERROR):
                 peer.note_unreachable(self._clock.now())
@@ -369,11 +491,13 @@
         return read_report(answer, peer)
 
     def _describe_full(self, service, waits):
-        wait_s = min(waits.values(), default=RETRY_AFTER_S)
+        refusals = list(waits.values())
+        wait_s = min((item.wait_s for item in refusals), default=RETRY_AFTER_S)
+        codes = ", ".join(item.code for item in refusals) or "none is known"
         return Refusal(
             503,
-            "overloaded" if waits else "no-server",
-            f"no backend server of {service} can take the request",
+            "overloaded" if refusals else "no-server",
+            f"no backend server of {service} can take the request: {codes}",
             retry_after=max(wait_s, 0.05),
         )
 
@@ -390,6 +514,11 @@
         self.answer = answer
 
 
+def check_hedge(hedge, clock):
+    """Look whether a second attempt is due; return the seconds until the next look."""
+    return hedge.check(clock.now())
+
+
 def wait_long():
     """Return the seconds between looks at an exchange that needs none."""
     return 10.0
--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -9,12 +9,21 @@
 
 # Weight of a server in another data centre against one in this one; a long body is
 # worth keeping near.
-FAR_WEIGHT = 0.6
-FAR_WEIGHT_LONG = 0.25
+FAR_WEIGHT = 0.5
+FAR_WEIGHT_LONG = 0.06
 LONG_BODY_BYTES = 16 * 1024
 OWN_WEIGHT = 1.5
 COLD_WEIGHT = 0.5
-TRIAL_WEIGHT = 0.15
+TRIAL_WEIGHT = 4.0
+TRIAL_WEIGHT_UNSAFE = 0.01
+TRIAL_BUSY_WEIGHT = 0.02
+# Wait that stands for the risk of a server that is not sound, in seconds.
+STANDING_WAITS_S = {
+    Standing.SOUND.value: 0.05,
+    Standing.TRIAL.value: 0.4,
+    Standing.EJECTED.value: 0.8,
+}
+UNKNOWN_WAIT_S = 0.1
 FULL_WEIGHT = 0.05
 FULL_DECAY = 0.5
 
@@ -39,11 +48,10 @@
 class Placement:
     """Chooses among the candidates of a service."""
 
-    __slots__ = ("_rng", "_floor_share")
+    __slots__ = ("_rng",)
 
-    def __init__(self, rng, floor_share):
+    def __init__(self, rng):
         self._rng = rng
-        self._floor_share = floor_share
 
     def choose(self, candidates, idempotent, body_bytes):
         """Return a candidate, or None if there is none that may take the request.
@@ -53,32 +61,38 @@
             idempotent: Whether the request may run more than once.
             body_bytes: Length of its body.
         """
-        usable = [item for item in candidates if is_usable(item, idempotent)]
+        usable = [item for item in candidates if is_usable(item)]
         if not usable:
             return None
-        weights = [weigh(item, body_bytes) for item in usable]
+        weights = [weigh(item, idempotent, body_bytes) for item in usable]
         return self._rng.choices(usable, weights)[0]
 
-    def insists(self, candidates):
-        """Return whether so many servers are ejected that they are needed."""
-        sound = sum(1 for item in candidates if is_sound(item))
-        return sound < self._floor_share * len(candidates)
+    def choose_last(self, candidates, refusals):
+        """Return the candidate at which a refused request waits least, or None.
 
+        Args:
+            candidates: The `Candidate`s that did not get the request.
+            refusals: What they answered, as `Attempt`s by identifier.
+        """
+        if not candidates:
+            return None
+        return min(
+            candidates,
+            key=lambda item: self._estimate(item, refusals) * self._rng.uniform(0.8, 1),
+        )
 
-def is_sound(candidate):
-    """Return whether a backend server is not ejected."""
-    return candidate.server.standing != Standing.EJECTED.value
+    def _estimate(self, candidate, refusals):
+        refusal = refusals.get(candidate.server.server_id)
+        wait_s = refusal.wait_s if refusal is not None else UNKNOWN_WAIT_S
+        return wait_s + STANDING_WAITS_S[candidate.server.standing]
 
 
-def is_usable(candidate, idempotent):
-    """Return whether a backend server may take a request."""
-    standing = candidate.server.standing
-    if standing == Standing.SOUND.value:
-        return True
-    return standing == Standing.TRIAL.value and idempotent
+def is_usable(candidate):
+    """Return whether a backend server is not ejected."""
+    return candidate.server.standing != Standing.EJECTED.value
 
 
-def weigh(candidate, body_bytes):
+def weigh(candidate, idempotent, body_bytes):
     """Return the weight with which a backend server is chosen."""
     server = candidate.server
     pending = candidate.peer.pending if candidate.peer is not None else 0
@@ -92,5 +106,6 @@
     if server.cold_s > 0:
         weight *= COLD_WEIGHT
     if server.standing == Standing.TRIAL.value:
-        weight *= TRIAL_WEIGHT
+        weight = TRIAL_WEIGHT if idempotent else TRIAL_WEIGHT_UNSAFE
+        weight = weight if server.running == 0 else TRIAL_BUSY_WEIGHT
     return weight
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -17,6 +17,7 @@
 from .errors import Refusal
 from .owner.hosted import HostedServer
 from .owner.serving import Owner
+from .owner.standing import Standing
 from .peers.gossip import ANNOUNCE_S, DatagramWire, Gossip
 from .peers.messages import ServerNews
 from .platform.documents import decode_document
@@ -52,6 +53,9 @@
 LEAVE_NOTICE_S = 2.3
 END_MARGIN_S = 0.8
 LOOK_S = 0.05
+# Ejected servers are tried every second or two, so that half of them may be ejected
+# and each still gets requests.
+MOST_FAILING = 0.5
 
 
 class OwnNews:
@@ -97,12 +101,12 @@
             settings.server, settings.service, settings.heartbeat_s, clock
         )
         pool = KeptPool(clock)
-        self.owner = Owner(settings, hosted, clock, pool)
+        self.owner = Owner(settings, hosted, clock, pool, self.may_eject)
         self._wire = DatagramWire(settings.ip, settings.gossip_port)
         self._gossip = Gossip.start(
             application, settings, clock, self._wire, self.describe, self.documents
         )
-        table = self._gossip.proxy().table.get()
+        self._table = table = self._gossip.proxy().table.get()
         self.ingress = Ingress(
             settings,
             clock,
@@ -195,6 +199,14 @@
         """Return whether callers may send requests to this node."""
         return not self._leaving and self.documents.rulebook is not None
 
+    def may_eject(self):
+        """Return whether enough servers of the service are left without this one."""
+        service = self._settings.service
+        servers = [peer.news.server for peer in self._table.find_live()]
+        others = [item for item in servers if item and item.service == service]
+        failing = sum(1 for item in others if item.standing != Standing.SOUND.value)
+        return failing + 1 <= max(1.0, MOST_FAILING * (len(others) + 1))
+
     def admit(self, rank):
         """Refuse callers' requests while too many run; calls of servers go on.
 
