Read settings anew, survive bad bytes and odd failures; a store and a backend server stand-in

Cause, by reading: SIGHUP ended the process; an unexpected error ended a thread of the upkeep for good; a body that came too late was answered 400 (DENIED), not 408; a refused second attempt could answer 503 for a request that had run. Two nodes, a store and backend servers on loopback now show the whole path without the bench (test_sitenode).

--- a/persimmonlane/fleetsettings.py
+++ b/persimmonlane/fleetsettings.py
@@ -63,3 +63,20 @@
     def __init__(self, **fields):
         for name in self.__slots__:
             setattr(self, name, fields[name])
+
+    def adopt(self, other):
+        """Take the figures of other settings into force.
+
+        Args:
+            other: The `FleetSettings` read anew.
+
+        Returns:
+            Names of the fields that differ but need a new process.
+        """
+        for name in self.DEFAULTS:
+            setattr(self, name, getattr(other, name))
+        return [
+            name
+            for name in self.__slots__
+            if getattr(self, name) != getattr(other, name)
+        ]
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -97,7 +97,10 @@
 
     def take_datagram(self, received):
         """Handle a datagram."""
-        self._takers[type(received.message)](received.message, received.sender)
+        try:
+            self._takers[type(received.message)](received.message, received.sender)
+        except ValueError as error:
+            log.warning("Peers: a datagram is absurd: %s.", error)
 
     def take_registered(self, message):
         """Learn of nodes from the store."""
@@ -119,21 +122,7 @@
         fresh_age_s = self._find_fresh_age()
         version = self._document.version
         for peer in list(self.table.peers.values()):
-            heard = peer.news
-            message = Announcement(
-                self._settings.name,
-                self._boot,
-                self._sequence,
-                self._settings.nodes,
-                self._settings.data_centre,
-                news.leaving,
-                version,
-                fresh_age_s,
-                heard.sequence if heard else 0,
-                heard.boot if heard else 0,
-                news.server,
-            )
-            self._send(peer.address, message)
+            self._announce_to(peer, news, fresh_age_s, version)
 
     def decide_rate(self, wanted):
         """Decide on a request, or ask the node that holds the rate."""
@@ -152,6 +141,23 @@
         """Decide by this node's share, since the holder did not answer."""
         return self._limiter.decide_alone(organisation, self.table.count_members())
 
+    def _announce_to(self, peer, news, fresh_age_s, version):
+        heard = peer.news
+        message = Announcement(
+            self._settings.name,
+            self._boot,
+            self._sequence,
+            self._settings.nodes,
+            self._settings.data_centre,
+            news.leaving,
+            version,
+            fresh_age_s,
+            heard.sequence if heard else 0,
+            heard.boot if heard else 0,
+            news.server,
+        )
+        self._send(peer.address, message)
+
     def _find_holder(self, organisation):
         live = {peer.name: peer for peer in self.table.find_live()}
         name = self._limiter.find_holder(organisation.name, live)
@@ -166,9 +172,18 @@
         return age_s if age_s < 1e6 else -1.0
 
     def _take_news(self, news, _):
+        before = self.table.peers.get(news.node)
+        known_boot = before.news.boot if before and before.news else None
         peer = self.table.take(news)
         if peer is None:
             return
+        if known_boot != news.boot:
+            # A node that has just started learns of this one at once.
+            self._sequence += 1
+            self.table.note_sent(self._sequence)
+            fresh_age_s = self._find_fresh_age()
+            version = self._document.version
+            self._announce_to(peer, self._describe(), fresh_age_s, version)
         if news.version > self._document.version:
             self._document.want(news.version, news.address)
         elif news.version == self._document.version:
--- a/persimmonlane/programs/sidecar.py
+++ b/persimmonlane/programs/sidecar.py
@@ -5,6 +5,7 @@
 
 import logging
 import os
+import signal
 import sys
 
 from ..logs import configure_logging
@@ -20,14 +21,21 @@
 @program.default
 def run():
     """Run the node until SIGTERM; the settings file is named by the environment."""
+    # The platform may ask for the settings to be read anew before that is possible.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     configure_logging("info", "json")
-    status = build_site_node(read_fleet_settings(find_path())).run()
+    status = build_site_node(read_settings).run()
     logging.shutdown()
     sys.stdout.flush()
     # Threads that wait for callers must not hold the end of the process up.
     os._exit(status)
 
 
+def read_settings():
+    """Return the settings as the platform's file gives them now."""
+    return read_fleet_settings(find_path())
+
+
 def main():
     """Run the program."""
     run_program(program)
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -33,6 +33,7 @@
 DOCUMENT_PATH = "/persimmon/document"
 HEARTBEAT_LIMIT_BYTES = 64 * 1024
 LINGER_BYTES = 1024 * 1024
+LEAST_BODY_S = 0.05
 
 
 class Gateway(cheroot.server.Gateway):
@@ -80,6 +81,8 @@
                     raise Refusal(413, "body-too-large", "the body is too large")
         except BodyError as error:
             self.req.close_connection = True
+            if isinstance(error.__cause__, TimeoutError):
+                raise Refusal(408, "body-late", "the body came too late") from error
             raise Refusal(400, error.code, error.message) from error
         return b"".join(pieces)
 
@@ -123,6 +126,9 @@
     def _respond(self, request):
         node = self.node
         node.ingress.identify(request)
+        self.req.conn.socket.settimeout(
+            max(LEAST_BODY_S, request.deadline - node.clock.now())
+        )
         limits = node.documents.rulebook.limits
         request.body = self.read_body(limits.body_bytes)
         node.admit(find_rank(request))
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -286,7 +286,7 @@
                 attempt.last = choice.insist
                 waits[server_id] = attempt
                 if attempt.code == REACHED and not self._take_token(service):
-                    raise self._describe_full(service, waits)
+                    raise failure or self._describe_full(service, waits)
                 continue
             handed += 1 + hedged
             if not self._may_repeat(request, attempt, handed):
@@ -478,7 +478,7 @@
             find_id=find_reported_id,
             on_wait=on_wait,
         )
-        peer.pending += 1
+        self._count_pending(peer, 1)
         try:
             answer = Exchange(call, self._pool, self._clock, watch).run()
         except ExchangeError as error:
@@ -486,10 +486,14 @@
                 peer.note_unreachable(self._clock.now())
             return Attempt(None, error.verdict, error.code, kind=error.kind)
         finally:
-            peer.pending -= 1
+            self._count_pending(peer, -1)
         peer.note_reached()
         return read_report(answer, peer)
 
+    def _count_pending(self, peer, change):
+        with self._lock:
+            peer.pending += change
+
     def _describe_full(self, service, waits):
         refusals = list(waits.values())
         wait_s = min((item.wait_s for item in refusals), default=RETRY_AFTER_S)
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -24,6 +24,7 @@
 
 BACKLOG = 1024
 KEPT_CONNECTIONS = 2000
+SHUTDOWN_S = 0.1
 SERVER_NAME = "persimmonlane"
 
 
@@ -101,6 +102,7 @@
         )
         self.header_timeout_s = 3.0
         self.timeout = 17.0
+        self.shutdown_timeout = SHUTDOWN_S
         self.request_queue_size = BACKLOG
         self.keep_alive_conn_limit = KEPT_CONNECTIONS
         self._thread = None
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 import random
+import signal
 import threading
 
 import urllib3
@@ -14,7 +15,7 @@
 from .actors import Tick
 from .application import Application, Part
 from .clocks import BootClock
-from .errors import Refusal
+from .errors import InputError, Refusal
 from .owner.hosted import HostedServer
 from .owner.serving import Owner
 from .owner.standing import Standing
@@ -53,6 +54,7 @@
 LEAVE_NOTICE_S = 2.3
 END_MARGIN_S = 0.8
 LOOK_S = 0.05
+RELOAD_S = 3.0
 # Ejected servers are tried every second or two, so that half of them may be ejected
 # and each still gets requests.
 MOST_FAILING = 0.5
@@ -87,10 +89,13 @@
 
     name = "node"
 
-    def __init__(self, application, settings):
+    def __init__(self, application, settings, reread):
         self.clock = clock = BootClock()
         self.closes_connections = False
         self._settings = settings
+        self._reread = reread
+        self._reload_wanted = threading.Event()
+        self._left_settings = []
         self._leaving = False
         self._running = 0
         self._lock = threading.Lock()
@@ -175,6 +180,12 @@
         self._announcer.stop()
         self._upkeep.stop()
         self._wire.stop()
+        # Each server takes up to half a second to end.
+        enders = [threading.Thread(target=server.stop) for server in self._servers]
+        for ender in enders:
+            ender.start()
+        for ender in enders:
+            ender.join()
 
     def describe(self):
         """Return the `OwnNews` of this moment."""
@@ -251,9 +262,28 @@
             server.max_request_header_size = limits.header_bytes * 2
         self._announcer.wake()
 
+    def reload(self):
+        """Read the settings anew, soon; callable from a signal handler."""
+        self._reload_wanted.set()
+
     def _tick(self):
+        reload_at = self.clock.now() + RELOAD_S
         while not self._ended.wait(CONTROL_TICK_S):
             self.owner.tick()
+            if self._reload_wanted.is_set() or self.clock.now() >= reload_at:
+                self._reload_wanted.clear()
+                self._adopt_settings()
+                reload_at = self.clock.now() + RELOAD_S
+
+    def _adopt_settings(self):
+        try:
+            left = self._settings.adopt(self._reread())
+        except InputError as error:
+            log.error("Node: the settings stay as they are: %s.", error)
+            return
+        if left and left != self._left_settings:
+            log.warning("Node: settings need a new process: %s.", ", ".join(left))
+        self._left_settings = left
 
 
 class Announcer:
@@ -289,8 +319,16 @@
             self._waker.clear()
 
 
-def build_site_node(settings):
-    """Return the `Application` of a node beside a backend server."""
+def build_site_node(reread):
+    """Return the `Application` of a node beside a backend server.
+
+    Args:
+        reread: Callable that returns the `FleetSettings` as they are now.
+
+    Raises:
+        InputError: If the settings are invalid.
+    """
     application = Application()
-    application.add(SiteNode(application, settings))
+    node = application.add(SiteNode(application, reread(), reread))
+    signal.signal(signal.SIGHUP, lambda number, frame: node.reload())
     return application
--- /dev/null
+++ b/persimmonlane/standins/sitebackend.py
@@ -0,0 +1,117 @@
+"""Site backend server stand-in.
+
+Answers as the platform's backend servers do, and sends heartbeats to its node.
+"""
+
+import threading
+
+import cheroot.server
+import msgspec
+import urllib3
+
+THREADS = 16
+HANG_S = 30.0
+
+
+class SiteBackendGateway(cheroot.server.Gateway):
+    """Answers requests as the stand-in is told."""
+
+    def __init__(self, http_request, standin):
+        super().__init__(http_request)
+        self.standin = standin
+
+    def respond(self):
+        """Answer one request."""
+        req = self.req
+        headers = {k.decode().lower(): v.decode() for k, v in req.inheaders.items()}
+        body = req.rfile.read()
+        self.standin.requests.append((req.uri.decode(), headers, body))
+        script = self.standin.script
+        if script.hang:
+            self.standin.released.wait(HANG_S)
+        answer = [
+            ("X-Request-Id", headers.get("x-request-id", "")),
+            ("X-Server-Load", "1,0,4"),
+        ]
+        if script.not_run:
+            answer.append(("X-Not-Executed", "1"))
+        else:
+            answer.append(("X-Response-Signature", "s.1"))
+        req.status = f"{script.status} Status".encode()
+        data = script.body
+        answer.append(("Content-Length", str(len(data))))
+        req.outheaders = [(k.encode(), v.encode()) for k, v in answer]
+        req.ensure_headers_sent()
+        req.write(data)
+
+
+class Script:
+    """How the stand-in answers.
+
+    Attributes:
+        status: HTTP status.
+        body: Bytes of the body.
+        not_run: Whether it states that the request did not run.
+        hang: Whether it gives no answer.
+    """
+
+    __slots__ = ("status", "body", "not_run", "hang")
+
+    def __init__(self, status=200, body=b"whole", not_run=False, hang=False):
+        self.status = status
+        self.body = body
+        self.not_run = not_run
+        self.hang = hang
+
+
+class SiteBackendStandin:
+    """One backend server.
+
+    Attributes:
+        script: The `Script` by which it answers.
+        requests: Target, headers and body of each request that came.
+        released: Set to let hanging requests go.
+    """
+
+    def __init__(self, address, service, server_id, born):
+        host, port = address.rsplit(":", 1)
+        self.script = Script()
+        self.requests = []
+        self.released = threading.Event()
+        self._address = address
+        self._service = service
+        self._id = server_id
+        self._born = born
+        self._sequence = 0
+        self._server = cheroot.server.HTTPServer(
+            (host, int(port)),
+            gateway=lambda request: SiteBackendGateway(request, self),
+            minthreads=THREADS,
+            maxthreads=THREADS,
+        )
+
+    def start(self):
+        """Bind and serve in a thread."""
+        self._server.prepare()
+        threading.Thread(target=self._server.serve, daemon=True).start()
+
+    def stop(self):
+        """Close the server."""
+        self.released.set()
+        self._server.stop()
+
+    def beat(self, control, state="ready"):
+        """Send a heartbeat to a node; return the status of its answer."""
+        self._sequence += 1
+        body = {
+            "Address": self._address,
+            "Info": {"Service": self._service, "Slots": 4},
+            "Status": {"State": state, "Sequence": self._sequence},
+            "born": self._born,
+        }
+        answer = urllib3.request(
+            "PUT",
+            f"http://{control}/persimmonlane/instances/{self._id}",
+            body=msgspec.json.encode(body),
+        )
+        return answer.status
--- /dev/null
+++ b/persimmonlane/tests/test_sitenode.py
@@ -0,0 +1,226 @@
+import contextlib
+import json
+import socket
+import time
+
+import testtools
+import urllib3
+
+from ..application import Application
+from ..fleetsettings import FleetSettings
+from ..platform.documents import DOCUMENT_KEY
+from ..sitenode import SiteNode
+from ..standins.sitebackend import Script, SiteBackendStandin
+from ..standins.sitestore import SiteStoreStandin
+
+PATIENCE_S = 30.0
+KEY = "key-of-census"
+
+
+def find_port(host, kind=socket.SOCK_STREAM):
+    with contextlib.closing(socket.socket(socket.AF_INET, kind)) as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+def await_true(question):
+    ends = time.monotonic() + PATIENCE_S
+    while time.monotonic() < ends:
+        if question():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+def build_document(version=7, keys=(KEY,)):
+    def route(name, prefix, service, kind, attempts):
+        spec = {
+            "Host": "shop.example",
+            "Prefix": prefix,
+            "Kind": kind,
+            "TimeoutS": 20,
+            "Service": service,
+            "MaxAttempts": attempts,
+        }
+        return {"Type": "Routes", "Metadata": {"Name": name}, "Spec": spec}
+
+    tenant = {"ApiKeys": list(keys), "RatePerS": 1000, "Burst": 1000}
+    rows = [
+        route("r-far", "/far/", "far", "unsafe", 2),
+        route("r-near", "/near/", "near", "safe", 2),
+        {"Type": "Tenants", "Metadata": {"Name": "census"}, "Spec": tenant},
+    ]
+    return json.dumps({"Version": f"{version:08x}", "Resources": rows}).encode()
+
+
+class Site:
+    """Two nodes, each with a backend server of its own service, and a store."""
+
+    def __init__(self, test):
+        self.store = SiteStoreStandin()
+        self.store.start()
+        test.addCleanup(self.store.stop)
+        self.store.state.put(DOCUMENT_KEY, build_document())
+        self.gossip_port = find_port("127.0.0.1", socket.SOCK_DGRAM)
+        self.nodes = {}
+        self.servers = {}
+        for number, service in enumerate(("near", "far")):
+            self.add(test, f"node-{service}", f"127.0.0.{number + 2}", service)
+
+    def add(self, test, name, ip, service):
+        def address():
+            return f"{ip}:{find_port(ip)}"
+
+        settings = FleetSettings(
+            name=name,
+            ip=ip,
+            data_centre="south",
+            callers=address(),
+            nodes=address(),
+            readiness=address(),
+            heartbeats=address(),
+            gossip_port=self.gossip_port,
+            store=self.store.address,
+            least_lease_s=1.0,
+            server=address(),
+            service=service,
+            heartbeat_s=60.0,
+            **FleetSettings.DEFAULTS,
+        )
+        node = SiteNode(Application(), settings, lambda: settings)
+        test.addCleanup(node.stop)
+        node.start()
+        server = SiteBackendStandin(settings.server, service, f"i-{service}", 100)
+        server.start()
+        test.addCleanup(server.stop)
+        server.beat(settings.heartbeats)
+        self.nodes[service] = (node, settings)
+        self.servers[service] = server
+
+    def is_whole(self):
+        return all(self.knows(service) for service in self.nodes)
+
+    def knows(self, service):
+        node, settings = self.nodes[service]
+        live = node._table.find_live()
+        return node.is_ready() and any(p.news.server for p in live)
+
+    def call(self, path, service="near", headers=None, **fields):
+        _, settings = self.nodes[service]
+        sent = {
+            "Host": "shop.example",
+            "X-Request-Id": "one",
+            "X-Timeout-Ms": "15000",
+            "X-Credential": KEY,
+        }
+        sent.update(headers or {})
+        return urllib3.request(
+            fields.pop("method", "GET"),
+            f"http://{settings.callers}{path}",
+            headers=sent,
+            retries=False,
+            redirect=False,
+            **fields,
+        )
+
+
+class SiteNodeTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.site = Site(self)
+        self.assertTrue(await_true(self.site.is_whole))
+
+    def test_request_reaches_the_server_beside_another_node(self):
+        forged = {"X-Caller-Service": "forged", "X-Tenant": "forged"}
+        answer = self.site.call(
+            "/far/a?b=c", headers=forged, method="POST", body=b"x" * 50000
+        )
+        self.assertEqual((200, b"whole"), (answer.status, answer.data))
+        self.assertEqual("s.1", answer.headers["X-Response-Signature"])
+        self.assertEqual("one", answer.headers["X-Request-Id"])
+        ((target, headers, body),) = self.site.servers["far"].requests
+        self.assertEqual(("/far/a?b=c", b"x" * 50000), (target, body))
+        self.assertEqual("near", headers["x-caller-service"])
+        self.assertEqual("census", headers["x-tenant"])
+        self.assertEqual("i-far", headers["x-target-instance"])
+        self.assertEqual("shop.example", headers["host"])
+        self.assertTrue(0 < int(headers["x-timeout-ms"]) <= 15000)
+        self.assertNotIn("x-credential", headers)
+        self.assertNotIn("persimmon-order", headers)
+
+    def test_unknown_route_and_key_are_refused(self):
+        self.assertEqual(404, self.site.call("/nowhere/").status)
+        unknown = {"X-Credential": "unknown"}
+        self.assertEqual(401, self.site.call("/near/", headers=unknown).status)
+
+    def test_draining_server_gets_nothing_and_the_refusal_says_not_run(self):
+        _, settings = self.site.nodes["far"]
+        self.assertEqual(
+            200, self.site.servers["far"].beat(settings.heartbeats, "draining")
+        )
+        answer = self.site.call("/far/", method="POST", body=b"x")
+        self.assertEqual(503, answer.status)
+        self.assertEqual("not-run", answer.headers["Persimmon-Verdict"])
+        self.assertIn("Retry-After", answer.headers)
+        self.assertEqual([], self.site.servers["far"].requests)
+
+    def test_server_that_did_not_run_a_request_makes_it_not_run(self):
+        self.site.servers["far"].script = Script(status=503, not_run=True)
+        answer = self.site.call("/far/", method="POST", body=b"x")
+        self.assertEqual(
+            (503, "not-run"), (answer.status, answer.headers["Persimmon-Verdict"])
+        )
+
+    def test_unsafe_request_that_hangs_runs_once(self):
+        self.site.servers["far"].script = Script(hang=True)
+        answer = self.site.call(
+            "/far/", method="POST", body=b"x", headers={"X-Timeout-Ms": "400"}
+        )
+        self.assertEqual(504, answer.status)
+        self.assertEqual(1, len(self.site.servers["far"].requests))
+
+    def test_failure_of_the_server_is_passed_on_as_it_is(self):
+        self.site.servers["near"].script = Script(status=500, body=b"broken")
+        answer = self.site.call("/near/")
+        self.assertEqual((500, b"broken"), (answer.status, answer.data))
+        self.assertEqual("s.1", answer.headers["X-Response-Signature"])
+
+    def test_withdrawn_key_stops_working_on_every_node(self):
+        self.site.store.state.put(DOCUMENT_KEY, build_document(8, ()))
+        for service in ("near", "far"):
+            self.assertTrue(
+                await_true(
+                    lambda s=service: self.site.call("/near/", service=s).status == 401
+                )
+            )
+
+    def test_older_and_invalid_documents_change_nothing(self):
+        node, _ = self.site.nodes["near"]
+        self.assertTrue(node.documents.offer(build_document(3, ()), "a test"))
+        self.assertFalse(node.documents.offer(b"{}", "a test"))
+        self.assertEqual(7, node.documents.version)
+        self.assertEqual(200, self.site.call("/near/").status)
+
+    def test_lapsed_entries_come_back(self):
+        state = self.site.store.state
+        self.assertTrue(await_true(lambda: len(state.keys()) == 3))
+        state.end_leases()
+        state.refused = 503
+        self.assertTrue(
+            await_true(
+                lambda: all(n._upkeep._was_stale for n, _ in self.site.nodes.values())
+            )
+        )
+        state.refused = 0
+        self.assertTrue(await_true(lambda: len(state.keys()) == 3))
+
+    def test_bytes_that_are_no_request_end_no_node(self):
+        _, settings = self.site.nodes["near"]
+        for address in (settings.callers, settings.nodes, settings.heartbeats):
+            host, port = address.rsplit(":", 1)
+            with socket.create_connection((host, int(port)), timeout=20) as sock:
+                sock.sendall(b"\x00\xff nothing\r\n\r\n")
+                sock.recv(1000)
+        with contextlib.closing(socket.socket(type=socket.SOCK_DGRAM)) as sock:
+            sock.sendto(b"\xc1garbage", ("127.0.0.2", self.site.gossip_port))
+        self.assertEqual(200, self.site.call("/near/").status)
--- a/persimmonlane/upkeep/part.py
+++ b/persimmonlane/upkeep/part.py
@@ -98,6 +98,9 @@
                 log.warning("Upkeep: %s.", error)
                 self._retry_at = now + RETRY_S * random.uniform(0.8, 1.2)
                 self._was_stale = True
+            except Exception:
+                log.exception("Upkeep: a step failed.")
+                self._retry_at = now + RETRY_S
 
     def _do_due(self, now):
         if self._holder.version == 0 or self._needs_probe(now):
@@ -189,6 +192,9 @@
             except StoreError as error:
                 log.warning("Upkeep: the watch ended: %s.", error)
                 self._ended.wait(RETRY_S)
+            except Exception:
+                log.exception("Upkeep: the watch failed.")
+                self._ended.wait(RETRY_S)
 
     def _watch(self, after):
         changes = self._store.watch(DOCUMENT_PREFIX, after, WATCH_S)
