--- a/persimmonlane/owner/gate.py
+++ b/persimmonlane/owner/gate.py
@@ -10,8 +10,18 @@
 from ..errors import Refusal
 
 RETRY_AFTER_LEAST_S = 0.05
+# A request that runs longer than all but this share is not counted on to end.
+STUCK_SURVIVAL = 0.04
+# Seconds for which less urgent requests leave a slot to more urgent ones, after one of
+# these had to wait or was refused.
+YIELD_S = 1.0
+# A request waits at most this many times the patience it came with.
+PATIENCE_FACTOR = 1.5
+PATIENCE_LEAST_S = 0.05
 # A request that has less than this share of its usual work time left is not begun.
 LEAST_WORK_SHARE = 0.5
+# Least rest that is expected of a running request, as a share of its usual time.
+LEAST_REST_SHARE = 0.25
 
 
 class Ticket:
@@ -22,6 +32,7 @@
         rank: Urgency; 0 is the most urgent.
         deadline: Seconds by which it must be answered.
         patience_s: Longest estimated wait that it accepts.
+        waits_until: Seconds at which it gives up waiting.
         granted_at: Seconds at which it got its slot, or None.
         refusal: The `Refusal` that ended its wait, or None.
         wake: Called once its wait has ended.
@@ -32,6 +43,7 @@
         "rank",
         "deadline",
         "patience_s",
+        "waits_until",
         "granted_at",
         "refusal",
         "wake",
@@ -42,6 +54,7 @@
         self.rank = rank
         self.deadline = deadline
         self.patience_s = patience_s
+        self.waits_until = deadline
         self.granted_at = None
         self.refusal = None
         self.wake = wake
@@ -54,7 +67,7 @@
         slots: Requests that the backend server runs at a time; 0 closes the gate.
     """
 
-    __slots__ = ("slots", "_clock", "_running", "_waiting", "_order")
+    __slots__ = ("slots", "_clock", "_running", "_waiting", "_order", "_pressed")
 
     def __init__(self, clock):
         self.slots = 0
@@ -62,6 +75,7 @@
         self._running = set()
         self._waiting = []
         self._order = itertools.count()
+        self._pressed = {}
 
     @property
     def running(self):
@@ -81,14 +95,19 @@
         """
         if self.slots <= 0:
             raise refuse("server-leaving", 0.0)
-        if self.running < self.slots and not self._waiting:
+        free = self.slots - self.running - self._count_yielded(ticket.rank)
+        if free > 0 and not self._waiting:
             self._grant(ticket)
             return
+        now = self._clock.now()
+        self._pressed[ticket.rank] = now
         wait_s = self.estimate_wait(ticket.rank)
         need_s = ticket.times.find_typical() * LEAST_WORK_SHARE
-        left_s = ticket.deadline - self._clock.now()
+        left_s = ticket.deadline - now
         if wait_s > ticket.patience_s or wait_s + need_s > left_s:
             raise refuse("server-busy", wait_s)
+        longest_s = max(PATIENCE_LEAST_S, ticket.patience_s * PATIENCE_FACTOR)
+        ticket.waits_until = min(ticket.deadline, now + longest_s)
         heapq.heappush(self._waiting, (ticket.rank, next(self._order), ticket))
 
     def leave(self, ticket):
@@ -134,15 +153,29 @@
         ahead = [row[2] for row in self._waiting if row[0] <= rank]
         now = self._clock.now()
         work_s = sum(ticket.times.find_typical() for ticket in ahead)
+        moving = 0
         for ticket in self._running:
+            age_s = now - ticket.granted_at
+            if ticket.times.find_survival(age_s) < STUCK_SURVIVAL:
+                continue
+            moving += 1
             usual_s = ticket.times.find_typical()
-            work_s += max(usual_s * 0.25, usual_s - (now - ticket.granted_at))
-        return work_s / self.slots
+            work_s += max(usual_s * LEAST_REST_SHARE, usual_s - age_s)
+        moving += self.slots - self.running
+        if moving <= 0:
+            return min(ticket.deadline for ticket in self._running) - now
+        return work_s / moving
 
     def list_running(self):
         """Return the `Ticket`s that hold a slot."""
         return list(self._running)
 
+    def _count_yielded(self, rank):
+        """Return the slots that a request leaves to more urgent ones."""
+        since = self._clock.now() - YIELD_S
+        pressed = any(at > since for other, at in self._pressed.items() if other < rank)
+        return 1 if pressed else 0
+
     def _grant(self, ticket):
         ticket.granted_at = self._clock.now()
         self._running.add(ticket)
--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -192,7 +192,10 @@
             left_s = ticket.deadline - self._clock.now()
             if left_s <= LEAST_LEFT_S:
                 raise refuse("deadline-passed", "no slot became free in time")
-            caller.wait(wakener, min(left_s, WATCH_S))
+            waits_s = ticket.waits_until - self._clock.now()
+            if waits_s <= 0:
+                raise refuse("server-busy", "no slot became free soon enough")
+            caller.wait(wakener, min(waits_s, WATCH_S))
         if ticket.deadline - self._clock.now() <= LEAST_LEFT_S:
             raise refuse("deadline-passed", "no time is left")
 
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -185,7 +185,8 @@
             version = self._document.version
             self._announce_to(peer, self._describe(), fresh_age_s, version)
         if news.version > self._document.version:
-            self._document.want(news.version, news.address)
+            near = news.data_centre == self._settings.data_centre
+            self._document.want(news.version, news.address, near)
         elif news.version == self._document.version:
             fresh_at = self.table.find_freshness(news)
             if fresh_at is not None:
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -42,7 +42,9 @@
 CONNECT_SHARE = 0.25
 QUEUE_PATIENCE_S = (0.05, 0.15, 0.5)
 MOST_PLACES = 4
-MOST_RESORTS = 3
+MOST_RESORTS = 2
+# Share of the time left for which a request that nobody took at once may wait.
+LAST_PATIENCE_SHARE = 0.25
 LEAST_LEFT_S = 0.03
 RETRY_AFTER_S = 0.3
 SERVER_FAULT = 500
@@ -396,7 +398,7 @@
         chosen = self._placement.choose_last(untouched, waits)
         if chosen is None:
             return None
-        return Choice(chosen, left_s, True)
+        return Choice(chosen, left_s * LAST_PATIENCE_SHARE, True)
 
     def _find_candidates(self, service):
         now = self._clock.now()
--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -9,8 +9,8 @@
 
 # Weight of a server in another data centre against one in this one; a long body is
 # worth keeping near.
-FAR_WEIGHT = 0.5
-FAR_WEIGHT_LONG = 0.06
+FAR_WEIGHT = 0.15
+FAR_WEIGHT_LONG = 0.04
 LONG_BODY_BYTES = 16 * 1024
 OWN_WEIGHT = 1.5
 COLD_WEIGHT = 0.5
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -41,11 +41,11 @@
 
 log = logging.getLogger("persimmonlane.node")
 
-CALLER_THREADS = 128
-NODE_THREADS = 64
+CALLER_THREADS = 72
+NODE_THREADS = 40
 SMALL_THREADS = 2
 # Callers' requests beyond this leave no threads for the calls of running requests.
-MOST_CALLERS = 96
+MOST_CALLERS = 52
 CONTROL_TICK_S = 0.1
 FETCH_TIMEOUT_S = 0.6
 RETRY_AFTER_S = 0.5
--- a/persimmonlane/upkeep/documents.py
+++ b/persimmonlane/upkeep/documents.py
@@ -8,9 +8,28 @@
 
 from ..errors import PersimmonError
 
+FAR_DELAY_S = 0.15
+
 log = logging.getLogger("persimmonlane.upkeep")
 
 
+class Offer:
+    """A node that has a newer version.
+
+    Attributes:
+        version: Number of the version.
+        address: Address of the node.
+        near: Whether the node is in this one's data centre.
+    """
+
+    __slots__ = ("version", "address", "near")
+
+    def __init__(self, version, address, near):
+        self.version = version
+        self.address = address
+        self.near = near
+
+
 class DocumentHolder:
     """The document in force; may be used from any thread.
 
@@ -18,7 +37,15 @@
         rulebook: The `Rulebook` in force, or None before the first.
     """
 
-    __slots__ = ("rulebook", "_decode", "_lock", "_wanted", "_waker", "_listeners")
+    __slots__ = (
+        "rulebook",
+        "_decode",
+        "_lock",
+        "_wanted",
+        "_waker",
+        "_ended",
+        "_listeners",
+    )
 
     def __init__(self, decode):
         self.rulebook = None
@@ -26,6 +53,7 @@
         self._lock = threading.Lock()
         self._wanted = []
         self._waker = threading.Event()
+        self._ended = threading.Event()
         self._listeners = []
 
     @property
@@ -58,14 +86,27 @@
             listener(rulebook)
         return True
 
-    def want(self, version, address):
-        """Note that a node has a newer version."""
-        self._wanted.append((version, address))
+    def want(self, version, address, near):
+        """Note that a node has a newer version.
+
+        Args:
+            version: Number of the version.
+            address: Address of the node.
+            near: Whether the node is in this one's data centre.
+        """
+        self._wanted.append(Offer(version, address, near))
         self._waker.set()
 
     def await_wanted(self, timeout_s):
-        """Wait for a newer version; return the addresses that have one."""
+        """Wait for a newer version; return the addresses that have one.
+
+        Nodes of this data centre come first: the others' links are costly, and a node
+        of this data centre is likely to have the version within a moment.
+        """
         self._waker.wait(timeout_s)
+        if not any(offer.near for offer in self._wanted):
+            self._ended.wait(FAR_DELAY_S)
         self._waker.clear()
         wanted, self._wanted = self._wanted, []
-        return [address for version, address in wanted if version > self.version]
+        wanted.sort(key=lambda offer: not offer.near)
+        return [offer.address for offer in wanted if offer.version > self.version]
