--- a/persimmonlane/fleetsettings.py
+++ b/persimmonlane/fleetsettings.py
@@ -25,8 +25,6 @@
         grace_s: Seconds between the signals to stop and to end at once.
         retry_ratio: Second attempts allowed as a share of requests.
         retry_slack: Second attempts allowed besides, over the whole fleet.
-        retry_window_s: Window of the retry budget, in seconds.
-        floor_share: Least share of a service's sound servers that get requests.
     """
 
     DEFAULTS = {
@@ -34,8 +32,6 @@
         "grace_s": 6.0,
         "retry_ratio": 0.1,
         "retry_slack": 10.0,
-        "retry_window_s": 10.0,
-        "floor_share": 0.7,
     }
 
     __slots__ = (
@@ -56,8 +52,6 @@
         "grace_s",
         "retry_ratio",
         "retry_slack",
-        "retry_window_s",
-        "floor_share",
     )
 
     def __init__(self, **fields):
--- a/persimmonlane/serving/budget.py
+++ b/persimmonlane/serving/budget.py
@@ -1,52 +1,50 @@
 """Budget.
 
-Second attempts that this node may make, as its part of the fleet's budget.
+Second attempts that this node may make, as its part of the fleet's budget. Answers
+backend servers of which many fail at once, so that second attempts add to the load.
 """
 
-from ..quotas.buckets import Bucket
-
-# Second attempts make calls of their own, which count as second attempts too.
-SAFETY = 0.6
+# Calls that second attempts make count as second attempts of the called service.
+RATIO_SHARE = 0.85
+# Nodes that start anew begin with some tokens, which the others have too.
+SLACK_SHARE = 0.8
+FIRST_SHARE = 0.5
 
 
 class RetryBudget:
-    """Tokens for second attempts by service; not thread-safe."""
+    """Tokens for second attempts by service; not thread-safe.
+
+    Every request adds a share of a token, up to this node's part of the slack. Over
+    any time the fleet makes at most that share of its requests and the whole slack.
+    """
 
-    __slots__ = ("_clock", "_ratio", "_slack", "_window_s", "_buckets")
+    __slots__ = ("_ratio", "_slack", "_tokens")
 
-    def __init__(self, ratio, slack, window_s, clock):
-        self._clock = clock
-        self._ratio = ratio * SAFETY
-        self._slack = slack * SAFETY
-        self._window_s = window_s
-        self._buckets = {}
+    def __init__(self, ratio, slack):
+        self._ratio = ratio * RATIO_SHARE
+        self._slack = slack * SLACK_SHARE
+        self._tokens = {}
 
     def note_request(self, service, members):
-        """Count a request for a service."""
-        bucket = self._find(service, members)
-        bucket.tokens = min(bucket.burst, bucket.tokens + self._ratio)
+        """Count a request for a service.
 
-    def has_token(self, service, members):
-        """Return whether a second attempt may be made."""
-        bucket = self._find(service, members)
-        bucket.fill(self._clock.now())
-        return bucket.tokens >= 1.0
+        Args:
+            service: Name of the service.
+            members: Number of nodes in the fleet.
+        """
+        tokens = self._find(service, members) + self._ratio
+        self._tokens[service] = min(self._find_most(members), tokens)
 
     def take(self, service, members):
         """Take a token; return whether there was one."""
-        return self._find(service, members).take(self._clock.now()) <= 0.0
+        tokens = self._find(service, members)
+        if tokens < 1.0:
+            return False
+        self._tokens[service] = tokens - 1.0
+        return True
 
     def _find(self, service, members):
-        """Return the bucket of a service.
+        return self._tokens.get(service, self._find_most(members) * FIRST_SHARE)
 
-        Half of the slack comes back over a window; the other half is the most that
-        can be saved up.
-        """
-        share = self._slack / members / 2.0
-        bucket = self._buckets.get(service)
-        if bucket is None:
-            now = self._clock.now()
-            rate = share / self._window_s
-            bucket = Bucket(rate, 1.0 + share, 1.0, now)
-            self._buckets[service] = bucket
-        return bucket
+    def _find_most(self, members):
+        return max(1.0, self._slack / members)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -55,9 +55,8 @@
 END_MARGIN_S = 0.8
 LOOK_S = 0.05
 RELOAD_S = 3.0
-# Ejected servers are tried every second or two, so that half of them may be ejected
-# and each still gets requests.
-MOST_FAILING = 0.5
+# Ejected servers are tried every second or two, so that each still gets requests.
+MOST_FAILING = 0.34
 
 
 class OwnNews:
@@ -121,12 +120,7 @@
             table,
             self._gossip,
             pool,
-            RetryBudget(
-                settings.retry_ratio,
-                settings.retry_slack,
-                settings.retry_window_s,
-                clock,
-            ),
+            RetryBudget(settings.retry_ratio, settings.retry_slack),
         )
         self._upkeep = Upkeep(
             settings,
