--- a/persimmonlane/serving/budget.py
+++ b/persimmonlane/serving/budget.py
@@ -43,6 +43,11 @@
         self._tokens[service] = tokens - 1.0
         return True
 
+    def give_back(self, service, members):
+        """Take back a token that was not used."""
+        tokens = self._find(service, members) + 1.0
+        self._tokens[service] = min(self._find_most(members), tokens)
+
     def _find(self, service, members):
         return self._tokens.get(service, self._find_most(members) * FIRST_SHARE)
 
--- a/persimmonlane/serving/hedge.py
+++ b/persimmonlane/serving/hedge.py
@@ -15,9 +15,9 @@
 log = logging.getLogger("persimmonlane.serving")
 
 # The second attempt begins once only this share of sound requests run longer.
-HEDGE_SURVIVAL = 0.07
+HEDGE_SURVIVAL = 0.15
 # The same at a backend server that is not known to be sound.
-DOUBT_SURVIVAL = 0.45
+DOUBT_SURVIVAL = 0.6
 LOOK_S = 0.05
 # The second attempt needs this share of the usual time at least.
 LEAST_TIME_SHARE = 0.7
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -41,6 +41,7 @@
 OWNER_GRACE_S = 0.05
 CONNECT_SHARE = 0.25
 QUEUE_PATIENCE_S = (0.05, 0.15, 0.5)
+HEDGE_PATIENCE_S = 0.02
 MOST_PLACES = 4
 MOST_RESORTS = 2
 # Share of the time left for which a request that nobody took at once may wait.
@@ -344,8 +345,11 @@
         tried, waits = {first_id}, {}
         while True:
             choice = self._choose(request, request.service, tried, waits)
-            if choice is None:
+            if choice is None or choice.insist:
+                # The first attempt may still be answered: nobody's slot is worth it.
+                self._return_token(request.service)
                 return None
+            choice.patience_s = HEDGE_PATIENCE_S
             attempt = self._attempt(request, choice, watch=watch)
             if attempt.verdict is not Verdict.NOT_RUN or attempt.code == REACHED:
                 return attempt
@@ -367,6 +371,10 @@
         with self._lock:
             return self._budget.take(service, self._count_members())
 
+    def _return_token(self, service):
+        with self._lock:
+            self._budget.give_back(service, self._count_members())
+
     def _choose(self, request, service, tried, waits):
         """Return the next `Choice`, or None."""
         left_s = request.deadline - self._clock.now()
