--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -18,15 +18,9 @@
 from ..routing.orders import Order
 from ..verdicts import Verdict
 from .answers import describe_refusal, get_reason
+from .attempts import AnswerInHand, IngressRequest, find_rank
 from .exchange import ExchangeError
-from .ingress import (
-    ORDER,
-    REPORT,
-    AnswerInHand,
-    IngressRequest,
-    find_rank,
-    wait_long,
-)
+from .hops import ORDER, REPORT, REPORTED_ID, wait_long
 
 log = logging.getLogger("persimmonlane.serving")
 
@@ -227,7 +221,7 @@
         headers = [
             *headers,
             Header(REPORT, text),
-            Header("Persimmon-Request", order.request_id),
+            Header(REPORTED_ID, order.request_id),
             Header("Content-Length", str(len(body))),
         ]
         self.write(status, headers, body)
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -18,19 +18,17 @@
 from ..owner.serving import OwnedCall
 from ..owner.times import WorkTimes
 from ..peers.gossip import RateWanted
-from ..platform import headers as wire
-from ..routing.orders import Order, OwnerReport
+from ..routing.orders import Order
 from ..routing.rulebook import choose_part
 from ..verdicts import Verdict
+from .attempts import SERVER_FAULT, AnswerInHand, Attempt, Choice, find_rank
 from .exchange import Call, Exchange, ExchangeError
 from .hedge import Hedge, Superseded
+from .hops import ORDER, clean_headers, find_reported_id, read_report, wait_long
 from .placement import Candidate, Placement
 
 log = logging.getLogger("persimmonlane.serving")
 
-ORDER = "Persimmon-Order"
-REPORT = "Persimmon-Report"
-
 # The document must have been the newest within this much less than the time in which
 # a withdrawn key stops working.
 FRESHNESS_MARGIN_S = 0.4
@@ -48,117 +46,14 @@
 LAST_PATIENCE_SHARE = 0.25
 LEAST_LEFT_S = 0.03
 RETRY_AFTER_S = 0.3
-SERVER_FAULT = 500
 # Code of a refusal by the backend server itself, which counts as an arrival there.
 REACHED = "server-shed"
-# Calls of a running request go first: it holds a slot while it waits for them.
-CALL_RANK = -1
-
-
-class IngressRequest:
-    """A caller's request.
-
-    Attributes:
-        method: HTTP method.
-        target: Request target.
-        headers: The caller's `Header`s.
-        body: Bytes, read before the request is placed.
-        caller: The `CallerWatch`.
-        arrived: Seconds at which its head had been read.
-        wishes: The `CallerWishes`.
-        route: The `Route`, or None before it is found.
-        organisation: The `Organisation`, or None.
-        deadline: Seconds by which it must be answered.
-        service: Name of the service that was chosen for it.
-    """
-
-    __slots__ = (
-        "service",
-        "method",
-        "target",
-        "headers",
-        "body",
-        "caller",
-        "arrived",
-        "wishes",
-        "route",
-        "organisation",
-        "deadline",
-    )
-
-    def __init__(self, method, target, headers, caller, arrived):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = b""
-        self.caller = caller
-        self.arrived = arrived
-        self.wishes = wire.read_wishes(headers)
-        self.route = None
-        self.organisation = None
-        self.deadline = None
-        self.service = ""
-
-
-class Choice:
-    """A candidate and how it is asked.
-
-    Attributes:
-        candidate: The `Candidate`.
-        patience_s: Longest estimated wait that is accepted.
-        insist: Whether it is to take the request though it is not sound.
-    """
-
-    __slots__ = ("candidate", "patience_s", "insist")
-
-    def __init__(self, candidate, patience_s, insist):
-        self.candidate = candidate
-        self.patience_s = patience_s
-        self.insist = insist
-
-
-class Attempt:
-    """One try to have a request served by a candidate.
-
-    Attributes:
-        answer: The `WholeAnswer`, or None.
-        verdict: The `Verdict` on this try.
-        code: Stable code of the failure.
-        wait_s: Seconds until the owner expects a free slot.
-        kind: The `Kind` of a failure.
-        last: Whether it was a last resort.
-    """
-
-    __slots__ = ("answer", "verdict", "code", "wait_s", "kind", "last")
-
-    def __init__(self, answer, verdict, code="", wait_s=0.0, kind=Kind.OK):
-        self.answer = answer
-        self.verdict = verdict
-        self.code = code
-        self.wait_s = wait_s
-        self.kind = kind
-        self.last = False
-
-    def was_last(self):
-        """Return whether this was a last resort, with all the patience there is."""
-        return self.last
-
-    def is_good(self):
-        """Return whether a backend server answered without a failure."""
-        return self.answer is not None and self.answer.status < SERVER_FAULT
-
-    def beats(self, first):
-        """Return whether this second attempt counts instead of the first."""
-        if self.verdict is Verdict.NOT_RUN:
-            return False
-        return self.is_good() or first.answer is None
 
 
 class Ingress:
     """Serves callers' requests; its methods may be called from any thread."""
 
     __slots__ = (
-        "on_stale",
         "_settings",
         "_clock",
         "_holder",
@@ -177,7 +72,6 @@
     def __init__(
         self, settings, clock, holder, owner, describe, gossip, actor, pool, budget
     ):
-        self.on_stale = lambda: None
         self._settings = settings
         self._clock = clock
         self._holder = holder
@@ -237,7 +131,6 @@
         # shortly before it knows every key that had to be withdrawn by then.
         limit_s = self._settings.withdrawal_s - FRESHNESS_MARGIN_S
         if self._gossip.find_fresh_age() > limit_s:
-            self.on_stale()
             raise Refusal(
                 503,
                 "document-stale",
@@ -247,7 +140,6 @@
 
     def _deny(self, status, code, message):
         if self._gossip.find_fresh_age() > TRUSTED_AGE_S:
-            self.on_stale()
             return Refusal(503, "document-stale", message, retry_after=RETRY_AFTER_S)
         return Refusal(status, code, message)
 
@@ -516,71 +408,11 @@
         )
 
 
-class AnswerInHand(Exception):
-    """A backend server's failure that is passed on if no second attempt is made.
-
-    Attributes:
-        answer: The `WholeAnswer`.
-    """
-
-    def __init__(self, answer):
-        super().__init__("a backend server's failure")
-        self.answer = answer
-
-
 def check_hedge(hedge, clock):
     """Look whether a second attempt is due; return the seconds until the next look."""
     return hedge.check(clock.now())
 
 
-def wait_long():
-    """Return the seconds between looks at an exchange that needs none."""
-    return 10.0
-
-
-def find_rank(request):
-    """Return the urgency of a request in the queues; 0 is the most urgent."""
-    organisation = request.organisation
-    if organisation is None:
-        return CALL_RANK
-    if organisation.priority is not None:
-        return organisation.priority
-    return request.route.priority
-
-
-def clean_headers(headers):
-    """Return the headers that a caller may pass on to a backend server."""
-    return [
-        header
-        for header in headers
-        if not wire.is_replaced(header.name)
-        and header.name.lower() not in ("content-length", ORDER.lower())
-    ]
-
-
-def find_reported_id(headers):
-    """Return the identifier of the request that an owner's answer names."""
-    values = find_values(headers, "persimmon-request")
-    return values[0] if values else ""
-
-
-def read_report(answer, peer):
-    """Return the `Attempt` that an owner's answer tells of."""
-    values = find_values(answer.headers, REPORT.lower())
-    try:
-        report = msgspec.json.decode(values[0] if values else "", type=OwnerReport)
-        verdict = Verdict(report.verdict)
-    except (msgspec.MsgspecError, ValueError) as error:
-        log.error("Serving: %s answered without a report: %s.", peer.name, error)
-        return Attempt(None, Verdict.MAY_HAVE_RUN, "report-missing", kind=Kind.WRONG)
-    if verdict is not Verdict.RAN:
-        kind = Kind.TIMEOUT if answer.status == 504 else Kind.ERROR
-        return Attempt(None, verdict, report.code, report.wait_s, kind)
-    own = (REPORT.lower(), "persimmon-request")
-    answer.headers = [h for h in answer.headers if h.name.lower() not in own]
-    return Attempt(answer, Verdict.RAN)
-
-
 def describe_failure(attempt):
     """Return the `Refusal` for a request whose attempt may have run."""
     status = 504 if attempt.kind is Kind.TIMEOUT else 502
--- a/persimmonlane/serving/tests/test_exchange.py
+++ b/persimmonlane/serving/tests/test_exchange.py
@@ -1,4 +1,5 @@
 import socket
+import threading
 
 import testtools
 
@@ -9,7 +10,7 @@
 from ...headers import Header, find_values
 from ...verdicts import Verdict
 from ..exchange import Call, Exchange, ExchangeError, KeptPool
-from ..ingress import wait_long
+from ..hops import wait_long
 
 OWN = "X-Request-Id: one"
 STRAY = "X-Request-Id: zero"
@@ -106,8 +107,6 @@
             connection.recv(100)
             connection.sendall(early)
 
-        import threading
-
         thread = threading.Thread(target=reject_early, daemon=True)
         thread.start()
         body = b"x" * (32 * 1024 * 1024)
