--- a/persimmonlane/owner/gate.py
+++ b/persimmonlane/owner/gate.py
@@ -11,12 +11,12 @@
 
 RETRY_AFTER_LEAST_S = 0.05
 # A request that runs longer than all but this share is not counted on to end.
-STUCK_SURVIVAL = 0.04
+STUCK_SURVIVAL = 0.01
 # Seconds for which less urgent requests leave a slot to more urgent ones, after one of
 # these had to wait or was refused.
 YIELD_S = 1.0
 # A request waits at most this many times the patience it came with.
-PATIENCE_FACTOR = 1.5
+PATIENCE_FACTOR = 1.2
 PATIENCE_LEAST_S = 0.05
 # A request that has less than this share of its usual work time left is not begun.
 LEAST_WORK_SHARE = 0.5
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -43,7 +43,7 @@
 MOST_PLACES = 4
 MOST_RESORTS = 2
 # Share of the time left for which a request that nobody took at once may wait.
-LAST_PATIENCE_SHARE = 0.25
+LAST_PATIENCE_SHARE = 0.35
 LEAST_LEFT_S = 0.03
 RETRY_AFTER_S = 0.3
 # Code of a refusal by the backend server itself, which counts as an arrival there.
