--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -245,7 +245,6 @@
             attempt = self._attempt(request, choice, watch=watch)
             if attempt.verdict is not Verdict.NOT_RUN or attempt.code == REACHED:
                 return attempt
-            attempt.last = choice.insist
             tried.add(choice.candidate.server.server_id)
             waits[choice.candidate.server.server_id] = attempt
 
--- a/persimmonlane/upkeep/part.py
+++ b/persimmonlane/upkeep/part.py
@@ -43,16 +43,11 @@
 
 
 class Upkeep(Part):
-    """Keeps entry, document and freshness by calls to the store.
-
-    Attributes:
-        registered: Whether the node's entry has been written once.
-    """
+    """Keeps entry, document and freshness by calls to the store."""
 
     name = "upkeep"
 
     def __init__(self, settings, clock, store, holder, gossip, table, fetch):
-        self.registered = False
         self._settings = settings
         self._clock = clock
         self._store = store
@@ -83,10 +78,6 @@
         """End the threads after their present call."""
         self._ended.set()
 
-    def drain(self):
-        """Take the node's entry out of the store."""
-        self._ended.set()
-
     def _run_entry(self):
         while not self._ended.wait(STEP_S):
             now = self._clock.now()
@@ -156,7 +147,6 @@
         self._store.write(self._own_key(), entry, granted.lease)
         self._lease = granted.lease
         self._renew_at = now + min(RENEWAL_S, granted.duration_s / 3.0)
-        self.registered = True
         self._list(now)
 
     def _list(self, now):
