--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -109,6 +109,10 @@
         """Return whether the backend server takes new requests."""
         return self.gate.slots > 0
 
+    def is_doubtful(self):
+        """Return whether requests that can't be repeated are turned away for now."""
+        return self.record.suspicion > DOUBT_SCORE
+
     def report(self, verdict, code="", wait_s=0.0):
         """Return the `OwnerReport` that goes with an answer."""
         return OwnerReport(
@@ -118,6 +122,7 @@
             self.gate.waiting,
             self.record.standing.value,
             wait_s,
+            self.is_doubtful(),
         )
 
     def serve(self, order, call, caller):
@@ -175,7 +180,7 @@
             self._check_trial(order)
             return
         self._weigh_running()
-        if not order.idempotent and record.suspicion > DOUBT_SCORE:
+        if not order.idempotent and self.is_doubtful():
             raise refuse("server-suspect", "the backend server may be failing")
 
     def _check_trial(self, order):
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -18,6 +18,7 @@
         waiting: Requests that wait at the owner.
         standing: Value of its `Standing`.
         cold_s: Seconds for which it is still slow after its start.
+        doubtful: Whether it is turned down for what can't be repeated.
     """
 
     server_id: str
@@ -28,6 +29,7 @@
     waiting: int
     standing: str
     cold_s: float
+    doubtful: bool = False
 
 
 class Announcement(msgspec.Struct, array_like=True, tag="a"):
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -61,6 +61,21 @@
         self._failures = 0
         self.avoided_until = 0.0
 
+    def note_report(self, server_id, report):
+        """Take what the peer tells of its backend server with an answer.
+
+        Args:
+            server_id: Identifier of the backend server that was asked for.
+            report: The `OwnerReport`.
+        """
+        server = self.news.server if self.news is not None else None
+        if server is None or server.server_id != server_id:
+            return
+        server.running = report.running
+        server.waiting = report.waiting
+        server.standing = report.standing
+        server.doubtful = report.doubtful
+
     def is_live(self, now):
         """Return whether the peer was heard of late."""
         return self.heard_at is not None and now - self.heard_at < LIVE_S
--- a/persimmonlane/serving/hops.py
+++ b/persimmonlane/serving/hops.py
@@ -43,8 +43,14 @@
     return values[0] if values else ""
 
 
-def read_report(answer, peer):
-    """Return the `Attempt` that an owner's answer tells of."""
+def read_report(answer, peer, server_id):
+    """Return the `Attempt` that an owner's answer tells of.
+
+    Args:
+        answer: The `WholeAnswer`.
+        peer: The `Peer` that owns the backend server; learns from the report.
+        server_id: Identifier of the backend server that was asked for.
+    """
     values = find_values(answer.headers, REPORT.lower())
     try:
         report = msgspec.json.decode(values[0] if values else "", type=OwnerReport)
@@ -52,6 +58,7 @@
     except (msgspec.MsgspecError, ValueError) as error:
         log.error("Serving: %s answered without a report: %s.", peer.name, error)
         return Attempt(None, Verdict.MAY_HAVE_RUN, "report-missing", kind=Kind.WRONG)
+    peer.note_report(server_id, report)
     if verdict is not Verdict.RAN:
         kind = Kind.TIMEOUT if answer.status == TIMED_OUT else Kind.ERROR
         return Attempt(None, verdict, report.code, report.wait_s, kind)
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -389,7 +389,7 @@
         finally:
             self._count_pending(peer, -1)
         peer.note_reached()
-        return read_report(answer, peer)
+        return read_report(answer, peer, order.server_id)
 
     def _count_pending(self, peer, change):
         with self._lock:
--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -7,13 +7,15 @@
 
 from ..owner.standing import Standing
 
-# Weight of a server in another data centre against one in this one; a long body is
-# worth keeping near.
-FAR_WEIGHT = 0.15
-FAR_WEIGHT_LONG = 0.04
+# Weight of a server in another data centre against one in this one. There are many of
+# them, and together they are to draw little while a near one is free.
+FAR_WEIGHT = 0.002
+FAR_WEIGHT_LONG = 0.0005
 LONG_BODY_BYTES = 16 * 1024
 OWN_WEIGHT = 1.5
 COLD_WEIGHT = 0.5
+# A server that will not take what can't be repeated.
+DOUBT_WEIGHT = 0.01
 TRIAL_WEIGHT = 4.0
 TRIAL_WEIGHT_UNSAFE = 0.01
 TRIAL_BUSY_WEIGHT = 0.02
@@ -24,7 +26,7 @@
     Standing.EJECTED.value: 0.8,
 }
 UNKNOWN_WAIT_S = 0.1
-FULL_WEIGHT = 0.05
+FULL_WEIGHT = 0.0005
 FULL_DECAY = 0.5
 
 
@@ -99,13 +101,15 @@
     busy = max(server.running + server.waiting, pending)
     free = server.slots - busy
     weight = free if free > 0 else FULL_WEIGHT * FULL_DECAY ** min(-free, 8)
-    if not candidate.near:
-        weight *= FAR_WEIGHT_LONG if body_bytes > LONG_BODY_BYTES else FAR_WEIGHT
-    elif candidate.peer is None:
+    if candidate.peer is None:
         weight *= OWN_WEIGHT
     if server.cold_s > 0:
         weight *= COLD_WEIGHT
     if server.standing == Standing.TRIAL.value:
         weight = TRIAL_WEIGHT if idempotent else TRIAL_WEIGHT_UNSAFE
         weight = weight if server.running == 0 else TRIAL_BUSY_WEIGHT
+    elif server.doubtful and not idempotent:
+        weight *= DOUBT_WEIGHT
+    if not candidate.near:
+        weight *= FAR_WEIGHT_LONG if body_bytes > LONG_BODY_BYTES else FAR_WEIGHT
     return weight
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -197,6 +197,7 @@
             gate.waiting,
             owner.record.standing.value,
             max(0.0, owner.hosted.cold_until - self.clock.now()),
+            owner.is_doubtful(),
         )
         return OwnNews(self._leaving, server)
 
