--- a/persimmonlane/owner/gate.py
+++ b/persimmonlane/owner/gate.py
@@ -88,6 +88,19 @@
     def enter(self, ticket):
         """Give a request a slot or a place in the queue.
 
+        Raises:
+            Refusal: Not run, if the gate is closed or it would wait too long.
+        """
+        if self.judge(ticket):
+            self._grant(ticket)
+            return
+        longest_s = max(PATIENCE_LEAST_S, ticket.patience_s * PATIENCE_FACTOR)
+        ticket.waits_until = min(ticket.deadline, self._clock.now() + longest_s)
+        heapq.heappush(self._waiting, (ticket.rank, next(self._order), ticket))
+
+    def judge(self, ticket):
+        """Return whether a request would get a slot at once.
+
         Raises:
             Refusal: Not run, if the gate is closed or it would wait too long.
         """
@@ -95,8 +108,7 @@
             raise refuse("server-leaving", 0.0)
         free = self.slots - self.running - self._count_yielded(ticket.rank)
         if free > 0 and not self._waiting:
-            self._grant(ticket)
-            return
+            return True
         now = self._clock.now()
         self._pressed[ticket.rank] = now
         wait_s = self.estimate_wait(ticket.rank)
@@ -104,9 +116,7 @@
         left_s = ticket.deadline - now
         if wait_s > ticket.patience_s or wait_s + need_s > left_s:
             raise refuse("server-busy", wait_s)
-        longest_s = max(PATIENCE_LEAST_S, ticket.patience_s * PATIENCE_FACTOR)
-        ticket.waits_until = min(ticket.deadline, now + longest_s)
-        heapq.heappush(self._waiting, (ticket.rank, next(self._order), ticket))
+        return False
 
     def leave(self, ticket):
         """Take a request's slot or place back, and let the next one in."""
--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -125,6 +125,21 @@
             self.is_doubtful(),
         )
 
+    def judge(self, order):
+        """Return the `OwnerReport` on whether a request would be taken now.
+
+        It promises nothing: what comes later is judged again. The report's code is
+        empty if there is room.
+        """
+        with self._lock:
+            try:
+                self._check(order)
+                self.gate.judge(self._build_ticket(order, self._clock.now(), None))
+            except Refusal as refusal:
+                wait_s = refusal.retry_after or 0.0
+                return self.report(Verdict.NOT_RUN, refusal.code, wait_s)
+        return self.report(Verdict.NOT_RUN)
+
     def serve(self, order, call, caller):
         """Return the backend server's whole answer to a request.
 
@@ -138,11 +153,9 @@
             ExchangeError: If it was, and no whole answer came.
             CallerLeft: If the caller went away.
         """
-        deadline = call.arrived + order.left_s
         wakener = Wakener()
         with self._lock:
-            times = self._times.find(order.route, order.objective_s)
-        ticket = Ticket(times, order.rank, deadline, order.patience_s, wakener.wake)
+            ticket = self._build_ticket(order, call.arrived, wakener.wake)
         try:
             self._enter(order, ticket)
             try:
@@ -162,14 +175,22 @@
         if slots != self.gate.slots:
             self.gate.resize(slots)
 
+    def _build_ticket(self, order, arrived, wake):
+        times = self._times.find(order.route, order.objective_s)
+        deadline = arrived + order.left_s
+        return Ticket(times, order.rank, deadline, order.patience_s, wake)
+
     def _enter(self, order, ticket):
         with self._lock:
-            self._update_gate()
-            if not self.hosted.is_current(order.server_id):
-                raise refuse("server-gone", "the backend server is gone")
-            self._check_standing(order)
+            self._check(order)
             self.gate.enter(ticket)
 
+    def _check(self, order):
+        self._update_gate()
+        if not self.hosted.is_current(order.server_id):
+            raise refuse("server-gone", "the backend server is gone")
+        self._check_standing(order)
+
     def _check_standing(self, order):
         record = self.record
         if order.insist:
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -13,7 +13,15 @@
 from ..actors import Actor, Tick
 from ..quotas.limiter import Limiter
 from ..settings import split_address
-from .messages import Announcement, RateAnswer, RateAsk, decoder, encoder
+from .messages import (
+    Announcement,
+    RateAnswer,
+    RateAsk,
+    RoomAnswer,
+    RoomAsk,
+    decoder,
+    encoder,
+)
 from .table import PeerTable
 
 log = logging.getLogger("persimmonlane.peers")
@@ -21,6 +29,7 @@
 ANNOUNCE_S = 1.0
 DATAGRAM_BYTES = 4096
 BOOT_LIMIT = 1 << 48
+MOST_ASKS = 1000
 
 
 class Received:
@@ -61,6 +70,17 @@
         self.reply = reply
 
 
+class RoomWanted:
+    """Another node is to be asked for room; `reply` takes its `OwnerReport`."""
+
+    __slots__ = ("address", "order", "reply")
+
+    def __init__(self, address, order, reply):
+        self.address = address
+        self.order = order
+        self.reply = reply
+
+
 class Gossip(Actor):
     """Knows the other nodes and holds the rates that fall to this one.
 
@@ -73,16 +93,18 @@
         NodesRegistered: "take_registered",
         FreshnessKnown: "take_freshness",
         RateWanted: "decide_rate",
+        RoomWanted: "ask_room",
         Tick: "announce",
     }
 
-    def __init__(self, application, settings, clock, wire, describe, document):
+    def __init__(self, application, settings, clock, wire, describe, document, judge):
         super().__init__(application)
         self._settings = settings
         self._clock = clock
         self._wire = wire
         self._describe = describe
         self._document = document
+        self._judge = judge
         self._boot = random.randrange(BOOT_LIMIT)
         self._sequence = 0
         self._asked = 0
@@ -93,6 +115,8 @@
             Announcement: self._take_news,
             RateAsk: self._take_ask,
             RateAnswer: self._take_answer,
+            RoomAsk: self._take_room_ask,
+            RoomAnswer: self._take_room_answer,
         }
 
     def take_datagram(self, received):
@@ -130,17 +154,26 @@
         if holder is None:
             wanted.reply.set(self._decide_held(wanted.organisation))
             return
-        self._asked += 1
-        self._asks[self._asked] = wanted
-        if len(self._asks) > 1000:
-            self._asks.pop(next(iter(self._asks)))
-        ask = RateAsk(self._asked, wanted.organisation.name, self._settings.name)
+        number = self._keep(wanted)
+        ask = RateAsk(number, wanted.organisation.name, self._settings.name)
         self._send(holder.address, ask)
 
+    def ask_room(self, wanted):
+        """Ask another node whether its backend server would take a request."""
+        self._send(wanted.address, RoomAsk(self._keep(wanted), wanted.order))
+
     def decide_alone(self, organisation):
         """Decide by this node's share, since the holder did not answer."""
         return self._limiter.decide_alone(organisation, self.table.count_members())
 
+    def _keep(self, wanted):
+        """Return the number under which an answer finds what waits for it."""
+        self._asked += 1
+        self._asks[self._asked] = wanted
+        if len(self._asks) > MOST_ASKS:
+            self._asks.pop(next(iter(self._asks)))
+        return self._asked
+
     def _announce_to(self, peer, news, fresh_age_s, version):
         heard = peer.news
         message = Announcement(
@@ -207,6 +240,14 @@
         if wanted is not None:
             wanted.reply.set(0.0 if answer.granted else max(answer.wait_s, 0.001))
 
+    def _take_room_ask(self, ask, sender):
+        self._wire.send(sender, RoomAnswer(ask.number, self._judge(ask.order)))
+
+    def _take_room_answer(self, answer, _):
+        wanted = self._asks.pop(answer.number, None)
+        if wanted is not None:
+            wanted.reply.set(answer.report)
+
     def _send(self, address, message):
         host, _ = split_address(address)
         self._wire.send((host, self._settings.gossip_port), message)
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ..routing.orders import Order, OwnerReport
+
 
 class ServerNews(msgspec.Struct, array_like=True):
     """A backend server as its owner sees it.
@@ -91,7 +93,31 @@
     wait_s: float
 
 
-Datagram = Announcement | RateAsk | RateAnswer
+class RoomAsk(msgspec.Struct, array_like=True, tag="s"):
+    """Asks the owner of a backend server whether it would take a request now.
+
+    Attributes:
+        number: Number by which the answer is found.
+        order: The `Order` that would come with the request.
+    """
+
+    number: int
+    order: Order
+
+
+class RoomAnswer(msgspec.Struct, array_like=True, tag="t"):
+    """Answers a `RoomAsk`.
+
+    Attributes:
+        number: Number of the question.
+        report: The `OwnerReport`; its code is empty if there is room.
+    """
+
+    number: int
+    report: OwnerReport
+
+
+Datagram = Announcement | RateAsk | RateAnswer | RoomAsk | RoomAnswer
 
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Datagram)
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -17,7 +17,7 @@
 from ..headers import Header, drop_hop_by_hop, find_values
 from ..owner.serving import OwnedCall
 from ..owner.times import WorkTimes
-from ..peers.gossip import RateWanted
+from ..peers.gossip import RateWanted, RoomWanted
 from ..routing.orders import Order
 from ..routing.rulebook import choose_part
 from ..verdicts import Verdict
@@ -35,6 +35,9 @@
 # An older document may lack routes and keys that are in force.
 TRUSTED_AGE_S = 3.0
 RATE_ANSWER_S = 0.08
+ROOM_ANSWER_S = 0.06
+# A body of this length is not sent to another data centre before the owner was asked.
+ASK_FIRST_BYTES = 1024
 CONNECT_S = 0.4
 OWNER_GRACE_S = 0.05
 CONNECT_SHARE = 0.25
@@ -363,6 +366,9 @@
         return Attempt(answer, Verdict.RAN)
 
     def _attempt_there(self, request, order, peer, watch, on_wait):
+        refused = self._ask_room(request, order, peer)
+        if refused is not None:
+            return refused
         text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
         left_s = request.deadline - self._clock.now()
         headers = drop_hop_by_hop(clean_headers(request.headers))
@@ -391,6 +397,25 @@
         peer.note_reached()
         return read_report(answer, peer, order.server_id)
 
+    def _ask_room(self, request, order, peer):
+        """Return the `Attempt` of an owner that would refuse a long body, or None."""
+        if peer.data_centre == self._settings.data_centre:
+            return None
+        if len(request.body) < ASK_FIRST_BYTES:
+            return None
+        wanted = RoomWanted(peer.address, order, pykka.ThreadingFuture())
+        self._actor.tell(wanted)
+        try:
+            report = wanted.reply.get(timeout=ROOM_ANSWER_S)
+        except pykka.Timeout:
+            # The connection will tell whether the owner can be reached.
+            log.debug("Serving: %s did not say whether it has room.", peer.name)
+            return None
+        if not report.code:
+            return None
+        peer.note_report(order.server_id, report)
+        return Attempt(None, Verdict.NOT_RUN, report.code, report.wait_s, Kind.ERROR)
+
     def _count_pending(self, peer, change):
         with self._lock:
             peer.pending += change
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -108,7 +108,13 @@
         self.owner = Owner(settings, hosted, clock, pool, self.may_eject)
         self._wire = DatagramWire(settings.ip, settings.gossip_port)
         self._gossip = Gossip.start(
-            application, settings, clock, self._wire, self.describe, self.documents
+            application,
+            settings,
+            clock,
+            self._wire,
+            self.describe,
+            self.documents,
+            self.owner.judge,
         )
         self._table = table = self._gossip.proxy().table.get()
         self.ingress = Ingress(
--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -74,7 +74,7 @@
         settings = FleetSettings(
             name=name,
             ip=ip,
-            data_centre="south",
+            data_centre=f"zone-of-{service}",
             callers=address(),
             nodes=address(),
             readiness=address(),
