Remove the former deployment; demo and benchmark run the node of the platform

persimmon-node, its gRPC store, loans, forwarding, membership, ejection, admin, traces, trials and their tools and pages served VMs set aside before the backend servers, with disks and a store of another protocol. Their tests go with them, among them the two entries of KNOWN-RED.txt that belonged to that deployment (tools.failures store-away, test_breaks); neither was mended. What the node uses of them moved: request bodies, connections, caller watch, strict reading and their tests to serving/, Kind to outcomes.py, Header to headers.py.

--- a/persimmonlane/headers.py
+++ b/persimmonlane/headers.py
@@ -3,7 +3,61 @@
 HTTP headers as pairs, and the rules on which of them a proxy passes on.
 """
 
-from .forwarding.headers import drop_hop_by_hop, find_values
-from .keys import Header
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    )
+)
 
-__all__ = ["Header", "drop_hop_by_hop", "find_values"]
+
+class Header:
+    """One header of a request.
+
+    Attributes:
+        name: Its name as received.
+        value: Its value as received.
+    """
+
+    __slots__ = ("name", "value")
+
+    def __init__(self, name, value):
+        self.name = name
+        self.value = value
+
+    def __eq__(self, other):
+        return (self.name, self.value) == (other.name, other.value)
+
+    def __hash__(self):
+        return hash((self.name, self.value))
+
+    def __repr__(self):
+        return f"Header({self.name!r})"
+
+
+def list_connection_names(headers):
+    """Return the lower-case header names that `Connection` headers list."""
+    names = set()
+    for header in headers:
+        if header.name.lower() == "connection":
+            names.update(part.strip().lower() for part in header.value.split(","))
+    return names
+
+
+def drop_hop_by_hop(headers):
+    """Return the headers that go beyond one connection."""
+    dropped = HOP_BY_HOP | list_connection_names(headers)
+    return [header for header in headers if header.name.lower() not in dropped]
+
+
+def find_values(headers, name):
+    """Return the values of all headers with a lower-case name."""
+    return [header.value for header in headers if header.name.lower() == name]
--- a/persimmonlane/logs.py
+++ b/persimmonlane/logs.py
@@ -17,7 +17,7 @@
 }
 
 # Libraries that may put headers or bodies into their messages.
-QUIET = ("urllib3", "grpc", "pykka", "cheroot")
+QUIET = ("urllib3", "pykka", "cheroot")
 
 
 def configure_logging(level, form):
--- /dev/null
+++ b/persimmonlane/outcomes.py
@@ -0,0 +1,20 @@
+"""Outcomes.
+
+How one attempt on a backend server or another node can end.
+"""
+
+import enum
+
+
+class Kind(enum.Enum):
+    """How an attempt on a backend server ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    SHORT = "short"
+    WRONG = "wrong"
+    TIMEOUT = "timeout"
+    CONNECT = "connect"
+    SHED = "shed"
+    STALE = "stale"
+    CANCELLED = "cancelled"
--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -7,12 +7,12 @@
 import os
 import threading
 
-from ..ejection.outcome import Kind
 from ..errors import Refusal
-from ..forwarding.callers import CallerLeft
 from ..headers import drop_hop_by_hop
+from ..outcomes import Kind
 from ..platform import headers as wire
 from ..routing.orders import OwnerReport
+from ..serving.callers import CallerLeft
 from ..serving.exchange import Call, Exchange, ExchangeError
 from ..verdicts import Verdict
 from .gate import Gate, Ticket
--- a/persimmonlane/serving/answers.py
+++ b/persimmonlane/serving/answers.py
@@ -3,9 +3,10 @@
 The answers that a node makes itself.
 """
 
+import http.client
+
 import msgspec
 
-from ..forwarding.answers import get_reason
 from ..headers import Header
 
 VERDICT = "Persimmon-Verdict"
@@ -25,6 +26,11 @@
     verdict: str
 
 
+def get_reason(status):
+    """Return the reason phrase of an HTTP status."""
+    return http.client.responses.get(status, "Unknown")
+
+
 def describe_refusal(refusal):
     """Return headers and body of the answer for a refusal."""
     body = msgspec.json.encode(
--- a/persimmonlane/serving/attempts.py
+++ b/persimmonlane/serving/attempts.py
@@ -3,7 +3,7 @@
 A caller's request on its way, and what its attempts come to.
 """
 
-from ..ejection.outcome import Kind
+from ..outcomes import Kind
 from ..platform import headers as wire
 from ..verdicts import Verdict
 
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -9,17 +9,16 @@
 import msgspec
 
 from ..errors import InputError, Refusal
-from ..forwarding.answers import get_reason
-from ..forwarding.bodies import BodyError, create_body
-from ..forwarding.callers import CallerLeft, CallerWatch
 from ..headers import Header, drop_hop_by_hop, find_values
 from ..owner.serving import OwnedCall
 from ..platform import checkins
 from ..platform import headers as wire
 from ..routing.orders import Order
 from ..verdicts import Verdict
-from .answers import describe_refusal
+from .answers import describe_refusal, get_reason
 from .attempts import AnswerInHand, IngressRequest, find_rank
+from .bodies import BodyError, create_body
+from .callers import CallerLeft, CallerWatch
 from .exchange import ExchangeError
 from .hops import ORDER, REPORT, REPORTED_ID, wait_long
 
--- a/persimmonlane/serving/hedge.py
+++ b/persimmonlane/serving/hedge.py
@@ -9,8 +9,8 @@
 import select
 import threading
 
-from ..forwarding.callers import CallerLeft
 from ..owner.standing import Standing
+from .callers import CallerLeft
 
 log = logging.getLogger("persimmonlane.serving")
 
--- a/persimmonlane/serving/hops.py
+++ b/persimmonlane/serving/hops.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from ..ejection.outcome import Kind
 from ..headers import find_values
+from ..outcomes import Kind
 from ..platform import headers as wire
 from ..routing.orders import OwnerReport
 from ..verdicts import Verdict
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -12,9 +12,9 @@
 import msgspec
 import pykka
 
-from ..ejection.outcome import Kind
 from ..errors import Refusal
 from ..headers import Header, drop_hop_by_hop, find_values
+from ..outcomes import Kind
 from ..owner.serving import OwnedCall
 from ..owner.times import WorkTimes
 from ..peers.gossip import RateWanted, RoomWanted
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -9,16 +9,16 @@
 import cheroot.server
 
 from ..errors import Refusal
-from ..forwarding.streams import open_stream
-from ..forwarding.strictness import (
+from ..settings import split_address
+from ..verdicts import Verdict
+from .answers import encode_refusal
+from .streams import open_stream
+from .strictness import (
     CODES,
     HeaderTable,
     StrictHeaderReader,
     check_framing,
 )
-from ..settings import split_address
-from ..verdicts import Verdict
-from .answers import encode_refusal
 
 log = logging.getLogger("persimmonlane.serving")
 
--- a/persimmonlane/forwarding/tests/scripted.py
+++ b/persimmonlane/serving/tests/scripted.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 HOST = "127.0.0.1"
 
@@ -36,6 +37,13 @@
         for connection in self._open:
             connection.close()
 
+    def send_to_all(self, data):
+        """Send bytes on each connection that was accepted, once there is one."""
+        while not self._open:
+            time.sleep(0.01)
+        for connection in self._open:
+            connection.sendall(data)
+
     def await_request(self):
         return self._served.acquire(timeout=10)
 
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -24,8 +24,8 @@
 from .platform.documents import decode_document
 from .platform.store import SiteStore
 from .serving.budget import RetryBudget
+from .serving.connections import ConnectionPool
 from .serving.events import RequestEvents
-from .serving.exchange import KeptPool
 from .serving.gateways import (
     DOCUMENT_PATH,
     CallerGateway,
@@ -104,7 +104,7 @@
         hosted = HostedServer(
             settings.server, settings.service, settings.heartbeat_s, clock
         )
-        pool = KeptPool(clock)
+        pool = ConnectionPool(clock)
         self.owner = Owner(settings, hosted, clock, pool, self.may_eject)
         self._wire = DatagramWire(settings.ip, settings.gossip_port)
         self._gossip = Gossip.start(
--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -1,4 +1,4 @@
 """Tools.
 
-Programs for developers: demonstration, benchmark, measurements.
+Demonstration, load and benchmark for developers.
 """
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,90 +1,101 @@
 """Demonstration.
 
-Runs the Cooperativa in small on loopback, breaks it in several ways and prints
-what happened.
+Runs a small site on loopback, breaks it in several ways and prints what happened.
 """
 
-import pathlib
-import signal
+import collections
 import sys
 import tempfile
 import time
 
-import msgspec
+from persimmonlane.standins.backend import Script
 
-from persimmonlane.standins.backend import Behaviour
+from .load import Flow
+from .site import HOST, KEY, Site
 
-from .cooperativa import USUAL, Cooperativa, say
-
-WITHDRAWN = "feria"
+SERVICES = ("prices", "baskets")
+ZONES = ("uy-sur-a", "uy-sur-b", "uy-sur-c")
 STEP_S = 3.0
-WARM_S = 4.0
-LOG_LINES = 4
-SLOW = Behaviour(latency_s=0.008, slow_factor=40.0)
-WRONG = Behaviour(latency_s=0.008, wrong_share=0.6)
-
-
-def run(cooperativa):
-    """Run all steps; return the `Verification` of what was seen."""
-    cooperativa.start()
-    cooperativa.start_flows()
-    time.sleep(WARM_S)
-    spoil(cooperativa, "slow", "uy-sur-a", SLOW)
-    spoil(cooperativa, "wrong", "uy-sur-b", WRONG)
-    cooperativa.withdraw_key(WITHDRAWN)
+RATE_PER_S = 20.0
+WORK_S = 0.02
+BODY = b"x" * 4000
+
+
+def run(site):
+    """Run all steps; return the flows by name."""
+    for vm in site.vms:
+        vm.server.script = Script(work_s=WORK_S)
+    addresses = [vm.callers for vm in site.vms]
+    flows = {
+        "lookups": Flow(addresses, RATE_PER_S, "GET", "/prices/safe/", HOST, KEY),
+        "submissions": Flow(
+            addresses, RATE_PER_S, "POST", "/baskets/unsafe/", HOST, KEY, BODY
+        ),
+    }
+    for flow in flows.values():
+        flow.start()
     time.sleep(STEP_S)
-    drain_server(cooperativa)
-    stop_node(cooperativa)
+    step("A backend server of prices hangs.")
+    site.vms[0].server.script = Script(hang=True)
     time.sleep(STEP_S)
-    return cooperativa.finish()
-
-
-def spoil(cooperativa, name, data_centre, behaviour):
-    """Let a backend server misbehave."""
-    server = cooperativa.find_server(data_centre, "baskets")
-    cooperativa.note(name, server.address)
-    cooperativa.fleet.behave(server.address, behaviour)
+    step("A backend server of baskets leaves.")
+    site.vms[3].state = "draining"
     time.sleep(STEP_S)
-
-
-def drain_server(cooperativa):
-    """Let a backend server leave."""
-    server = cooperativa.find_server("uy-sur-c", "submissions")
-    cooperativa.note("leaving", server.address)
-    behaviour = msgspec.structs.replace(USUAL, state="draining")
-    cooperativa.fleet.behave(server.address, behaviour)
+    step("A node stops; its callers go to the others.")
+    leaving = site.vms[4]
+    for flow in flows.values():
+        flow.addresses = [item for item in addresses if item != leaving.callers]
+    leaving.stop()
     time.sleep(STEP_S)
-
-
-def stop_node(cooperativa):
-    """Stop a node gracefully while callers use it."""
-    node = cooperativa.fleet.nodes["node-2"]
-    cooperativa.note("node-stopping", node.name)
-    node.signal(signal.SIGTERM)
-    cooperativa.avoid_node(node)
-    status = node.wait()
-    cooperativa.note("node-stopped", f"{node.name} with status {status}")
-
-
-def show_logs(directory):
-    """Print the first few error lines of each of the fleet's logs."""
-    for path in sorted(pathlib.Path(directory).glob("*.log")):
-        lines = path.read_text().splitlines()
-        errors = [line for line in lines if " ERROR " in line or "Error: " in line]
-        for line in errors[:LOG_LINES]:
-            say(f"{path.stem}: {line}")
+    step("The store is away.")
+    site.store.state.refused = 503
+    time.sleep(STEP_S)
+    step("It is back, and the key is withdrawn.")
+    site.store.state.refused = 0
+    site.publish(("another-key",))
+    time.sleep(STEP_S)
+    return flows
+
+
+def step(text):
+    """Print what is done."""
+    print(text, flush=True)
+
+
+def report(site, flows):
+    """Print what came back; return whether every promise was kept."""
+    runs = collections.Counter(
+        headers.get("x-request-id", "")
+        for vm in site.vms
+        for _, headers, _ in vm.server.requests
+    )
+    kept = True
+    for name, flow in flows.items():
+        results = flow.results
+        counts = collections.Counter((r.status, r.verdict or "served") for r in results)
+        step(f"{name}: {len(results)} requests")
+        for (status, verdict), count in sorted(counts.items()):
+            step(f"  {status} {verdict}: {count}")
+        false = [r for r in results if r.verdict == "not-run" and runs[r.request_id]]
+        step(f"  said not to have run, though a backend server got them: {len(false)}")
+        kept = kept and (not false or name == "lookups")
+    twice = [r for r in flows["submissions"].results if runs[r.request_id] > 1]
+    step(f"submissions that a backend server got twice: {len(twice)}")
+    return kept and not twice
 
 
 def main():
     """Run the demonstration; return its exit status."""
     with tempfile.TemporaryDirectory() as directory:
-        cooperativa = Cooperativa(directory)
+        site = Site(directory, SERVICES, ZONES)
         try:
-            verification = run(cooperativa)
+            site.start()
+            flows = run(site)
+            for flow in flows.values():
+                flow.stop()
         finally:
-            cooperativa.fleet.stop()
-            show_logs(directory)
-    return verification.report()
+            site.stop()
+        return 0 if report(site, flows) else 1
 
 
 if __name__ == "__main__":
