--- a/persimmonlane/owner/times.py
+++ b/persimmonlane/owner/times.py
@@ -12,7 +12,12 @@
 FIRST_DEVIATION = 0.7
 LEAST_DEVIATION = 0.5
 SMOOTHING = 0.05
+# What is thought before answers have come weighs as much as so many of them.
+FIRST_WEIGHT = 4
+# Answers on other routes from which the time of a new one is guessed.
+LEAST_ANSWERS = 10
 FASTEST_S = 0.001
+COMMON_OBJECTIVE_S = 1.0
 
 
 class RouteTimes:
@@ -21,19 +26,34 @@
     Attributes:
         mean: Mean of the times' logarithms.
         variance: Variance of the times' logarithms.
+        answers: Number of answers that it was learned from.
     """
 
-    __slots__ = ("mean", "variance")
+    __slots__ = ("mean", "variance", "answers", "_common")
 
-    def __init__(self, objective_s):
+    def __init__(self, objective_s, common=None):
+        """Begin with a guess.
+
+        Args:
+            objective_s: Latency objective of the route, in seconds.
+            common: The `RouteTimes` of all routes, which learns too, or None.
+        """
         self.mean = math.log(max(FASTEST_S, objective_s * FIRST_MEDIAN_SHARE))
         self.variance = FIRST_DEVIATION**2
+        self.answers = 0
+        self._common = common
+        if common is not None and common.answers >= LEAST_ANSWERS:
+            self.mean = min(self.mean, common.mean)
 
     def learn(self, seconds):
         """Take the time of an answer."""
+        weight = max(SMOOTHING, 1.0 / (self.answers + FIRST_WEIGHT))
         change = math.log(max(FASTEST_S, seconds)) - self.mean
-        self.mean += SMOOTHING * change
-        self.variance += SMOOTHING * (change * change - self.variance)
+        self.answers += 1
+        self.mean += weight * change
+        self.variance += weight * (change * change - self.variance)
+        if self._common is not None:
+            self._common.learn(seconds)
 
     def find_survival(self, seconds):
         """Return the share of sound requests that run longer than this."""
@@ -49,10 +69,11 @@
 class WorkTimes:
     """Times by route; not thread-safe."""
 
-    __slots__ = ("_routes",)
+    __slots__ = ("_routes", "_common")
 
     def __init__(self):
         self._routes = {}
+        self._common = RouteTimes(COMMON_OBJECTIVE_S)
 
     def find(self, route, objective_s):
         """Return the `RouteTimes` of a route.
@@ -63,5 +84,5 @@
         """
         times = self._routes.get(route)
         if times is None:
-            times = self._routes[route] = RouteTimes(objective_s)
+            times = self._routes[route] = RouteTimes(objective_s, self._common)
         return times
