--- /dev/null
+++ b/persimmonlane/explaining/tests/test_events.py
@@ -0,0 +1,69 @@
+import logging
+
+import testtools
+
+from ..events import EVENTS, OwnerEnded, tell
+
+
+def build_owner_ended(request="r-1", outcome="answered", status=200):
+    return OwnerEnded(
+        request,
+        "lookup",
+        "i-1",
+        outcome,
+        "ran",
+        status,
+        1,
+        0.01234567,
+        0.2,
+        3,
+        0,
+        "sound",
+    )
+
+
+class Kept(logging.Handler):
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+def keep_records(test, name="persimmonlane"):
+    handler = Kept()
+    log = logging.getLogger(name)
+    level = log.level
+    log.setLevel(logging.INFO)
+    log.addHandler(handler)
+    test.addCleanup(log.removeHandler, handler)
+    test.addCleanup(log.setLevel, level)
+    return handler.records
+
+
+class EventTests(testtools.TestCase):
+    def test_line_holds_every_field_of_the_event(self):
+        records = keep_records(self)
+        tell(build_owner_ended())
+        (record,) = records
+        self.assertEqual(("owner-ended", "r-1"), (record.event, record.request))
+        self.assertEqual(0.0123, record.waited_s)
+        for field in OwnerEnded.__slots__:
+            self.assertTrue(hasattr(record, field), field)
+        self.assertTrue(record.getMessage().startswith("Owner: "))
+
+    def test_failures_stand_above_plain_successes(self):
+        records = keep_records(self)
+        tell(build_owner_ended())
+        tell(build_owner_ended(outcome="server-busy", status=0))
+        tell(build_owner_ended(status=500))
+        levels = [record.levelno for record in records]
+        self.assertEqual([logging.INFO, logging.WARNING, logging.WARNING], levels)
+
+    def test_events_are_told_apart_by_name(self):
+        self.assertEqual({"attempt-ended", "owner-ended", "request-ended"}, set(EVENTS))
+        for cls in EVENTS.values():
+            fields = dict.fromkeys(cls.__slots__, "x")
+            self.assertIn(fields["request"], "x")
+            cls.text.format(**fields)
--- a/persimmonlane/logs.py
+++ b/persimmonlane/logs.py
@@ -1,6 +1,6 @@
 """Logs.
 
-Sets up logging for a process: text or one JSON object a line.
+Sets up logging for a process: one JSON object a line on standard output.
 """
 
 import logging
@@ -8,27 +8,33 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-TEXT = "%(asctime)s %(levelname)s %(message)s"
-FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+from .explaining.writer import BoundedHandler, Writer
 
-FORMATTERS = {
-    "text": lambda: logging.Formatter(TEXT),
-    "json": lambda: JsonFormatter(FIELDS),
-}
+FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 # Libraries that may put headers or bodies into their messages.
 QUIET = ("urllib3", "pykka", "cheroot")
 
 
-def configure_logging(level, form):
-    """Send log lines to standard error.
+def create_formatter(node):
+    """Return the formatter of the log lines of a node."""
+    return JsonFormatter(FIELDS, static_fields={"node": node})
+
+
+def configure_logging(node, clock, level="info"):
+    """Send log lines to standard output; return the `Writer` to stop at the end.
 
     Args:
+        node: Name of the node, written into each line.
+        clock: Clock in seconds.
         level: Least level that is logged, in lower case.
-        form: `text` or `json`.
     """
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(FORMATTERS[form]())
+    target = logging.StreamHandler(sys.stdout)
+    target.setFormatter(create_formatter(node))
+    handler = BoundedHandler(clock)
+    writer = Writer(handler, target)
+    writer.start()
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     for name in QUIET:
         logging.getLogger(name).setLevel(logging.ERROR)
+    return writer
--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -8,6 +8,7 @@
 import threading
 
 from ..errors import Refusal
+from ..explaining.events import OwnerEnded, tell
 from ..headers import drop_hop_by_hop
 from ..outcomes import Kind
 from ..platform import headers as wire
@@ -156,16 +157,46 @@
         wakener = Wakener()
         with self._lock:
             ticket = self._build_ticket(order, call.arrived, wakener.wake)
+        outcome, verdict, status = "given-up", "", 0
         try:
-            self._enter(order, ticket)
-            try:
-                self._await_slot(ticket, wakener, caller)
-                return self._exchange(order, call, ticket, caller)
-            finally:
-                with self._lock:
-                    self.gate.leave(ticket)
+            answer = self._pass(order, call, ticket, wakener, caller)
+            outcome, verdict, status = "answered", Verdict.RAN.value, answer.status
+            return answer
+        except (Refusal, ExchangeError) as error:
+            outcome, verdict = error.code, error.verdict.value
+            raise
         finally:
             wakener.close()
+            self._tell(order, call, ticket, outcome, verdict, status)
+
+    def _pass(self, order, call, ticket, wakener, caller):
+        self._enter(order, ticket)
+        try:
+            self._await_slot(ticket, wakener, caller)
+            return self._exchange(order, call, ticket, caller)
+        finally:
+            with self._lock:
+                self.gate.leave(ticket)
+
+    def _tell(self, order, call, ticket, outcome, verdict, status):
+        now = self._clock.now()
+        granted_at = ticket.granted_at if ticket.granted_at is not None else now
+        tell(
+            OwnerEnded(
+                order.request_id,
+                order.route,
+                order.server_id,
+                outcome,
+                verdict,
+                status,
+                order.rank,
+                granted_at - call.arrived,
+                now - granted_at,
+                self.gate.running,
+                self.gate.waiting,
+                self.record.standing.value,
+            )
+        )
 
     def _update_gate(self):
         ready = self.hosted.is_ready()
--- a/persimmonlane/programs/sidecar.py
+++ b/persimmonlane/programs/sidecar.py
@@ -3,11 +3,10 @@
 Runs the node beside a backend server on the users' platform.
 """
 
-import logging
 import os
 import signal
-import sys
 
+from ..clocks import BootClock
 from ..logs import configure_logging
 from ..platform.settings import find_path, read_fleet_settings
 from ..sitenode import build_site_node
@@ -23,10 +22,9 @@
     """Run the node until SIGTERM; the settings file is named by the environment."""
     # The platform may ask for the settings to be read anew before that is possible.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    configure_logging("info", "json")
+    writer = configure_logging(read_settings().name, BootClock())
     status = build_site_node(read_settings).run()
-    logging.shutdown()
-    sys.stdout.flush()
+    writer.stop()
     # Threads that wait for callers must not hold the end of the process up.
     os._exit(status)
 
--- /dev/null
+++ b/persimmonlane/programs/tests/test_ctl.py
@@ -0,0 +1,50 @@
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+
+import testtools
+
+from ...tests.test_sitenode import build_document
+from .. import ctl
+
+
+def run(*arguments):
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        try:
+            ctl.main([str(argument) for argument in arguments])
+        except SystemExit as end:
+            return end.code, out.getvalue(), err.getvalue()
+
+
+class CtlTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "file"
+
+    def test_request_is_explained(self):
+        fields = {"request": "one", "event": "request-ended", "code": "rate-exceeded"}
+        self.path.write_text(json.dumps(fields))
+        status, out, _ = run("explain", "one", self.path)
+        self.assertEqual(0, status)
+        self.assertIn("beyond its rate", out)
+
+    def test_unknown_request_ends_with_1(self):
+        self.path.write_text("{}\n")
+        status, _, err = run("explain", "one", self.path)
+        self.assertEqual(1, status)
+        self.assertIn("no line is about one", err)
+
+    def test_valid_document(self):
+        self.path.write_bytes(build_document(9))
+        self.assertEqual((0, "version 9 is valid\n", ""), run("check", self.path))
+
+    def test_faulty_document_is_named_with_its_place(self):
+        self.path.write_text('{"Version": "x", "Resources": []}')
+        status, _, err = run("check", self.path)
+        self.assertEqual(2, status)
+        self.assertIn("[document-invalid] at $.Version", err)
--- a/persimmonlane/serving/events.py
+++ b/persimmonlane/serving/events.py
@@ -1,54 +1,104 @@
 """Events.
 
-One log line for each request that ends in another way than a plain answer.
+What the ingress of a node tells of its requests: log lines and counts.
 """
 
-import logging
-
-log = logging.getLogger("persimmonlane.serving")
-
-SERVER_FAULT = 500
+from ..explaining.events import AttemptEnded, RequestEnded, tell
+from ..verdicts import Verdict
 
 
 class RequestEvents:
-    """Writes what happened to requests."""
+    """Tells what happened to callers' requests."""
 
-    __slots__ = ("_clock",)
+    __slots__ = ("_clock", "_ledger", "_documents", "_table", "_own_name")
 
-    def __init__(self, clock):
+    def __init__(self, clock, ledger, documents, table, own_name):
         self._clock = clock
+        self._ledger = ledger
+        self._documents = documents
+        self._table = table
+        self._own_name = own_name
 
     def note_refused(self, request, refusal):
         """Note a request that the node answered itself."""
-        log.info(
-            "Serving: refused %s: %s.",
-            request.wishes.request_id,
-            refusal.message,
-            extra=self._describe(request, refusal.status, refusal.code),
+        self._ledger.note_refusal(
+            request.service, find_organisation(request), refusal.status, refusal.code
+        )
+        self._tell(
+            request, refusal.status, refusal.code, refusal.verdict, refusal.message
         )
 
     def note_left(self, request):
         """Note a request whose caller went away."""
-        log.info(
-            "Serving: the caller of %s left.",
-            request.wishes.request_id,
-            extra=self._describe(request, 0, "caller-left"),
-        )
+        self._tell(request, 0, "caller-left", None, "the caller went away")
 
     def note_answered(self, request, status):
-        """Note a request that a backend server answered; failures are logged."""
-        if status >= SERVER_FAULT:
-            log.info(
-                "Serving: the backend server failed %s.",
+        """Note a request that a backend server answered."""
+        self._ledger.note_answer(
+            request.service,
+            find_organisation(request),
+            status,
+            self._clock.now() - request.arrived,
+            request.route.objective_s,
+        )
+        self._tell(request, status, "answered", Verdict.RAN, "")
+
+    def note_attempt(self, request, choice, second, began, attempt, outcome):
+        """Note the end of an attempt.
+
+        Args:
+            request: The `IngressRequest`.
+            choice: The `Choice`.
+            second: Whether it ran beside a first one.
+            began: Seconds at which it began.
+            attempt: The `Attempt`, or None if nobody waited any more.
+            outcome: Stable code of the end.
+        """
+        now = self._clock.now()
+        candidate = choice.candidate
+        peer = candidate.peer
+        tell(
+            AttemptEnded(
                 request.wishes.request_id,
-                extra=self._describe(request, status, "backend-failed"),
+                request.route.name,
+                request.service,
+                candidate.server.server_id,
+                peer.name if peer else self._own_name,
+                candidate.near,
+                second,
+                choice.insist,
+                outcome,
+                attempt.verdict.value if attempt else "",
+                attempt.answer.status if attempt and attempt.answer else 0,
+                choice.patience_s,
+                attempt.wait_s if attempt else 0.0,
+                request.deadline - began,
+                now - began,
+                candidate.server.running,
+                candidate.server.standing,
+                now - peer.heard_at if peer else 0.0,
             )
+        )
+
+    def _tell(self, request, status, code, verdict, reason):
+        age_s = self._table.find_fresh_age()
+        tell(
+            RequestEnded(
+                request.wishes.request_id,
+                request.route.name if request.route else "",
+                request.service,
+                find_organisation(request),
+                status,
+                code,
+                verdict.value if verdict else "",
+                reason,
+                self._documents.version,
+                age_s if age_s != float("inf") else -1.0,
+                self._clock.now() - request.arrived,
+            )
+        )
+
 
-    def _describe(self, request, status, code):
-        return {
-            "request": request.wishes.request_id,
-            "route": request.route.name if request.route else "",
-            "status": status,
-            "code": code,
-            "age_s": round(self._clock.now() - request.arrived, 3),
-        }
+def find_organisation(request):
+    """Return the name of a request's organisation, or an empty string."""
+    return request.organisation.name if request.organisation else ""
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -70,10 +70,21 @@
         "_rng",
         "_placement",
         "_times",
+        "_events",
     )
 
     def __init__(
-        self, settings, clock, holder, owner, describe, gossip, actor, pool, budget
+        self,
+        settings,
+        clock,
+        holder,
+        owner,
+        describe,
+        gossip,
+        actor,
+        pool,
+        budget,
+        events,
     ):
         self._settings = settings
         self._clock = clock
@@ -88,6 +99,7 @@
         self._rng = random.Random()
         self._placement = Placement(self._rng)
         self._times = WorkTimes()
+        self._events = events
 
     def identify(self, request):
         """Find a request's route, organisation and deadline.
@@ -119,7 +131,7 @@
             CallerLeft: If the caller went away.
         """
         self._check_rate(request)
-        service = choose_part(request.route, self._rng)
+        service = request.service = choose_part(request.route, self._rng)
         with self._lock:
             self._budget.note_request(service, self._count_members())
         return self._place(request, service)
@@ -209,7 +221,6 @@
         with self._lock:
             times = self._times.find(route.name, route.objective_s)
         hedge = Hedge(self, request, candidate, times, now)
-        request.service = candidate.server.service
         try:
             attempt = self._attempt(request, choice, hedge)
             if attempt.is_good():
@@ -320,6 +331,18 @@
         return found
 
     def _attempt(self, request, choice, hedge=None, watch=None):
+        began = self._clock.now()
+        attempt, outcome = None, "given-up"
+        try:
+            attempt = self._send(request, choice, hedge, watch)
+            outcome = attempt.code or "answered"
+        finally:
+            self._events.note_attempt(
+                request, choice, watch is not None, began, attempt, outcome
+            )
+        return attempt
+
+    def _send(self, request, choice, hedge, watch):
         candidate = choice.candidate
         server = candidate.server
         order = Order(
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -23,6 +23,8 @@
 from .peers.messages import ServerNews
 from .platform.documents import decode_document
 from .platform.store import SiteStore
+from .reporting.ledger import Ledger, UnixClock
+from .reporting.part import Reporter
 from .serving.budget import RetryBudget
 from .serving.connections import ConnectionPool
 from .serving.events import RequestEvents
@@ -99,7 +101,6 @@
         self._running = 0
         self._lock = threading.Lock()
         self._ended = threading.Event()
-        self.events = RequestEvents(clock)
         self.documents = DocumentHolder(decode_document)
         hosted = HostedServer(
             settings.server, settings.service, settings.heartbeat_s, clock
@@ -117,6 +118,9 @@
             self.owner.judge,
         )
         self._table = table = self._gossip.proxy().table.get()
+        ledger = Ledger(UnixClock(), settings.name)
+        self.events = RequestEvents(clock, ledger, self.documents, table, settings.name)
+        self._reporter = Reporter(ledger)
         self.ingress = Ingress(
             settings,
             clock,
@@ -127,6 +131,7 @@
             self._gossip,
             pool,
             RetryBudget(settings.retry_ratio, settings.retry_slack),
+            self.events,
         )
         self._upkeep = Upkeep(
             settings,
@@ -157,6 +162,7 @@
         self._wire.start(self._gossip)
         self._upkeep.start()
         self._announcer.start()
+        self._reporter.start()
         self._ticker.start()
         log.info("Node: %s serves.", self._settings.name)
 
@@ -178,6 +184,7 @@
         """End threads and sockets."""
         self._ended.set()
         self._announcer.stop()
+        self._reporter.stop()
         self._upkeep.stop()
         self._wire.stop()
         # Each server takes up to half a second to end.
--- a/persimmonlane/tests/test_application.py
+++ b/persimmonlane/tests/test_application.py
@@ -8,7 +8,7 @@
 
 from ..actors import Actor, Ticker, tell
 from ..application import EXIT_FAILED, EXIT_OK, Application, Part
-from ..logs import FORMATTERS
+from ..logs import create_formatter
 
 
 class RecordingPart(Part):
@@ -118,5 +118,6 @@
 class LogTests(testtools.TestCase):
     def test_json_lines_are_objects(self):
         record = logging.makeLogRecord({"msg": "Limits: took shard %d.", "args": (7,)})
-        line = FORMATTERS["json"]().format(record)
-        self.assertEqual("Limits: took shard 7.", json.loads(line)["message"])
+        fields = json.loads(create_formatter("vm-1").format(record))
+        self.assertEqual("Limits: took shard 7.", fields["message"])
+        self.assertEqual("vm-1", fields["node"])
--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from ..application import Application
+from ..explaining.tests.test_events import keep_records
 from ..fleetsettings import FleetSettings
 from ..platform.documents import DOCUMENT_KEY
 from ..sitenode import SiteNode
@@ -32,6 +33,10 @@
     return False
 
 
+def list_events(records):
+    return [record for record in records if hasattr(record, "event")]
+
+
 def build_document(version=7, keys=(KEY,)):
     def route(name, prefix, service, kind, attempts):
         spec = {
@@ -224,3 +229,25 @@
         with contextlib.closing(socket.socket(type=socket.SOCK_DGRAM)) as sock:
             sock.sendto(b"\xc1garbage", ("127.0.0.2", self.site.gossip_port))
         self.assertEqual(200, self.site.call("/near/").status)
+
+    def test_request_can_be_rebuilt_from_the_log_lines(self):
+        records = keep_records(self)
+        self.site.servers["far"].script = Script(status=500, body=b"broken")
+        self.site.call("/far/", method="POST", body=b"the-body")
+        # The owner's node may write its line after the caller has its answer.
+        self.assertTrue(
+            await_true(
+                lambda: {"owner-ended"} <= {r.event for r in list_events(records)}
+            )
+        )
+        events = {record.event: record for record in list_events(records)}
+        attempt, owner = events["attempt-ended"], events["owner-ended"]
+        self.assertEqual(("i-far", "node-far"), (attempt.server, attempt.owner))
+        self.assertEqual(("answered", 500), (attempt.outcome, attempt.status))
+        self.assertEqual(("i-far", "answered"), (owner.server, owner.outcome))
+        ended = events["request-ended"]
+        self.assertEqual((500, "census"), (ended.status, ended.organisation))
+        self.assertEqual(7, ended.document)
+        told = "".join(str(vars(record)) for record in records)
+        self.assertNotIn(KEY, told)
+        self.assertNotIn("the-body", told)
