--- a/persimmonlane/owner/tests/test_standing.py
+++ b/persimmonlane/owner/tests/test_standing.py
@@ -62,7 +62,7 @@
 
 class ServerRecordTests(testtools.TestCase):
     def test_hanging_server_is_ejected_within_two_seconds(self):
-        # The time to an ejection that docs/DESIGN.md asks for.
+        # The time to an ejection that issue 11 asks for.
         delays = []
         for seed in range(60):
             load = Load(seed, rate=5.0, hangs_from=10.0)
