--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -70,6 +70,22 @@
         self.reply = reply
 
 
+class RelayedReply:
+    """Passes the answer to a question back to the node that asked it."""
+
+    __slots__ = ("_wire", "_sender", "_number")
+
+    def __init__(self, wire, sender, number):
+        self._wire = wire
+        self._sender = sender
+        self._number = number
+
+    def set(self, wait_s):
+        """Send the answer; 0 seconds of wait grant the request."""
+        answer = RateAnswer(self._number, wait_s <= 0.0, wait_s)
+        self._wire.send(self._sender, answer)
+
+
 class RoomWanted:
     """Another node is to be asked for room; `reply` takes its `OwnerReport`."""
 
@@ -232,8 +248,16 @@
         )
         if organisation is None:
             return
-        wait_s = self._decide_held(organisation)
-        self._wire.send(sender, RateAnswer(ask.number, wait_s <= 0.0, wait_s))
+        reply = RelayedReply(self._wire, sender, ask.number)
+        holder = None if ask.relayed else self._find_holder(organisation)
+        if holder is None:
+            reply.set(self._decide_held(organisation))
+            return
+        # The other node can't see the holder, but this one does: two holders would
+        # grant the rate twice.
+        number = self._keep(RateWanted(organisation, reply))
+        relayed = RateAsk(number, ask.organisation, self._settings.name, True)
+        self._send(holder.address, relayed)
 
     def _take_answer(self, answer, _):
         wanted = self._asks.pop(answer.number, None)
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -72,11 +72,13 @@
         number: Number by which the answer is found.
         organisation: Name of the organisation.
         node: Name of the node that asks.
+        relayed: Whether it is asked on behalf of another node.
     """
 
     number: int
     organisation: str
     node: str
+    relayed: bool = False
 
 
 class RateAnswer(msgspec.Struct, array_like=True, tag="r"):
--- a/persimmonlane/peers/tests/test_gossip.py
+++ b/persimmonlane/peers/tests/test_gossip.py
@@ -3,9 +3,19 @@
 
 from ...clocks import ManualClock
 from ...owner.tests.test_serving import build_order
+from ...quotas.buckets import rank_holders
 from ...routing.orders import OwnerReport
+from ...routing.rulebook import Organisation
 from ..gossip import Gossip, Received, RoomWanted
-from ..messages import RoomAnswer, RoomAsk, decoder, encoder
+from ..messages import (
+    Announcement,
+    RateAnswer,
+    RateAsk,
+    RoomAnswer,
+    RoomAsk,
+    decoder,
+    encoder,
+)
 
 
 class Wire:
@@ -55,3 +65,58 @@
     def test_late_and_repeated_answers_change_nothing(self):
         self.gossip.take_datagram(Received(RoomAnswer(99, self.report), None))
         self.assertEqual([], self.wire.sent)
+
+
+ASKER = ("10.0.0.9", 9)
+
+
+class Document:
+    version = 1
+
+    def __init__(self, organisation):
+        self.rulebook = self
+        self.organisations = {organisation.name: organisation}
+
+
+class RelayTests(testtools.TestCase):
+    """The node knows the holder, a node that asks it does not."""
+
+    def setUp(self):
+        super().setUp()
+        self.wire = Wire()
+        ranked = rank_holders("census", ["one", "two", "three"])
+        self.holder, own = ranked[0], ranked[1]
+        settings = Settings()
+        settings.name = own
+        document = Document(Organisation("census", 10.0, 10.0, None))
+        self.gossip = Gossip(
+            None, settings, ManualClock(1.0), self.wire, None, document, None
+        )
+
+    def hear(self, name, address="10.0.0.1:80"):
+        news = Announcement(name, 1, 1, address, "south", False, 1, 0.1, 0, 0, None)
+        self.gossip.table.take(news)
+
+    def ask(self, relayed=False):
+        ask = RateAsk(7, "census", "nine", relayed)
+        self.gossip.take_datagram(Received(ask, ASKER))
+
+    def test_question_goes_on_to_the_holder_and_its_answer_back(self):
+        self.hear(self.holder)
+        self.ask()
+        ((address, passed),) = self.wire.sent
+        self.assertEqual((("10.0.0.1", 9), True), (address, passed.relayed))
+        answer = RateAnswer(passed.number, False, 0.4)
+        self.gossip.take_datagram(Received(answer, address))
+        self.assertEqual((ASKER, RateAnswer(7, False, 0.4)), self.wire.sent[-1])
+
+    def test_question_that_was_passed_on_is_decided_here(self):
+        self.hear(self.holder)
+        self.ask(relayed=True)
+        ((address, answer),) = self.wire.sent
+        self.assertEqual((ASKER, True), (address, answer.granted))
+
+    def test_question_is_decided_here_if_no_better_holder_is_known(self):
+        self.ask()
+        ((address, answer),) = self.wire.sent
+        self.assertEqual((ASKER, True), (address, answer.granted))
