--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -47,6 +47,9 @@
 MOST_RESORTS = 2
 # Share of the time left for which a request that nobody took at once may wait.
 LAST_PATIENCE_SHARE = 0.35
+# Share of the objective: an answer that waited longer would come too late to matter,
+# and would make those behind it late.
+OBJECTIVE_PATIENCE_SHARE = 0.6
 LEAST_LEFT_S = 0.03
 RETRY_AFTER_S = 0.3
 # Code of a refusal by the backend server itself, which counts as an arrival there.
@@ -311,7 +314,11 @@
         chosen = self._placement.choose_last(untouched, waits)
         if chosen is None:
             return None
-        return Choice(chosen, left_s * LAST_PATIENCE_SHARE, True)
+        patience_s = min(
+            left_s * LAST_PATIENCE_SHARE,
+            request.route.objective_s * OBJECTIVE_PATIENCE_SHARE,
+        )
+        return Choice(chosen, patience_s, True)
 
     def _find_candidates(self, service):
         now = self._clock.now()
