--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -3,6 +3,7 @@
 The actor that owns what a node knows of the others, and its datagrams.
 """
 
+import contextlib
 import logging
 import random
 import socket
@@ -30,6 +31,7 @@
 DATAGRAM_BYTES = 4096
 BOOT_LIMIT = 1 << 48
 MOST_ASKS = 1000
+END_S = 0.5
 
 
 class Received:
@@ -305,6 +307,11 @@
     def stop(self):
         """Close the socket."""
         self._ended = True
+        # This wakes the thread, though an unconnected socket says that it can't be.
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        if self._thread is not None:
+            self._thread.join(END_S)
         self._socket.close()
 
     def _receive(self, actor):
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -119,13 +119,14 @@
 
     def _respond(self, request):
         node = self.node
-        node.ingress.identify(request)
+        node.admission.identify(request)
         self.req.conn.socket.settimeout(
             max(LEAST_BODY_S, request.deadline - node.clock.now())
         )
         limits = node.documents.rulebook.limits
         request.body = self.read_body(limits.body_bytes)
         node.admit(find_rank(request))
+        node.admission.check_rate(request)
         try:
             answer = node.ingress.forward(request)
         except AnswerInHand as error:
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -1,7 +1,6 @@
 """Ingress.
 
-Takes a caller's request through the document, the organisation's rate and the choice
-of a backend server.
+Takes an admitted request to a backend server: places it, tries again, and answers.
 """
 
 import functools
@@ -13,11 +12,11 @@
 import pykka
 
 from ..errors import Refusal
-from ..headers import Header, drop_hop_by_hop, find_values
+from ..headers import Header, drop_hop_by_hop
 from ..outcomes import Kind
 from ..owner.serving import OwnedCall
 from ..owner.times import WorkTimes
-from ..peers.gossip import RateWanted, RoomWanted
+from ..peers.gossip import RoomWanted
 from ..routing.orders import Order
 from ..routing.rulebook import choose_part
 from ..verdicts import Verdict
@@ -29,12 +28,6 @@
 
 log = logging.getLogger("persimmonlane.serving")
 
-# The document must have been the newest within this much less than the time in which
-# a withdrawn key stops working.
-FRESHNESS_MARGIN_S = 0.4
-# An older document may lack routes and keys that are in force.
-TRUSTED_AGE_S = 3.0
-RATE_ANSWER_S = 0.08
 ROOM_ANSWER_S = 0.06
 # A body of this length is not sent to another data centre before the owner was asked.
 ASK_FIRST_BYTES = 1024
@@ -62,7 +55,6 @@
     __slots__ = (
         "_settings",
         "_clock",
-        "_holder",
         "_owner",
         "_describe",
         "_gossip",
@@ -80,7 +72,6 @@
         self,
         settings,
         clock,
-        holder,
         owner,
         describe,
         gossip,
@@ -91,7 +82,6 @@
     ):
         self._settings = settings
         self._clock = clock
-        self._holder = holder
         self._owner = owner
         self._describe = describe
         self._gossip = gossip
@@ -104,81 +94,18 @@
         self._times = WorkTimes()
         self._events = events
 
-    def identify(self, request):
-        """Find a request's route, organisation and deadline.
-
-        Raises:
-            Refusal: If the document does not allow the request.
-        """
-        rulebook = self._holder.rulebook
-        if rulebook is None:
-            raise Refusal(
-                503, "no-document", "no document is in force", retry_after=RETRY_AFTER_S
-            )
-        hosts = find_values(request.headers, "host")
-        path = request.target.partition("?")[0]
-        request.route = rulebook.find_route(hosts[0] if hosts else "", path)
-        if request.route is None:
-            raise self._deny(404, "no-route", "no route matches")
-        self._authenticate(request, rulebook)
-        time_s = request.route.timeout_s
-        if request.wishes.time_left_s is not None:
-            time_s = min(time_s, request.wishes.time_left_s)
-        request.deadline = request.arrived + time_s
-
     def forward(self, request):
-        """Return the `WholeAnswer` for an identified request whose body was read.
+        """Return the `WholeAnswer` for an admitted request whose body was read.
 
         Raises:
             Refusal: If the node answers itself.
             CallerLeft: If the caller went away.
         """
-        self._check_rate(request)
         service = request.service = choose_part(request.route, self._rng)
         with self._lock:
             self._budget.note_request(service, self._count_members())
         return self._place(request, service)
 
-    def _authenticate(self, request, rulebook):
-        if request.route.open:
-            return
-        request.organisation = rulebook.find_organisation(request.wishes.key)
-        if request.organisation is None:
-            raise self._deny(401, "key-unknown", "the key is not known")
-        # The request was sent before this moment, so a document that was the newest
-        # shortly before it knows every key that had to be withdrawn by then.
-        limit_s = self._settings.withdrawal_s - FRESHNESS_MARGIN_S
-        if self._gossip.find_fresh_age() > limit_s:
-            raise Refusal(
-                503,
-                "document-stale",
-                "the node can't know of withdrawn keys",
-                retry_after=RETRY_AFTER_S,
-            )
-
-    def _deny(self, status, code, message):
-        if self._gossip.find_fresh_age() > TRUSTED_AGE_S:
-            return Refusal(503, "document-stale", message, retry_after=RETRY_AFTER_S)
-        return Refusal(status, code, message)
-
-    def _check_rate(self, request):
-        organisation = request.organisation
-        if organisation is None or organisation.rate <= 0:
-            return
-        wanted = RateWanted(organisation, pykka.ThreadingFuture())
-        self._actor.tell(wanted)
-        try:
-            wait_s = wanted.reply.get(timeout=RATE_ANSWER_S)
-        except pykka.Timeout:
-            wait_s = self._actor.proxy().decide_alone(organisation).get()
-        if wait_s > 0:
-            raise Refusal(
-                429,
-                "rate-exceeded",
-                "the organisation is beyond its rate",
-                retry_after=min(wait_s, RETRY_AFTER_S * 10),
-            )
-
     def _count_members(self):
         return self._gossip.count_members()
 
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -25,6 +25,7 @@
 from .platform.store import SiteStore
 from .reporting.ledger import Ledger, UnixClock
 from .reporting.part import Reporter
+from .serving.admission import Admission
 from .serving.budget import RetryBudget
 from .serving.connections import ConnectionPool
 from .serving.events import RequestEvents
@@ -83,6 +84,7 @@
         clock: Clock in seconds since boot.
         documents: The `DocumentHolder`.
         owner: The `Owner`.
+        admission: The `Admission`.
         ingress: The `Ingress`.
         events: The `RequestEvents`.
         closes_connections: Whether answers ask callers to connect anew.
@@ -121,10 +123,10 @@
         ledger = Ledger(UnixClock(), settings.name)
         self.events = RequestEvents(clock, ledger, self.documents, table, settings.name)
         self._reporter = Reporter(ledger)
+        self.admission = Admission(settings, self.documents, table, self._gossip)
         self.ingress = Ingress(
             settings,
             clock,
-            self.documents,
             self.owner,
             self.describe,
             table,
--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -1,6 +1,7 @@
 import contextlib
 import json
 import socket
+import threading
 import time
 
 import testtools
@@ -102,6 +103,15 @@
         self.nodes[service] = (node, settings)
         self.servers[service] = server
 
+    def start_again(self, test, service):
+        """Start a node that has ended anew; its backend server goes on."""
+        _, settings = self.nodes[service]
+        node = SiteNode(Application(), settings, lambda: settings)
+        test.addCleanup(node.stop)
+        node.start()
+        self.servers[service].beat(settings.heartbeats)
+        self.nodes[service] = (node, settings)
+
     def is_whole(self):
         return all(self.knows(service) for service in self.nodes)
 
@@ -251,3 +261,33 @@
         told = "".join(str(vars(record)) for record in records)
         self.assertNotIn(KEY, told)
         self.assertNotIn("the-body", told)
+
+    def test_leaving_node_answers_what_runs(self):
+        node, _ = self.site.nodes["near"]
+        self.site.servers["far"].script = Script(work_s=1.5)
+        answers = []
+        caller = threading.Thread(
+            target=lambda: answers.append(self.site.call("/far/", method="POST"))
+        )
+        caller.start()
+        self.assertTrue(await_true(lambda: self.site.servers["far"].requests))
+        node.drain()
+        caller.join()
+        self.assertEqual([200], [answer.status for answer in answers])
+        self.assertFalse(node.is_ready())
+
+    def test_all_nodes_come_back_after_they_ended_at_once(self):
+        for node, _ in self.site.nodes.values():
+            node.stop()
+        for service in list(self.site.nodes):
+            self.site.start_again(self, service)
+        self.assertTrue(await_true(self.site.is_whole))
+        self.assertEqual(200, self.site.call("/far/").status)
+
+    def test_node_that_starts_while_the_store_is_away_serves_by_its_peers(self):
+        node, _ = self.site.nodes["near"]
+        self.site.store.state.refused = 503
+        node.stop()
+        self.site.start_again(self, "near")
+        self.assertTrue(await_true(lambda: self.site.knows("near")))
+        self.assertTrue(await_true(lambda: self.site.call("/far/").status == 200))
