--- a/persimmonlane/explaining/tests/test_writer.py
+++ b/persimmonlane/explaining/tests/test_writer.py
@@ -47,6 +47,15 @@
         handler.enqueue(build_record(event="a", level=logging.WARNING))
         self.assertEqual(12, handler.queue.qsize())
 
+    def test_message_is_kept_as_it_was_written(self):
+        log = logging.Logger("x")
+        log.addHandler(self.handler)
+        # What `logging.basicConfig` gives to a handler that has none.
+        if self.handler.formatter is None:
+            self.handler.setFormatter(logging.Formatter(logging.BASIC_FORMAT))
+        log.info("Owner: %s is ready.", "i-1")
+        self.assertEqual("Owner: i-1 is ready.", self.handler.queue.get().getMessage())
+
     def test_full_queue_delays_nobody(self):
         handler = BoundedHandler(self.clock, most_waiting=2)
         for _ in range(5):
--- a/persimmonlane/explaining/writer.py
+++ b/persimmonlane/explaining/writer.py
@@ -16,7 +16,8 @@
 # Lines of one event a second, and the most at once.
 RATE_PER_S = 100.0
 BURST = 200.0
-END_S = 1.0
+# The process must end within its grace time.
+END_S = 0.25
 
 
 class EventBucket:
@@ -51,6 +52,7 @@
 
     def __init__(self, clock, most_waiting=MOST_WAITING):
         super().__init__(queue.Queue(most_waiting))
+        self.setFormatter(logging.Formatter("%(message)s"))
         self.left_out = {}
         self._clock = clock
         self._plain_limit = most_waiting * PLAIN_SHARE
@@ -125,9 +127,9 @@
         self._thread.start()
 
     def stop(self):
-        """Write what is kept, for a second at most."""
+        """Write what is kept; give up soon if nobody reads."""
         try:
-            self._queue.put(None, timeout=END_S)
+            self._queue.put_nowait(None)
         except queue.Full:
             return
         self._thread.join(END_S)
