--- a/persimmonlane/platform/documents.py
+++ b/persimmonlane/platform/documents.py
@@ -21,6 +21,10 @@
 DOCUMENT_PREFIX = "op/"
 VERSION_BASE = 16
 DEFAULT_TIMEOUT_S = 30.0
+# Kinds of entries.
+ROUTES = "Routes"
+ORGANISATIONS = "Tenants"
+LIMITS = "Limits"
 
 
 class SplitRow(msgspec.Struct):
@@ -112,13 +116,13 @@
     limits = LimitsSpec()
     for resource in document.resources:
         name = resource.meta.name
-        if resource.kind == "Routes":
+        if resource.kind == ROUTES:
             routes.append(build_route(name, decode_spec(resource, RouteSpec)))
-        elif resource.kind == "Tenants":
+        elif resource.kind == ORGANISATIONS:
             spec = decode_spec(resource, OrganisationSpec)
             organisations[name] = build_organisation(name, spec)
             keys.update(dict.fromkeys(spec.api_keys, name))
-        elif resource.kind == "Limits":
+        elif resource.kind == LIMITS:
             limits = decode_spec(resource, LimitsSpec)
     return Rulebook(
         int(document.version, VERSION_BASE),
@@ -135,6 +139,21 @@
     )
 
 
+def encode_document(version, resources):
+    """Return a document in bytes, as the operator writes it.
+
+    Args:
+        version: Number of the version.
+        resources: The `Resource`s.
+    """
+    return msgspec.json.encode(WireDocument(f"{version:08x}", resources))
+
+
+def build_resource(kind, name, spec):
+    """Return the `Resource` of a specification."""
+    return Resource(kind, msgspec.Raw(msgspec.json.encode(spec)), NameRow(name))
+
+
 def decode_spec(resource, model):
     """Return an entry's `spec` in its typed form.
 
--- a/persimmonlane/platform/settings.py
+++ b/persimmonlane/platform/settings.py
@@ -47,6 +47,11 @@
     bounds: list[str] = []
 
 
+def render_settings(wire):
+    """Return the text of a settings file for `WireSettings`."""
+    return yaml.safe_dump(msgspec.to_builtins(wire))
+
+
 def find_path():
     """Return the path of the settings file."""
     return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -11,6 +11,7 @@
 
 import urllib3
 
+from persimmonlane.platform import headers
 from persimmonlane.standins.backend import Script
 
 from .site import HOST, KEY, Site
@@ -22,14 +23,14 @@
 
 def measure(pool, url):
     """Return the milliseconds of one request."""
-    headers = {
+    fields = {
         "Host": HOST,
-        "X-Credential": KEY,
-        "X-Request-Id": "one",
-        "X-Timeout-Ms": "3000",
+        headers.KEY: KEY,
+        headers.REQUEST_ID: "one",
+        headers.TIME_LEFT: "3000",
     }
     began = time.perf_counter()
-    answer = pool.request("GET", url, headers=headers, retries=False)
+    answer = pool.request("GET", url, headers=fields, retries=False)
     took_ms = (time.perf_counter() - began) * MS_PER_S
     if answer.status != 200:
         raise RuntimeError(f"status {answer.status} from {url}")
@@ -42,7 +43,7 @@
     for vm in site.vms:
         vm.server.script = Script()
     urls = {
-        "direct": f"http://{near.settings['AppAddr']}/prices/safe/",
+        "direct": f"http://{near.app}/prices/safe/",
         "one node": f"http://{near.callers}/prices/safe/",
         "two nodes": f"http://{near.callers}/baskets/safe/",
     }
--- a/tools/load.py
+++ b/tools/load.py
@@ -11,9 +11,11 @@
 import msgspec
 import urllib3
 
+from persimmonlane.platform.headers import KEY, MS_PER_S, REQUEST_ID, TIME_LEFT
+from persimmonlane.serving.answers import VERDICT
+
 THREADS = 32
 TIMEOUT_S = 3.0
-VERDICT = "Persimmon-Verdict"
 
 
 class Result(msgspec.Struct):
@@ -48,8 +50,8 @@
         self._path = path
         self._headers = {
             "Host": host,
-            "X-Credential": key,
-            "X-Timeout-Ms": str(int(TIMEOUT_S * 1000)),
+            KEY: key,
+            TIME_LEFT: str(int(TIMEOUT_S * MS_PER_S)),
         }
         self._body = body
         self._http = urllib3.PoolManager(16, maxsize=THREADS, retries=False)
@@ -87,7 +89,7 @@
             answer = self._http.request(
                 self._method,
                 f"http://{address}{self._path}",
-                headers={**self._headers, "X-Request-Id": request_id},
+                headers={**self._headers, REQUEST_ID: request_id},
                 body=self._body,
                 timeout=TIMEOUT_S + 1.0,
             )
--- a/tools/site.py
+++ b/tools/site.py
@@ -14,13 +14,26 @@
 import threading
 import time
 
-import msgspec
 import urllib3
-import yaml
 
 from persimmonlane.platform.checkins import READY_PATH
-from persimmonlane.platform.documents import DOCUMENT_KEY
-from persimmonlane.platform.settings import PATH_VARIABLE
+from persimmonlane.platform.documents import (
+    DOCUMENT_KEY,
+    ORGANISATIONS,
+    ROUTES,
+    OrganisationSpec,
+    RouteSpec,
+    build_resource,
+    encode_document,
+)
+from persimmonlane.platform.settings import (
+    PATH_VARIABLE,
+    ListenRow,
+    StoreRow,
+    WireSettings,
+    render_settings,
+)
+from persimmonlane.routing.rulebook import RouteKind
 from persimmonlane.standins.backend import BackendStandin
 from persimmonlane.standins.store import StoreStandin
 
@@ -33,6 +46,7 @@
 RATE_PER_S = 10000
 TIMEOUT_S = 3
 BORN_MS = 1_700_000_000_000
+KINDS = (RouteKind.SAFE, RouteKind.UNSAFE)
 
 
 class Vm:
@@ -41,10 +55,17 @@
     Attributes:
         name: Name of the node.
         service: Name of the service.
+        ip: Its IP address.
+        zone: Its data centre.
         callers: Address for callers.
+        readiness: Address of the node's readiness.
+        heartbeats: Address for heartbeats.
+        listen: The `ListenRow` of the node's settings.
+        app: Address of the backend server.
         server: The `BackendStandin`.
         state: What the backend server says of itself.
         process: The node's process.
+        log: File with the node's log.
     """
 
     __slots__ = (
@@ -56,7 +77,10 @@
         "process",
         "readiness",
         "heartbeats",
-        "settings",
+        "app",
+        "listen",
+        "ip",
+        "zone",
         "log",
     )
 
@@ -106,10 +130,11 @@
         self.version += 1
         services = sorted({vm.service for vm in self.vms})
         rows = [build_route(service, kind) for service in services for kind in KINDS]
-        tenant = {"ApiKeys": list(keys), "RatePerS": RATE_PER_S, "Burst": RATE_PER_S}
-        rows.append({"Type": "Tenants", "Metadata": {"Name": "census"}, "Spec": tenant})
-        document = {"Version": f"{self.version:08x}", "Resources": rows}
-        self.store.state.put(DOCUMENT_KEY, msgspec.json.encode(document))
+        census = OrganisationSpec(
+            api_keys=list(keys), rate_per_s=RATE_PER_S, burst=RATE_PER_S
+        )
+        rows.append(build_resource(ORGANISATIONS, "census", census))
+        self.store.state.put(DOCUMENT_KEY, encode_document(self.version, rows))
 
     def stop(self):
         """End the processes that this site started."""
@@ -147,26 +172,24 @@
             f"{ip}:{port}" for port in find_ports(ip, 5)
         )
         vm.server = BackendStandin(app, service, f"i-{number}", BORN_MS + number)
-        vm.settings = {
-            "NodeName": vm.name,
-            "Ip": ip,
-            "Zone": zone,
-            "Listen": {
-                "Inbound": inbound,
-                "Outbound": vm.callers,
-                "Readiness": vm.readiness,
-                "Control": vm.heartbeats,
-            },
-            "InternalPorts": [self._gossip_port],
-            "AppAddr": app,
-            "Service": service,
-        }
+        vm.app = app
+        vm.listen = ListenRow(inbound, vm.callers, vm.readiness, vm.heartbeats)
+        vm.ip, vm.zone = ip, zone
         return vm
 
     def _start_node(self, vm):
         path = self._directory / f"{vm.name}.yaml"
-        settings = {**vm.settings, "Platform": {"Address": self.store.address}}
-        path.write_text(yaml.safe_dump(settings))
+        settings = WireSettings(
+            node_name=vm.name,
+            ip=vm.ip,
+            zone=vm.zone,
+            listen=vm.listen,
+            internal_ports=[self._gossip_port],
+            platform=StoreRow(self.store.address),
+            app_addr=vm.app,
+            service=vm.service,
+        )
+        path.write_text(render_settings(settings))
         vm.log = (self._directory / f"{vm.name}.log").open("wb")
         vm.process = subprocess.Popen(
             [sys.executable, "-m", "persimmonlane.programs.sidecar"],
@@ -183,20 +206,17 @@
                     vm.server.beat(vm.heartbeats, vm.state)
 
 
-KINDS = ("safe", "unsafe")
-
-
 def build_route(service, kind):
-    """Return the document's row of one route."""
-    spec = {
-        "Host": HOST,
-        "Prefix": f"/{service}/{kind}/",
-        "Kind": kind,
-        "TimeoutS": TIMEOUT_S,
-        "Service": service,
-        "MaxAttempts": 2,
-    }
-    return {"Type": "Routes", "Metadata": {"Name": f"{service}-{kind}"}, "Spec": spec}
+    """Return the document's entry of one route."""
+    spec = RouteSpec(
+        host=HOST,
+        prefix=f"/{service}/{kind.value}/",
+        kind=kind,
+        timeout_s=TIMEOUT_S,
+        service=service,
+        max_attempts=2,
+    )
+    return build_resource(ROUTES, f"{service}-{kind.value}", spec)
 
 
 def find_ports(host, count, kind=socket.SOCK_STREAM):
