--- a/persimmonlane/actors.py
+++ b/persimmonlane/actors.py
@@ -3,8 +3,6 @@
 Thin shells around decision classes: typed messages in, one thread each.
 """
 
-import threading
-
 import pykka
 
 
@@ -34,38 +32,3 @@
     def on_failure(self, exception_type, exception_value, traceback):
         """End the process: an actor that died must not be limped along without."""
         self.application.fail("actor-died", f"{type(self).__name__}: {exception_value}")
-
-
-class Ticker:
-    """Tells an actor to tick at a fixed interval."""
-
-    __slots__ = ("_actor", "_interval", "_ended", "_thread")
-
-    def __init__(self, actor_ref, interval_s):
-        self._actor = actor_ref
-        self._interval = interval_s
-        self._ended = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def start(self):
-        """Begin ticking."""
-        self._thread.start()
-
-    def stop(self):
-        """End ticking and wait for the thread."""
-        self._ended.set()
-        self._thread.join()
-
-    def _run(self):
-        while not self._ended.wait(self._interval):
-            if not tell(self._actor, Tick()):
-                return
-
-
-def tell(actor_ref, message):
-    """Tell an actor something; return False if it has already stopped."""
-    try:
-        actor_ref.tell(message)
-    except pykka.ActorDeadError:
-        return False
-    return True
--- a/persimmonlane/explaining/events.py
+++ b/persimmonlane/explaining/events.py
@@ -176,9 +176,6 @@
         return self.code == "answered" and self.status < SERVER_FAULT
 
 
-EVENTS = {cls.name: cls for cls in (AttemptEnded, OwnerEnded, RequestEnded)}
-
-
 def tell(event):
     """Write an event's log line."""
     fields = event.describe()
--- a/persimmonlane/explaining/tests/test_events.py
+++ b/persimmonlane/explaining/tests/test_events.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from ..events import EVENTS, OwnerEnded, tell
+from ..events import AttemptEnded, OwnerEnded, RequestEnded, tell
 
 
 def build_owner_ended(request="r-1", outcome="answered", status=200):
@@ -62,8 +62,8 @@
         self.assertEqual([logging.INFO, logging.WARNING, logging.WARNING], levels)
 
     def test_events_are_told_apart_by_name(self):
-        self.assertEqual({"attempt-ended", "owner-ended", "request-ended"}, set(EVENTS))
-        for cls in EVENTS.values():
-            fields = dict.fromkeys(cls.__slots__, "x")
-            self.assertIn(fields["request"], "x")
-            cls.text.format(**fields)
+        events = (AttemptEnded, OwnerEnded, RequestEnded)
+        self.assertEqual(3, len({cls.name for cls in events}))
+        for cls in events:
+            self.assertIn("request", cls.__slots__)
+            self.assertTrue(cls.text.format(**dict.fromkeys(cls.__slots__, "x")))
--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -269,7 +269,6 @@
                 headers=headers,
                 body=call.body,
                 request_id=order.request_id,
-                idempotent=order.idempotent,
                 deadline=ticket.deadline,
                 connect_s=CONNECT_S,
                 find_id=find_request_id,
--- a/persimmonlane/platform/headers.py
+++ b/persimmonlane/platform/headers.py
@@ -4,7 +4,7 @@
 """
 
 from ..headers import Header, find_values
-from ..routing.orders import AnswerMarks, CallerWishes, ReportedLoad
+from ..routing.orders import AnswerMarks, CallerWishes
 
 REQUEST_ID = "X-Request-Id"
 # Milliseconds that the sender goes on waiting.
@@ -15,7 +15,6 @@
 CALLER_SERVICE = "X-Caller-Service"
 # Identifier of the backend server that alone may run the request.
 TARGET = "X-Target-Instance"
-LOAD = "X-Server-Load"
 NOT_RUN = "X-Not-Executed"
 
 # Headers of a caller that never reach a backend server as the caller wrote them.
@@ -77,19 +76,9 @@
         find_first(headers, REQUEST_ID),
         bool(find_first(headers, SIGNATURE)),
         bool(find_first(headers, NOT_RUN)),
-        parse_load(find_first(headers, LOAD)),
     )
 
 
-def parse_load(text):
-    """Return the `ReportedLoad` of a backend server, or None if it tells none."""
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ReportedLoad(running, waiting, slots)
-
-
 def echo_id(request_id):
     """Return the header that names the request which an answer belongs to."""
     return Header(REQUEST_ID, request_id)
--- a/persimmonlane/platform/tests/test_decoding.py
+++ b/persimmonlane/platform/tests/test_decoding.py
@@ -162,8 +162,6 @@
         self.assertEqual(
             ("r", False, False), (marks.request_id, marks.signed, marks.not_run)
         )
-        self.assertEqual(3, marks.load.running)
-        self.assertIsNone(headers.parse_load("3,x,8"))
 
 
 class SettingsTests(testtools.TestCase):
--- a/persimmonlane/reporting/records.py
+++ b/persimmonlane/reporting/records.py
@@ -95,27 +95,6 @@
     return bisect.bisect_left(LATENCY_BOUNDS_MS, latency_s * 1000)
 
 
-def estimate_quantile_ms(latency, share):
-    """Return the upper bound, in ms, of the bucket that holds a quantile.
-
-    Args:
-        latency: Counts by bucket.
-        share: The quantile, from 0 to 1.
-
-    Returns:
-        Milliseconds, infinity beyond the last bound, or None without counts.
-    """
-    wanted = share * sum(latency)
-    if not wanted:
-        return None
-    seen = 0
-    for bound, count in zip((*LATENCY_BOUNDS_MS, float("inf")), latency, strict=True):
-        seen += count
-        if seen >= wanted:
-            return bound
-    return float("inf")
-
-
 def to_builtins(record):
     """Return a record as the field of a log line."""
     return msgspec.to_builtins(record)
--- a/persimmonlane/reporting/tests/test_ledger.py
+++ b/persimmonlane/reporting/tests/test_ledger.py
@@ -65,11 +65,3 @@
                 InputError, records.decode_records, faulty, "r.jsonl"
             )
             self.assertEqual((code, "r.jsonl:3"), (error.code, error.place))
-
-    def test_quantile(self):
-        latency = [0] * records.BUCKETS
-        latency[records.find_bucket(0.020)] = 99
-        latency[records.find_bucket(9.0)] = 1
-        self.assertEqual(20, records.estimate_quantile_ms(latency, 0.99))
-        self.assertEqual(float("inf"), records.estimate_quantile_ms(latency, 1))
-        self.assertIsNone(records.estimate_quantile_ms([0] * records.BUCKETS, 0.5))
--- a/persimmonlane/routing/orders.py
+++ b/persimmonlane/routing/orders.py
@@ -23,23 +23,6 @@
         self.key = key
 
 
-class ReportedLoad:
-    """Load that a backend server states of itself, in requests.
-
-    Attributes:
-        running: Requests that run.
-        waiting: Requests that wait in its own queue.
-        slots: Requests that it runs at a time.
-    """
-
-    __slots__ = ("running", "waiting", "slots")
-
-    def __init__(self, running, waiting, slots):
-        self.running = running
-        self.waiting = waiting
-        self.slots = slots
-
-
 class AnswerMarks:
     """What a backend server states with its answer.
 
@@ -47,16 +30,14 @@
         request_id: Identifier of the request that it answers.
         signed: Whether the answer bears a signature.
         not_run: Whether it states that the request did not run.
-        load: The `ReportedLoad`, or None.
     """
 
-    __slots__ = ("request_id", "signed", "not_run", "load")
+    __slots__ = ("request_id", "signed", "not_run")
 
-    def __init__(self, request_id, signed, not_run, load):
+    def __init__(self, request_id, signed, not_run):
         self.request_id = request_id
         self.signed = signed
         self.not_run = not_run
-        self.load = load
 
 
 class Order(msgspec.Struct, array_like=True):
--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -68,7 +68,6 @@
         headers: The `Header`s.
         body: Bytes.
         request_id: Identifier that the answer echoes.
-        idempotent: Whether the request may be sent twice.
         deadline: Seconds by which the whole answer must be there.
         connect_s: Time-out of a new connection, in seconds.
         find_id: Callable from an answer's headers to the identifier it echoes.
@@ -83,7 +82,6 @@
         "headers",
         "body",
         "request_id",
-        "idempotent",
         "deadline",
         "connect_s",
         "find_id",
--- a/persimmonlane/serving/hedge.py
+++ b/persimmonlane/serving/hedge.py
@@ -97,14 +97,12 @@
         watch: The `RaceWatch` of the first attempt.
         started: Whether the second attempt has begun.
         outcome: Its `Attempt`, or None while it runs or if nobody took it.
-        handed: Backend servers that the second attempt was handed to.
     """
 
     __slots__ = (
         "watch",
         "started",
         "outcome",
-        "handed",
         "_ingress",
         "_request",
         "_times",
@@ -120,7 +118,6 @@
     def __init__(self, ingress, request, candidate, times, now):
         self.started = False
         self.outcome = None
-        self.handed = 0
         self._ingress = ingress
         self._request = request
         self._times = times
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -336,7 +336,6 @@
             headers=[*headers, Header(ORDER, text)],
             body=request.body,
             request_id=order.request_id,
-            idempotent=order.idempotent,
             deadline=request.deadline + OWNER_GRACE_S,
             connect_s=min(CONNECT_S, left_s * CONNECT_SHARE),
             find_id=find_reported_id,
--- a/persimmonlane/serving/tests/test_exchange.py
+++ b/persimmonlane/serving/tests/test_exchange.py
@@ -44,7 +44,6 @@
             "headers": [Header("Host", "shop")],
             "body": b"",
             "request_id": "one",
-            "idempotent": True,
             "deadline": self.clock.now() + 20.0,
             "connect_s": 5.0,
             "find_id": find_id,
--- a/persimmonlane/tests/test_application.py
+++ b/persimmonlane/tests/test_application.py
@@ -2,11 +2,10 @@
 import logging
 import os
 import signal
-import threading
 
 import testtools
 
-from ..actors import Actor, Ticker, tell
+from ..actors import Actor
 from ..application import EXIT_FAILED, EXIT_OK, Application, Part
 from ..logs import create_formatter
 
@@ -93,26 +92,10 @@
 
     def test_actor_that_dies_ends_the_process_without_draining(self):
         actor = Failing.start(self.application)
-        tell(actor, "broken")
+        actor.tell("broken")
         self.assertEqual(EXIT_FAILED, self.application.run())
         self.assertEqual("actor-died", self.application.failure)
         self.assertNotIn("a drains", self.calls)
-        self.assertFalse(tell(actor, "again"))
-
-    def test_ticker_ends_with_its_actor(self):
-        ticked = threading.Event()
-
-        class Ticking(Actor):
-            def on_receive(self, message):
-                ticked.set()
-
-        actor = Ticking.start(self.application)
-        ticker = Ticker(actor, 0.001)
-        ticker.start()
-        self.assertTrue(ticked.wait(10))
-        actor.stop()
-        ticker.stop()
-        self.assertIsNone(self.application.failure)
 
 
 class LogTests(testtools.TestCase):
