Make one piece of code serve both: announcing, buckets, first header, told age

Announcing to all and to a node that has just started, the two buckets of the limiter, reading the first header of a name and the age of the document as it is told to others stood twice; Limiter.keep and a start time had no reader.

--- a/persimmonlane/headers.py
+++ b/persimmonlane/headers.py
@@ -61,3 +61,9 @@
 def find_values(headers, name):
     """Return the values of all headers with a lower-case name."""
     return [header.value for header in headers if header.name.lower() == name]
+
+
+def find_first(headers, name):
+    """Return the first value of a header, or an empty string."""
+    values = find_values(headers, name.lower())
+    return values[0] if values else ""
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -156,15 +156,8 @@
 
     def announce(self, _):
         """Tell every known node of this one."""
-        self._sequence += 1
-        self.table.note_sent(self._sequence)
         self.table.drop_forgotten()
-        news = self._describe()
-        # The age goes with the version read after it, or with a newer one.
-        fresh_age_s = self._find_fresh_age()
-        version = self._document.version
-        for peer in list(self.table.peers.values()):
-            self._announce_to(peer, news, fresh_age_s, version)
+        self._announce_to(list(self.table.peers.values()))
 
     def decide_rate(self, wanted):
         """Decide on a request, or ask the node that holds the rate."""
@@ -192,9 +185,20 @@
             self._asks.pop(next(iter(self._asks)))
         return self._asked
 
-    def _announce_to(self, peer, news, fresh_age_s, version):
+    def _announce_to(self, peers):
+        self._sequence += 1
+        self.table.note_sent(self._sequence)
+        news = self._describe()
+        # The age goes with the version read after it, or with a newer one.
+        fresh_age_s = self.table.tell_fresh_age()
+        version = self._document.version
+        for peer in peers:
+            message = self._build_announcement(peer, news, fresh_age_s, version)
+            self._send(peer.address, message)
+
+    def _build_announcement(self, peer, news, fresh_age_s, version):
         heard = peer.news
-        message = Announcement(
+        return Announcement(
             self._settings.name,
             self._boot,
             self._sequence,
@@ -207,7 +211,6 @@
             heard.boot if heard else 0,
             news.server,
         )
-        self._send(peer.address, message)
 
     def _find_holder(self, organisation):
         live = {peer.name: peer for peer in self.table.find_live()}
@@ -218,10 +221,6 @@
         live = len(self.table.find_live()) + 1
         return self._limiter.decide(organisation, live, self.table.count_members())
 
-    def _find_fresh_age(self):
-        age_s = self.table.find_fresh_age()
-        return age_s if age_s < 1e6 else -1.0
-
     def _take_news(self, news, _):
         before = self.table.peers.get(news.node)
         known_boot = before.news.boot if before and before.news else None
@@ -230,11 +229,7 @@
             return
         if known_boot != news.boot:
             # A node that has just started learns of this one at once.
-            self._sequence += 1
-            self.table.note_sent(self._sequence)
-            fresh_age_s = self._find_fresh_age()
-            version = self._document.version
-            self._announce_to(peer, self._describe(), fresh_age_s, version)
+            self._announce_to([peer])
         if news.version > self._document.version:
             near = news.data_centre == self._settings.data_centre
             self._document.want(news.version, news.address, near)
--- a/persimmonlane/platform/headers.py
+++ b/persimmonlane/platform/headers.py
@@ -3,7 +3,7 @@
 The platform's HTTP headers, decoded into what they say.
 """
 
-from ..headers import Header, find_values
+from ..headers import Header, find_first
 from ..routing.orders import AnswerMarks, CallerWishes
 
 REQUEST_ID = "X-Request-Id"
@@ -34,12 +34,6 @@
     )
 
 
-def find_first(headers, name):
-    """Return the first value of a header, or an empty string."""
-    values = find_values(headers, name.lower())
-    return values[0] if values else ""
-
-
 def parse_time_left(text):
     """Return the seconds that a caller waits, or None if it does not say."""
     if not (text.isascii() and text.isdigit() and len(text) <= TIME_DIGITS):
--- a/persimmonlane/quotas/limiter.py
+++ b/persimmonlane/quotas/limiter.py
@@ -19,14 +19,13 @@
 class Limiter:
     """Buckets of the organisations; not thread-safe."""
 
-    __slots__ = ("_clock", "_own_name", "_held", "_shares", "_begun_at")
+    __slots__ = ("_clock", "_own_name", "_held", "_shares")
 
     def __init__(self, own_name, clock):
         self._clock = clock
         self._own_name = own_name
         self._held = {}
         self._shares = {}
-        self._begun_at = clock.now()
 
     def find_holder(self, organisation, live_names):
         """Return the name of the node that holds an organisation's rate."""
@@ -47,13 +46,9 @@
         share = live / members if live + TOLERATED_LOSS < members else 1.0
         rate = organisation.rate * share
         burst = max(1.0, organisation.burst * share)
-        bucket = self._held.get(organisation.name)
-        if bucket is None:
-            first = min(burst, rate * FIRST_TOKENS_S + 1.0)
-            bucket = self._held[organisation.name] = Bucket(rate, burst, first, now)
-        elif bucket.rate != rate or bucket.burst != burst:
-            bucket.set_rate(rate, burst, now)
-        return bucket.take(now)
+        first = min(burst, rate * FIRST_TOKENS_S + 1.0)
+        fresh = Bucket(rate, burst, first, now)
+        return take_token(self._held, organisation.name, fresh, now)
 
     def decide_alone(self, organisation, members):
         """Decide on a request while the holder can't be asked.
@@ -68,13 +63,21 @@
         now = self._clock.now()
         rate = organisation.rate / members
         burst = max(LEAST_SHARE_BURST, organisation.burst / members)
-        bucket = self._shares.get(organisation.name)
-        if bucket is None:
-            bucket = self._shares[organisation.name] = Bucket(rate, burst, 1.0, now)
-        elif bucket.rate != rate or bucket.burst != burst:
-            bucket.set_rate(rate, burst, now)
-        return bucket.take(now)
-
-    def keep(self, names):
-        """Forget the rates that this node no longer holds."""
-        self._held = {name: item for name, item in self._held.items() if name in names}
+        fresh = Bucket(rate, burst, 1.0, now)
+        return take_token(self._shares, organisation.name, fresh, now)
+
+
+def take_token(buckets, name, fresh, now):
+    """Take a token; return the seconds to wait for it, 0 if it was there.
+
+    Args:
+        buckets: Buckets by organisation.
+        name: Name of the organisation.
+        fresh: The `Bucket` that stands if there is none yet; one that exists takes its
+            rate and burst.
+        now: Seconds.
+    """
+    bucket = buckets.setdefault(name, fresh)
+    if bucket.rate != fresh.rate or bucket.burst != fresh.burst:
+        bucket.set_rate(fresh.rate, fresh.burst, now)
+    return bucket.take(now)
--- a/persimmonlane/serving/admission.py
+++ b/persimmonlane/serving/admission.py
@@ -7,7 +7,7 @@
 import pykka
 
 from ..errors import Refusal
-from ..headers import find_values
+from ..headers import find_first
 from ..peers.gossip import RateWanted
 
 # The document must have been the newest within this much less than the time in which
@@ -49,9 +49,8 @@
             raise Refusal(
                 503, "no-document", "no document is in force", retry_after=RETRY_AFTER_S
             )
-        hosts = find_values(request.headers, "host")
         path = request.target.partition("?")[0]
-        request.route = rulebook.find_route(hosts[0] if hosts else "", path)
+        request.route = rulebook.find_route(find_first(request.headers, "host"), path)
         if request.route is None:
             raise self._deny(404, "no-route", "no route matches")
         self._authenticate(request, rulebook)
--- a/persimmonlane/serving/events.py
+++ b/persimmonlane/serving/events.py
@@ -84,7 +84,6 @@
         )
 
     def _tell(self, request, status, code, verdict, reason):
-        age_s = self._table.find_fresh_age()
         tell(
             RequestEnded(
                 request.wishes.request_id,
@@ -96,7 +95,7 @@
                 verdict.value if verdict else "",
                 reason,
                 self._documents.version,
-                age_s if age_s != float("inf") else -1.0,
+                self._table.tell_fresh_age(),
                 self._clock.now() - request.arrived,
             )
         )
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..errors import InputError, Refusal
-from ..headers import Header, drop_hop_by_hop, find_values
+from ..headers import Header, drop_hop_by_hop, find_first, find_values
 from ..owner.serving import OwnedCall
 from ..platform import checkins
 from ..platform import headers as wire
@@ -171,9 +171,9 @@
     def _serve(self):
         arrived = self.node.clock.now()
         owner = self.node.owner
-        values = find_values(self.req.inheaders.listed, ORDER.lower())
+        text = find_first(self.req.inheaders.listed, ORDER)
         try:
-            order = msgspec.json.decode(values[0] if values else "", type=Order)
+            order = msgspec.json.decode(text, type=Order)
         except msgspec.MsgspecError as error:
             log.warning("Serving: an order is invalid: %s.", error)
             self.req.close_connection = True
--- a/persimmonlane/serving/hops.py
+++ b/persimmonlane/serving/hops.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..headers import find_values
+from ..headers import find_first
 from ..outcomes import Kind
 from ..platform import headers as wire
 from ..routing.orders import OwnerReport
@@ -39,8 +39,7 @@
 
 def find_reported_id(headers):
     """Return the identifier of the request that an owner's answer names."""
-    values = find_values(headers, REPORTED_ID.lower())
-    return values[0] if values else ""
+    return find_first(headers, REPORTED_ID)
 
 
 def read_report(answer, peer, server_id):
@@ -51,9 +50,9 @@
         peer: The `Peer` that owns the backend server; learns from the report.
         server_id: Identifier of the backend server that was asked for.
     """
-    values = find_values(answer.headers, REPORT.lower())
+    text = find_first(answer.headers, REPORT)
     try:
-        report = msgspec.json.decode(values[0] if values else "", type=OwnerReport)
+        report = msgspec.json.decode(text, type=OwnerReport)
         verdict = Verdict(report.verdict)
     except (msgspec.MsgspecError, ValueError) as error:
         log.error("Serving: %s answered without a report: %s.", peer.name, error)
