Tell how far an unfinished request had come when its node ends

The lines could not tell apart a request that waited for a slot (hypothesis 1) from one whose body was still coming (2): request-ended bears received_s and leaving_s now, and each request that is unfinished at the end of a drain gets a line with its stage and the backend server that was asked last.

--- a/persimmonlane/explaining/events.py
+++ b/persimmonlane/explaining/events.py
@@ -151,6 +151,8 @@
         document: Version of the document in force.
         fresh_age_s: Seconds since it was known to be the newest, -1 if never.
         age_s: Seconds since the request came.
+        received_s: Seconds until its body had been read, -1 if it never was.
+        leaving_s: Seconds since the node was told to stop, -1 if it was not.
     """
 
     __slots__ = (
@@ -165,6 +167,8 @@
         "document",
         "fresh_age_s",
         "age_s",
+        "received_s",
+        "leaving_s",
     )
 
     name = "request-ended"
@@ -176,6 +180,36 @@
         return self.code == "answered" and self.status < SERVER_FAULT
 
 
+class RequestUnfinished(Event):
+    """A caller's request still runs though its node ends now.
+
+    Attributes:
+        request: Identifier of the request.
+        route: Name of its route, empty before it was found.
+        service: Name of the chosen service, empty before it was chosen.
+        stage: Value of the `Stage`: what it waits for.
+        server: Identifier of the backend server that was asked last.
+        age_s: Seconds since the request came.
+        received_s: Seconds until its body had been read, -1 if it is still awaited.
+        leaving_s: Seconds since the node was told to stop.
+    """
+
+    __slots__ = (
+        "request",
+        "route",
+        "service",
+        "stage",
+        "server",
+        "age_s",
+        "received_s",
+        "leaving_s",
+    )
+
+    name = "request-unfinished"
+    prefix = "Serving"
+    text = "a request is unfinished as the node ends: {stage}"
+
+
 def tell(event):
     """Write an event's log line."""
     fields = event.describe()
--- a/persimmonlane/serving/attempts.py
+++ b/persimmonlane/serving/attempts.py
@@ -3,6 +3,8 @@
 A caller's request on its way, and what its attempts come to.
 """
 
+import enum
+
 from ..outcomes import Kind
 from ..platform import headers as wire
 from ..verdicts import Verdict
@@ -12,6 +14,15 @@
 CALL_RANK = -1
 
 
+class Stage(enum.Enum):
+    """What a caller's request waits for."""
+
+    BODY = "body"
+    ADMISSION = "admission"
+    PLACEMENT = "placement"
+    SERVER = "server"
+
+
 class IngressRequest:
     """A caller's request.
 
@@ -27,6 +38,9 @@
         organisation: The `Organisation`, or None.
         deadline: Seconds by which it must be answered.
         service: Name of the service that was chosen for it.
+        received_at: Seconds at which its body had been read, or None.
+        stage: The `Stage`.
+        server_id: Identifier of the backend server that was asked last.
     """
 
     __slots__ = (
@@ -41,6 +55,9 @@
         "route",
         "organisation",
         "deadline",
+        "received_at",
+        "stage",
+        "server_id",
     )
 
     def __init__(self, method, target, headers, caller, arrived):
@@ -55,6 +72,9 @@
         self.organisation = None
         self.deadline = None
         self.service = ""
+        self.received_at = None
+        self.stage = Stage.BODY
+        self.server_id = ""
 
 
 class Choice:
--- a/persimmonlane/serving/events.py
+++ b/persimmonlane/serving/events.py
@@ -3,21 +3,22 @@
 What the ingress of a node tells of its requests: log lines and counts.
 """
 
-from ..explaining.events import AttemptEnded, RequestEnded, tell
+from ..explaining.events import AttemptEnded, RequestEnded, RequestUnfinished, tell
 from ..verdicts import Verdict
 
 
 class RequestEvents:
     """Tells what happened to callers' requests."""
 
-    __slots__ = ("_clock", "_ledger", "_documents", "_table", "_own_name")
+    __slots__ = ("_clock", "_ledger", "_documents", "_table", "_own_name", "_departure")
 
-    def __init__(self, clock, ledger, documents, table, own_name):
+    def __init__(self, clock, ledger, documents, table, own_name, departure):
         self._clock = clock
         self._ledger = ledger
         self._documents = documents
         self._table = table
         self._own_name = own_name
+        self._departure = departure
 
     def note_refused(self, request, refusal):
         """Note a request that the node answered itself."""
@@ -83,6 +84,21 @@
             )
         )
 
+    def note_unfinished(self, request):
+        """Note a request that still runs though the node ends now."""
+        tell(
+            RequestUnfinished(
+                request.wishes.request_id,
+                request.route.name if request.route else "",
+                request.service,
+                request.stage.value,
+                request.server_id,
+                self._clock.now() - request.arrived,
+                find_received(request),
+                self._departure.find_age(),
+            )
+        )
+
     def _tell(self, request, status, code, verdict, reason):
         tell(
             RequestEnded(
@@ -97,10 +113,19 @@
                 self._documents.version,
                 self._table.tell_fresh_age(),
                 self._clock.now() - request.arrived,
+                find_received(request),
+                self._departure.find_age(),
             )
         )
 
 
+def find_received(request):
+    """Return the seconds until a request's body had been read, -1 if it never was."""
+    if request.received_at is None:
+        return -1.0
+    return request.received_at - request.arrived
+
+
 def find_organisation(request):
     """Return the name of a request's organisation, or an empty string."""
     return request.organisation.name if request.organisation else ""
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -16,7 +16,7 @@
 from ..routing.orders import Order
 from ..verdicts import Verdict
 from .answers import describe_refusal, get_reason
-from .attempts import AnswerInHand, IngressRequest, find_rank
+from .attempts import AnswerInHand, IngressRequest, Stage, find_rank
 from .bodies import BodyError, create_body
 from .callers import CallerLeft, CallerWatch
 from .exchange import ExchangeError
@@ -105,7 +105,7 @@
             self.build_watch(),
             node.clock.now(),
         )
-        with node.track():
+        with node.running.track(request):
             try:
                 self._respond(request)
             except Refusal as refusal:
@@ -125,6 +125,8 @@
         )
         limits = node.documents.rulebook.limits
         request.body = self.read_body(limits.body_bytes)
+        request.received_at = node.clock.now()
+        request.stage = Stage.ADMISSION
         node.admit(find_rank(request))
         node.admission.check_rate(request)
         try:
@@ -165,12 +167,10 @@
             else:
                 self.write_text(200, rulebook.raw)
             return
-        with self.node.track():
-            self._serve()
+        self._serve()
 
     def _serve(self):
         arrived = self.node.clock.now()
-        owner = self.node.owner
         text = find_first(self.req.inheaders.listed, ORDER)
         try:
             order = msgspec.json.decode(text, type=Order)
@@ -179,6 +179,11 @@
             self.req.close_connection = True
             self.write_text(400)
             return
+        with self.node.running.track(order):
+            self._answer(order, arrived)
+
+    def _answer(self, order, arrived):
+        owner = self.node.owner
         try:
             answer = self._run(order, arrived)
         except Refusal as refusal:
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -20,7 +20,7 @@
 from ..routing.orders import Order
 from ..routing.rulebook import choose_part
 from ..verdicts import Verdict
-from .attempts import SERVER_FAULT, AnswerInHand, Attempt, Choice, find_rank
+from .attempts import SERVER_FAULT, AnswerInHand, Attempt, Choice, Stage, find_rank
 from .exchange import Call, Exchange, ExchangeError
 from .hedge import Hedge, Superseded
 from .hops import ORDER, clean_headers, find_reported_id, read_report, wait_long
@@ -101,6 +101,7 @@
             Refusal: If the node answers itself.
             CallerLeft: If the caller went away.
         """
+        request.stage = Stage.PLACEMENT
         service = request.service = choose_part(request.route, self._rng)
         with self._lock:
             self._budget.note_request(service, self._count_members())
@@ -266,6 +267,8 @@
 
     def _attempt(self, request, choice, hedge=None, watch=None):
         began = self._clock.now()
+        request.stage = Stage.SERVER
+        request.server_id = choice.candidate.server.server_id
         attempt, outcome = None, "given-up"
         try:
             attempt = self._send(request, choice, hedge, watch)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -3,7 +3,6 @@
 Assembles the one process that runs beside a backend server.
 """
 
-import contextlib
 import logging
 import random
 import signal
@@ -26,8 +25,10 @@
 from .reporting.ledger import Ledger, UnixClock
 from .reporting.part import Reporter
 from .serving.admission import Admission
+from .serving.attempts import IngressRequest
 from .serving.budget import RetryBudget
 from .serving.connections import ConnectionPool
+from .serving.departure import Departure
 from .serving.events import RequestEvents
 from .serving.gateways import (
     DOCUMENT_PATH,
@@ -37,6 +38,7 @@
     ReadinessGateway,
 )
 from .serving.ingress import Ingress
+from .serving.running import RunningRequests
 from .serving.servers import SiteServer
 from .settings import split_address
 from .upkeep.documents import DocumentHolder
@@ -87,6 +89,7 @@
         admission: The `Admission`.
         ingress: The `Ingress`.
         events: The `RequestEvents`.
+        running: The `RunningRequests`.
         closes_connections: Whether answers ask callers to connect anew.
     """
 
@@ -100,8 +103,8 @@
         self._reload_wanted = threading.Event()
         self._left_settings = []
         self._leaving = False
-        self._running = 0
-        self._lock = threading.Lock()
+        self.running = RunningRequests()
+        self._departure = Departure(clock)
         self._ended = threading.Event()
         self.documents = DocumentHolder(decode_document)
         hosted = HostedServer(
@@ -121,7 +124,9 @@
         )
         self._table = table = self._gossip.proxy().table.get()
         ledger = Ledger(UnixClock(), settings.name)
-        self.events = RequestEvents(clock, ledger, self.documents, table, settings.name)
+        self.events = RequestEvents(
+            clock, ledger, self.documents, table, settings.name, self._departure
+        )
         self._reporter = Reporter(ledger)
         self.admission = Admission(settings, self.documents, table, self._gossip)
         self.ingress = Ingress(
@@ -172,15 +177,18 @@
         """Finish what runs; the callers learn meanwhile to go elsewhere."""
         began = self.clock.now()
         self._leaving = True
+        self._departure.begin()
         self.closes_connections = True
         self._announcer.wake()
         last_s = self._settings.grace_s - END_MARGIN_S
         while (past_s := self.clock.now() - began) < last_s:
-            if past_s >= LEAVE_NOTICE_S and self._running == 0:
+            if past_s >= LEAVE_NOTICE_S and self.running.count == 0:
                 break
             self._ended.wait(LOOK_S)
         self._upkeep.stop()
-        log.info("Node: %d requests were running at the end.", self._running)
+        for request in self.running.list(IngressRequest):
+            self.events.note_unfinished(request)
+        log.info("Node: %d requests were running at the end.", self.running.count)
 
     def stop(self):
         """End threads and sockets."""
@@ -234,22 +242,11 @@
         Raises:
             Refusal: Not run, with code `node-busy`.
         """
-        if rank >= 0 and self._running > MOST_CALLERS:
+        if rank >= 0 and self.running.count > MOST_CALLERS:
             raise Refusal(
                 503, "node-busy", "the node is busy", retry_after=RETRY_AFTER_S
             )
 
-    @contextlib.contextmanager
-    def track(self):
-        """Count a request as running."""
-        with self._lock:
-            self._running += 1
-        try:
-            yield
-        finally:
-            with self._lock:
-                self._running -= 1
-
     def fetch_document(self, address):
         """Take the document of another node; return whether that worked."""
         host, port = split_address(address)
