--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -90,6 +90,7 @@
         ingress: The `Ingress`.
         events: The `RequestEvents`.
         running: The `RunningRequests`.
+        departure: The `Departure`.
         closes_connections: Whether answers ask callers to connect anew.
     """
 
@@ -104,7 +105,7 @@
         self._left_settings = []
         self._leaving = False
         self.running = RunningRequests()
-        self._departure = Departure(clock)
+        self.departure = Departure(clock)
         self._ended = threading.Event()
         self.documents = DocumentHolder(decode_document)
         hosted = HostedServer(
@@ -125,7 +126,7 @@
         self._table = table = self._gossip.proxy().table.get()
         ledger = Ledger(UnixClock(), settings.name)
         self.events = RequestEvents(
-            clock, ledger, self.documents, table, settings.name, self._departure
+            clock, ledger, self.documents, table, settings.name, self.departure
         )
         self._reporter = Reporter(ledger)
         self.admission = Admission(settings, self.documents, table, self._gossip)
@@ -177,7 +178,7 @@
         """Finish what runs; the callers learn meanwhile to go elsewhere."""
         began = self.clock.now()
         self._leaving = True
-        self._departure.begin()
+        self.departure.begin()
         self.closes_connections = True
         self._announcer.wake()
         last_s = self._settings.grace_s - END_MARGIN_S
