Make one flag that can be polled serve hedges and the gate

hedge.Signal and owner's Wakener were twins. The one that stays also ignores a set after its close, which the other wrote to whatever had the descriptor by then.

--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -4,7 +4,6 @@
 """
 
 import logging
-import os
 import threading
 
 from ..errors import Refusal
@@ -15,6 +14,7 @@
 from ..routing.orders import OwnerReport
 from ..serving.callers import CallerLeft
 from ..serving.exchange import Call, Exchange, ExchangeError
+from ..signals import Signal
 from ..verdicts import Verdict
 from .gate import Gate, Ticket
 from .standing import DOUBT_SCORE, ServerRecord, Standing
@@ -154,9 +154,9 @@
             ExchangeError: If it was, and no whole answer came.
             CallerLeft: If the caller went away.
         """
-        wakener = Wakener()
+        wakener = Signal()
         with self._lock:
-            ticket = self._build_ticket(order, call.arrived, wakener.wake)
+            ticket = self._build_ticket(order, call.arrived, wakener.set)
         outcome, verdict, status = "given-up", "", 0
         try:
             answer = self._pass(order, call, ticket, wakener, caller)
@@ -385,27 +385,6 @@
         self.on_wait = on_wait
 
 
-class Wakener:
-    """Wakes a thread that waits for a slot; it can be polled."""
-
-    __slots__ = ("_number",)
-
-    def __init__(self):
-        self._number = os.eventfd(0, os.EFD_NONBLOCK)
-
-    def fileno(self):
-        """Return the descriptor that becomes readable."""
-        return self._number
-
-    def wake(self):
-        """Wake the thread."""
-        os.eventfd_write(self._number, 1)
-
-    def close(self):
-        """Release the descriptor."""
-        os.close(self._number)
-
-
 def find_request_id(headers):
     """Return the identifier of the request that an answer echoes."""
     return wire.read_marks(headers).request_id
--- a/persimmonlane/serving/hedge.py
+++ b/persimmonlane/serving/hedge.py
@@ -5,11 +5,11 @@
 """
 
 import logging
-import os
 import select
 import threading
 
 from ..owner.standing import Standing
+from ..signals import Signal
 from .callers import CallerLeft
 
 log = logging.getLogger("persimmonlane.serving")
@@ -27,38 +27,6 @@
     """The other attempt has the answer."""
 
 
-class Signal:
-    """A flag that a thread can wait for beside sockets."""
-
-    __slots__ = ("_number", "_lock", "_set")
-
-    def __init__(self):
-        self._number = os.eventfd(0, os.EFD_NONBLOCK)
-        self._lock = threading.Lock()
-        self._set = False
-
-    def fileno(self):
-        """Return the descriptor that is readable once the flag is set."""
-        return self._number
-
-    def set(self):
-        """Set the flag."""
-        with self._lock:
-            self._set = True
-            if self._number is not None:
-                os.eventfd_write(self._number, 1)
-
-    def is_set(self):
-        """Return whether the flag is set."""
-        return self._set
-
-    def close(self):
-        """Release the descriptor."""
-        with self._lock:
-            os.close(self._number)
-            self._number = None
-
-
 class RaceWatch:
     """Watches the caller, if there is one, and the other attempt."""
 
