Make a node's own end a deadline of the requests that it serves

Cause: the process knows when it will end, yet admission, placement, queue patience, hand-over and the wait for an answer only looked at the request's own deadline. At the end cheroot shut the sockets of what ran, which CallerWatch took for callers that had left. A request that comes late is refused as not run unless all its time fits; waits for slots are cut, and nothing is handed over after 0.7; a leaving owner closes its gate, so that what waits there is placed elsewhere; at 11/12 each wait ends with an answer.

--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -13,6 +13,7 @@
 from ..platform import headers as wire
 from ..routing.orders import OwnerReport
 from ..serving.callers import CallerLeft
+from ..serving.departure import NodeEnding
 from ..serving.exchange import Call, Exchange, ExchangeError
 from ..signals import Signal
 from ..verdicts import Verdict
@@ -55,6 +56,7 @@
         "_changed_since_tick",
         "_misdirected",
         "_times",
+        "_leaving",
     )
 
     def __init__(self, settings, hosted, clock, pool, may_eject):
@@ -69,6 +71,17 @@
         self._changed_since_tick = False
         self._misdirected = None
         self._times = WorkTimes()
+        self._leaving = False
+
+    def leave(self):
+        """Close the gate for good: the node was told to stop.
+
+        What runs goes on; what waits is refused as not run, so that it is placed
+        elsewhere.
+        """
+        with self._lock:
+            self._leaving = True
+            self._update_gate()
 
     def take_heartbeat(self, heartbeat):
         """Take a heartbeat of the backend server."""
@@ -199,7 +212,7 @@
         )
 
     def _update_gate(self):
-        ready = self.hosted.is_ready()
+        ready = self.hosted.is_ready() and not self._leaving
         if ready and self.hosted.is_current(self._misdirected):
             ready = False
         slots = self.hosted.current.slots if ready else 0
@@ -252,7 +265,10 @@
             waits_s = ticket.waits_until - self._clock.now()
             if waits_s <= 0:
                 raise refuse("server-busy", "no slot became free soon enough")
-            caller.wait(wakener, min(waits_s, WATCH_S))
+            try:
+                caller.wait(wakener, min(waits_s, WATCH_S))
+            except NodeEnding as error:
+                raise refuse("server-leaving", "the node ends") from error
         if ticket.deadline - self._clock.now() <= LEAST_LEFT_S:
             raise refuse("deadline-passed", "no time is left")
 
--- a/persimmonlane/serving/callers.py
+++ b/persimmonlane/serving/callers.py
@@ -6,18 +6,27 @@
 import select
 import socket
 
+from .departure import NodeEnding
+
 
 class CallerLeft(Exception):
     """The caller closed its connection before the answer."""
 
 
 class CallerWatch:
-    """Waits for an answer while watching whether the caller leaves."""
+    """Waits for an answer while watching whether the caller or the node leaves."""
+
+    __slots__ = ("_socket", "_ended", "_watching")
 
-    __slots__ = ("_socket", "_watching")
+    def __init__(self, sock, ended):
+        """Take what is watched.
 
-    def __init__(self, sock):
+        Args:
+            sock: The caller's socket.
+            ended: The `Signal` that the node ends.
+        """
         self._socket = sock
+        self._ended = ended
         self._watching = True
 
     def wait(self, backend, timeout_s, other=None):
@@ -30,9 +39,11 @@
 
         Raises:
             CallerLeft: If the caller closed its connection meanwhile.
+            NodeEnding: If the node ends.
         """
         poll = select.poll()
         poll.register(backend, select.POLLIN)
+        poll.register(self._ended, select.POLLIN)
         if self._watching:
             poll.register(self._socket, select.POLLIN)
         if other is not None:
@@ -41,6 +52,8 @@
         ready = {number for number, _ in events}
         if backend.fileno() in ready:
             return True
+        if self._ended.fileno() in ready:
+            raise NodeEnding
         if self._socket.fileno() in ready:
             self._check_caller()
         return False
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -19,6 +19,7 @@
 from .attempts import AnswerInHand, IngressRequest, Stage, find_rank
 from .bodies import BodyError, create_body
 from .callers import CallerLeft, CallerWatch
+from .departure import NodeEnding, describe_ending
 from .exchange import ExchangeError
 from .hops import ORDER, REPORT, REPORTED_ID, wait_long
 
@@ -89,7 +90,7 @@
 
     def build_watch(self):
         """Return the `CallerWatch` of the connection."""
-        return CallerWatch(self.req.conn.socket)
+        return CallerWatch(self.req.conn.socket, self.node.departure.ended)
 
 
 class CallerGateway(Gateway):
@@ -110,6 +111,8 @@
                 self._respond(request)
             except Refusal as refusal:
                 self._refuse(request, refusal)
+            except NodeEnding:
+                self._refuse(request, describe_ending(request.stage is Stage.SERVER))
             except CallerLeft:
                 node.events.note_left(request)
                 self.abort()
@@ -120,6 +123,7 @@
     def _respond(self, request):
         node = self.node
         node.admission.identify(request)
+        node.departure.check(request.arrived, request.deadline)
         self.req.conn.socket.settimeout(
             max(LEAST_BODY_S, request.deadline - node.clock.now())
         )
@@ -127,6 +131,7 @@
         request.body = self.read_body(limits.body_bytes)
         request.received_at = node.clock.now()
         request.stage = Stage.ADMISSION
+        node.departure.check(request.arrived, request.deadline)
         node.admit(find_rank(request))
         node.admission.check_rate(request)
         try:
@@ -195,6 +200,10 @@
             status = 504 if error.code == "deadline-passed" else 502
             report = owner.report(error.verdict, error.code)
             self._write(order, report, status, [], b"")
+        except NodeEnding:
+            refusal = describe_ending(True)
+            report = owner.report(refusal.verdict, refusal.code)
+            self._write(order, report, refusal.status, [], b"")
         except CallerLeft:
             self.abort()
         else:
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -66,6 +66,7 @@
         "_placement",
         "_times",
         "_events",
+        "_departure",
     )
 
     def __init__(
@@ -79,6 +80,7 @@
         pool,
         budget,
         events,
+        departure,
     ):
         self._settings = settings
         self._clock = clock
@@ -93,6 +95,7 @@
         self._placement = Placement(self._rng)
         self._times = WorkTimes()
         self._events = events
+        self._departure = departure
 
     def forward(self, request):
         """Return the `WholeAnswer` for an admitted request whose body was read.
@@ -169,7 +172,7 @@
 
     def take_hedge(self, request):
         """Return whether a second attempt of a request may be made now."""
-        return self._take_token(request.service)
+        return self._departure.may_begin() and self._take_token(request.service)
 
     def run_hedge(self, request, watch, first_id):
         """Return the `Attempt` of a second attempt beside the first, or None.
@@ -214,7 +217,7 @@
     def _choose(self, request, service, tried, waits):
         """Return the next `Choice`, or None."""
         left_s = request.deadline - self._clock.now()
-        if left_s <= LEAST_LEFT_S:
+        if left_s <= LEAST_LEFT_S or not self._departure.may_begin():
             return None
         candidates = self._find_candidates(service)
         fresh = [item for item in candidates if item.server.server_id not in tried]
@@ -224,7 +227,8 @@
                 fresh, request.route.idempotent, len(request.body)
             )
         if chosen is not None:
-            return Choice(chosen, QUEUE_PATIENCE_S[min(len(waits), 2)], False)
+            patience_s = QUEUE_PATIENCE_S[min(len(waits), 2)]
+            return Choice(chosen, self._departure.limit_patience(patience_s), False)
         if sum(map(Attempt.was_last, waits.values())) >= MOST_RESORTS:
             return None
         # Rather than refuse the request, let it wait where that is shortest.
@@ -246,7 +250,7 @@
             left_s * LAST_PATIENCE_SHARE,
             request.route.objective_s * OBJECTIVE_PATIENCE_SHARE,
         )
-        return Choice(chosen, patience_s, True)
+        return Choice(chosen, self._departure.limit_patience(patience_s), True)
 
     def _find_candidates(self, service):
         now = self._clock.now()
@@ -380,6 +384,8 @@
             peer.pending += change
 
     def _describe_full(self, service, waits):
+        if not self._departure.may_begin():
+            return self._departure.refuse()
         refusals = list(waits.values())
         wait_s = min((item.wait_s for item in refusals), default=RETRY_AFTER_S)
         codes = ", ".join(item.code for item in refusals) or "none is known"
--- /dev/null
+++ b/persimmonlane/serving/tests/test_departure.py
@@ -0,0 +1,80 @@
+import testtools
+
+from ...clocks import ManualClock
+from ...errors import Refusal
+from ...verdicts import Verdict
+from ..departure import Departure, describe_ending
+
+GRACE_S = 6.0
+
+
+class DepartureTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.departure = Departure(self.clock)
+        self.addCleanup(self.departure.ended.close)
+
+    def leave(self, seconds=0.0):
+        self.departure.begin(GRACE_S)
+        self.clock.advance(seconds)
+
+    def check(self, deadline_s):
+        now = self.clock.now()
+        self.departure.check(now, now + deadline_s)
+
+    def test_node_that_stays_takes_every_request(self):
+        self.check(1000.0)
+        self.assertTrue(self.departure.may_begin())
+        self.assertEqual(9.0, self.departure.limit_patience(9.0))
+        self.assertEqual(-1.0, self.departure.find_age())
+
+    def test_requests_of_callers_that_could_not_know_are_taken(self):
+        self.leave(2.5)
+        self.check(20.0)
+
+    def test_late_request_is_refused_unless_all_its_time_fits(self):
+        self.leave(3.0)
+        refusal = self.assertRaises(Refusal, self.check, 3.0)
+        self.assertEqual((503, "node-leaving"), (refusal.status, refusal.code))
+        self.assertIs(Verdict.NOT_RUN, refusal.verdict)
+        self.check(2.0)
+
+    def test_retry_is_asked_for_after_the_end(self):
+        self.leave(4.0)
+        refusal = self.assertRaises(Refusal, self.check, 20.0)
+        ends_s = GRACE_S - 4.0
+        self.assertTrue(ends_s - 0.6 < refusal.retry_after < ends_s + 1.0)
+
+    def test_nothing_is_begun_near_the_end(self):
+        self.leave(4.5)
+        self.assertFalse(self.departure.may_begin())
+        self.assertRaises(Refusal, self.check, 0.1)
+        now = self.clock.now()
+        early = (now - 4.0, now + 9.0)
+        self.assertRaises(Refusal, self.departure.check, *early)
+
+    def test_wait_for_a_slot_ends_where_nothing_is_begun_any_more(self):
+        self.leave(1.5)
+        patience_s = self.departure.limit_patience(9.0)
+        self.clock.advance(patience_s - 0.01)
+        self.assertTrue(self.departure.may_begin())
+        self.clock.advance(0.02)
+        self.assertFalse(self.departure.may_begin())
+        self.assertEqual(0.0, self.departure.limit_patience(9.0))
+
+    def test_all_ends_within_the_grace_time(self):
+        for grace_s in (1.0, 3.0, 6.0, 10.0):
+            departure = Departure(self.clock)
+            departure.begin(grace_s)
+            self.assertTrue(grace_s * 5 / 6 < departure.find_left() < grace_s)
+            departure.ended.close()
+
+    def test_second_signal_moves_no_bound(self):
+        self.leave(2.0)
+        self.leave(2.0)
+        self.assertEqual(4.0, self.departure.find_age())
+
+    def test_request_that_was_begun_may_have_run(self):
+        self.assertIs(Verdict.MAY_HAVE_RUN, describe_ending(True).verdict)
+        self.assertIs(Verdict.NOT_RUN, describe_ending(False).verdict)
--- a/persimmonlane/serving/tests/test_exchange.py
+++ b/persimmonlane/serving/tests/test_exchange.py
@@ -6,6 +6,7 @@
 from ...clocks import SystemClock
 from ...headers import Header, find_values
 from ...outcomes import Kind
+from ...signals import Signal
 from ...verdicts import Verdict
 from ..callers import CallerLeft, CallerWatch
 from ..connections import ConnectionPool
@@ -29,7 +30,9 @@
         self.caller, near = socket.socketpair()
         self.addCleanup(self.caller.close)
         self.addCleanup(near.close)
-        self.watch = CallerWatch(near)
+        self.ended = Signal()
+        self.addCleanup(self.ended.close)
+        self.watch = CallerWatch(near, self.ended)
 
     def serve(self, *scripts):
         server = ScriptedServer(scripts)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -57,8 +57,9 @@
 IDLE_MARGIN_S = 2.0
 # Callers take two questions, a second apart, to learn that the node is leaving.
 LEAVE_NOTICE_S = 2.3
-END_MARGIN_S = 0.8
 LOOK_S = 0.05
+# Time for the last answers to go out.
+ANSWERS_S = 0.2
 RELOAD_S = 3.0
 # Ejected servers are tried every second or two, so that each still gets requests.
 MOST_FAILING = 0.34
@@ -103,7 +104,6 @@
         self._reread = reread
         self._reload_wanted = threading.Event()
         self._left_settings = []
-        self._leaving = False
         self.running = RunningRequests()
         self.departure = Departure(clock)
         self._ended = threading.Event()
@@ -140,6 +140,7 @@
             pool,
             RetryBudget(settings.retry_ratio, settings.retry_slack),
             self.events,
+            self.departure,
         )
         self._upkeep = Upkeep(
             settings,
@@ -176,20 +177,27 @@
 
     def drain(self):
         """Finish what runs; the callers learn meanwhile to go elsewhere."""
-        began = self.clock.now()
-        self._leaving = True
-        self.departure.begin()
+        self.departure.begin(self._settings.grace_s)
         self.closes_connections = True
+        self.owner.leave()
         self._announcer.wake()
-        last_s = self._settings.grace_s - END_MARGIN_S
-        while (past_s := self.clock.now() - began) < last_s:
-            if past_s >= LEAVE_NOTICE_S and self.running.count == 0:
-                break
+        while self.departure.find_left() > 0 and not self._may_end():
             self._ended.wait(LOOK_S)
         self._upkeep.stop()
+        self._end_waits()
+
+    def _may_end(self):
+        return self.departure.find_age() >= LEAVE_NOTICE_S and self.running.count == 0
+
+    def _end_waits(self):
+        """Answer the requests that are unfinished."""
         for request in self.running.list(IngressRequest):
             self.events.note_unfinished(request)
         log.info("Node: %d requests were running at the end.", self.running.count)
+        self.departure.end()
+        ends_at = self.clock.now() + ANSWERS_S
+        while self.running.count > 0 and self.clock.now() < ends_at:
+            self._ended.wait(LOOK_S)
 
     def stop(self):
         """End threads and sockets."""
@@ -210,12 +218,12 @@
         owner = self.owner
         current = owner.hosted.current
         if current is None:
-            return OwnNews(self._leaving, None)
+            return OwnNews(self.departure.is_leaving(), None)
         gate = owner.gate
         server = ServerNews(
             current.server_id,
             current.service,
-            gate.slots > 0 and not self._leaving,
+            gate.slots > 0 and not self.departure.is_leaving(),
             gate.slots,
             gate.running,
             gate.waiting,
@@ -223,11 +231,11 @@
             max(0.0, owner.hosted.cold_until - self.clock.now()),
             owner.is_doubtful(),
         )
-        return OwnNews(self._leaving, server)
+        return OwnNews(self.departure.is_leaving(), server)
 
     def is_ready(self):
         """Return whether callers may send requests to this node."""
-        return not self._leaving and self.documents.rulebook is not None
+        return not self.departure.is_leaving() and self.documents.rulebook is not None
 
     def may_eject(self):
         """Return whether enough servers of the service are left without this one."""
