Start the servers' threads on demand

Cause: cheroot's pool starts all threads at once, 72 + 40 + 2 + 2 of them in each node, and one more in each server for connections that no queue takes, which an unbounded queue never has.

WorkerPool takes the pool's place. It counts under one lock: an idle worker gets a connection handed over directly, and one is started for each connection that waits without one, up to the most. The worker that became idle last is used first, and ends after IDLE_WORKER_S, down to one; it leaves under the lock while it is still listed as idle, so no connection is left behind. A thread that can't be started is logged once, and tried again with the next connection. No 0.1 s steps are waited in the thread that accepts.

--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -19,11 +19,13 @@
     StrictHeaderReader,
     check_framing,
 )
+from .workers import WorkerPool
 
 log = logging.getLogger("persimmonlane.serving")
 
 BACKLOG = 1024
 KEPT_CONNECTIONS = 2000
+LEAST_WORKERS = 1
 SHUTDOWN_S = 0.1
 SERVER_NAME = "persimmonlane"
 
@@ -88,6 +90,7 @@
 
     Attributes:
         header_timeout_s: Longest time for a request's head.
+        requests: The `WorkerPool`.
     """
 
     ConnectionClass = SiteConnection
@@ -96,10 +99,9 @@
         super().__init__(
             split_address(address),
             gateway=gateway,
-            minthreads=threads,
-            maxthreads=threads,
             server_name=SERVER_NAME,
         )
+        self.requests = WorkerPool(self._serve_conn, LEAST_WORKERS, threads)
         self.header_timeout_s = 3.0
         self.timeout = 17.0
         self.shutdown_timeout = SHUTDOWN_S
@@ -116,3 +118,27 @@
         self.prepare()
         self._thread = threading.Thread(target=self.serve, daemon=True)
         self._thread.start()
+
+    def serve(self):
+        """Wait for connections that are ready, until the server stops."""
+        while self.ready:
+            try:
+                self._connections.run(self.expiration_interval)
+            except Exception:
+                log.exception("Serving: the HTTP server failed.")
+
+    def _serve_conn(self, conn):
+        """Serve one request; return whether the connection has to be queued again."""
+        kept = False
+        try:
+            kept = conn.communicate()
+        except OSError as error:
+            log.info("Serving: a connection failed: %s.", error)
+        except Exception:
+            log.exception("Serving: a connection failed.")
+        finally:
+            if kept:
+                self.put_conn(conn)
+            else:
+                conn.close()
+        return False
