Hold no worker for a connection on which nothing has come

Callers that open connections ahead of their requests used up the threads: cheroot hands each new connection to a worker at once, which waits up to header_timeout_s for a head that may not come. With 2 threads, 20 silent connections kept another caller's request from being served.

InboundConnections takes the place of cheroot's ConnectionManager. A new connection goes to the selector unless bytes are there already, and to a worker once a byte can be peeked; one that ends without a byte is closed by the selector's thread. Silent ones are closed after the idle timeout, as kept ones are, on a monotonic clock. keep_alive_conn_limit holds for unused and for kept connections separately: beyond it the oldest unused one is closed, so silent callers don't make others lose their kept connections. Where no descriptor is left, the oldest idle connection makes room. The listener doesn't block, so a connection that vanishes before it is accepted doesn't hold the others up.

--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -12,6 +12,7 @@
 from ..settings import split_address
 from ..verdicts import Verdict
 from .answers import encode_refusal
+from .inbound import InboundConnections
 from .streams import open_stream
 from .strictness import (
     CODES,
@@ -107,12 +108,19 @@
         self.shutdown_timeout = SHUTDOWN_S
         self.request_queue_size = BACKLOG
         self.keep_alive_conn_limit = KEPT_CONNECTIONS
+        self._connections = None
         self._thread = None
 
     def error_log(self, msg="", level=logging.INFO, traceback=False):
         """Log an error of cheroot without the request's content."""
         log.log(level, "Serving: the HTTP server reports an error.", exc_info=traceback)
 
+    def prepare(self):
+        """Bind, and take cheroot's `ConnectionManager` away."""
+        super().prepare()
+        self._connections.close()
+        self._connections = InboundConnections(self)
+
     def begin(self):
         """Bind and serve in a thread."""
         self.prepare()
@@ -128,17 +136,13 @@
                 log.exception("Serving: the HTTP server failed.")
 
     def _serve_conn(self, conn):
-        """Serve one request; return whether the connection has to be queued again."""
-        kept = False
+        """Serve one request; return whether the next one has already come."""
         try:
-            kept = conn.communicate()
+            if conn.communicate():
+                return self._connections.put(conn)
         except OSError as error:
             log.info("Serving: a connection failed: %s.", error)
         except Exception:
             log.exception("Serving: a connection failed.")
-        finally:
-            if kept:
-                self.put_conn(conn)
-            else:
-                conn.close()
+        self._connections.finish(conn)
         return False
