Count open requests exactly, and stop without breaking them off

Callers whose request was read late in a drain got no answer: a request counts only from respond() on, so one that waited for a thread, or whose head was being read, was not seen, and its connection was closed. Besides, cheroot's stop shut the receiving side of connections that were still served, which CallerWatch takes for a caller that left.

SiteServer has count_open(), stop_accepting(), close_idle() and stop(). A connection moves between the selector and the workers under one lock, and count_open holds it and asks the kernel for the idle ones, so a delivered request is always in one place. stop_accepting takes what the kernel has completed before it closes the listener, which would reset it. Nothing idle is closed without a look at its buffer just before. stop waits for no request longer than STOP_WAIT_S and shuts no socket of one.

--- a/persimmonlane/serving/inbound.py
+++ b/persimmonlane/serving/inbound.py
@@ -9,6 +9,7 @@
 import errno
 import itertools
 import logging
+import select
 import selectors
 import socket
 import threading
@@ -85,9 +86,7 @@
                 self._close_expired()
                 self._server.requests.grow()
                 self._expire_at = time.monotonic() + interval_s
-        self._selector.close()
-        self._waker.close()
-        self._woken.close()
+        self._release()
 
     def put(self, conn):
         """Make an open connection idle after an answer.
@@ -113,17 +112,68 @@
         with self._lock:
             self._open.discard(conn)
 
+    def count_open(self):
+        """Return how many connections have a request that is not finished.
+
+        A connection counts from the moment at which a byte of a request is in its
+        socket's buffer until its answer is in the socket's buffer or it is closed:
+        while it waits for a worker, is read, served or written. It is counted in each
+        state and between them, as it moves under the lock that is held here. Not
+        counted are idle connections without a byte, and those that the kernel has not
+        handed over yet; after `stop_accepting` there are none of the latter.
+        """
+        with self._lock:
+            return len(self._open) + self._count_begun()
+
+    def stop_accepting(self):
+        """Take the connections that wait, then refuse new ones."""
+        with self._lock:
+            if self._listener is None:
+                return
+            ready, _ = self._accept_waiting()
+            self._close_listener()
+        for conn in ready:
+            self._server.requests.put(conn)
+
+    def close_idle(self):
+        """Close kept connections on which no byte waits; unused ones stay."""
+        with self._lock:
+            for conn in list(self._kept):
+                self._close_silent(conn)
+
     def stop(self):
-        """End `run`."""
+        """End `run`, close the listener and all idle connections.
+
+        Open connections go on, and are closed after their answers.
+        """
         with self._lock:
             self._stopped = True
-        self._waker.send(b"x")
+            if self._listener is not None:
+                self._close_listener()
+            for conn in [*self._unused, *self._kept]:
+                self._close(conn)
+            self._waker.send(b"x")
 
-    def close(self):
-        """Close all idle connections."""
+    def _release(self):
         with self._lock:
-            for conn in [*self._unused, *self._kept]:
-                conn.close()
+            self._selector.close()
+            self._waker.close()
+            self._woken.close()
+
+    def _count_begun(self):
+        """Return on how many idle connections a byte waits."""
+        poll = select.poll()
+        conns = {}
+        for conn in itertools.chain(self._unused, self._kept):
+            conns[conn.socket.fileno()] = conn
+            poll.register(conn.socket, select.POLLIN)
+        events = poll.poll(0)
+        return sum(look(conns[number]) is Input.BYTES for number, _ in events)
+
+    def _close_listener(self):
+        self._selector.unregister(self._listener)
+        self._listener.close()
+        self._listener = None
 
     def _handle(self, source):
         if source is self._listener:
@@ -133,6 +183,8 @@
 
     def _accept(self):
         with self._lock:
+            if self._listener is None:
+                return
             ready, error = self._accept_waiting()
         for conn in ready:
             self._server.requests.put(conn)
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -27,7 +27,7 @@
 BACKLOG = 1024
 KEPT_CONNECTIONS = 2000
 LEAST_WORKERS = 1
-SHUTDOWN_S = 0.1
+STOP_WAIT_S = 0.1
 SERVER_NAME = "persimmonlane"
 
 
@@ -105,7 +105,6 @@
         self.requests = WorkerPool(self._serve_conn, LEAST_WORKERS, threads)
         self.header_timeout_s = 3.0
         self.timeout = 17.0
-        self.shutdown_timeout = SHUTDOWN_S
         self.request_queue_size = BACKLOG
         self.keep_alive_conn_limit = KEPT_CONNECTIONS
         self._connections = None
@@ -135,6 +134,37 @@
             except Exception:
                 log.exception("Serving: the HTTP server failed.")
 
+    def count_open(self):
+        """Return how many connections have a request that is not finished.
+
+        See `InboundConnections.count_open` for what exactly is counted.
+        """
+        return self._connections.count_open()
+
+    def stop_accepting(self):
+        """Refuse new connections from now on; those that exist go on."""
+        self._connections.stop_accepting()
+
+    def close_idle(self):
+        """Close kept connections on which no request has begun to arrive.
+
+        Connections on which there was no request yet stay open.
+        """
+        self._connections.close_idle()
+
+    def stop(self):
+        """Close the listener and all idle connections; end the threads.
+
+        Requests in flight go on, and their connections close after the answers. Waits
+        at most `STOP_WAIT_S` for the thread that accepts and as long for the workers.
+        """
+        if not self.ready:
+            return
+        self.ready = False
+        self._connections.stop()
+        self._thread.join(STOP_WAIT_S)
+        self.requests.stop(STOP_WAIT_S)
+
     def _serve_conn(self, conn):
         """Serve one request; return whether the next one has already come."""
         try:
