--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -12,6 +12,7 @@
 from ..settings import split_address
 from ..verdicts import Verdict
 from .answers import encode_refusal
+from .inbound import InboundConnections
 from .streams import open_stream
 from .strictness import (
     CODES,
@@ -19,12 +20,14 @@
     StrictHeaderReader,
     check_framing,
 )
+from .workers import WorkerPool
 
 log = logging.getLogger("persimmonlane.serving")
 
 BACKLOG = 1024
 KEPT_CONNECTIONS = 2000
-SHUTDOWN_S = 0.1
+LEAST_WORKERS = 1
+STOP_WAIT_S = 0.1
 SERVER_NAME = "persimmonlane"
 
 
@@ -88,6 +91,7 @@
 
     Attributes:
         header_timeout_s: Longest time for a request's head.
+        requests: The `WorkerPool`.
     """
 
     ConnectionClass = SiteConnection
@@ -96,23 +100,79 @@
         super().__init__(
             split_address(address),
             gateway=gateway,
-            minthreads=threads,
-            maxthreads=threads,
             server_name=SERVER_NAME,
         )
+        self.requests = WorkerPool(self._serve_conn, LEAST_WORKERS, threads)
         self.header_timeout_s = 3.0
         self.timeout = 17.0
-        self.shutdown_timeout = SHUTDOWN_S
         self.request_queue_size = BACKLOG
         self.keep_alive_conn_limit = KEPT_CONNECTIONS
+        self._connections = None
         self._thread = None
 
     def error_log(self, msg="", level=logging.INFO, traceback=False):
         """Log an error of cheroot without the request's content."""
         log.log(level, "Serving: the HTTP server reports an error.", exc_info=traceback)
 
+    def prepare(self):
+        """Bind, and take cheroot's `ConnectionManager` away."""
+        super().prepare()
+        self._connections.close()
+        self._connections = InboundConnections(self)
+
     def begin(self):
         """Bind and serve in a thread."""
         self.prepare()
         self._thread = threading.Thread(target=self.serve, daemon=True)
         self._thread.start()
+
+    def serve(self):
+        """Wait for connections that are ready, until the server stops."""
+        while self.ready:
+            try:
+                self._connections.run(self.expiration_interval)
+            except Exception:
+                log.exception("Serving: the HTTP server failed.")
+
+    def count_open(self):
+        """Return how many connections have a request that is not finished.
+
+        See `InboundConnections.count_open` for what exactly is counted.
+        """
+        return self._connections.count_open()
+
+    def stop_accepting(self):
+        """Refuse new connections from now on; those that exist go on."""
+        self._connections.stop_accepting()
+
+    def close_idle(self):
+        """Close kept connections on which no request has begun to arrive.
+
+        Connections on which there was no request yet stay open.
+        """
+        self._connections.close_idle()
+
+    def stop(self):
+        """Close the listener and all idle connections; end the threads.
+
+        Requests in flight go on, and their connections close after the answers. Waits
+        at most `STOP_WAIT_S` for the thread that accepts and as long for the workers.
+        """
+        if not self.ready:
+            return
+        self.ready = False
+        self._connections.stop()
+        self._thread.join(STOP_WAIT_S)
+        self.requests.stop(STOP_WAIT_S)
+
+    def _serve_conn(self, conn):
+        """Serve one request; return whether the next one has already come."""
+        try:
+            if conn.communicate():
+                return self._connections.put(conn)
+        except OSError as error:
+            log.info("Serving: a connection failed: %s.", error)
+        except Exception:
+            log.exception("Serving: a connection failed.")
+        self._connections.finish(conn)
+        return False
