End a drain by the connections that are open, not by the requests that were read

Cause: a request counted from the moment at which its head had been read; one that waited for a thread, or whose head was coming in, was not seen. Fix: the node stops accepting once nothing that was admitted runs, gives requests on their way 0.15 s to come in, and ends when no connection is open.

--- a/persimmonlane/serving/attempts.py
+++ b/persimmonlane/serving/attempts.py
@@ -76,6 +76,10 @@
         self.stage = Stage.BODY
         self.server_id = ""
 
+    def is_admitted(self):
+        """Return whether it may be handed to a backend server."""
+        return self.stage in (Stage.PLACEMENT, Stage.SERVER)
+
 
 class Choice:
     """A candidate and how it is asked.
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -24,6 +24,7 @@
 from .platform.store import SiteStore
 from .reporting.ledger import Ledger, UnixClock
 from .reporting.part import Reporter
+from .routing.orders import Order
 from .serving.admission import Admission
 from .serving.attempts import IngressRequest
 from .serving.budget import RetryBudget
@@ -58,6 +59,8 @@
 # Callers take two questions, a second apart, to learn that the node is leaving.
 LEAVE_NOTICE_S = 2.3
 LOOK_S = 0.05
+# Time for a request to come in on a new connection.
+ARRIVAL_S = 0.15
 # Time for the last answers to go out.
 ANSWERS_S = 0.2
 RELOAD_S = 3.0
@@ -162,6 +165,7 @@
             SiteServer(settings.nodes, self._bind(NodeGateway), NODE_THREADS),
             SiteServer(settings.callers, self._bind(CallerGateway), CALLER_THREADS),
         ]
+        self._request_servers = self._servers[2:]
         self._ticker = threading.Thread(target=self._tick, daemon=True)
 
     def start(self):
@@ -181,13 +185,28 @@
         self.closes_connections = True
         self.owner.leave()
         self._announcer.wake()
-        while self.departure.find_left() > 0 and not self._may_end():
-            self._ended.wait(LOOK_S)
+        self._await_end(self._may_end)
+        for server in self._request_servers:
+            server.stop_accepting()
+        # Requests on connections that were made before that may still be on their way.
+        self._ended.wait(ARRIVAL_S)
+        self._await_end(self._is_idle)
         self._upkeep.stop()
         self._end_waits()
 
+    def _await_end(self, is_over):
+        while self.departure.find_left() > 0 and not is_over():
+            self._ended.wait(LOOK_S)
+
     def _may_end(self):
-        return self.departure.find_age() >= LEAVE_NOTICE_S and self.running.count == 0
+        return self.departure.find_age() >= LEAVE_NOTICE_S and not self._has_work()
+
+    def _has_work(self):
+        requests = self.running.list(IngressRequest)
+        return self.running.list(Order) or any(item.is_admitted() for item in requests)
+
+    def _is_idle(self):
+        return not any(server.count_open() for server in self._request_servers)
 
     def _end_waits(self):
         """Answer the requests that are unfinished."""
@@ -196,7 +215,7 @@
         log.info("Node: %d requests were running at the end.", self.running.count)
         self.departure.end()
         ends_at = self.clock.now() + ANSWERS_S
-        while self.running.count > 0 and self.clock.now() < ends_at:
+        while not self._is_idle() and self.clock.now() < ends_at:
             self._ended.wait(LOOK_S)
 
     def stop(self):
@@ -206,7 +225,6 @@
         self._reporter.stop()
         self._upkeep.stop()
         self._wire.stop()
-        # Each server takes up to half a second to end.
         enders = [threading.Thread(target=server.stop) for server in self._servers]
         for ender in enders:
             ender.start()
@@ -272,7 +290,7 @@
 
     def _take_rulebook(self, rulebook):
         limits = rulebook.limits
-        for server in self._servers[2:]:
+        for server in self._request_servers:
             server.header_timeout_s = limits.header_timeout_s
             server.timeout = limits.idle_timeout_s + IDLE_MARGIN_S
             server.max_request_header_size = limits.header_bytes * 2
