Let a node that starts while the store is away learn at once how new its document is

A node that restarts without the store had the document by the first datagram of a peer, but counted that peer's proof of freshness only if the version was in force when the proof came; keyed requests were refused as document-stale for another round of announcements. The proof now waits for its version.

--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -146,8 +146,7 @@
 
     def take_registered(self, message):
         """Learn of nodes from the store."""
-        for name, address in message.addresses.items():
-            self.table.note_registered(name, address)
+        self.table.note_listed(message.addresses)
         self.announce(None)
 
     def take_freshness(self, message):
@@ -156,6 +155,7 @@
 
     def announce(self, _):
         """Tell every known node of this one."""
+        self.table.note_in_force(self._document.version)
         self.table.drop_forgotten()
         self._announce_to(list(self.table.peers.values()))
 
@@ -233,10 +233,10 @@
         if news.version > self._document.version:
             near = news.data_centre == self._settings.data_centre
             self._document.want(news.version, news.address, near)
-        elif news.version == self._document.version:
-            fresh_at = self.table.find_freshness(news)
-            if fresh_at is not None:
-                self.table.note_fresh(fresh_at)
+        fresh_at = self.table.find_freshness(news)
+        if fresh_at is not None:
+            in_force = self._document.version
+            self.table.note_version_fresh(news.version, fresh_at, in_force)
 
     def _take_ask(self, ask, sender):
         rulebook = self._document.rulebook
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -25,6 +25,7 @@
         known_at: Seconds at which the store or a datagram last named it.
         avoided_until: Seconds until which it is not sent requests.
         pending: Requests of this node that are at it now.
+        past_boot: Boot number of its process before the present one, or None.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "known_at",
         "avoided_until",
         "pending",
+        "past_boot",
         "_failures",
     )
 
@@ -48,8 +50,20 @@
         self.known_at = known_at
         self.avoided_until = 0.0
         self.pending = 0
+        self.past_boot = None
         self._failures = 0
 
+    def accept(self, news, now):
+        """Take an `Announcement` that is not stale."""
+        old = self.news
+        if old is None or old.boot != news.boot:
+            self.note_reached()
+        if old is not None and old.boot != news.boot:
+            self.past_boot = old.boot
+        self.news = news
+        self.data_centre = news.data_centre
+        self.heard_at = self.known_at = now
+
     def note_unreachable(self, now):
         """Avoid the peer for a while; longer each time until it is reached."""
         avoided_s = UNREACHABLE_FIRST_S * 2**self._failures
@@ -76,11 +90,35 @@
         server.standing = report.standing
         server.doubtful = report.doubtful
 
+    def is_stale(self, news):
+        """Return whether an `Announcement` was sent before the newest one."""
+        old = self.news
+        if old is None:
+            return False
+        if old.boot == news.boot:
+            return old.sequence >= news.sequence
+        return news.boot == self.past_boot
+
     def is_live(self, now):
         """Return whether the peer was heard of late."""
         return self.heard_at is not None and now - self.heard_at < LIVE_S
 
 
+class Freshness:
+    """Tells that a version was the newest at a time.
+
+    Attributes:
+        version: Number of the version.
+        at: Seconds.
+    """
+
+    __slots__ = ("version", "at")
+
+    def __init__(self, version, at):
+        self.version = version
+        self.at = at
+
+
 class PeerTable:
     """The other nodes, by name; not thread-safe.
 
@@ -90,7 +128,16 @@
             or None.
     """
 
-    __slots__ = ("peers", "fresh_at", "_clock", "_own_name", "_boot", "_sent_at")
+    __slots__ = (
+        "peers",
+        "fresh_at",
+        "_clock",
+        "_own_name",
+        "_boot",
+        "_sent_at",
+        "_listed_at",
+        "_awaited",
+    )
 
     def __init__(self, own_name, boot, clock):
         self.peers = {}
@@ -99,6 +146,18 @@
         self._own_name = own_name
         self._boot = boot
         self._sent_at = {}
+        self._listed_at = float("-inf")
+        self._awaited = None
+
+    def note_listed(self, addresses):
+        """Take the nodes that the store names.
+
+        Args:
+            addresses: Their addresses by name.
+        """
+        self._listed_at = self._clock.now()
+        for name, address in addresses.items():
+            self.note_registered(name, address)
 
     def note_registered(self, name, address):
         """Take a node that the store names."""
@@ -122,17 +181,14 @@
         if news.node == self._own_name:
             return None
         now = self._clock.now()
-        peer = self.peers.get(news.node)
-        if peer is None or peer.address != news.address:
-            peer = self.peers[news.node] = Peer(news.node, news.address, now)
-        old = peer.news
-        if old is not None and old.boot == news.boot and old.sequence >= news.sequence:
+        known = self.peers.get(news.node)
+        if known is not None and known.is_stale(news):
             return None
-        if old is None or old.boot != news.boot:
-            peer.note_reached()
-        peer.news = news
-        peer.data_centre = news.data_centre
-        peer.heard_at = peer.known_at = now
+        peer = known
+        if known is None or known.address != news.address:
+            peer = move_peer(known, news, now)
+        peer.accept(news, now)
+        self.peers[news.node] = peer
         return peer
 
     def find_freshness(self, news):
@@ -151,6 +207,29 @@
         if self.fresh_at is None or at > self.fresh_at:
             self.fresh_at = at
 
+    def note_version_fresh(self, version, at, in_force):
+        """Note that a version was the newest at a time.
+
+        Versions only rise, so that a later one was at least as new at that time. An
+        earlier one gains nothing; the time counts once the version has come.
+
+        Args:
+            version: Number of the version.
+            at: Seconds.
+            in_force: Number of the version in force.
+        """
+        if version <= in_force:
+            self.note_fresh(at)
+        elif self._awaited is None or at > self._awaited.at:
+            self._awaited = Freshness(version, at)
+
+    def note_in_force(self, version):
+        """Note the version in force; what is known of its freshness counts now."""
+        awaited = self._awaited
+        if awaited is not None and awaited.version <= version:
+            self.note_fresh(awaited.at)
+            self._awaited = None
+
     def find_fresh_age(self):
         """Return the seconds since the document was known to be the newest."""
         if self.fresh_at is None:
@@ -174,8 +253,12 @@
         return 1 + known
 
     def drop_forgotten(self):
-        """Forget the nodes that neither the store nor datagrams name any more."""
-        oldest = self._clock.now() - MEMBER_S
+        """Forget the nodes that neither the store nor datagrams name any more.
+
+        While the store does not answer, none is forgotten: a node that starts then
+        learns of the others only from their announcements.
+        """
+        oldest = min(self._clock.now() - MEMBER_S, self._listed_at)
         gone = [name for name, peer in self.peers.items() if peer.known_at < oldest]
         for name in gone:
             del self.peers[name]
@@ -195,3 +278,18 @@
             and not peer.news.leaving
         )
         return before < rank
+
+
+def move_peer(known, news, now):
+    """Return the `Peer` at a new address.
+
+    Args:
+        known: The `Peer` at its address until now, or None.
+        news: The `Announcement` that names the new address.
+        now: Seconds.
+    """
+    peer = Peer(news.node, news.address, now)
+    if known is not None:
+        peer.news = known.news
+        peer.past_boot = known.past_boot
+    return peer
