Add a benchmark of what a node spends on its peers

tools/peercost.py measures the processor time of the receiving thread and the actor by their own clocks, with announcements spread over the second, and the questions that requests and ticks ask of the peer table.

--- /dev/null
+++ b/tools/peercost.py
@@ -0,0 +1,254 @@
+"""Cost of peers.
+
+Processor time that one node spends on the other nodes: on their announcements and its
+own, and on questions to its peer table, by the number of peers.
+"""
+
+import random
+import socket
+import statistics
+import sys
+import threading
+import time
+
+from persimmonlane.actors import Tick
+from persimmonlane.application import Application
+from persimmonlane.clocks import BootClock
+from persimmonlane.peers.gossip import ANNOUNCE_S, DatagramWire, Gossip
+from persimmonlane.peers.messages import Announcement, ServerNews, encoder
+from persimmonlane.routing.rulebook import Organisation
+from persimmonlane.serving.ingress import Ingress
+from persimmonlane.sitenode import OwnNews, SiteNode
+
+SIZES = (30, 90, 300)
+SERVICES = ("aangifte", "archief", "dossier")
+DATA_CENTRES = ("be-central-a", "be-central-b", "be-central-c", "be-central-d")
+OWN_IP = "127.0.0.2"
+ROUNDS = 4
+CALLS = 400
+BATCHES = 5
+MS_PER_S = 1000.0
+US_PER_S = 1_000_000.0
+
+
+class Settings:
+    """What the actor and the ingress read of a node's settings."""
+
+    name = "sidecar-be-central-a-0"
+    nodes = f"{OWN_IP}:15001"
+    data_centre = DATA_CENTRES[0]
+    service = SERVICES[0]
+
+    def __init__(self, gossip_port):
+        self.gossip_port = gossip_port
+
+
+class Document:
+    """A document that all nodes have in force."""
+
+    version = 7
+    rulebook = None
+
+
+class NodeStub:
+    """What `SiteNode.may_eject` reads of a node."""
+
+    def __init__(self, settings, table):
+        self._settings = settings
+        self._table = table
+
+
+class Peers:
+    """Sockets of the other nodes, which announce themselves once a round."""
+
+    def __init__(self, count, port):
+        self._port = port
+        self._rng = random.Random(1)
+        self._sockets = [self._open(number) for number in range(count)]
+        self._sequence = 0
+
+    def _open(self, number):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((f"127.1.{number // 200}.{number % 200 + 1}", self._port))
+        return sock
+
+    def announce(self, pause_s):
+        """Send an announcement of each, with a pause between two."""
+        self._sequence += 1
+        for number, sock in enumerate(self._sockets):
+            sock.sendto(self._encode(number), (OWN_IP, self._port))
+            self._drain(sock)
+            time.sleep(pause_s)
+
+    def close(self):
+        """Close the sockets."""
+        for sock in self._sockets:
+            sock.close()
+
+    def _encode(self, number):
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        service = SERVICES[number % len(SERVICES)]
+        running = self._rng.randrange(8)
+        server = ServerNews(
+            f"i-{number:08x}", service, True, 8, running, 0, "sound", 0.0
+        )
+        return encoder.encode(
+            Announcement(
+                f"sidecar-{data_centre}-{number + 1}",
+                number + 1,
+                self._sequence,
+                f"127.1.{number // 200}.{number % 200 + 1}:15001",
+                data_centre,
+                False,
+                Document.version,
+                0.4,
+                1,
+                1,
+                server,
+            )
+        )
+
+    def _drain(self, sock):
+        sock.setblocking(False)
+        try:
+            while True:
+                sock.recv(4096)
+        except BlockingIOError:
+            return
+
+
+class Node:
+    """The peers' part of a node, on loopback.
+
+    Attributes:
+        table: Its `PeerTable`.
+        actor: Reference of its `Gossip` actor.
+    """
+
+    def __init__(self, port):
+        self.settings = Settings(port)
+        self.clock = BootClock()
+        before = set(threading.enumerate())
+        self._wire = DatagramWire(OWN_IP, port)
+        self.actor = Gossip.start(
+            Application(),
+            self.settings,
+            self.clock,
+            self._wire,
+            self.describe,
+            Document(),
+            None,
+        )
+        self.table = self.actor.proxy().table.get()
+        self._wire.start(self.actor)
+        self._threads = [t for t in threading.enumerate() if t not in before]
+        self._server = ServerNews(
+            "i-self", SERVICES[0], True, 8, 3, 0, "sound", 0.0, False
+        )
+
+    def describe(self):
+        """Return the `OwnNews` of the node."""
+        return OwnNews(False, self._server)
+
+    def measure_spent(self):
+        """Return the processor seconds of the node's threads so far."""
+        clocks = [time.pthread_getcpuclockid(thread.ident) for thread in self._threads]
+        return sum(time.clock_gettime(clock) for clock in clocks)
+
+    def stop(self):
+        """End threads and socket."""
+        self._wire.stop()
+        self.actor.stop()
+
+
+def find_port():
+    """Return a free UDP port."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((OWN_IP, 0))
+        return sock.getsockname()[1]
+
+
+def measure_receiving(node, peers, count):
+    """Return the median milliseconds that a round of peers' announcements costs."""
+    peers.announce(0.0)
+    time.sleep(ANNOUNCE_S)
+    spent = []
+    for _ in range(ROUNDS):
+        before = node.measure_spent()
+        peers.announce(ANNOUNCE_S / count)
+        time.sleep(ANNOUNCE_S / 5)
+        spent.append(node.measure_spent() - before)
+    return statistics.median(spent) * MS_PER_S
+
+
+def measure_announcing(node):
+    """Return the median milliseconds that a round of own announcements costs."""
+    spent = []
+    for _ in range(ROUNDS * 5):
+        before = node.measure_spent()
+        node.actor.tell(Tick())
+        time.sleep(ANNOUNCE_S / 10)
+        spent.append(node.measure_spent() - before)
+    return statistics.median(spent) * MS_PER_S
+
+
+def time_call(call):
+    """Return the microseconds of processor time that a call takes."""
+    spent = []
+    for _ in range(BATCHES):
+        before = time.thread_time()
+        for _ in range(CALLS):
+            call()
+        spent.append((time.thread_time() - before) / CALLS)
+    return min(spent) * US_PER_S
+
+
+def list_questions(node):
+    """Return the questions to the table that requests and ticks ask, by name."""
+    settings, table = node.settings, node.table
+    ingress = Ingress(
+        settings, node.clock, None, node.describe, table, None, None, None, None
+    )
+    stub = NodeStub(settings, table)
+    gossip = Gossip(None, settings, node.clock, None, node.describe, Document(), None)
+    gossip.table = table
+    organisation = Organisation("census", 1000.0, 1000.0, None)
+    return {
+        "find_live": table.find_live,
+        "count_members": table.count_members,
+        "is_relay": lambda: table.is_relay(settings.data_centre, 1),
+        "may_eject": lambda: SiteNode.may_eject(stub),
+        "find_candidates": lambda: ingress._find_candidates(SERVICES[0]),
+        "find_holder": lambda: gossip._find_holder(organisation),
+        "decide_held": lambda: gossip._decide_held(organisation),
+    }
+
+
+def measure(count):
+    """Print what a number of peers costs."""
+    port = find_port()
+    node, peers = Node(port), Peers(count, port)
+    try:
+        receiving_ms = measure_receiving(node, peers, count)
+        live = len(node.table.find_live())
+        print(f"{count} peers, {live} live")
+        print(f"  receiving  {receiving_ms:8.2f} ms/s")
+        print(f"  announcing {measure_announcing(node):8.2f} ms/s")
+        peers.announce(0.0)
+        time.sleep(ANNOUNCE_S / 5)
+        for name, call in list_questions(node).items():
+            print(f"  {name:15} {time_call(call):8.1f} us")
+    finally:
+        node.stop()
+        peers.close()
+
+
+def main():
+    """Run the benchmark; return its exit status."""
+    for count in SIZES:
+        measure(count)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
