Take peers' announcements in the thread that receives them

Each datagram woke two threads: the wire's, and the actor's through pykka's inbox. An announcement, and an answer to a question of this node, needs no decision of the actor's: the wire's thread now takes them, and the actor gets questions and the first news of a process, which it greets. The peer table has a lock for that; requests went through it while the actor changed it ('dictionary changed size during iteration' was possible, not seen), and now go through copies.

The format of datagrams is the same. The wire and the open questions have modules of their own; tests deliver datagrams the way the wire does.

--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -1,15 +1,11 @@
 """Gossip.
 
-The actor that owns what a node knows of the others, and its datagrams.
+The actor that tells the other nodes of this one and answers their questions. News and
+answers are taken in the thread that receives them.
 """
 
-import contextlib
 import logging
 import random
-import socket
-import threading
-
-import msgspec
 
 from ..actors import Actor, Tick
 from ..quotas.limiter import Limiter
@@ -20,28 +16,25 @@
     RateAsk,
     RoomAnswer,
     RoomAsk,
-    decoder,
-    encoder,
 )
+from .questions import OpenQuestions
 from .table import PeerTable
+from .wire import DatagramWire as DatagramWire
+from .wire import Received
 
 log = logging.getLogger("persimmonlane.peers")
 
 ANNOUNCE_S = 1.0
-DATAGRAM_BYTES = 4096
 BOOT_LIMIT = 1 << 48
-MOST_ASKS = 1000
-END_S = 0.5
 
 
-class Received:
-    """A datagram that has come in."""
+class PeerStarted:
+    """The process of a `Peer` was heard for the first time."""
 
-    __slots__ = ("message", "sender")
+    __slots__ = ("peer",)
 
-    def __init__(self, message, sender):
-        self.message = message
-        self.sender = sender
+    def __init__(self, peer):
+        self.peer = peer
 
 
 class NodesRegistered:
@@ -103,11 +96,12 @@
     """Knows the other nodes and holds the rates that fall to this one.
 
     Attributes:
-        table: The `PeerTable`; other threads only read it.
+        table: The `PeerTable`.
     """
 
     handlers = {
-        Received: "take_datagram",
+        Received: "take_question",
+        PeerStarted: "greet",
         NodesRegistered: "take_registered",
         FreshnessKnown: "take_freshness",
         RateWanted: "decide_rate",
@@ -125,25 +119,48 @@
         self._judge = judge
         self._boot = random.randrange(BOOT_LIMIT)
         self._sequence = 0
-        self._asked = 0
-        self._asks = {}
+        self._questions = OpenQuestions()
         self._limiter = Limiter(settings.name, clock)
         self.table = PeerTable(settings.name, self._boot, clock)
         self._takers = {
             Announcement: self._take_news,
-            RateAsk: self._take_ask,
             RateAnswer: self._take_answer,
-            RoomAsk: self._take_room_ask,
             RoomAnswer: self._take_room_answer,
         }
+        self._answerers = {
+            RateAsk: self._answer_rate,
+            RoomAsk: self._answer_room,
+        }
+
+    def on_start(self):
+        """Take what needs no decision of the actor's without a hand-over to it."""
+        self._wire.set_taker(self.take)
+
+    def take(self, message, sender):
+        """Take a datagram in the thread that has received it.
+
+        Args:
+            message: The decoded message.
+            sender: Address from which it came.
 
-    def take_datagram(self, received):
-        """Handle a datagram."""
+        Returns:
+            The message for the actor, or None if nothing is left to do.
+        """
+        take = self._takers.get(type(message))
+        return take(message) if take is not None else Received(message, sender)
+
+    def take_question(self, received):
+        """Answer the question of another node."""
+        answer = self._answerers[type(received.message)]
         try:
-            self._takers[type(received.message)](received.message, received.sender)
+            answer(received.message, received.sender)
         except ValueError as error:
             log.warning("Peers: a datagram is absurd: %s.", error)
 
+    def greet(self, message):
+        """Tell a node that has just started of this one at once."""
+        self._announce_to([message.peer])
+
     def take_registered(self, message):
         """Learn of nodes from the store."""
         self.table.note_listed(message.addresses)
@@ -165,26 +182,18 @@
         if holder is None:
             wanted.reply.set(self._decide_held(wanted.organisation))
             return
-        number = self._keep(wanted)
+        number = self._questions.keep(wanted)
         ask = RateAsk(number, wanted.organisation.name, self._settings.name)
         self._send(holder.address, ask)
 
     def ask_room(self, wanted):
         """Ask another node whether its backend server would take a request."""
-        self._send(wanted.address, RoomAsk(self._keep(wanted), wanted.order))
+        self._send(wanted.address, RoomAsk(self._questions.keep(wanted), wanted.order))
 
     def decide_alone(self, organisation):
         """Decide by this node's share, since the holder did not answer."""
         return self._limiter.decide_alone(organisation, self.table.count_members())
 
-    def _keep(self, wanted):
-        """Return the number under which an answer finds what waits for it."""
-        self._asked += 1
-        self._asks[self._asked] = wanted
-        if len(self._asks) > MOST_ASKS:
-            self._asks.pop(next(iter(self._asks)))
-        return self._asked
-
     def _announce_to(self, peers):
         self._sequence += 1
         self.table.note_sent(self._sequence)
@@ -221,15 +230,12 @@
         live = len(self.table.find_live()) + 1
         return self._limiter.decide(organisation, live, self.table.count_members())
 
-    def _take_news(self, news, _):
+    def _take_news(self, news):
         before = self.table.peers.get(news.node)
         known_boot = before.news.boot if before and before.news else None
         peer = self.table.take(news)
         if peer is None:
-            return
-        if known_boot != news.boot:
-            # A node that has just started learns of this one at once.
-            self._announce_to([peer])
+            return None
         if news.version > self._document.version:
             near = news.data_centre == self._settings.data_centre
             self._document.want(news.version, news.address, near)
@@ -237,8 +243,9 @@
         if fresh_at is not None:
             in_force = self._document.version
             self.table.note_version_fresh(news.version, fresh_at, in_force)
+        return PeerStarted(peer) if known_boot != news.boot else None
 
-    def _take_ask(self, ask, sender):
+    def _answer_rate(self, ask, sender):
         rulebook = self._document.rulebook
         organisation = (
             rulebook.organisations.get(ask.organisation) if rulebook else None
@@ -252,73 +259,23 @@
             return
         # The other node can't see the holder, but this one does: two holders would
         # grant the rate twice.
-        number = self._keep(RateWanted(organisation, reply))
+        number = self._questions.keep(RateWanted(organisation, reply))
         relayed = RateAsk(number, ask.organisation, self._settings.name, True)
         self._send(holder.address, relayed)
 
-    def _take_answer(self, answer, _):
-        wanted = self._asks.pop(answer.number, None)
+    def _take_answer(self, answer):
+        wanted = self._questions.take(answer.number)
         if wanted is not None:
             wanted.reply.set(0.0 if answer.granted else max(answer.wait_s, 0.001))
 
-    def _take_room_ask(self, ask, sender):
+    def _answer_room(self, ask, sender):
         self._wire.send(sender, RoomAnswer(ask.number, self._judge(ask.order)))
 
-    def _take_room_answer(self, answer, _):
-        wanted = self._asks.pop(answer.number, None)
+    def _take_room_answer(self, answer):
+        wanted = self._questions.take(answer.number)
         if wanted is not None:
             wanted.reply.set(answer.report)
 
     def _send(self, address, message):
         host, _ = split_address(address)
         self._wire.send((host, self._settings.gossip_port), message)
-
-
-class DatagramWire:
-    """The UDP socket between nodes."""
-
-    __slots__ = ("_socket", "_thread", "_ended")
-
-    def __init__(self, ip, port):
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind((ip, port))
-        self._thread = None
-        self._ended = False
-
-    def start(self, actor):
-        """Hand datagrams to an actor from now on."""
-        self._thread = threading.Thread(
-            target=self._receive, args=(actor,), daemon=True
-        )
-        self._thread.start()
-
-    def send(self, address, message):
-        """Send a message; what can't be sent is lost like a lost datagram."""
-        try:
-            self._socket.sendto(encoder.encode(message), socket.MSG_DONTWAIT, address)
-        except OSError as error:
-            log.debug("Peers: a datagram was not sent: %s.", error)
-
-    def stop(self):
-        """Close the socket."""
-        self._ended = True
-        # This wakes the thread, though an unconnected socket says that it can't be.
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
-        if self._thread is not None:
-            self._thread.join(END_S)
-        self._socket.close()
-
-    def _receive(self, actor):
-        while not self._ended:
-            try:
-                raw, sender = self._socket.recvfrom(DATAGRAM_BYTES)
-                message = decoder.decode(raw)
-            except msgspec.MsgspecError as error:
-                log.warning("Peers: a datagram is invalid: %s.", error)
-                continue
-            except OSError as error:
-                if not self._ended:
-                    log.warning("Peers: receiving failed: %s.", error)
-                continue
-            actor.tell(Received(message, sender))
--- /dev/null
+++ b/persimmonlane/peers/questions.py
@@ -0,0 +1,33 @@
+"""Questions.
+
+What was asked of other nodes and is not answered yet.
+"""
+
+import threading
+
+MOST_ASKS = 1000
+
+
+class OpenQuestions:
+    """Questions by number; may be used from any thread."""
+
+    __slots__ = ("_lock", "_last", "_wanted")
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._last = 0
+        self._wanted = {}
+
+    def keep(self, wanted):
+        """Return the number under which an answer finds what waits for it."""
+        with self._lock:
+            self._last += 1
+            self._wanted[self._last] = wanted
+            if len(self._wanted) > MOST_ASKS:
+                self._wanted.pop(next(iter(self._wanted)))
+            return self._last
+
+    def take(self, number):
+        """Return what waits for an answer, or None; no second answer finds it."""
+        with self._lock:
+            return self._wanted.pop(number, None)
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -4,6 +4,8 @@
 is known to be. Answers restarts, cuts and freezes of nodes.
 """
 
+import threading
+
 # A peer that is silent for longer is not sent requests.
 LIVE_S = 2.6
 # A peer that is silent for longer no longer counts as a member.
@@ -120,10 +122,10 @@
 
 
 class PeerTable:
-    """The other nodes, by name; not thread-safe.
+    """The other nodes, by name; its methods may be called from any thread.
 
     Attributes:
-        peers: The `Peer`s by name.
+        peers: The `Peer`s by name; a copy is to be made before they are gone through.
         fresh_at: Seconds at which the document in force was known to be the newest,
             or None.
     """
@@ -132,6 +134,7 @@
         "peers",
         "fresh_at",
         "_clock",
+        "_lock",
         "_own_name",
         "_boot",
         "_sent_at",
@@ -143,6 +146,7 @@
         self.peers = {}
         self.fresh_at = None
         self._clock = clock
+        self._lock = threading.RLock()
         self._own_name = own_name
         self._boot = boot
         self._sent_at = {}
@@ -155,20 +159,22 @@
         Args:
             addresses: Their addresses by name.
         """
-        self._listed_at = self._clock.now()
-        for name, address in addresses.items():
-            self.note_registered(name, address)
+        with self._lock:
+            self._listed_at = self._clock.now()
+            for name, address in addresses.items():
+                self.note_registered(name, address)
 
     def note_registered(self, name, address):
         """Take a node that the store names."""
         if name == self._own_name:
             return
-        now = self._clock.now()
-        peer = self.peers.get(name)
-        if peer is None or (peer.address != address and not peer.is_live(now)):
-            self.peers[name] = Peer(name, address, now)
-        else:
-            peer.known_at = now
+        with self._lock:
+            now = self._clock.now()
+            peer = self.peers.get(name)
+            if peer is None or (peer.address != address and not peer.is_live(now)):
+                self.peers[name] = Peer(name, address, now)
+            else:
+                peer.known_at = now
 
     def note_sent(self, sequence):
         """Note that an announcement goes out now."""
@@ -180,16 +186,17 @@
         """Take an announcement; return its `Peer`, or None if it is not news."""
         if news.node == self._own_name:
             return None
-        now = self._clock.now()
-        known = self.peers.get(news.node)
-        if known is not None and known.is_stale(news):
-            return None
-        peer = known
-        if known is None or known.address != news.address:
-            peer = move_peer(known, news, now)
-        peer.accept(news, now)
-        self.peers[news.node] = peer
-        return peer
+        with self._lock:
+            now = self._clock.now()
+            known = self.peers.get(news.node)
+            if known is not None and known.is_stale(news):
+                return None
+            peer = known
+            if known is None or known.address != news.address:
+                peer = move_peer(known, news, now)
+            peer.accept(news, now)
+            self.peers[news.node] = peer
+            return peer
 
     def find_freshness(self, news):
         """Return the seconds at which a peer's version was the newest, or None.
@@ -204,8 +211,9 @@
 
     def note_fresh(self, at):
         """Note that the document in force was the newest at a time."""
-        if self.fresh_at is None or at > self.fresh_at:
-            self.fresh_at = at
+        with self._lock:
+            if self.fresh_at is None or at > self.fresh_at:
+                self.fresh_at = at
 
     def note_version_fresh(self, version, at, in_force):
         """Note that a version was the newest at a time.
@@ -218,17 +226,19 @@
             at: Seconds.
             in_force: Number of the version in force.
         """
-        if version <= in_force:
-            self.note_fresh(at)
-        elif self._awaited is None or at > self._awaited.at:
-            self._awaited = Freshness(version, at)
+        with self._lock:
+            if version <= in_force:
+                self.note_fresh(at)
+            elif self._awaited is None or at > self._awaited.at:
+                self._awaited = Freshness(version, at)
 
     def note_in_force(self, version):
         """Note the version in force; what is known of its freshness counts now."""
-        awaited = self._awaited
-        if awaited is not None and awaited.version <= version:
-            self.note_fresh(awaited.at)
-            self._awaited = None
+        with self._lock:
+            awaited = self._awaited
+            if awaited is not None and awaited.version <= version:
+                self.note_fresh(awaited.at)
+                self._awaited = None
 
     def find_fresh_age(self):
         """Return the seconds since the document was known to be the newest."""
@@ -244,13 +254,13 @@
     def find_live(self):
         """Return the `Peer`s that were heard of late."""
         now = self._clock.now()
-        return [peer for peer in self.peers.values() if peer.is_live(now)]
+        return [peer for peer in list(self.peers.values()) if peer.is_live(now)]
 
     def count_members(self):
         """Return the number of nodes, this one included, that belong to the fleet."""
         now = self._clock.now()
-        known = sum(1 for peer in self.peers.values() if now - peer.known_at < MEMBER_S)
-        return 1 + known
+        peers = list(self.peers.values())
+        return 1 + sum(1 for peer in peers if now - peer.known_at < MEMBER_S)
 
     def drop_forgotten(self):
         """Forget the nodes that neither the store nor datagrams name any more.
@@ -258,10 +268,11 @@
         While the store does not answer, none is forgotten: a node that starts then
         learns of the others only from their announcements.
         """
-        oldest = min(self._clock.now() - MEMBER_S, self._listed_at)
-        gone = [name for name, peer in self.peers.items() if peer.known_at < oldest]
-        for name in gone:
-            del self.peers[name]
+        with self._lock:
+            oldest = min(self._clock.now() - MEMBER_S, self._listed_at)
+            gone = [peer for peer in self.peers.values() if peer.known_at < oldest]
+            for peer in gone:
+                del self.peers[peer.name]
 
     def is_relay(self, data_centre, rank):
         """Return whether this node is among the first live ones of its data centre.
--- a/persimmonlane/peers/tests/test_gossip.py
+++ b/persimmonlane/peers/tests/test_gossip.py
@@ -6,7 +6,7 @@
 from ...quotas.buckets import rank_holders
 from ...routing.orders import OwnerReport
 from ...routing.rulebook import Organisation
-from ..gossip import Gossip, Received, RoomWanted
+from ..gossip import Gossip, RoomWanted
 from ..messages import (
     Announcement,
     RateAnswer,
@@ -26,6 +26,13 @@
         self.sent.append((address, decoder.decode(encoder.encode(message))))
 
 
+def deliver(gossip, message, sender):
+    """Deliver a datagram as the receiving thread and the actor take it."""
+    left = gossip.take(message, sender)
+    if left is not None:
+        gossip.on_receive(left)
+
+
 class Settings:
     name = "self"
     gossip_port = 9
@@ -47,7 +54,7 @@
 
     def test_question_is_answered_by_the_owner_s_report(self):
         order = build_order()
-        self.gossip.take_datagram(Received(RoomAsk(7, order), ("10.0.0.2", 9)))
+        deliver(self.gossip, RoomAsk(7, order), ("10.0.0.2", 9))
         self.assertEqual([order], self.judged)
         self.assertEqual(
             [(("10.0.0.2", 9), RoomAnswer(7, self.report))], self.wire.sent
@@ -58,12 +65,19 @@
         self.gossip.ask_room(wanted)
         ((address, ask),) = self.wire.sent
         self.assertEqual((("10.0.0.3", 9), wanted.order), (address, ask.order))
-        answer = Received(RoomAnswer(ask.number, self.report), address)
-        self.gossip.take_datagram(answer)
+        deliver(self.gossip, RoomAnswer(ask.number, self.report), address)
+        self.assertEqual(self.report, wanted.reply.get(timeout=0))
+
+    def test_answer_needs_no_actor(self):
+        wanted = RoomWanted("10.0.0.3:80", build_order(), pykka.ThreadingFuture())
+        self.gossip.ask_room(wanted)
+        ((address, ask),) = self.wire.sent
+        answer = RoomAnswer(ask.number, self.report)
+        self.assertIsNone(self.gossip.take(answer, address))
         self.assertEqual(self.report, wanted.reply.get(timeout=0))
 
     def test_late_and_repeated_answers_change_nothing(self):
-        self.gossip.take_datagram(Received(RoomAnswer(99, self.report), None))
+        deliver(self.gossip, RoomAnswer(99, self.report), None)
         self.assertEqual([], self.wire.sent)
 
 
@@ -99,15 +113,14 @@
 
     def ask(self, relayed=False):
         ask = RateAsk(7, "census", "nine", relayed)
-        self.gossip.take_datagram(Received(ask, ASKER))
+        deliver(self.gossip, ask, ASKER)
 
     def test_question_goes_on_to_the_holder_and_its_answer_back(self):
         self.hear(self.holder)
         self.ask()
         ((address, passed),) = self.wire.sent
         self.assertEqual((("10.0.0.1", 9), True), (address, passed.relayed))
-        answer = RateAnswer(passed.number, False, 0.4)
-        self.gossip.take_datagram(Received(answer, address))
+        deliver(self.gossip, RateAnswer(passed.number, False, 0.4), address)
         self.assertEqual((ASKER, RateAnswer(7, False, 0.4)), self.wire.sent[-1])
 
     def test_question_that_was_passed_on_is_decided_here(self):
--- a/persimmonlane/peers/tests/test_restarts.py
+++ b/persimmonlane/peers/tests/test_restarts.py
@@ -1,8 +1,9 @@
 import testtools
 
 from ...clocks import ManualClock
-from ..gossip import Gossip, Received
+from ..gossip import Gossip
 from ..messages import Announcement, ServerNews, decoder, encoder
+from .test_gossip import deliver
 
 PORT = 9
 VERSION = 7
@@ -21,7 +22,7 @@
             host, raw = self.waiting.pop(0)
             if host in self.nodes:
                 message = decoder.decode(raw)
-                self.nodes[host].take_datagram(Received(message, (host, PORT)))
+                deliver(self.nodes[host], message, (host, PORT))
 
     def lose(self):
         self.waiting.clear()
@@ -118,7 +119,7 @@
         self.stayed.announce(None)
         self.network.waiting, late = [], self.network.waiting
         ((_, raw),) = late
-        self.again.take_datagram(Received(decoder.decode(raw), None))
+        deliver(self.again, decoder.decode(raw), None)
         self.network.lose()
         self.clock.advance(1.0)
         self.again.announce(None)
@@ -131,7 +132,7 @@
         boot = self.find_boot()
         self.last.leaving = True
         self.last.address = "10.0.0.9:80"
-        self.stayed.take_datagram(Received(self.last, None))
+        deliver(self.stayed, self.last, None)
         peer = self.stayed.table.peers["again"]
         self.assertEqual((boot, "10.0.0.2:80"), (peer.news.boot, peer.address))
         self.assertFalse(peer.news.leaving)
