Give the site node's tests addresses and ports that nothing else takes

Nodes of all test processes took ports of 127.0.0.2 and 127.0.0.3 that had just been closed; another process, or a second draw, may get the same port before the node binds it, and again while a node is stopped. Seen once: setUp of test_bytes_that_are_no_request_end_no_node failed with 'Address already in use' while two workers ran this file and other test runs were on the machine. Each process now uses loopback addresses of its own and no port twice.

--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -1,5 +1,6 @@
 import contextlib
 import json
+import os
 import socket
 import threading
 import time
@@ -19,10 +20,26 @@
 KEY = "key-of-census"
 
 
+NETWORK_HOSTS = 254
+given_ports = set()
+
+
+def build_ip(number):
+    """Return a loopback address that other processes' tests do not bind."""
+    network = os.getpid() % NETWORK_HOSTS**2
+    high, low = divmod(network, NETWORK_HOSTS)
+    return f"127.{high + 1}.{low + 1}.{number}"
+
+
 def find_port(host, kind=socket.SOCK_STREAM):
-    with contextlib.closing(socket.socket(socket.AF_INET, kind)) as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a free port that was not returned before."""
+    while True:
+        with contextlib.closing(socket.socket(socket.AF_INET, kind)) as sock:
+            sock.bind((host, 0))
+            port = sock.getsockname()[1]
+        if port not in given_ports:
+            given_ports.add(port)
+            return port
 
 
 def await_true(question):
@@ -67,11 +84,11 @@
         self.store.start()
         test.addCleanup(self.store.stop)
         self.store.state.put(DOCUMENT_KEY, build_document())
-        self.gossip_port = find_port("127.0.0.1", socket.SOCK_DGRAM)
+        self.gossip_port = find_port(build_ip(1), socket.SOCK_DGRAM)
         self.nodes = {}
         self.servers = {}
         for number, service in enumerate(("near", "far")):
-            self.add(test, f"node-{service}", f"127.0.0.{number + 2}", service)
+            self.add(test, f"node-{service}", build_ip(number + 2), service)
 
     def add(self, test, name, ip, service):
         def address():
@@ -242,7 +259,7 @@
                 sock.sendall(b"\x00\xff nothing\r\n\r\n")
                 sock.recv(1000)
         with contextlib.closing(socket.socket(type=socket.SOCK_DGRAM)) as sock:
-            sock.sendto(b"\xc1garbage", ("127.0.0.2", self.site.gossip_port))
+            sock.sendto(b"\xc1garbage", (settings.ip, self.site.gossip_port))
         self.assertEqual(200, self.site.call("/near/").status)
 
     def test_request_can_be_rebuilt_from_the_log_lines(self):
