Find live peers, members and rate holders anew only when they may have changed

Each request and each tick went through the whole peer table, and each leave to run hashed every live node's name. A list of live peers now holds until the first of them would lapse, or a peer comes or is heard again; a holder is remembered while the live nodes stay the same. No answer is older than before: a test compares 2,000 random steps with a full scan.

may_eject and find_candidates still go through the live peers once. The peer and the recent peers have modules of their own.

--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -120,6 +120,8 @@
         self._boot = random.randrange(BOOT_LIMIT)
         self._sequence = 0
         self._questions = OpenQuestions()
+        self._live = None
+        self._live_by_name = {}
         self._limiter = Limiter(settings.name, clock)
         self.table = PeerTable(settings.name, self._boot, clock)
         self._takers = {
@@ -222,9 +224,12 @@
         )
 
     def _find_holder(self, organisation):
-        live = {peer.name: peer for peer in self.table.find_live()}
-        name = self._limiter.find_holder(organisation.name, live)
-        return live.get(name)
+        live = self.table.find_live()
+        if live is not self._live:
+            self._live = live
+            self._live_by_name = {peer.name: peer for peer in live}
+        name = self._limiter.find_holder(organisation.name, self._live_by_name)
+        return self._live_by_name.get(name)
 
     def _decide_held(self, organisation):
         live = len(self.table.find_live()) + 1
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -4,106 +4,13 @@
 is known to be. Answers restarts, cuts and freezes of nodes.
 """
 
+import operator
 import threading
 
-# A peer that is silent for longer is not sent requests.
-LIVE_S = 2.6
-# A peer that is silent for longer no longer counts as a member.
-MEMBER_S = 30.0
-UNREACHABLE_FIRST_S = 1.0
-UNREACHABLE_LONGEST_S = 4.0
-KEPT_SENDS = 64
-
-
-class Peer:
-    """Another node.
-
-    Attributes:
-        name: Name of the node.
-        address: Address for requests from other nodes.
-        data_centre: Name of its data centre, empty before it was heard.
-        news: Its newest `Announcement`, or None before it was heard.
-        heard_at: Seconds at which that came.
-        known_at: Seconds at which the store or a datagram last named it.
-        avoided_until: Seconds until which it is not sent requests.
-        pending: Requests of this node that are at it now.
-        past_boot: Boot number of its process before the present one, or None.
-    """
-
-    __slots__ = (
-        "name",
-        "address",
-        "data_centre",
-        "news",
-        "heard_at",
-        "known_at",
-        "avoided_until",
-        "pending",
-        "past_boot",
-        "_failures",
-    )
-
-    def __init__(self, name, address, known_at):
-        self.name = name
-        self.address = address
-        self.data_centre = ""
-        self.news = None
-        self.heard_at = None
-        self.known_at = known_at
-        self.avoided_until = 0.0
-        self.pending = 0
-        self.past_boot = None
-        self._failures = 0
-
-    def accept(self, news, now):
-        """Take an `Announcement` that is not stale."""
-        old = self.news
-        if old is None or old.boot != news.boot:
-            self.note_reached()
-        if old is not None and old.boot != news.boot:
-            self.past_boot = old.boot
-        self.news = news
-        self.data_centre = news.data_centre
-        self.heard_at = self.known_at = now
-
-    def note_unreachable(self, now):
-        """Avoid the peer for a while; longer each time until it is reached."""
-        avoided_s = UNREACHABLE_FIRST_S * 2**self._failures
-        self._failures += 1
-        self.avoided_until = now + min(UNREACHABLE_LONGEST_S, avoided_s)
-
-    def note_reached(self):
-        """Trust the path to the peer again."""
-        self._failures = 0
-        self.avoided_until = 0.0
-
-    def note_report(self, server_id, report):
-        """Take what the peer tells of its backend server with an answer.
+from .peer import LIVE_S, MEMBER_S, Peer, move_peer
+from .recents import RecentPeers
 
-        Args:
-            server_id: Identifier of the backend server that was asked for.
-            report: The `OwnerReport`.
-        """
-        server = self.news.server if self.news is not None else None
-        if server is None or server.server_id != server_id:
-            return
-        server.running = report.running
-        server.waiting = report.waiting
-        server.standing = report.standing
-        server.doubtful = report.doubtful
-
-    def is_stale(self, news):
-        """Return whether an `Announcement` was sent before the newest one."""
-        old = self.news
-        if old is None:
-            return False
-        if old.boot == news.boot:
-            return old.sequence >= news.sequence
-        return news.boot == self.past_boot
-
-    def is_live(self, now):
-        """Return whether the peer was heard of late."""
-        return self.heard_at is not None and now - self.heard_at < LIVE_S
+KEPT_SENDS = 64
 
 
 class Freshness:
@@ -140,6 +47,8 @@
         "_sent_at",
         "_listed_at",
         "_awaited",
+        "_live",
+        "_members",
     )
 
     def __init__(self, own_name, boot, clock):
@@ -152,6 +61,8 @@
         self._sent_at = {}
         self._listed_at = float("-inf")
         self._awaited = None
+        self._live = RecentPeers(LIVE_S, operator.attrgetter("heard_at"))
+        self._members = RecentPeers(MEMBER_S, operator.attrgetter("known_at"))
 
     def note_listed(self, addresses):
         """Take the nodes that the store names.
@@ -175,6 +86,7 @@
                 self.peers[name] = Peer(name, address, now)
             else:
                 peer.known_at = now
+            self._members.discard()
 
     def note_sent(self, sequence):
         """Note that an announcement goes out now."""
@@ -194,6 +106,10 @@
             peer = known
             if known is None or known.address != news.address:
                 peer = move_peer(known, news, now)
+            # What was found before holds only if it names this peer already.
+            if peer is not known or not peer.is_live(now):
+                self._live.discard()
+                self._members.discard()
             peer.accept(news, now)
             self.peers[news.node] = peer
             return peer
@@ -252,15 +168,12 @@
         return age_s if age_s != float("inf") else -1.0
 
     def find_live(self):
-        """Return the `Peer`s that were heard of late."""
-        now = self._clock.now()
-        return [peer for peer in list(self.peers.values()) if peer.is_live(now)]
+        """Return the `Peer`s that were heard of late; the list may not be changed."""
+        return self._find(self._live)
 
     def count_members(self):
         """Return the number of nodes, this one included, that belong to the fleet."""
-        now = self._clock.now()
-        peers = list(self.peers.values())
-        return 1 + sum(1 for peer in peers if now - peer.known_at < MEMBER_S)
+        return 1 + len(self._find(self._members))
 
     def drop_forgotten(self):
         """Forget the nodes that neither the store nor datagrams name any more.
@@ -290,17 +203,9 @@
         )
         return before < rank
 
-
-def move_peer(known, news, now):
-    """Return the `Peer` at a new address.
-
-    Args:
-        known: The `Peer` at its address until now, or None.
-        news: The `Announcement` that names the new address.
-        now: Seconds.
-    """
-    peer = Peer(news.node, news.address, now)
-    if known is not None:
-        peer.news = known.news
-        peer.past_boot = known.past_boot
-    return peer
+    def _find(self, recents):
+        found = recents.get(self._clock.now())
+        if found is not None:
+            return found
+        with self._lock:
+            return recents.find(self.peers.values(), self._clock.now())
--- a/persimmonlane/peers/tests/test_table.py
+++ b/persimmonlane/peers/tests/test_table.py
@@ -1,7 +1,10 @@
+import random
+
 import testtools
 
 from ...clocks import ManualClock
 from ..messages import Announcement, decoder, encoder
+from ..peer import LIVE_S, MEMBER_S
 from ..table import PeerTable
 
 
@@ -48,6 +51,73 @@
         self.table.drop_forgotten()
         self.assertEqual(1, self.table.count_members())
 
+    def list_live(self):
+        return [peer.name for peer in self.table.find_live()]
+
+    def test_each_peer_lapses_on_its_own_time(self):
+        self.table.take(news())
+        self.clock.advance(1.0)
+        self.table.take(news(node="c", address="10.0.0.3:80"))
+        self.assertEqual(["b", "c"], self.list_live())
+        self.clock.advance(LIVE_S - 0.99)
+        self.assertEqual(["c"], self.list_live())
+        self.clock.advance(1.0)
+        self.assertEqual([], self.list_live())
+
+    def test_peer_that_is_heard_again_stays_live(self):
+        for sequence in range(1, 9):
+            self.table.take(news(sequence=sequence))
+            self.assertEqual(["b"], self.list_live())
+            self.clock.advance(LIVE_S - 0.1)
+        self.assertEqual(["b"], self.list_live())
+
+    def test_silent_peer_is_live_as_soon_as_it_is_heard(self):
+        self.table.take(news())
+        self.clock.advance(MEMBER_S + 1.0)
+        self.assertEqual(([], 1), (self.list_live(), self.table.count_members()))
+        self.table.take(news(sequence=2))
+        self.assertEqual((["b"], 2), (self.list_live(), self.table.count_members()))
+
+    def test_peer_that_moves_is_found_at_its_new_address(self):
+        self.table.take(news())
+        self.table.find_live()
+        self.table.take(news(sequence=2, address="10.0.0.9:80"))
+        self.assertEqual(
+            ["10.0.0.9:80"], [peer.address for peer in self.table.find_live()]
+        )
+
+    def test_registered_node_is_a_member_at_once_and_live_once_heard(self):
+        self.assertEqual(([], 1), (self.list_live(), self.table.count_members()))
+        self.table.note_registered("b", "10.0.0.2:80")
+        self.assertEqual(([], 2), (self.list_live(), self.table.count_members()))
+        self.clock.advance(MEMBER_S + 1.0)
+        self.assertEqual(1, self.table.count_members())
+        self.table.note_registered("b", "10.0.0.2:80")
+        self.assertEqual(2, self.table.count_members())
+        self.table.take(news())
+        self.assertEqual(["b"], self.list_live())
+
+    def test_answers_are_those_of_a_full_scan(self):
+        rng = random.Random(4)
+        for sequence in range(1, 2000):
+            self.clock.advance(rng.choice((0.0, 0.01, 0.4, 3.0, 40.0)))
+            name = rng.choice("bcdef")
+            if rng.random() < 0.2:
+                self.table.note_registered(name, f"{name}:80")
+            elif rng.random() < 0.1:
+                self.table.drop_forgotten()
+            else:
+                address = f"{name}:{rng.choice((80, 81))}"
+                self.table.take(news(node=name, sequence=sequence, address=address))
+            self.assert_scanned()
+
+    def assert_scanned(self):
+        now, peers = self.clock.now(), self.table.peers.values()
+        live = [peer for peer in peers if peer.is_live(now)]
+        members = [peer for peer in peers if now - peer.known_at < MEMBER_S]
+        self.assertEqual(set(map(id, live)), set(map(id, self.table.find_live())))
+        self.assertEqual(1 + len(members), self.table.count_members())
+
     def test_freshness_counts_from_the_send_that_the_peer_echoes(self):
         self.table.note_sent(9)
         self.clock.advance(4.0)
--- a/persimmonlane/quotas/buckets.py
+++ b/persimmonlane/quotas/buckets.py
@@ -51,6 +51,11 @@
     return sorted(names, key=lambda name: weigh(organisation, name), reverse=True)
 
 
+def find_holder(organisation, names):
+    """Return the name of the node that holds an organisation's rate."""
+    return max(names, key=lambda name: weigh(organisation, name))
+
+
 def weigh(organisation, name):
     """Return a node's weight for an organisation (rendezvous hashing)."""
     text = f"{organisation}/{name}".encode()
--- a/persimmonlane/quotas/limiter.py
+++ b/persimmonlane/quotas/limiter.py
@@ -5,7 +5,7 @@
 sends many times its rate, and cuts that leave several holders.
 """
 
-from .buckets import Bucket, rank_holders
+from .buckets import Bucket, find_holder
 
 # Nodes that may be missing before a holder takes itself for cut off.
 TOLERATED_LOSS = 2
@@ -14,22 +14,32 @@
 FIRST_TOKENS_S = 0.2
 # A share of the rate is too small for a burst of its own.
 LEAST_SHARE_BURST = 2.0
+MOST_HOLDERS = 10_000
 
 
 class Limiter:
     """Buckets of the organisations; not thread-safe."""
 
-    __slots__ = ("_clock", "_own_name", "_held", "_shares")
+    __slots__ = ("_clock", "_own_name", "_held", "_shares", "_names", "_holders")
 
     def __init__(self, own_name, clock):
         self._clock = clock
         self._own_name = own_name
         self._held = {}
         self._shares = {}
+        self._names = []
+        self._holders = {}
 
     def find_holder(self, organisation, live_names):
         """Return the name of the node that holds an organisation's rate."""
-        return rank_holders(organisation, [self._own_name, *live_names])[0]
+        names = [self._own_name, *live_names]
+        if names != self._names or len(self._holders) >= MOST_HOLDERS:
+            self._names = names
+            self._holders = {}
+        holder = self._holders.get(organisation)
+        if holder is None:
+            holder = self._holders[organisation] = find_holder(organisation, names)
+        return holder
 
     def decide(self, organisation, live, members):
         """Decide on a request as the holder of the rate.
--- a/persimmonlane/quotas/tests/test_limiter.py
+++ b/persimmonlane/quotas/tests/test_limiter.py
@@ -60,6 +60,14 @@
         fleet.load(20.0, RATE * 0.9)
         self.assertEqual(int(20 * RATE * 0.9), len(fleet.granted))
 
+    def test_holder_follows_the_live_nodes(self):
+        limiter = Limiter("own", ManualClock(1.0))
+        names = [f"node-{number}" for number in range(30)]
+        for live in (names, names[:10], names[10:], names, []):
+            for organisation in ("census", "harbour", "census"):
+                ranked = rank_holders(organisation, ["own", *live])
+                self.assertEqual(ranked[0], limiter.find_holder(organisation, live))
+
     def test_cut_fleet_stays_within_the_bound(self):
         fleet = Fleet(30)
         fleet.load(10.0, RATE * 7.5)
