Decide by the node's share with one message, and in bounded time

Where a holder did not answer in 80 ms, which is where a node is short of processor time, each request built a pykka proxy of the actor (it looks through all attributes) and then waited for it without end. One message does it now; after 0.5 s more the request is refused as not run, 'rate-unknown'.

--- a/persimmonlane/explaining/reading.py
+++ b/persimmonlane/explaining/reading.py
@@ -15,6 +15,7 @@
     "attempts for each reason.",
     "no-server": "No backend server of the service is known to take requests.",
     "rate-exceeded": "Its organisation is beyond its rate.",
+    "rate-unknown": "Neither the holder of its rate nor this node decided in time.",
     "key-unknown": "The document in force knows no such key.",
     "no-route": "The document in force has no route for it.",
     "document-stale": "The node could not know whether the document in force is the "
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -65,6 +65,21 @@
         self.reply = reply
 
 
+class ShareWanted:
+    """The holder of a rate did not answer; `reply` takes the wait by this node's share.
+
+    Attributes:
+        organisation: The `Organisation`.
+        reply: Future that takes seconds.
+    """
+
+    __slots__ = ("organisation", "reply")
+
+    def __init__(self, organisation, reply):
+        self.organisation = organisation
+        self.reply = reply
+
+
 class RelayedReply:
     """Passes the answer to a question back to the node that asked it."""
 
@@ -105,6 +120,7 @@
         NodesRegistered: "take_registered",
         FreshnessKnown: "take_freshness",
         RateWanted: "decide_rate",
+        ShareWanted: "decide_alone",
         RoomWanted: "ask_room",
         Tick: "announce",
     }
@@ -192,9 +208,11 @@
         """Ask another node whether its backend server would take a request."""
         self._send(wanted.address, RoomAsk(self._questions.keep(wanted), wanted.order))
 
-    def decide_alone(self, organisation):
+    def decide_alone(self, wanted):
         """Decide by this node's share, since the holder did not answer."""
-        return self._limiter.decide_alone(organisation, self.table.count_members())
+        members = self.table.count_members()
+        wait_s = self._limiter.decide_alone(wanted.organisation, members)
+        wanted.reply.set(wait_s)
 
     def _announce_to(self, peers):
         self._sequence += 1
--- a/persimmonlane/serving/admission.py
+++ b/persimmonlane/serving/admission.py
@@ -4,11 +4,15 @@
 rate, by a document that is known to be recent.
 """
 
+import logging
+
 import pykka
 
 from ..errors import Refusal
 from ..headers import find_first
-from ..peers.gossip import RateWanted
+from ..peers.gossip import RateWanted, ShareWanted
+
+log = logging.getLogger("persimmonlane.serving")
 
 # The document must have been the newest within this much less than the time in which
 # a withdrawn key stops working.
@@ -16,6 +20,7 @@
 # An older document may lack routes and keys that are in force.
 TRUSTED_AGE_S = 3.0
 RATE_ANSWER_S = 0.08
+SHARE_ANSWER_S = 0.5
 RETRY_AFTER_S = 0.3
 
 
@@ -63,17 +68,12 @@
         """Take the request from its organisation's rate.
 
         Raises:
-            Refusal: Not run, with code `rate-exceeded`.
+            Refusal: Not run, with code `rate-exceeded` or `rate-unknown`.
         """
         organisation = request.organisation
         if organisation is None or organisation.rate <= 0:
             return
-        wanted = RateWanted(organisation, pykka.ThreadingFuture())
-        self._actor.tell(wanted)
-        try:
-            wait_s = wanted.reply.get(timeout=RATE_ANSWER_S)
-        except pykka.Timeout:
-            wait_s = self._actor.proxy().decide_alone(organisation).get()
+        wait_s = self._ask_rate(organisation)
         if wait_s > 0:
             raise Refusal(
                 429,
@@ -82,6 +82,27 @@
                 retry_after=min(wait_s, RETRY_AFTER_S * 10),
             )
 
+    def _ask_rate(self, organisation):
+        """Return the seconds to wait for leave to run, 0 if it is given."""
+        try:
+            return self._ask(RateWanted, organisation, RATE_ANSWER_S)
+        except pykka.Timeout:
+            log.debug("Serving: the holder of a rate did not answer.")
+        try:
+            return self._ask(ShareWanted, organisation, SHARE_ANSWER_S)
+        except pykka.Timeout as error:
+            raise Refusal(
+                503,
+                "rate-unknown",
+                "the node can't decide on the organisation's rate",
+                retry_after=RETRY_AFTER_S,
+            ) from error
+
+    def _ask(self, question, organisation, timeout_s):
+        wanted = question(organisation, pykka.ThreadingFuture())
+        self._actor.tell(wanted)
+        return wanted.reply.get(timeout=timeout_s)
+
     def _authenticate(self, request, rulebook):
         if request.route.open:
             return
--- a/persimmonlane/serving/tests/test_admission.py
+++ b/persimmonlane/serving/tests/test_admission.py
@@ -1,12 +1,24 @@
+import time
+
 import testtools
+from testtools.matchers import GreaterThan
 
 from ...clocks import ManualClock
 from ...errors import Refusal
 from ...headers import Header
+from ...peers.gossip import RateWanted, ShareWanted
 from ...peers.table import PeerTable
 from ...platform.documents import decode_document
+from ...routing.rulebook import Organisation
 from ...tests.test_sitenode import KEY, build_document
-from ..admission import FRESHNESS_MARGIN_S, TRUSTED_AGE_S, Admission
+from ...verdicts import Verdict
+from ..admission import (
+    FRESHNESS_MARGIN_S,
+    RATE_ANSWER_S,
+    SHARE_ANSWER_S,
+    TRUSTED_AGE_S,
+    Admission,
+)
 from ..attempts import IngressRequest
 
 WITHDRAWAL_S = 5.0
@@ -62,3 +74,51 @@
     def test_key_that_may_be_withdrawn_is_refused_as_not_run(self):
         self.clock.advance(WITHDRAWAL_S - FRESHNESS_MARGIN_S + 0.01)
         self.assertEqual((503, "document-stale"), self.refuse())
+
+
+class RateActor:
+    """Answers the questions that it has a wait for, and keeps silent on others."""
+
+    def __init__(self, **waits):
+        self.waits = waits
+        self.asked = []
+
+    def tell(self, wanted):
+        self.asked.append(type(wanted))
+        wait_s = self.waits.get(type(wanted).__name__)
+        if wait_s is not None:
+            wanted.reply.set(wait_s)
+
+
+class Request:
+    organisation = Organisation("census", 10.0, 10.0, None)
+
+
+class RateTests(testtools.TestCase):
+    def check(self, actor):
+        Admission(Settings, None, None, actor).check_rate(Request)
+
+    def refuse(self, actor):
+        refusal = self.assertRaises(Refusal, self.check, actor)
+        self.assertIs(Verdict.NOT_RUN, refusal.verdict)
+        return refusal.status, refusal.code
+
+    def test_holder_decides(self):
+        actor = RateActor(RateWanted=0.0)
+        self.check(actor)
+        self.assertEqual([RateWanted], actor.asked)
+        refused = self.refuse(RateActor(RateWanted=0.4))
+        self.assertEqual((429, "rate-exceeded"), refused)
+
+    def test_share_decides_if_the_holder_is_silent(self):
+        actor = RateActor(ShareWanted=0.0)
+        self.check(actor)
+        self.assertEqual([RateWanted, ShareWanted], actor.asked)
+        refused = self.refuse(RateActor(ShareWanted=0.4))
+        self.assertEqual((429, "rate-exceeded"), refused)
+
+    def test_request_is_refused_in_time_if_nothing_decides(self):
+        began = time.monotonic()
+        self.assertEqual((503, "rate-unknown"), self.refuse(RateActor()))
+        least_s = RATE_ANSWER_S + SHARE_ANSWER_S
+        self.assertThat(time.monotonic() - began, GreaterThan(least_s - 0.01))
