--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -4,112 +4,89 @@
 is known to be. Answers restarts, cuts and freezes of nodes.
 """
 
-# A peer that is silent for longer is not sent requests.
-LIVE_S = 2.6
-# A peer that is silent for longer no longer counts as a member.
-MEMBER_S = 30.0
-UNREACHABLE_FIRST_S = 1.0
-UNREACHABLE_LONGEST_S = 4.0
+import operator
+import threading
+
+from .peer import LIVE_S, MEMBER_S, Peer, move_peer
+from .recents import RecentPeers
+
 KEPT_SENDS = 64
 
 
-class Peer:
-    """Another node.
+class Freshness:
+    """Tells that a version was the newest at a time.
 
     Attributes:
-        name: Name of the node.
-        address: Address for requests from other nodes.
-        data_centre: Name of its data centre, empty before it was heard.
-        news: Its newest `Announcement`, or None before it was heard.
-        heard_at: Seconds at which that came.
-        known_at: Seconds at which the store or a datagram last named it.
-        avoided_until: Seconds until which it is not sent requests.
-        pending: Requests of this node that are at it now.
+        version: Number of the version.
+        at: Seconds.
     """
 
-    __slots__ = (
-        "name",
-        "address",
-        "data_centre",
-        "news",
-        "heard_at",
-        "known_at",
-        "avoided_until",
-        "pending",
-        "_failures",
-    )
-
-    def __init__(self, name, address, known_at):
-        self.name = name
-        self.address = address
-        self.data_centre = ""
-        self.news = None
-        self.heard_at = None
-        self.known_at = known_at
-        self.avoided_until = 0.0
-        self.pending = 0
-        self._failures = 0
-
-    def note_unreachable(self, now):
-        """Avoid the peer for a while; longer each time until it is reached."""
-        avoided_s = UNREACHABLE_FIRST_S * 2**self._failures
-        self._failures += 1
-        self.avoided_until = now + min(UNREACHABLE_LONGEST_S, avoided_s)
-
-    def note_reached(self):
-        """Trust the path to the peer again."""
-        self._failures = 0
-        self.avoided_until = 0.0
-
-    def note_report(self, server_id, report):
-        """Take what the peer tells of its backend server with an answer.
-
-        Args:
-            server_id: Identifier of the backend server that was asked for.
-            report: The `OwnerReport`.
-        """
-        server = self.news.server if self.news is not None else None
-        if server is None or server.server_id != server_id:
-            return
-        server.running = report.running
-        server.waiting = report.waiting
-        server.standing = report.standing
-        server.doubtful = report.doubtful
+    __slots__ = ("version", "at")
 
-    def is_live(self, now):
-        """Return whether the peer was heard of late."""
-        return self.heard_at is not None and now - self.heard_at < LIVE_S
+    def __init__(self, version, at):
+        self.version = version
+        self.at = at
 
 
 class PeerTable:
-    """The other nodes, by name; not thread-safe.
+    """The other nodes, by name; its methods may be called from any thread.
 
     Attributes:
-        peers: The `Peer`s by name.
+        peers: The `Peer`s by name; a copy is to be made before they are gone through.
         fresh_at: Seconds at which the document in force was known to be the newest,
             or None.
     """
 
-    __slots__ = ("peers", "fresh_at", "_clock", "_own_name", "_boot", "_sent_at")
+    __slots__ = (
+        "peers",
+        "fresh_at",
+        "_clock",
+        "_lock",
+        "_own_name",
+        "_boot",
+        "_sent_at",
+        "_listed_at",
+        "_awaited",
+        "_live",
+        "_members",
+    )
 
     def __init__(self, own_name, boot, clock):
         self.peers = {}
         self.fresh_at = None
         self._clock = clock
+        self._lock = threading.RLock()
         self._own_name = own_name
         self._boot = boot
         self._sent_at = {}
+        self._listed_at = float("-inf")
+        self._awaited = None
+        self._live = RecentPeers(LIVE_S, operator.attrgetter("heard_at"))
+        self._members = RecentPeers(MEMBER_S, operator.attrgetter("known_at"))
+
+    def note_listed(self, addresses):
+        """Take the nodes that the store names.
+
+        Args:
+            addresses: Their addresses by name.
+        """
+        with self._lock:
+            self._listed_at = self._clock.now()
+            for name, address in addresses.items():
+                self.note_registered(name, address)
 
     def note_registered(self, name, address):
         """Take a node that the store names."""
         if name == self._own_name:
             return
-        now = self._clock.now()
-        peer = self.peers.get(name)
-        if peer is None or (peer.address != address and not peer.is_live(now)):
-            self.peers[name] = Peer(name, address, now)
-        else:
-            peer.known_at = now
+        with self._lock:
+            now = self._clock.now()
+            peer = self.peers.get(name)
+            if peer is None or (peer.address != address and not peer.is_live(now)):
+                self.peers[name] = Peer(name, address, now)
+            else:
+                peer.known_at = now
+            self._members.discard()
 
     def note_sent(self, sequence):
         """Note that an announcement goes out now."""
@@ -121,19 +98,21 @@
         """Take an announcement; return its `Peer`, or None if it is not news."""
         if news.node == self._own_name:
             return None
-        now = self._clock.now()
-        peer = self.peers.get(news.node)
-        if peer is None or peer.address != news.address:
-            peer = self.peers[news.node] = Peer(news.node, news.address, now)
-        old = peer.news
-        if old is not None and old.boot == news.boot and old.sequence >= news.sequence:
-            return None
-        if old is None or old.boot != news.boot:
-            peer.note_reached()
-        peer.news = news
-        peer.data_centre = news.data_centre
-        peer.heard_at = peer.known_at = now
-        return peer
+        with self._lock:
+            now = self._clock.now()
+            known = self.peers.get(news.node)
+            if known is not None and known.is_stale(news):
+                return None
+            peer = known
+            if known is None or known.address != news.address:
+                peer = move_peer(known, news, now)
+            # What was found before holds only if it names this peer already.
+            if peer is not known or not peer.is_live(now):
+                self._live.discard()
+                self._members.discard()
+            peer.accept(news, now)
+            self.peers[news.node] = peer
+            return peer
 
     def find_freshness(self, news):
         """Return the seconds at which a peer's version was the newest, or None.
@@ -148,8 +127,34 @@
 
     def note_fresh(self, at):
         """Note that the document in force was the newest at a time."""
-        if self.fresh_at is None or at > self.fresh_at:
-            self.fresh_at = at
+        with self._lock:
+            if self.fresh_at is None or at > self.fresh_at:
+                self.fresh_at = at
+
+    def note_version_fresh(self, version, at, in_force):
+        """Note that a version was the newest at a time.
+
+        Versions only rise, so that a later one was at least as new at that time. An
+        earlier one gains nothing; the time counts once the version has come.
+
+        Args:
+            version: Number of the version.
+            at: Seconds.
+            in_force: Number of the version in force.
+        """
+        with self._lock:
+            if version <= in_force:
+                self.note_fresh(at)
+            elif self._awaited is None or at > self._awaited.at:
+                self._awaited = Freshness(version, at)
+
+    def note_in_force(self, version):
+        """Note the version in force; what is known of its freshness counts now."""
+        with self._lock:
+            awaited = self._awaited
+            if awaited is not None and awaited.version <= version:
+                self.note_fresh(awaited.at)
+                self._awaited = None
 
     def find_fresh_age(self):
         """Return the seconds since the document was known to be the newest."""
@@ -163,22 +168,24 @@
         return age_s if age_s != float("inf") else -1.0
 
     def find_live(self):
-        """Return the `Peer`s that were heard of late."""
-        now = self._clock.now()
-        return [peer for peer in self.peers.values() if peer.is_live(now)]
+        """Return the `Peer`s that were heard of late; the list may not be changed."""
+        return self._find(self._live)
 
     def count_members(self):
         """Return the number of nodes, this one included, that belong to the fleet."""
-        now = self._clock.now()
-        known = sum(1 for peer in self.peers.values() if now - peer.known_at < MEMBER_S)
-        return 1 + known
+        return 1 + len(self._find(self._members))
 
     def drop_forgotten(self):
-        """Forget the nodes that neither the store nor datagrams name any more."""
-        oldest = self._clock.now() - MEMBER_S
-        gone = [name for name, peer in self.peers.items() if peer.known_at < oldest]
-        for name in gone:
-            del self.peers[name]
+        """Forget the nodes that neither the store nor datagrams name any more.
+
+        While the store does not answer, none is forgotten: a node that starts then
+        learns of the others only from their announcements.
+        """
+        with self._lock:
+            oldest = min(self._clock.now() - MEMBER_S, self._listed_at)
+            gone = [peer for peer in self.peers.values() if peer.known_at < oldest]
+            for peer in gone:
+                del self.peers[peer.name]
 
     def is_relay(self, data_centre, rank):
         """Return whether this node is among the first live ones of its data centre.
@@ -195,3 +202,10 @@
             and not peer.news.leaving
         )
         return before < rank
+
+    def _find(self, recents):
+        found = recents.get(self._clock.now())
+        if found is not None:
+            return found
+        with self._lock:
+            return recents.find(self.peers.values(), self._clock.now())
