Take requests back from owners that have not begun them

Cause: only the owner knows whether it has handed a request to its backend server, and nobody asked it once the connection to it broke or the wait was to end. Fix: an owner keeps the ids that it has handed over, and those that were withdrawn. A datagram names the request and the process that it was sent to; an owner that has not handed it over never will, and says so, which makes it not-run.

--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -17,6 +17,7 @@
 from ..serving.exchange import Call, Exchange, ExchangeError
 from ..signals import Signal
 from ..verdicts import Verdict
+from .fates import Fates
 from .gate import Gate, Ticket
 from .standing import DOUBT_SCORE, ServerRecord, Standing
 from .times import WorkTimes
@@ -57,6 +58,7 @@
         "_misdirected",
         "_times",
         "_leaving",
+        "_fates",
     )
 
     def __init__(self, settings, hosted, clock, pool, may_eject):
@@ -72,6 +74,7 @@
         self._misdirected = None
         self._times = WorkTimes()
         self._leaving = False
+        self._fates = Fates(clock)
 
     def leave(self):
         """Close the gate for good: the node was told to stop.
@@ -83,6 +86,15 @@
             self._leaving = True
             self._update_gate()
 
+    def withdraw(self, request_id):
+        """Keep a request from the backend server from now on.
+
+        Returns:
+            Whether it was never handed over, and so never runs.
+        """
+        with self._lock:
+            return self._fates.withdraw(request_id)
+
     def take_heartbeat(self, heartbeat):
         """Take a heartbeat of the backend server."""
         with self._lock:
@@ -186,11 +198,17 @@
         self._enter(order, ticket)
         try:
             self._await_slot(ticket, wakener, caller)
+            self._hand(order)
             return self._exchange(order, call, ticket, caller)
         finally:
             with self._lock:
                 self.gate.leave(ticket)
 
+    def _hand(self, order):
+        with self._lock:
+            if not self._fates.hand(order.request_id):
+                raise refuse("request-withdrawn", "its ingress node took it back")
+
     def _tell(self, order, call, ticket, outcome, verdict, status):
         now = self._clock.now()
         granted_at = ticket.granted_at if ticket.granted_at is not None else now
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -16,6 +16,8 @@
     RateAsk,
     RoomAnswer,
     RoomAsk,
+    WithdrawalAnswer,
+    WithdrawalAsk,
 )
 from .questions import OpenQuestions
 from .table import PeerTable
@@ -107,6 +109,25 @@
         self.reply = reply
 
 
+class WithdrawalWanted:
+    """An owner is to keep a request from its backend server.
+
+    Attributes:
+        address: Address of the owner.
+        boot: Boot number of the process to which the request was sent.
+        request_id: Identifier of the request.
+        reply: Future that takes whether the request is sure never to run there.
+    """
+
+    __slots__ = ("address", "boot", "request_id", "reply")
+
+    def __init__(self, address, boot, request_id, reply):
+        self.address = address
+        self.boot = boot
+        self.request_id = request_id
+        self.reply = reply
+
+
 class Gossip(Actor):
     """Knows the other nodes and holds the rates that fall to this one.
 
@@ -122,17 +143,18 @@
         RateWanted: "decide_rate",
         ShareWanted: "decide_alone",
         RoomWanted: "ask_room",
+        WithdrawalWanted: "ask_withdrawal",
         Tick: "announce",
     }
 
-    def __init__(self, application, settings, clock, wire, describe, document, judge):
+    def __init__(self, application, settings, clock, wire, describe, document, owner):
         super().__init__(application)
         self._settings = settings
         self._clock = clock
         self._wire = wire
         self._describe = describe
         self._document = document
-        self._judge = judge
+        self._owner = owner
         self._boot = random.randrange(BOOT_LIMIT)
         self._sequence = 0
         self._questions = OpenQuestions()
@@ -144,10 +166,12 @@
             Announcement: self._take_news,
             RateAnswer: self._take_answer,
             RoomAnswer: self._take_room_answer,
+            WithdrawalAnswer: self._take_withdrawal_answer,
         }
         self._answerers = {
             RateAsk: self._answer_rate,
             RoomAsk: self._answer_room,
+            WithdrawalAsk: self._answer_withdrawal,
         }
 
     def on_start(self):
@@ -208,6 +232,12 @@
         """Ask another node whether its backend server would take a request."""
         self._send(wanted.address, RoomAsk(self._questions.keep(wanted), wanted.order))
 
+    def ask_withdrawal(self, wanted):
+        """Ask an owner to keep a request from its backend server."""
+        number = self._questions.keep(wanted)
+        ask = WithdrawalAsk(number, wanted.boot, wanted.request_id)
+        self._send(wanted.address, ask)
+
     def decide_alone(self, wanted):
         """Decide by this node's share, since the holder did not answer."""
         members = self.table.count_members()
@@ -292,7 +322,17 @@
             wanted.reply.set(0.0 if answer.granted else max(answer.wait_s, 0.001))
 
     def _answer_room(self, ask, sender):
-        self._wire.send(sender, RoomAnswer(ask.number, self._judge(ask.order)))
+        self._wire.send(sender, RoomAnswer(ask.number, self._owner.judge(ask.order)))
+
+    def _answer_withdrawal(self, ask, sender):
+        # A process that has started since does not know what the one before did.
+        never_runs = ask.boot == self._boot and self._owner.withdraw(ask.request_id)
+        self._wire.send(sender, WithdrawalAnswer(ask.number, never_runs))
+
+    def _take_withdrawal_answer(self, answer):
+        wanted = self._questions.take(answer.number)
+        if wanted is not None:
+            wanted.reply.set(answer.never_runs)
 
     def _take_room_answer(self, answer):
         wanted = self._questions.take(answer.number)
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -119,7 +119,41 @@
     report: OwnerReport
 
 
-Datagram = Announcement | RateAsk | RateAnswer | RoomAsk | RoomAnswer
+class WithdrawalAsk(msgspec.Struct, array_like=True, tag="w"):
+    """Asks the owner of a backend server to keep a request from it from now on.
+
+    Attributes:
+        number: Number by which the answer is found.
+        boot: Boot number of the process to which the request was sent.
+        request_id: Identifier of the request.
+    """
+
+    number: int
+    boot: int
+    request_id: str
+
+
+class WithdrawalAnswer(msgspec.Struct, array_like=True, tag="x"):
+    """Answers a `WithdrawalAsk`.
+
+    Attributes:
+        number: Number of the question.
+        never_runs: Whether the request is sure never to run there.
+    """
+
+    number: int
+    never_runs: bool
+
+
+Datagram = (
+    Announcement
+    | RateAsk
+    | RateAnswer
+    | RoomAsk
+    | RoomAnswer
+    | WithdrawalAsk
+    | WithdrawalAnswer
+)
 
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Datagram)
--- a/persimmonlane/peers/tests/test_gossip.py
+++ b/persimmonlane/peers/tests/test_gossip.py
@@ -45,7 +45,7 @@
         self.judged = []
         self.report = OwnerReport("not-run", "server-busy", 4, 2, "sound", 0.3, True)
         self.gossip = Gossip(
-            None, Settings, ManualClock(1.0), self.wire, None, None, self.judge
+            None, Settings, ManualClock(1.0), self.wire, None, None, self
         )
 
     def judge(self, order):
--- a/persimmonlane/serving/callers.py
+++ b/persimmonlane/serving/callers.py
@@ -16,18 +16,19 @@
 class CallerWatch:
     """Waits for an answer while watching whether the caller or the node leaves."""
 
-    __slots__ = ("_socket", "_ended", "_watching")
+    __slots__ = ("_socket", "_departure", "_watching", "_closed")
 
-    def __init__(self, sock, ended):
+    def __init__(self, sock, departure):
         """Take what is watched.
 
         Args:
             sock: The caller's socket.
-            ended: The `Signal` that the node ends.
+            departure: The `Departure` of the node.
         """
         self._socket = sock
-        self._ended = ended
+        self._departure = departure
         self._watching = True
+        self._closed = False
 
     def wait(self, backend, timeout_s, other=None):
         """Return whether the backend socket became readable in time.
@@ -43,7 +44,9 @@
         """
         poll = select.poll()
         poll.register(backend, select.POLLIN)
-        poll.register(self._ended, select.POLLIN)
+        poll.register(self._departure.ended, select.POLLIN)
+        if not self._closed:
+            poll.register(self._departure.closed, select.POLLIN)
         if self._watching:
             poll.register(self._socket, select.POLLIN)
         if other is not None:
@@ -52,8 +55,10 @@
         ready = {number for number, _ in events}
         if backend.fileno() in ready:
             return True
-        if self._ended.fileno() in ready:
+        if self._departure.ended.fileno() in ready:
             raise NodeEnding
+        # One look is due when the node closes.
+        self._closed = self._closed or self._departure.closed.fileno() in ready
         if self._socket.fileno() in ready:
             self._check_caller()
         return False
--- a/persimmonlane/serving/departure.py
+++ b/persimmonlane/serving/departure.py
@@ -27,12 +27,14 @@
     """The planned end of a node; may be used from any thread.
 
     Attributes:
+        closed: A `Signal` that is set once nothing may be begun any more.
         ended: A `Signal` that is set once waits for answers have to end.
     """
 
-    __slots__ = ("ended", "_clock", "_began_at", "_grace_s")
+    __slots__ = ("closed", "ended", "_clock", "_began_at", "_grace_s")
 
     def __init__(self, clock):
+        self.closed = Signal()
         self.ended = Signal()
         self._clock = clock
         self._began_at = None
@@ -103,6 +105,10 @@
             retry_after=max(0.0, self.find_left()) + RESTART_S,
         )
 
+    def close(self):
+        """Wake those that wait, as nothing may be begun any more."""
+        self.closed.set()
+
     def end(self):
         """End all waits for answers."""
         self.ended.set()
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -90,7 +90,7 @@
 
     def build_watch(self):
         """Return the `CallerWatch` of the connection."""
-        return CallerWatch(self.req.conn.socket, self.node.departure.ended)
+        return CallerWatch(self.req.conn.socket, self.node.departure)
 
 
 class CallerGateway(Gateway):
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -25,6 +25,7 @@
 from .hedge import Hedge, Superseded
 from .hops import ORDER, clean_headers, find_reported_id, read_report, wait_long
 from .placement import Candidate, Placement
+from .withdrawal import HopWait
 
 log = logging.getLogger("persimmonlane.serving")
 
@@ -67,6 +68,7 @@
         "_times",
         "_events",
         "_departure",
+        "_withdrawals",
     )
 
     def __init__(
@@ -81,6 +83,7 @@
         budget,
         events,
         departure,
+        withdrawals,
     ):
         self._settings = settings
         self._clock = clock
@@ -96,6 +99,7 @@
         self._times = WorkTimes()
         self._events = events
         self._departure = departure
+        self._withdrawals = withdrawals
 
     def forward(self, request):
         """Return the `WholeAnswer` for an admitted request whose body was read.
@@ -335,6 +339,7 @@
             return refused
         text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
         left_s = request.deadline - self._clock.now()
+        withdraw = functools.partial(self._withdrawals.ask, order, peer, peer.news.boot)
         headers = drop_hop_by_hop(clean_headers(request.headers))
         call = Call(
             address=peer.address,
@@ -346,7 +351,7 @@
             deadline=request.deadline + OWNER_GRACE_S,
             connect_s=min(CONNECT_S, left_s * CONNECT_SHARE),
             find_id=find_reported_id,
-            on_wait=on_wait,
+            on_wait=HopWait(self._departure, withdraw, on_wait),
         )
         self._count_pending(peer, 1)
         try:
@@ -354,12 +359,19 @@
         except ExchangeError as error:
             if error.kind in (Kind.CONNECT, Kind.ERROR):
                 peer.note_unreachable(self._clock.now())
-            return Attempt(None, error.verdict, error.code, kind=error.kind)
+            verdict = error.verdict
+            if self._may_withdraw(request, error) and withdraw():
+                verdict = Verdict.NOT_RUN
+            return Attempt(None, verdict, error.code, kind=error.kind)
         finally:
             self._count_pending(peer, -1)
         peer.note_reached()
         return read_report(answer, peer, order.server_id)
 
+    def _may_withdraw(self, request, error):
+        left_s = request.deadline - self._clock.now()
+        return error.verdict is Verdict.MAY_HAVE_RUN and left_s > LEAST_LEFT_S
+
     def _ask_room(self, request, order, peer):
         """Return the `Attempt` of an owner that would refuse a long body, or None."""
         if peer.data_centre == self._settings.data_centre:
--- a/persimmonlane/serving/tests/test_exchange.py
+++ b/persimmonlane/serving/tests/test_exchange.py
@@ -6,10 +6,10 @@
 from ...clocks import SystemClock
 from ...headers import Header, find_values
 from ...outcomes import Kind
-from ...signals import Signal
 from ...verdicts import Verdict
 from ..callers import CallerLeft, CallerWatch
 from ..connections import ConnectionPool
+from ..departure import Departure
 from ..exchange import Call, Exchange, ExchangeError
 from ..hops import wait_long
 from .scripted import ScriptedServer, answer
@@ -30,9 +30,7 @@
         self.caller, near = socket.socketpair()
         self.addCleanup(self.caller.close)
         self.addCleanup(near.close)
-        self.ended = Signal()
-        self.addCleanup(self.ended.close)
-        self.watch = CallerWatch(near, self.ended)
+        self.watch = CallerWatch(near, Departure(self.clock))
 
     def serve(self, *scripts):
         server = ScriptedServer(scripts)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -41,6 +41,7 @@
 from .serving.ingress import Ingress
 from .serving.running import RunningRequests
 from .serving.servers import SiteServer
+from .serving.withdrawal import Withdrawals
 from .settings import split_address
 from .upkeep.documents import DocumentHolder
 from .upkeep.part import Upkeep
@@ -124,7 +125,7 @@
             self._wire,
             self.describe,
             self.documents,
-            self.owner.judge,
+            self.owner,
         )
         self._table = table = self._gossip.proxy().table.get()
         ledger = Ledger(UnixClock(), settings.name)
@@ -144,6 +145,7 @@
             RetryBudget(settings.retry_ratio, settings.retry_slack),
             self.events,
             self.departure,
+            Withdrawals(self._gossip),
         )
         self._upkeep = Upkeep(
             settings,
@@ -185,6 +187,8 @@
         self.closes_connections = True
         self.owner.leave()
         self._announcer.wake()
+        self._await_end(lambda: self._may_end() or not self.departure.may_begin())
+        self.departure.close()
         self._await_end(self._may_end)
         for server in self._request_servers:
             server.stop_accepting()
--- a/persimmonlane/tests/test_stopping.py
+++ b/persimmonlane/tests/test_stopping.py
@@ -1,4 +1,5 @@
 import threading
+import uuid
 
 import testtools
 import urllib3
@@ -18,7 +19,8 @@
         self.answer = None
         self._site = site
         self._path = path
-        self._fields = {"method": "POST", "body": b"x", **fields}
+        headers = {"X-Request-Id": uuid.uuid4().hex}
+        self._fields = {"method": "POST", "body": b"x", "headers": headers, **fields}
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
