Bound the time of a request's whole head

Callers that send a head byte by byte held a worker for ever, and those that sent a part of the first line were cut off without an answer: header_timeout_s was the time of each read, and cheroot counts a request as begun only once its first line is there. Servers without limits yet, and those for readiness and heartbeats, read a line of any length into memory.

As a worker gets a connection only once a byte has come, each late head is answered with 408, not run.

--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -5,6 +5,7 @@
 
 import logging
 import threading
+import time
 
 import cheroot.server
 
@@ -25,6 +26,7 @@
 log = logging.getLogger("persimmonlane.serving")
 
 BACKLOG = 1024
+HEAD_BYTES = 64 * 1024
 KEPT_CONNECTIONS = 2000
 LEAST_WORKERS = 1
 STOP_WAIT_S = 0.1
@@ -50,7 +52,7 @@
         except Refusal as refusal:
             self.write_refusal(refusal)
             return False
-        self.conn.socket.settimeout(self.server.timeout)
+        self.conn.lift_limit()
         return True
 
     def simple_response(self, status, msg=""):
@@ -64,6 +66,7 @@
     def write_refusal(self, refusal):
         """Write an answer and close the connection afterwards."""
         self.close_connection = True
+        self.conn.lift_limit()
         self.conn.wfile.write(encode_refusal(refusal))
 
 
@@ -77,20 +80,25 @@
 
     def communicate(self):
         """Serve one request; return whether the connection is kept."""
-        self.socket.settimeout(self.server.header_timeout_s)
+        self.limit_reading(self.server.header_timeout_s)
         return super().communicate()
 
-    def _conditional_error(self, req, response):
-        # A connection on which no request had begun gets no answer.
-        if req is not None and req.started_request:
-            super()._conditional_error(req, response)
+    def limit_reading(self, limit_s):
+        """Bound the time of all further reads together, until `lift_limit`."""
+        self.rfile.set_deadline(time.monotonic() + limit_s)
+
+    def lift_limit(self):
+        """Leave the time of each read and write to the server's timeout."""
+        self.rfile.set_deadline(None)
+        self.socket.settimeout(self.server.timeout)
 
 
 class SiteServer(cheroot.server.HTTPServer):
     """An HTTP server of a node.
 
     Attributes:
-        header_timeout_s: Longest time for a request's head.
+        header_timeout_s: Longest time for a request's whole head, from when a worker
+            takes the connection.
         requests: The `WorkerPool`.
     """
 
@@ -104,6 +112,7 @@
         )
         self.requests = WorkerPool(self._serve_conn, LEAST_WORKERS, threads)
         self.header_timeout_s = 3.0
+        self.max_request_header_size = HEAD_BYTES
         self.timeout = 17.0
         self.request_queue_size = BACKLOG
         self.keep_alive_conn_limit = KEPT_CONNECTIONS
