Add a seeded soak that stops nodes under load

Callers go on using open connections until the node's process is gone, while signals, restarts and changes overlap.

--- a/tools/site.py
+++ b/tools/site.py
@@ -40,8 +40,9 @@
 HOST = "shop.example"
 KEY = "key-of-census"
 HEARTBEAT_S = 0.5
-READY_S = 20.0
+READY_S = 90.0
 END_S = 15.0
+QUESTION_S = 2.0
 LOG_CHARS = 400
 RATE_PER_S = 10000
 TIMEOUT_S = 3
@@ -65,7 +66,7 @@
         server: The `BackendStandin`.
         state: What the backend server says of itself.
         process: The node's process.
-        log: File with the node's log.
+        log: Path of the node's log.
     """
 
     __slots__ = (
@@ -96,10 +97,12 @@
         vms: The `Vm`s.
         store: The `StoreStandin`.
         version: Version of the document in the store.
+        timeout_s: Timeout of the routes in the next document.
     """
 
-    def __init__(self, directory, services, zones):
+    def __init__(self, directory, services, zones, timeout_s=TIMEOUT_S):
         self.vms = []
+        self.timeout_s = timeout_s
         self.store = StoreStandin()
         self.version = 0
         self._directory = pathlib.Path(directory)
@@ -116,7 +119,7 @@
         self.publish(keys)
         for vm in self.vms:
             vm.server.start()
-            self._start_node(vm)
+            self.start_node(vm)
         self._beater.start()
         ends = time.monotonic() + READY_S
         while not all(is_ready(vm) for vm in self.vms):
@@ -129,7 +132,11 @@
         """Put a document in force as the operator does."""
         self.version += 1
         services = sorted({vm.service for vm in self.vms})
-        rows = [build_route(service, kind) for service in services for kind in KINDS]
+        rows = [
+            build_route(service, kind, self.timeout_s)
+            for service in services
+            for kind in KINDS
+        ]
         census = OrganisationSpec(
             api_keys=list(keys), rate_per_s=RATE_PER_S, burst=RATE_PER_S
         )
@@ -150,10 +157,42 @@
             except subprocess.TimeoutExpired:
                 vm.process.kill()
                 vm.process.wait()
-            vm.log.close()
             vm.server.stop()
         self.store.stop()
 
+    def write_settings(self, vm, bounds=()):
+        """Write the settings file of a node; return its path.
+
+        Args:
+            vm: The `Vm`.
+            bounds: Texts such as `GraceS=6`.
+        """
+        settings = WireSettings(
+            node_name=vm.name,
+            ip=vm.ip,
+            zone=vm.zone,
+            listen=vm.listen,
+            internal_ports=[self._gossip_port],
+            platform=StoreRow(self.store.address),
+            app_addr=vm.app,
+            service=vm.service,
+            bounds=list(bounds),
+        )
+        path = self._directory / f"{vm.name}.yaml"
+        path.write_text(render_settings(settings))
+        return path
+
+    def start_node(self, vm):
+        """Start the node of a VM; its log goes on."""
+        path = self.write_settings(vm)
+        with vm.log.open("ab") as log:
+            vm.process = subprocess.Popen(
+                [sys.executable, "-m", "persimmonlane.programs.sidecar"],
+                env={**os.environ, PATH_VARIABLE: str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
     def _read_logs(self):
         """Return the last lines of the nodes' logs."""
         paths = sorted(self._directory.glob("*.log"))
@@ -175,29 +214,9 @@
         vm.app = app
         vm.listen = ListenRow(inbound, vm.callers, vm.readiness, vm.heartbeats)
         vm.ip, vm.zone = ip, zone
+        vm.log = self._directory / f"{vm.name}.log"
         return vm
 
-    def _start_node(self, vm):
-        path = self._directory / f"{vm.name}.yaml"
-        settings = WireSettings(
-            node_name=vm.name,
-            ip=vm.ip,
-            zone=vm.zone,
-            listen=vm.listen,
-            internal_ports=[self._gossip_port],
-            platform=StoreRow(self.store.address),
-            app_addr=vm.app,
-            service=vm.service,
-        )
-        path.write_text(render_settings(settings))
-        vm.log = (self._directory / f"{vm.name}.log").open("wb")
-        vm.process = subprocess.Popen(
-            [sys.executable, "-m", "persimmonlane.programs.sidecar"],
-            env={**os.environ, PATH_VARIABLE: str(path)},
-            stdout=vm.log,
-            stderr=subprocess.STDOUT,
-        )
-
     def _beat(self):
         while not self._ended.wait(HEARTBEAT_S):
             for vm in self.vms:
@@ -206,13 +225,13 @@
                     vm.server.beat(vm.heartbeats, vm.state)
 
 
-def build_route(service, kind):
+def build_route(service, kind, timeout_s):
     """Return the document's entry of one route."""
     spec = RouteSpec(
         host=HOST,
         prefix=f"/{service}/{kind.value}/",
         kind=kind,
-        timeout_s=TIMEOUT_S,
+        timeout_s=timeout_s,
         service=service,
         max_attempts=2,
     )
@@ -234,7 +253,7 @@
     """Return whether a node says that it is ready."""
     try:
         url = f"http://{vm.readiness}{READY_PATH}"
-        answer = urllib3.request("GET", url, retries=False)
+        answer = urllib3.request("GET", url, retries=False, timeout=QUESTION_S)
     except urllib3.exceptions.HTTPError:
         return False
     return answer.status == 200
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,4 @@
+"""Soak.
+
+Seeded runs in which nodes are stopped, restarted and changed while callers go on.
+"""
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,215 @@
+"""Callers.
+
+Callers that go on using open connections until the node's process is gone.
+"""
+
+import http.client
+import random
+import socket
+import threading
+import time
+
+from persimmonlane.platform.headers import KEY as KEY_HEADER
+from persimmonlane.platform.headers import MS_PER_S, REQUEST_ID, TIME_LEFT
+from persimmonlane.serving.answers import VERDICT
+
+from ..site import HOST, KEY
+from .fleet import WORK_HEADER
+from .records import End, Exchange
+
+# Callers wait on past their time limits, to see what comes.
+PATIENCE_S = 3.0
+RECONNECT_S = 0.2
+SPLIT_PAUSE_S = (0.05, 0.6)
+SLOW_BUFFER_BYTES = 4096
+SLOW_PIECE_BYTES = 16_384
+SLOW_PAUSE_S = 0.05
+CHUNK_BYTES = 16_000
+# Time for a reset that follows the end of a connection.
+RESET_S = 0.05
+
+
+class Caller:
+    """One caller.
+
+    Attributes:
+        exchanges: The `Exchange`s so far.
+    """
+
+    def __init__(self, number, plan, style, fleet, ended):
+        self.exchanges = []
+        self._plan = plan
+        self._style = style
+        self._fleet = fleet
+        self._ended = ended
+        self._rng = random.Random(f"{plan.seed} {number}")
+        self._ids = f"{plan.seed:04x}{number:04x}"
+        self._connection = None
+        self._process = None
+        self._is_first = False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        """Begin to send."""
+        self._thread.start()
+
+    def join(self):
+        """Wait until the last answer is here."""
+        self._thread.join()
+
+    def _run(self):
+        while not self._ended.is_set():
+            if self._connection is None and not self._connect():
+                self._ended.wait(RECONNECT_S)
+                continue
+            self._exchange()
+            self._ended.wait(self._rng.uniform(*self._style.pause_s))
+        self._disconnect()
+
+    def _connect(self):
+        index = self._choose_vm()
+        self._process = self._fleet.get_process(index)
+        host, port = self._fleet.site.vms[index].callers.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_S)
+        try:
+            connection.connect()
+        except OSError:
+            return False
+        if self._style.reads_slowly:
+            connection.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES
+            )
+        self._connection = connection
+        self._is_first = True
+        return True
+
+    def _choose_vm(self):
+        own = self._style.vm
+        ready = self._fleet.find_ready()
+        if not self._style.follows or own in ready or not ready:
+            return own
+        return self._rng.choice(ready)
+
+    def _disconnect(self):
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _exchange(self):
+        request = self._plan.draw_request(self._rng)
+        exchange = self._describe(request)
+        self.exchanges.append(exchange)
+        self._connection.sock.settimeout(request.limit_s + PATIENCE_S)
+        exchange.begun = time.monotonic()
+        try:
+            self._send(request, exchange.request_id)
+        except OSError:
+            exchange.ended = time.monotonic()
+            self._disconnect()
+            return
+        exchange.sent = time.monotonic()
+        exchange.end = self._receive(exchange)
+        self._is_first = False
+        if exchange.end is not End.ANSWERED or not self._style.keeps:
+            self._disconnect()
+
+    def _describe(self, request):
+        request_id = f"{self._ids}{len(self.exchanges):08x}"
+        time_s = min(request.limit_s, self._plan.timeout_s)
+        exchange = Exchange(
+            request_id, request.describe(), request.unsafe, time_s, self._process
+        )
+        exchange.is_first = self._is_first
+        return exchange
+
+    def _send(self, request, request_id):
+        connection = self._connection
+        kind = "unsafe" if request.unsafe else "safe"
+        connection.putrequest(
+            request.method, f"/{request.service}/{kind}/", skip_host=True
+        )
+        for name, value in build_headers(request, request_id):
+            connection.putheader(name, value)
+        body = encode_body(request)
+        if not body or not self._style.splits:
+            connection.endheaders(body or None)
+            return
+        connection.endheaders()
+        time.sleep(self._rng.uniform(*SPLIT_PAUSE_S))
+        connection.send(body)
+
+    def _receive(self, exchange):
+        """Read the answer; return the `End`."""
+        end = self._await_answer()
+        exchange.ended = time.monotonic()
+        if end is End.CLOSED and was_reset(self._connection.sock):
+            return End.RESET
+        if end is not End.ANSWERED:
+            return end
+        return self._read_answer(exchange)
+
+    def _await_answer(self):
+        try:
+            first = self._connection.sock.recv(1, socket.MSG_PEEK)
+        except TimeoutError:
+            return End.TIMED_OUT
+        except OSError:
+            return End.RESET
+        return End.ANSWERED if first else End.CLOSED
+
+    def _read_answer(self, exchange):
+        try:
+            answer = self._connection.getresponse()
+            exchange.status = answer.status
+            exchange.is_own = bool(answer.getheader(VERDICT))
+            self._read_body(answer)
+        except (OSError, http.client.HTTPException):
+            return End.TRUNCATED
+        finally:
+            exchange.ended = time.monotonic()
+        if answer.will_close:
+            self._disconnect()
+        return End.ANSWERED
+
+    def _read_body(self, answer):
+        if not self._style.reads_slowly:
+            answer.read()
+            return
+        left = answer.length
+        while piece := answer.read(SLOW_PIECE_BYTES):
+            left -= len(piece)
+            time.sleep(SLOW_PAUSE_S)
+        if left:
+            raise http.client.IncompleteRead(b"", left)
+
+
+def was_reset(sock):
+    """Return whether a connection that has ended is reset right afterwards."""
+    time.sleep(RESET_S)
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+
+def build_headers(request, request_id):
+    """Return pairs of names and values of a request's headers."""
+    headers = [
+        ("Host", HOST),
+        (KEY_HEADER, KEY),
+        (TIME_LEFT, str(int(request.limit_s * MS_PER_S))),
+        (REQUEST_ID, request_id),
+        (WORK_HEADER, f"{request.work_s:.3f}"),
+    ]
+    if request.chunked:
+        headers.append(("Transfer-Encoding", "chunked"))
+    elif request.body_bytes:
+        headers.append(("Content-Length", str(request.body_bytes)))
+    return headers
+
+
+def encode_body(request):
+    """Return the bytes of a request's body as they are sent."""
+    body = b"x" * request.body_bytes
+    if not request.chunked:
+        return body
+    pieces = [body[n : n + CHUNK_BYTES] for n in range(0, len(body), CHUNK_BYTES)]
+    chunks = [b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces]
+    return b"".join(chunks) + b"0\r\n\r\n"
--- /dev/null
+++ b/tools/soak/tests/test_losses.py
@@ -0,0 +1,159 @@
+import testtools
+
+from persimmonlane.standins.backend import Run
+
+from ..losses import Fault, find_findings, find_loss, find_misuse
+from ..records import End, Exchange, Process
+
+STOP = 100.0
+
+
+class LossTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.process = Process("vm-1", first_stop=STOP, gone=STOP + 5.5)
+        self.exchange = Exchange("r-1", "unsafe POST", True, 8.0, self.process)
+        self.exchange.begun = self.exchange.sent = STOP + 1.0
+        self.exchange.ended = STOP + 2.0
+        self.exchange.end = End.CLOSED
+
+    def answer(self, status, is_own):
+        self.exchange.end = End.ANSWERED
+        self.exchange.status = status
+        self.exchange.is_own = is_own
+
+    def run_until(self, ended):
+        return [Run("r-1", self.exchange.sent, ended)]
+
+    def test_whole_answer_is_no_loss(self):
+        self.answer(200, False)
+        self.assertIsNone(find_loss(self.exchange, self.run_until(STOP + 1.9)))
+
+    def test_refusal_is_no_loss(self):
+        self.answer(503, True)
+        self.assertIsNone(find_loss(self.exchange, []))
+
+    def test_request_that_was_not_written_whole_is_no_loss(self):
+        self.exchange.sent = None
+        self.assertIsNone(find_loss(self.exchange, []))
+
+    def test_request_that_was_passed_on_is_lost_without_an_answer(self):
+        for end in (End.CLOSED, End.RESET):
+            self.exchange.end = end
+            for ended in (None, STOP + 1.5, STOP + 9.0):
+                fault = find_loss(self.exchange, self.run_until(ended))
+                self.assertEqual(Fault.PASSED_ON, fault)
+
+    def test_request_that_was_passed_on_is_lost_however_late_it_was_sent(self):
+        self.exchange.ended = self.exchange.sent + 0.01
+        fault = find_loss(self.exchange, self.run_until(None))
+        self.assertEqual(Fault.PASSED_ON, fault)
+
+    def test_request_that_crosses_the_close_is_no_loss(self):
+        self.exchange.ended = self.exchange.sent + 0.19
+        self.assertIsNone(find_loss(self.exchange, []))
+
+    def test_request_that_waits_longer_is_lost(self):
+        self.exchange.ended = self.exchange.sent + 0.21
+        self.assertEqual(Fault.SILENT, find_loss(self.exchange, []))
+        self.exchange.end = End.RESET
+        self.assertEqual(Fault.UNREAD, find_loss(self.exchange, []))
+
+    def test_only_time_before_the_end_of_the_process_counts(self):
+        self.exchange.begun = self.exchange.sent = STOP + 5.4
+        self.exchange.ended = STOP + 6.4
+        self.assertIsNone(find_loss(self.exchange, []))
+
+    def test_loss_needs_no_signal(self):
+        self.process.first_stop = self.process.gone = None
+        fault = find_loss(self.exchange, self.run_until(None))
+        self.assertEqual(Fault.PASSED_ON, fault)
+
+    def test_incomplete_answer_is_a_loss(self):
+        self.exchange.end = End.TRUNCATED
+        fault = find_loss(self.exchange, self.run_until(STOP + 1.5))
+        self.assertEqual(Fault.TRUNCATED, fault)
+
+    def test_time_limit_excuses(self):
+        self.exchange.time_s = 1.0
+        self.assertIsNone(find_loss(self.exchange, self.run_until(None)))
+        self.exchange.time_s = 1.2
+        self.assertIsNotNone(find_loss(self.exchange, self.run_until(None)))
+
+    def test_time_limit_runs_from_the_first_byte(self):
+        self.exchange.time_s = 1.5
+        self.exchange.begun -= 0.5
+        self.assertIsNone(find_loss(self.exchange, self.run_until(None)))
+
+    def test_work_in_the_last_part_of_the_grace_time_excuses(self):
+        self.exchange.ended = STOP + 5.2
+        self.assertIsNone(find_loss(self.exchange, self.run_until(None)))
+        self.assertIsNone(find_loss(self.exchange, self.run_until(STOP + 5.1)))
+
+    def test_work_that_ended_before_the_last_part_does_not_excuse(self):
+        self.exchange.ended = STOP + 5.2
+        self.assertIsNotNone(find_loss(self.exchange, self.run_until(STOP + 4.9)))
+
+    def test_end_before_the_last_part_is_not_excused_by_later_work(self):
+        self.exchange.ended = STOP + 4.9
+        self.assertIsNotNone(find_loss(self.exchange, self.run_until(STOP + 5.5)))
+
+    def test_late_request_is_not_excused_by_its_work(self):
+        self.exchange.ended = STOP + 5.2
+        self.exchange.begun = self.exchange.sent = STOP + 3.01
+        self.assertIsNotNone(find_loss(self.exchange, self.run_until(None)))
+
+    def test_kill_at_the_end_of_the_grace_time_does_not_excuse(self):
+        self.process.killed = True
+        self.exchange.begun = self.exchange.sent = STOP + 3.5
+        self.exchange.ended = STOP + 6.0
+        self.assertIsNotNone(find_loss(self.exchange, self.run_until(None)))
+
+    def test_own_failure_during_work_is_a_loss_after_the_signal(self):
+        for status in (502, 504):
+            self.answer(status, True)
+            fault = find_loss(self.exchange, self.run_until(None))
+            self.assertEqual(Fault.BROKEN_OFF, fault)
+
+    def test_own_failure_before_the_signal_is_no_loss(self):
+        self.answer(502, True)
+        self.process.first_stop = STOP + 2.5
+        self.assertIsNone(find_loss(self.exchange, self.run_until(None)))
+
+    def test_own_failure_after_work_is_no_loss(self):
+        self.answer(502, True)
+        self.assertIsNone(find_loss(self.exchange, self.run_until(STOP + 1.9)))
+        self.assertIsNone(find_loss(self.exchange, []))
+
+    def test_failure_of_a_backend_server_is_no_loss(self):
+        self.answer(502, False)
+        self.assertIsNone(find_loss(self.exchange, self.run_until(None)))
+
+    def test_own_failure_at_the_time_limit_is_no_loss(self):
+        self.answer(504, True)
+        self.exchange.time_s = 1.0
+        self.assertIsNone(find_loss(self.exchange, self.run_until(None)))
+
+    def test_unsafe_request_runs_once_at_most(self):
+        self.answer(200, False)
+        runs = self.run_until(STOP + 1.5) * 2
+        self.assertEqual(Fault.REPEATED, find_misuse(self.exchange, runs))
+        self.assertIsNone(find_misuse(self.exchange, runs[:1]))
+        self.exchange.unsafe = False
+        self.assertIsNone(find_misuse(self.exchange, runs))
+
+    def test_refusal_promises_that_an_unsafe_request_does_not_run(self):
+        for status in (408, 421, 429, 503):
+            self.answer(status, True)
+            fault = find_misuse(self.exchange, self.run_until(None))
+            self.assertEqual(Fault.FALSE_PROMISE, fault)
+            self.assertIsNone(find_misuse(self.exchange, []))
+        self.answer(502, True)
+        self.assertIsNone(find_misuse(self.exchange, self.run_until(None)))
+
+    def test_findings_name_the_request_and_its_runs(self):
+        other = Run("r-2", STOP)
+        run = Run("r-1", STOP)
+        (finding,) = find_findings([self.exchange], [other, run])
+        self.assertIs(self.exchange, finding.exchange)
+        self.assertEqual([run], finding.runs)
--- /dev/null
+++ b/tools/soak/tests/test_soak.py
@@ -0,0 +1,35 @@
+import pathlib
+import tempfile
+
+import testtools
+
+from ..losses import Patience
+from ..plan import draw_plan
+from ..report import describe_finding
+from ..running import run_plan
+
+SECONDS = 11.0
+VMS = 3
+# Generous, as the machine may be busy with other tests.
+PATIENCE = Patience(crossing_s=2.0, kill_after_s=60.0)
+
+
+class SoakTests(testtools.TestCase):
+    def soak(self, seed):
+        with tempfile.TemporaryDirectory() as name:
+            directory = pathlib.Path(name)
+            outcome = run_plan(draw_plan(seed, SECONDS, VMS), directory, PATIENCE)
+            logs = sorted(directory.glob("*.log"))
+            lines = [describe_finding(outcome, item, logs) for item in outcome.findings]
+        self.assertEqual([], lines, "\n".join(lines))
+        self.assertEqual(0, outcome.unasked_ends)
+        self.assertIn(200, {exchange.status for exchange in outcome.exchanges})
+
+    def test_seed_1(self):
+        self.soak(1)
+
+    def test_seed_2(self):
+        self.soak(2)
+
+    def test_seed_3(self):
+        self.soak(3)
