--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint format demo bench
+.PHONY: setup test lint format demo bench soak
 
 setup: $(STAMP)
 
@@ -28,3 +28,6 @@
 
 bench: setup
 	$(BIN)/python -m tools.bench
+
+soak: setup
+	$(BIN)/python -m tools.soak --seeds 1-50
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -9,6 +9,9 @@
 
 from .records import End
 
+# Fields of the nodes' log lines that tell how long a request waited.
+LOGGED_TIMES = ("wait_s", "waited_s", "took_s", "age_s")
+
 
 def describe_outcome(outcome):
     """Return the line on a seed's run."""
@@ -94,8 +97,13 @@
 def describe_log(request_id, logs):
     """Return what the nodes have written of a request."""
     found = find_request(request_id, logs)
-    rows = [f"{line.node}: {line.message}" for line, _ in found.lines]
-    return " | ".join(rows) or "nothing"
+    return " | ".join(describe_line(*row) for row in found.lines) or "nothing"
+
+
+def describe_line(line, fields):
+    """Return a node's log line with the times that it tells."""
+    times = [f"{name} {fields[name]}" for name in LOGGED_TIMES if name in fields]
+    return f"{line.node}: {line.message} ({', '.join(times)})"
 
 
 def describe_totals(outcomes):
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -25,11 +25,11 @@
         self.assertEqual(0, outcome.unasked_ends)
         self.assertIn(200, {exchange.status for exchange in outcome.exchanges})
 
-    def test_seed_1(self):
-        self.soak(1)
+    def test_seed_5(self):
+        self.soak(5)
 
-    def test_seed_2(self):
-        self.soak(2)
+    def test_seed_14(self):
+        self.soak(14)
 
-    def test_seed_3(self):
-        self.soak(3)
+    def test_seed_27(self):
+        self.soak(27)
