--- a/tools/soak/losses.py
+++ b/tools/soak/losses.py
@@ -97,12 +97,10 @@
         return None
     if exchange.end is End.ANSWERED:
         fault = Fault.BROKEN_OFF if is_broken_off(exchange, runs) else None
-    elif exchange.end is End.TRUNCATED:
-        fault = Fault.TRUNCATED
-    elif runs:
-        fault = Fault.PASSED_ON
+    elif runs or not is_crossing(exchange, crossing_s):
+        fault = name_missing(exchange, runs)
     else:
-        fault = find_unanswered(exchange, crossing_s)
+        fault = None
     return None if is_excused(exchange, runs) else fault
 
 
@@ -140,14 +138,21 @@
     return any(run.ended is None or run.ended > time for run in runs)
 
 
-def find_unanswered(exchange, crossing_s):
-    """Return the `Fault` of a request that reached no backend server, or None."""
+def name_missing(exchange, runs):
+    """Return the `Fault` of a request that got no whole answer."""
+    if exchange.end is End.TRUNCATED:
+        return Fault.TRUNCATED
+    if runs:
+        return Fault.PASSED_ON
+    return Fault.UNREAD if exchange.end is End.RESET else Fault.SILENT
+
+
+def is_crossing(exchange, crossing_s):
+    """Return whether the request and the end of its connection may have crossed."""
     up_until = exchange.ended
     if exchange.process.gone is not None:
         up_until = min(up_until, exchange.process.gone)
-    if up_until - exchange.sent <= crossing_s:
-        return None
-    return Fault.UNREAD if exchange.end is End.RESET else Fault.SILENT
+    return up_until - exchange.sent <= crossing_s
 
 
 def is_excused(exchange, runs):
--- a/tools/soak/tests/test_losses.py
+++ b/tools/soak/tests/test_losses.py
@@ -73,6 +73,14 @@
         self.exchange.end = End.TRUNCATED
         fault = find_loss(self.exchange, self.run_until(STOP + 1.5))
         self.assertEqual(Fault.TRUNCATED, fault)
+        self.assertEqual(Fault.TRUNCATED, find_loss(self.exchange, []))
+
+    def test_incomplete_refusal_may_cross_the_close(self):
+        self.exchange.end = End.TRUNCATED
+        self.exchange.ended = self.exchange.sent + 0.01
+        self.assertIsNone(find_loss(self.exchange, []))
+        fault = find_loss(self.exchange, self.run_until(None))
+        self.assertEqual(Fault.TRUNCATED, fault)
 
     def test_time_limit_excuses(self):
         self.exchange.time_s = 1.0
