--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -7,10 +7,13 @@
 
 from persimmonlane.explaining.reading import find_request
 
+from .losses import LATE_SEND_S
 from .records import End
 
 # Fields of the nodes' log lines that tell how long a request waited.
 LOGGED_TIMES = ("wait_s", "waited_s", "took_s", "age_s")
+# What ends this soon after a signal is taken for its effect.
+PROMPT_S = 0.15
 
 
 def describe_outcome(outcome):
@@ -108,8 +111,10 @@
 
 def describe_totals(outcomes):
     """Return the lines with the totals of all runs."""
-    faults = collections.Counter(
-        finding.fault for outcome in outcomes for finding in outcome.findings
+    counts = collections.Counter(
+        f"{finding.fault.value}, {find_phase(finding.exchange)}"
+        for outcome in outcomes
+        for finding in outcome.findings
     )
     failed = [str(item.plan.seed) for item in outcomes if not item.is_clean()]
     processes = [process for item in outcomes for process in item.processes]
@@ -120,5 +125,18 @@
         f"{sum(len(item.exchanges) for item in outcomes)} requests; "
         f"failed seeds: {', '.join(failed) or 'none'}"
     ]
-    rows += [f"  {fault.value}: {count}" for fault, count in faults.items()]
+    rows += [f"  {text}: {count}" for text, count in sorted(counts.items())]
     return "\n".join(rows)
+
+
+def find_phase(exchange):
+    """Return the phase of its node's life in which a request ended."""
+    process = exchange.process
+    if process.first_stop is None or exchange.ended < process.first_stop:
+        return "before a SIGTERM"
+    stops = [sent for sent in process.signals if sent.name == "SIGTERM"]
+    if any(0 <= exchange.ended - sent.time < PROMPT_S for sent in stops[1:]):
+        return "at a further SIGTERM"
+    if exchange.sent > process.first_stop + LATE_SEND_S:
+        return "while the node drained, sent late"
+    return "while the node drained"
