Look at the caller also while bytes come without a pause

Callers saw: one that left while a backend server wrote faster than the node read stayed unnoticed until the answer ended; an attempt that the other one had beaten went on, too. Cause: a poll in which the backend server is ready says nothing of the caller or the other attempt, on purpose: an answer that is there is taken. Evidence: in test_endless.py two exchanges whose input is always ready ran to the deadline (manual clock) instead of ending with CallerLeft and Superseded; both tests failed before. Why it works: while an answer comes, the exchange looks at both every 0.25 s, however many bytes are ready. An answer that is whole before that is taken as it was.

--- a/persimmonlane/serving/callers.py
+++ b/persimmonlane/serving/callers.py
@@ -45,6 +45,15 @@
             self._check_caller()
         return False
 
+    def check(self):
+        """Look without waiting.
+
+        Raises:
+            CallerLeft: If the caller closed its connection.
+        """
+        if self._watching:
+            self._check_caller()
+
     def _check_caller(self):
         try:
             data = self._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -20,6 +20,8 @@
 PIECE_BYTES = 64 * 1024
 SEND_PIECE_BYTES = 16 * 1024
 IDLE_SHARE = 0.5
+# Seconds between looks at the caller while bytes come without a pause.
+LOOK_S = 0.25
 # Answers to other requests that may stand before the right one.
 STRAY_LIMIT = 3
 
@@ -101,7 +103,16 @@
         sent: Whether any of the request may have left this process.
     """
 
-    __slots__ = ("call", "sent", "_pool", "_clock", "_caller", "_connection", "_whole")
+    __slots__ = (
+        "call",
+        "sent",
+        "_pool",
+        "_clock",
+        "_caller",
+        "_connection",
+        "_whole",
+        "_look_at",
+    )
 
     def __init__(self, call, pool, clock, caller):
         self.call = call
@@ -111,6 +122,7 @@
         self._caller = caller
         self._connection = None
         self._whole = False
+        self._look_at = None
 
     def run(self):
         """Return the `WholeAnswer`.
@@ -198,6 +210,7 @@
         return True
 
     def _read(self):
+        self._look_at = self._clock.now() + LOOK_S
         self._connection.input.begin(self._await)
         for _ in range(STRAY_LIMIT):
             response, answer = self._read_one()
@@ -212,9 +225,13 @@
     def _await(self):
         connection = self._connection
         while True:
-            left_s = self.call.deadline - self._clock.now()
+            now = self._clock.now()
+            left_s = self.call.deadline - now
             if left_s <= 0:
                 raise self._describe_timeout()
+            if now >= self._look_at:
+                self._look_at = now + LOOK_S
+                self._caller.check()
             pause_s = self.call.on_wait()
             if self._caller.wait(connection.sock, min(left_s, pause_s)):
                 return
--- a/persimmonlane/serving/hedge.py
+++ b/persimmonlane/serving/hedge.py
@@ -85,9 +85,23 @@
             ready = {number for number, _ in poll.poll(max(1, int(timeout_s * 1000)))}
             if backend.fileno() in ready:
                 return True
+        self._check_signal()
+        return False
+
+    def check(self):
+        """Look without waiting.
+
+        Raises:
+            CallerLeft: If the caller closed its connection.
+            Superseded: If the other attempt has the answer.
+        """
+        if self._caller is not None:
+            self._caller.check()
+        self._check_signal()
+
+    def _check_signal(self):
         if self._signal.is_set():
             raise Superseded
-        return False
 
 
 class Hedge:
--- a/persimmonlane/serving/tests/test_endless.py
+++ b/persimmonlane/serving/tests/test_endless.py
@@ -4,6 +4,7 @@
 import time
 
 import testtools
+import urllib3.util
 
 from ...clocks import ManualClock, SystemClock
 from ...headers import Header, find_values
@@ -12,6 +13,7 @@
 from ..callers import CallerLeft, CallerWatch
 from ..connections import ConnectionPool
 from ..exchange import Call, Exchange, ExchangeError
+from ..hedge import RaceWatch, Signal, Superseded
 from .scripted import ScriptedServer
 
 PATIENCE_S = 30.0
@@ -192,3 +194,27 @@
         exchange = self.create(server, deadline=self.clock.now() + 4 * PATIENCE_S)
         self.assertIsInstance(self.run_beside(exchange), CallerLeft)
         self.assertIsNone(self.pool.take(server.address))
+
+    def check_without_pause(self, leave, expected):
+        self.clock = ManualClock(100.0)
+
+        def await_input():
+            # Bytes are always there before the caller is looked at.
+            urllib3.util.wait_for_read(exchange._connection.sock, PATIENCE_S)
+            self.clock.advance(0.1)
+            return 1.0
+
+        start = [HEAD + b"\r\n", b"x", leave]
+        server = self.serve(itertools.chain(start, itertools.repeat(b"x" * 1024)))
+        exchange = self.create(server, await_input)
+        self.assertIsInstance(self.run_beside(exchange), expected)
+        self.assert_closed(server)
+
+    def test_caller_leaves_while_bytes_come_without_a_pause(self):
+        self.check_without_pause(self.caller.close, CallerLeft)
+
+    def test_other_attempt_wins_while_bytes_come_without_a_pause(self):
+        signal = Signal()
+        self.addCleanup(signal.close)
+        self.watch = RaceWatch(self.watch, signal)
+        self.check_without_pause(signal.set, Superseded)
