Refuse an answer whose connection ends within its head or a chunk's size

Callers saw: an answer of status 200 that the backend server broke off between two headers was passed on as whole, with an empty body; one broken off in a chunk size of leading zeros lost the rest of its body in the same way. Cause: http.client takes the end of the connection for the end of the headers, and for the end of a size line. Evidence: two new tests in test_exchange.py; both got a WholeAnswer before. Why it works: neither a head nor a body in chunks ever needs the connection's end, so the answer is refused if the raw input has seen it by then.

--- a/persimmonlane/serving/inputs.py
+++ b/persimmonlane/serving/inputs.py
@@ -13,6 +13,7 @@
 
     Attributes:
         left_bytes: Bytes that may still arrive in the exchange.
+        ended: Whether the other side has ended the connection.
     """
 
     def __init__(self, sock):
@@ -20,6 +21,7 @@
         self._sock = sock
         self._wait = None
         self.left_bytes = 0
+        self.ended = False
 
     def begin(self, wait):
         """Let reads wait for bytes.
@@ -53,6 +55,7 @@
             size = self._receive(buffer)
             if size is not None:
                 break
+        self.ended = not size
         self.left_bytes -= size
         if self.left_bytes < 0:
             raise ValueError("too many bytes arrived")
--- a/persimmonlane/serving/reader.py
+++ b/persimmonlane/serving/reader.py
@@ -53,6 +53,7 @@
         arrivals = self._connection.input
         arrivals.left_bytes = OVERHEAD_LIMIT_BYTES
         response = self._connection.read_response(self._method)
+        self._check_ended()
         check_framing(response)
         # The body is received a piece ahead of its count.
         arrivals.left_bytes += PIECE_BYTES
@@ -73,8 +74,15 @@
             self._connection.input.left_bytes += len(piece)
         if stated is not None and len(body) != stated:
             raise ValueError("the answer ended early")
+        if response.chunked:
+            self._check_ended()
         return bytes(body)
 
+    def _check_ended(self):
+        """Refuse a part of an answer that only the end of the connection ended."""
+        if self._connection.input.ended:
+            raise ValueError("the answer ended early")
+
 
 def check_framing(response):
     """Refuse an answer whose length could be read in two ways.
--- a/persimmonlane/serving/tests/test_exchange.py
+++ b/persimmonlane/serving/tests/test_exchange.py
@@ -90,6 +90,17 @@
         )
         self.assert_fails(self.create(server), Kind.WRONG, Verdict.MAY_HAVE_RUN)
 
+    def test_answer_cut_short_in_its_head_is_refused(self):
+        for cut in (b"\r\n", b"\r\nX-Response-Signature: s.1\r\nContent-Le"):
+            head = f"HTTP/1.1 200 OK\r\n{OWN}".encode() + cut
+            server = self.serve([head, ScriptedServer.CLOSE])
+            self.assert_fails(self.create(server), Kind.WRONG, Verdict.MAY_HAVE_RUN)
+
+    def test_answer_cut_short_in_the_size_of_a_chunk_is_refused(self):
+        head = f"HTTP/1.1 200 OK\r\n{OWN}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        server = self.serve([head.encode() + b"2\r\ncu\r\n00", ScriptedServer.CLOSE])
+        self.assert_fails(self.create(server), Kind.WRONG, Verdict.MAY_HAVE_RUN)
+
     def test_bytes_that_are_no_answer_are_refused(self):
         server = self.serve([b"\x00\x01garbage\r\n\r\n"])
         self.assert_fails(self.create(server), Kind.WRONG, Verdict.MAY_HAVE_RUN)
