Bound the memory that all answers in progress hold together

Callers saw: a node that got bodies without end on many requests at once outgrew the memory of its VM and was killed, and all its requests with it. Cause: the limit of 16 MB is that of one answer; a node reads as many as it has threads. Why it works: an answer takes what it holds beyond its first 64 KiB from 32 MiB that the process has for all; if they are used up, it ends as wrong bytes do. Short answers need no share, so long ones keep none of them out. The share lives as long as the answer, until the caller has it; an answer that the deadline or the caller's leaving ends gives it back at once.

--- a/persimmonlane/explaining/reading.py
+++ b/persimmonlane/explaining/reading.py
@@ -24,6 +24,7 @@
     "deadline-passed": "No answer came in its time; the backend server may hang.",
     "connection-broke": "The connection broke while the answer was awaited.",
     "answer-refused": "The bytes that came were no whole answer of the backend server.",
+    "answers-too-long": "The answers that the node held together were too long.",
     "unreachable": "No connection could be made.",
 }
 UNKNOWN_CAUSE = "See the last line."
--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -13,6 +13,7 @@
 
 from ..settings import split_address
 from .inputs import ExchangeInput
+from .memory import AnswerMemory
 
 KEPT_PER_ADDRESS = 64
 IDLE_LIMIT_S = 4.0
@@ -103,11 +104,16 @@
 
 
 class ConnectionPool:
-    """Idle connections by address; may be used from any thread."""
+    """Idle connections by address; may be used from any thread.
 
-    __slots__ = ("_clock", "_idle", "_lock")
+    Attributes:
+        memory: The `AnswerMemory` of what comes over the connections.
+    """
+
+    __slots__ = ("memory", "_clock", "_idle", "_lock")
 
-    def __init__(self, clock):
+    def __init__(self, clock, memory=None):
+        self.memory = memory or AnswerMemory()
         self._clock = clock
         self._idle = {}
         self._lock = threading.Lock()
--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -15,7 +15,7 @@
 from ..outcomes import Kind
 from ..verdicts import Verdict
 from .connections import IDLE_LIMIT_S, KeptConnection
-from .reader import AnswerReader
+from .reader import AnswerReader, MemoryShortage
 
 SEND_PIECE_BYTES = 16 * 1024
 IDLE_SHARE = 0.5
@@ -194,7 +194,7 @@
     def _read(self):
         self._look_at = self._clock.now() + LOOK_S
         self._connection.input.begin(self._await)
-        reader = AnswerReader(self._connection, self.call.method)
+        reader = AnswerReader(self._connection, self.call.method, self._pool.memory)
         for _ in range(STRAY_LIMIT):
             answer = self._read_one(reader)
             echoed = self.call.find_id(answer.headers)
@@ -228,6 +228,8 @@
             raise self._describe_break() from error
         except MALFORMED as error:
             raise self._describe_wrong("the answer is malformed") from error
+        except MemoryShortage as error:
+            raise self._describe_wrong(error.message, error.code) from error
         except BROKEN as error:
             raise self._describe_break() from error
 
@@ -256,10 +258,8 @@
             Kind.ERROR, Verdict.MAY_HAVE_RUN, "connection-broke", "the connection broke"
         )
 
-    def _describe_wrong(self, message):
-        return ExchangeError(
-            Kind.WRONG, Verdict.MAY_HAVE_RUN, "answer-refused", message
-        )
+    def _describe_wrong(self, message, code="answer-refused"):
+        return ExchangeError(Kind.WRONG, Verdict.MAY_HAVE_RUN, code, message)
 
 
 def find_idle_limit(headers):
--- a/persimmonlane/serving/tests/test_endless.py
+++ b/persimmonlane/serving/tests/test_endless.py
@@ -1,3 +1,4 @@
+import concurrent.futures
 import itertools
 import socket
 import threading
@@ -14,11 +15,13 @@
 from ..connections import ConnectionPool
 from ..exchange import Call, Exchange, ExchangeError
 from ..hedge import RaceWatch, Signal, Superseded
+from ..memory import FREE_BYTES, AnswerMemory
 from .scripted import ScriptedServer
 
 PATIENCE_S = 30.0
 DEADLINE_S = 15.0
 DRIP_PAUSE_S = 0.002
+MEMORY_BYTES = 512 * 1024
 # What the socket buffers of both sides hold, and more.
 BUFFERED_BYTES = 24 * 1024 * 1024
 HEAD_MOST_BYTES = 1024 * 1024 + BUFFERED_BYTES
@@ -92,6 +95,12 @@
         self.assertFalse(thread.is_alive(), "the exchange did not end")
         return raised[0] if raised else None
 
+    def await_true(self, question):
+        ends = time.monotonic() + PATIENCE_S
+        while not question() and time.monotonic() < ends:
+            time.sleep(0.01)
+        return question()
+
     def assert_ends(self, exchange, server, kind):
         error = self.run_beside(exchange)
         self.assertIsInstance(error, ExchangeError)
@@ -301,7 +310,9 @@
         start = HEAD + b"Content-Length: 5\r\n\r\nwhole"
         server = self.serve(self.flood(start, b"x"))
         self.assertIsNone(self.run_beside(self.create(server)))
-        self.assert_closed(server)
+        self.assertTrue(self.await_true(lambda: self.sent))
+        self.assertIsNone(self.pool.take(server.address))
+        self.assertTrue(server.closed.wait(PATIENCE_S))
 
     def test_bytes_that_come_while_a_long_body_is_sent_are_refused(self):
         listener = socket.create_server(("127.0.0.1", 0))
@@ -325,3 +336,68 @@
         error = self.run_beside(exchange)
         self.assertEqual(Kind.WRONG, error.kind)
         self.assertTrue(closed.wait(PATIENCE_S))
+
+
+class HeldAnswerTests(EndlessTestCase):
+    """Answers that hold more memory together than there is."""
+
+    def setUp(self):
+        super().setUp()
+        self.memory = AnswerMemory(MEMORY_BYTES)
+        self.pool = ConnectionPool(self.clock, self.memory)
+
+    def repeat(self, start):
+        return itertools.chain([start], itertools.repeat(b"x" * 4096))
+
+    def build(self, size):
+        head = HEAD + f"Content-Length: {size}\r\n\r\n".encode()
+        return self.serve([head + b"x" * size])
+
+    def test_endless_bodies_are_bounded_together(self):
+        servers = [self.serve(self.repeat(HEAD + b"\r\n")) for _ in range(3)]
+        exchanges = [self.create(server) for server in servers]
+        with concurrent.futures.ThreadPoolExecutor() as executor:
+            errors = list(executor.map(self.run_beside, exchanges))
+        self.assertEqual(
+            [(Kind.WRONG, "answers-too-long")] * 3,
+            [(error.kind, error.code) for error in errors],
+        )
+        self.assertTrue(self.memory.take(MEMORY_BYTES))
+
+    def test_short_answer_is_read_while_nothing_is_left(self):
+        self.memory.take(MEMORY_BYTES)
+        short, long = self.build(FREE_BYTES), self.build(FREE_BYTES + 1)
+        self.assertEqual(FREE_BYTES, len(self.create(short).run().body))
+        self.assert_ends(self.create(long), long, Kind.WRONG)
+
+    def test_answer_holds_its_share_until_it_is_dropped(self):
+        server = self.build(FREE_BYTES + MEMORY_BYTES)
+        whole = self.create(server).run()
+        self.assertEqual(FREE_BYTES + MEMORY_BYTES, len(whole.body))
+        self.assertFalse(self.memory.take(1))
+        del whole
+        self.assertTrue(self.memory.take(MEMORY_BYTES))
+
+    def test_deadline_gives_back_what_an_answer_held(self):
+        def stop():
+            self.assertTrue(self.await_true(self.is_taken))
+            self.clock.advance(2 * DEADLINE_S)
+
+        start = HEAD + b"\r\n" + b"x" * (FREE_BYTES + MEMORY_BYTES)
+        server = self.serve([start, stop])
+        error = self.run_beside(self.create(server))
+        self.assertEqual(Kind.TIMEOUT, error.kind)
+        self.assertTrue(self.memory.take(MEMORY_BYTES))
+
+    def is_taken(self):
+        return self.memory._held_bytes == MEMORY_BYTES
+
+    def test_caller_that_leaves_gives_back_what_its_answer_held(self):
+        def leave():
+            self.assertTrue(self.await_true(self.is_taken))
+            self.caller.close()
+
+        start = HEAD + b"\r\n" + b"x" * (FREE_BYTES + MEMORY_BYTES)
+        server = self.serve([start, leave])
+        self.assertIsInstance(self.run_beside(self.create(server)), CallerLeft)
+        self.assertTrue(self.memory.take(MEMORY_BYTES))
