--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -12,6 +12,8 @@
 import urllib3.util
 
 from ..settings import split_address
+from .inputs import ExchangeInput
+from .memory import AnswerMemory
 
 KEPT_PER_ADDRESS = 64
 IDLE_LIMIT_S = 4.0
@@ -25,6 +27,12 @@
     def _close_conn(self):
         self.fp = None
 
+    def _read_next_chunk_size(self):
+        size = super()._read_next_chunk_size()
+        if size < 0:
+            raise ValueError("a chunk has a negative size")
+        return size
+
 
 class KeptConnection(urllib3.connection.HTTPConnection):
     """A connection that serves one request after another.
@@ -34,7 +42,10 @@
         opened_at: Seconds at which it was opened.
         used_at: Seconds of its last use, or None.
         idle_limit_s: Seconds for which it may be idle and used again.
+        input: The `ExchangeInput`.
         reader: Buffered input, shared by all its responses.
+
+    The socket is non-blocking except while a request is sent.
     """
 
     def __init__(self, address, timeout_s, opened_at):
@@ -44,6 +55,7 @@
         self.opened_at = opened_at
         self.used_at = None
         self.idle_limit_s = IDLE_LIMIT_S
+        self.input = None
         self.reader = None
 
     def connect(self):
@@ -52,7 +64,9 @@
         self.sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_MS
         )
-        self.reader = io.BufferedReader(socket.SocketIO(self.sock, "r"))
+        self.sock.setblocking(False)
+        self.input = ExchangeInput(self.sock)
+        self.reader = io.BufferedReader(self.input)
 
     def makefile(self, mode):
         """Return the shared input, as a response asks its socket for a file."""
@@ -64,8 +78,15 @@
         response.begin()
         return response
 
+    def close(self):
+        """Close the socket and end what its exchange holds."""
+        if self.input is not None:
+            self.input.end()
+        super().close()
+
     def finish(self):
         """Make ready for the next request; the socket stays open."""
+        self.input.end()
         sock, self.sock = self.sock, None
         # Without a socket this only ends the present request.
         http.client.HTTPConnection.close(self)
@@ -73,24 +94,26 @@
 
     def has_input(self):
         """Return whether bytes are waiting to be read, or the end."""
-        self.sock.setblocking(False)
         try:
             return bool(self.reader.peek(1)) or self._is_readable()
         except (OSError, ValueError):
             return True
-        finally:
-            self.sock.settimeout(self.timeout)
 
     def _is_readable(self):
         return urllib3.util.wait_for_read(self.sock, timeout=0.0)
 
 
 class ConnectionPool:
-    """Idle connections by address; may be used from any thread."""
+    """Idle connections by address; may be used from any thread.
+
+    Attributes:
+        memory: The `AnswerMemory` of what comes over the connections.
+    """
 
-    __slots__ = ("_clock", "_idle", "_lock")
+    __slots__ = ("memory", "_clock", "_idle", "_lock")
 
-    def __init__(self, clock):
+    def __init__(self, clock, memory=None):
+        self.memory = memory or AnswerMemory()
         self._clock = clock
         self._idle = {}
         self._lock = threading.Lock()
--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -11,15 +11,16 @@
 import urllib3.util
 
 from ..errors import PersimmonError
-from ..headers import Header, find_values
+from ..headers import find_values
 from ..outcomes import Kind
 from ..verdicts import Verdict
 from .connections import IDLE_LIMIT_S, KeptConnection
+from .reader import AnswerReader, MemoryShortage
 
-ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
-PIECE_BYTES = 64 * 1024
 SEND_PIECE_BYTES = 16 * 1024
 IDLE_SHARE = 0.5
+# Seconds between looks at the caller while bytes come without a pause.
+LOOK_S = 0.25
 # Answers to other requests that may stand before the right one.
 STRAY_LIMIT = 3
 
@@ -41,23 +42,6 @@
         self.verdict = verdict
 
 
-class WholeAnswer:
-    """An answer that has arrived completely.
-
-    Attributes:
-        status: HTTP status.
-        headers: The `Header`s.
-        body: Bytes.
-    """
-
-    __slots__ = ("status", "headers", "body")
-
-    def __init__(self, status, headers, body):
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 class Call:
     """What to send where.
 
@@ -101,7 +85,16 @@
         sent: Whether any of the request may have left this process.
     """
 
-    __slots__ = ("call", "sent", "_pool", "_clock", "_caller", "_connection", "_whole")
+    __slots__ = (
+        "call",
+        "sent",
+        "_pool",
+        "_clock",
+        "_caller",
+        "_connection",
+        "_whole",
+        "_look_at",
+    )
 
     def __init__(self, call, pool, clock, caller):
         self.call = call
@@ -111,6 +104,7 @@
         self._caller = caller
         self._connection = None
         self._whole = False
+        self._look_at = None
 
     def run(self):
         """Return the `WholeAnswer`.
@@ -155,8 +149,7 @@
     def _send(self):
         call = self.call
         connection = self._connection
-        connection.timeout = self._find_left()
-        connection.sock.settimeout(connection.timeout)
+        connection.sock.settimeout(self._find_left())
         try:
             connection.putrequest(
                 call.method, call.target, skip_host=True, skip_accept_encoding=True
@@ -168,6 +161,7 @@
             self.sent = True
             whole = len(call.body) <= SEND_PIECE_BYTES
             connection.endheaders(call.body if whole and call.body else None)
+            connection.sock.setblocking(False)
             self._whole = whole or self._send_body()
         except TimeoutError as error:
             raise self._describe_timeout() from error
@@ -191,7 +185,6 @@
                 raise self._describe_timeout()
             if events[0][1] & (select.POLLIN | select.POLLHUP | select.POLLERR):
                 return False
-            sock.setblocking(False)
             try:
                 rest = rest[sock.send(rest[:SEND_PIECE_BYTES]) :]
             except BlockingIOError:
@@ -199,72 +192,55 @@
         return True
 
     def _read(self):
-        for number in range(STRAY_LIMIT):
-            if number == 0 or not self._connection.has_input():
-                self._await()
-            response, answer = self._read_one()
+        self._look_at = self._clock.now() + LOOK_S
+        self._connection.input.begin(self._await)
+        reader = AnswerReader(self._connection, self.call.method, self._pool.memory)
+        for _ in range(STRAY_LIMIT):
+            answer = self._read_one(reader)
             echoed = self.call.find_id(answer.headers)
             if echoed == self.call.request_id:
-                self._release(response, answer)
+                self._release(answer, self._whole and not reader.will_close)
                 return answer
-            if not echoed or not self._may_read_on(response):
+            if not echoed or reader.will_close:
                 break
         raise self._describe_wrong("the answer belongs to another request")
 
     def _await(self):
         connection = self._connection
         while True:
-            left_s = self.call.deadline - self._clock.now()
+            now = self._clock.now()
+            left_s = self.call.deadline - now
             if left_s <= 0:
                 raise self._describe_timeout()
+            if now >= self._look_at:
+                self._look_at = now + LOOK_S
+                self._caller.check()
             pause_s = self.call.on_wait()
             if self._caller.wait(connection.sock, min(left_s, pause_s)):
                 return
 
-    def _read_one(self):
-        connection = self._connection
-        connection.timeout = self._find_left()
-        connection.sock.settimeout(connection.timeout)
+    def _read_one(self, reader):
         try:
-            response = connection.read_response(self.call.method)
-            check_framing(response)
-            body = self._read_body(response)
+            return reader.read()
         except TimeoutError as error:
             raise self._describe_timeout() from error
         except http.client.RemoteDisconnected as error:
             raise self._describe_break() from error
         except MALFORMED as error:
             raise self._describe_wrong("the answer is malformed") from error
+        except MemoryShortage as error:
+            raise self._describe_wrong(error.message, error.code) from error
         except BROKEN as error:
             raise self._describe_break() from error
-        headers = [Header(*item) for item in response.getheaders()]
-        return response, WholeAnswer(response.status, headers, body)
-
-    def _read_body(self, response):
-        pieces, size = [], 0
-        stated = response.length
-        while piece := response.read(PIECE_BYTES):
-            pieces.append(piece)
-            size += len(piece)
-            if size > ANSWER_LIMIT_BYTES:
-                raise ValueError("the answer is too long")
-            self._connection.sock.settimeout(self._find_left())
-        if stated is not None and size != stated:
-            raise ValueError("the answer ended early")
-        return b"".join(pieces)
-
-    def _may_read_on(self, response):
-        return not response.will_close
-
-    def _release(self, response, answer):
+
+    def _release(self, answer, reusable):
         connection = self._connection
         self._connection = None
-        reusable = self._whole and not response.will_close
+        connection.finish()
         if not reusable or connection.has_input():
             connection.close()
             return
         connection.idle_limit_s = find_idle_limit(answer.headers)
-        connection.finish()
         self._pool.put(connection)
 
     def _drop(self):
@@ -282,24 +258,8 @@
             Kind.ERROR, Verdict.MAY_HAVE_RUN, "connection-broke", "the connection broke"
         )
 
-    def _describe_wrong(self, message):
-        return ExchangeError(
-            Kind.WRONG, Verdict.MAY_HAVE_RUN, "answer-refused", message
-        )
-
-
-def check_framing(response):
-    """Refuse an answer whose length could be read in two ways.
-
-    Raises:
-        ValueError: If it could.
-    """
-    lengths = set(response.headers.get_all("Content-Length", ()))
-    encodings = response.headers.get_all("Transfer-Encoding", ())
-    if len(lengths) > 1 or (lengths and encodings):
-        raise ValueError("the length is given twice")
-    if response.status < 200:
-        raise ValueError("the answer is not a final one")
+    def _describe_wrong(self, message, code="answer-refused"):
+        return ExchangeError(Kind.WRONG, Verdict.MAY_HAVE_RUN, code, message)
 
 
 def find_idle_limit(headers):
