--- a/persimmonlane/serving/callers.py
+++ b/persimmonlane/serving/callers.py
@@ -6,6 +6,8 @@
 import select
 import socket
 
+import urllib3.util
+
 from .departure import NodeEnding
 
 
@@ -68,8 +70,12 @@
 
         Raises:
             CallerLeft: If the caller closed its connection.
+            NodeEnding: If the node ends.
         """
-        if self._watching:
+        if self._departure.ended.is_set():
+            raise NodeEnding
+        # A socket with a time-out would wait for bytes in its own recv.
+        if self._watching and urllib3.util.wait_for_read(self._socket, timeout=0.0):
             self._check_caller()
 
     def _check_caller(self):
--- a/persimmonlane/serving/tests/test_endless.py
+++ b/persimmonlane/serving/tests/test_endless.py
@@ -13,6 +13,7 @@
 from ...verdicts import Verdict
 from ..callers import CallerLeft, CallerWatch
 from ..connections import ConnectionPool
+from ..departure import Departure
 from ..exchange import Call, Exchange, ExchangeError
 from ..hedge import RaceWatch, Signal, Superseded
 from ..memory import FREE_BYTES, AnswerMemory
@@ -56,7 +57,7 @@
         self.caller, near = socket.socketpair()
         self.addCleanup(self.caller.close)
         self.addCleanup(near.close)
-        self.watch = CallerWatch(near)
+        self.watch = CallerWatch(near, Departure(self.clock))
 
     def serve(self, script):
         server = ScriptedServer([script])
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -193,7 +193,7 @@
         for server in self._request_servers:
             server.stop_accepting()
         # Requests on connections that were made before that may still be on their way.
-        self._ended.wait(ARRIVAL_S)
+        self._ended.wait(min(ARRIVAL_S, max(0.0, self.departure.find_left())))
         self._await_end(self._is_idle)
         self._upkeep.stop()
         self._end_waits()
--- a/persimmonlane/tests/test_stopping.py
+++ b/persimmonlane/tests/test_stopping.py
@@ -5,7 +5,7 @@
 import urllib3
 
 from ..standins.backend import Script
-from .test_sitenode import Site, await_true
+from .test_sitenode import PATIENCE_S, Site, await_true
 
 GRACE_S = 3.0
 SLOTS = 4
@@ -20,7 +20,13 @@
         self._site = site
         self._path = path
         headers = {"X-Request-Id": uuid.uuid4().hex}
-        self._fields = {"method": "POST", "body": b"x", "headers": headers, **fields}
+        self._fields = {
+            "method": "POST",
+            "body": b"x",
+            "headers": headers,
+            "timeout": PATIENCE_S,
+            **fields,
+        }
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
