Look at the caller without waiting

Cause: a recv on a socket with a time-out waits for that long before it looks, whatever its flags say, and the end of the time-out counted as an error of the connection. Why it works: a poll of no length comes first.

--- a/persimmonlane/serving/callers.py
+++ b/persimmonlane/serving/callers.py
@@ -51,7 +51,11 @@
         Raises:
             CallerLeft: If the caller closed its connection.
         """
-        if self._watching:
+        if not self._watching:
+            return
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        if poll.poll(0):
             self._check_caller()
 
     def _check_caller(self):
--- a/persimmonlane/serving/tests/test_endless.py
+++ b/persimmonlane/serving/tests/test_endless.py
@@ -56,6 +56,8 @@
         self.caller, near = socket.socketpair()
         self.addCleanup(self.caller.close)
         self.addCleanup(near.close)
+        # As that of a server's connection, whose reads wait for as long.
+        near.settimeout(PATIENCE_S / 2)
         self.watch = CallerWatch(near)
 
     def serve(self, script):
@@ -223,6 +225,20 @@
         self.assertIsInstance(self.run_beside(exchange), expected)
         self.assert_closed(server)
 
+    def test_caller_that_stays_gets_an_answer_that_takes_long(self):
+        self.clock = ManualClock(100.0)
+
+        def pass_time():
+            self.clock.advance(0.1)
+            return 0.01
+
+        def await_time():
+            self.await_true(lambda: self.clock.now() > 102.0)
+
+        head = HEAD + b"Content-Length: 5\r\n\r\n"
+        server = self.serve([head + b"who", await_time, b"le"])
+        self.assertEqual(b"whole", self.create(server, pass_time).run().body)
+
     def test_caller_leaves_while_bytes_come_without_a_pause(self):
         self.check_without_pause(self.caller.close, CallerLeft)
 
