--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -31,6 +31,9 @@
         if script.hang:
             self.standin.released.wait(HANG_S)
         time.sleep(script.work_s)
+        if script.flood is not None:
+            self._flood(script.flood)
+            return
         answer = [
             ("X-Request-Id", headers.get("x-request-id", "")),
             ("X-Server-Load", "1,0,4"),
@@ -46,6 +49,38 @@
         req.ensure_headers_sent()
         req.write(data)
 
+    def _flood(self, flood):
+        """Send bytes until the peer closes, in place of an answer."""
+        req = self.req
+        req.close_connection = True
+        req.chunked_write = False
+        req.sent_headers = True
+        req.conn.socket.settimeout(HANG_S)
+        self.standin.floods.append(flood)
+        try:
+            req.conn.socket.sendall(flood.start)
+            while not self.standin.released.wait(flood.pause_s):
+                req.conn.socket.sendall(flood.piece)
+        except ConnectionError:
+            self.standin.closed_floods.append(flood)
+
+
+class Flood:
+    """Bytes without end.
+
+    Attributes:
+        start: Bytes that are sent once.
+        piece: Bytes that follow again and again.
+        pause_s: Seconds before each piece.
+    """
+
+    __slots__ = ("start", "piece", "pause_s")
+
+    def __init__(self, start, piece, pause_s=0.0):
+        self.start = start
+        self.piece = piece
+        self.pause_s = pause_s
+
 
 class Script:
     """How the stand-in answers.
@@ -56,18 +91,26 @@
         not_run: Whether it states that the request did not run.
         hang: Whether it gives no answer.
         work_s: Seconds that each request takes.
+        flood: The `Flood` that it sends in place of an answer, or None.
     """
 
-    __slots__ = ("status", "body", "not_run", "hang", "work_s")
+    __slots__ = ("status", "body", "not_run", "hang", "work_s", "flood")
 
     def __init__(
-        self, status=200, body=b"whole", not_run=False, hang=False, work_s=0.0
+        self,
+        status=200,
+        body=b"whole",
+        not_run=False,
+        hang=False,
+        work_s=0.0,
+        flood=None,
     ):
         self.status = status
         self.body = body
         self.not_run = not_run
         self.hang = hang
         self.work_s = work_s
+        self.flood = flood
 
 
 class BackendStandin:
@@ -77,12 +120,16 @@
         script: The `Script` by which it answers.
         requests: Target, headers and body of each request that came.
         released: Set to let hanging requests go.
+        floods: Each `Flood` that was begun.
+        closed_floods: Each `Flood` that ended because the peer closed.
     """
 
     def __init__(self, address, service, server_id, born):
         host, port = address.rsplit(":", 1)
         self.script = Script()
         self.requests = []
+        self.floods = []
+        self.closed_floods = []
         self.released = threading.Event()
         self._address = address
         self._service = service
