--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -19,6 +19,8 @@
 from persimmonlane.peers.gossip import ANNOUNCE_S, DatagramWire, Gossip
 from persimmonlane.peers.messages import (
     Announcement,
+    Delta,
+    RateAsk,
     ServerNews,
     decoder,
     encoder,
@@ -36,6 +38,9 @@
 BATCHES = 5
 MS_PER_S = 1000.0
 US_PER_S = 1_000_000.0
+ORGANISATION = Organisation("census", 1e6, 1e6, None)
+ASKS = 200
+ASK_PAUSE_S = 0.01
 
 
 class Settings:
@@ -51,10 +56,13 @@
 
 
 class Document:
-    """A document that all nodes have in force."""
+    """A document that all nodes have in force, and its rulebook."""
 
     version = 7
-    rulebook = None
+    organisations = {ORGANISATION.name: ORGANISATION}
+
+    def __init__(self):
+        self.rulebook = self
 
 
 class NodeStub:
@@ -91,6 +99,10 @@
         news = self._build_news(sequence)
         knows = self.heard is not None and self.heard.echo_boot == news.boot
         message = shorten(news) if knows else news
+        self.send(message)
+
+    def send(self, message):
+        """Send a message to the node."""
         self._socket.sendto(encoder.encode(message), self._target)
 
     def close(self):
@@ -123,7 +135,9 @@
     def _drain(self):
         with contextlib.suppress(BlockingIOError):
             while True:
-                self.heard = decoder.decode(self._socket.recv(4096))
+                message = decoder.decode(self._socket.recv(4096))
+                if isinstance(message, Announcement | Delta):
+                    self.heard = message
 
 
 class Peers:
@@ -145,6 +159,10 @@
         for peer in self._peers:
             peer.close()
 
+    def ask_rate(self):
+        """Ask the node for leave to run a request, as if it held the rate."""
+        self._peers[0].send(RateAsk(1, ORGANISATION.name, "peer", True))
+
     def count_bytes(self):
         """Return the bytes of the message that came last to the first peer."""
         return len(encoder.encode(self._peers[0].heard))
@@ -216,10 +234,12 @@
     return statistics.median(spent) * MS_PER_S
 
 
-def measure_announcing(node):
+def measure_announcing(node, peers):
     """Return the median milliseconds that a round of own announcements costs."""
     spent = []
     for _ in range(ROUNDS * 5):
+        peers.announce(0.0)
+        time.sleep(ANNOUNCE_S / 10)
         before = node.measure_spent()
         node.actor.tell(Tick())
         time.sleep(ANNOUNCE_S / 10)
@@ -227,6 +247,15 @@
     return statistics.median(spent) * MS_PER_S
 
 
+def measure_rate_question(node, peers):
+    """Return the microseconds that the question for leave of another node costs."""
+    before = node.measure_spent()
+    for _ in range(ASKS):
+        peers.ask_rate()
+        time.sleep(ASK_PAUSE_S)
+    return (node.measure_spent() - before) / ASKS * US_PER_S
+
+
 def time_call(call):
     """Return the microseconds of processor time that a call takes."""
     spent = []
@@ -247,15 +276,14 @@
     stub = NodeStub(settings, table)
     gossip = Gossip(None, settings, node.clock, None, node.describe, Document(), None)
     gossip.table = table
-    organisation = Organisation("census", 1000.0, 1000.0, None)
     return {
         "find_live": table.find_live,
         "count_members": table.count_members,
         "is_relay": lambda: table.is_relay(settings.data_centre, 1),
         "may_eject": lambda: SiteNode.may_eject(stub),
         "find_candidates": lambda: ingress._find_candidates(SERVICES[0]),
-        "find_holder": lambda: gossip._find_holder(organisation),
-        "decide_held": lambda: gossip._decide_held(organisation),
+        "find_holder": lambda: gossip._find_holder(ORGANISATION),
+        "decide_held": lambda: gossip._decide_held(ORGANISATION),
     }
 
 
@@ -268,10 +296,12 @@
         live = len(node.table.find_live())
         print(f"{count} peers, {live} live")
         print(f"  receiving  {receiving_ms:8.2f} ms/s")
-        print(f"  announcing {measure_announcing(node):8.2f} ms/s")
+        print(f"  announcing {measure_announcing(node, peers):8.2f} ms/s")
         peers.announce(0.0)
         print(f"  a datagram {peers.count_bytes():8} bytes")
         time.sleep(ANNOUNCE_S / 5)
+        print(f"  rate question   {measure_rate_question(node, peers):8.1f} us")
+        peers.announce(0.0)
         for name, call in list_questions(node).items():
             print(f"  {name:15} {time_call(call):8.1f} us")
     finally:
