Answer questions for leave to run in the thread that receives them

The holder of a rate woke two threads for each question. RateKeeper decides under a lock of its own, so that the wire's thread can ask it, and the actor no longer has to; the question for room stays with the actor, since the owner's lock may make it wait. Gossip registers itself at the wire when it is built, not when its thread starts.

--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -8,7 +8,6 @@
 import random
 
 from ..actors import Actor, Tick
-from ..quotas.limiter import Limiter
 from ..settings import split_address
 from .announcing import AnnouncementBuilder
 from .deltas import expand
@@ -21,6 +20,7 @@
     RoomAsk,
 )
 from .questions import OpenQuestions
+from .rates import RateKeeper
 from .table import PeerTable
 from .wire import DatagramWire as DatagramWire
 from .wire import Received
@@ -131,7 +131,7 @@
     """
 
     handlers = {
-        Received: "take_question",
+        Received: "answer_room",
         PeerStarted: "greet",
         StrangerHeard: "introduce",
         NodesRegistered: "take_registered",
@@ -153,24 +153,16 @@
         boot = random.randrange(BOOT_LIMIT)
         self._builder = AnnouncementBuilder(settings, clock, boot)
         self._questions = OpenQuestions()
-        self._live = None
-        self._live_by_name = {}
-        self._limiter = Limiter(settings.name, clock)
         self.table = PeerTable(settings.name, boot, clock)
+        self._rates = RateKeeper(settings.name, clock, self.table)
         self._takers = {
             Announcement: self._take_news,
             Delta: self._take_delta,
+            RateAsk: self._answer_rate,
             RateAnswer: self._take_answer,
             RoomAnswer: self._take_room_answer,
         }
-        self._answerers = {
-            RateAsk: self._answer_rate,
-            RoomAsk: self._answer_room,
-        }
-
-    def on_start(self):
-        """Take what needs no decision of the actor's without a hand-over to it."""
-        self._wire.set_taker(self.take)
+        wire.set_taker(self.take)
 
     def take(self, message, sender):
         """Take a datagram in the thread that has received it.
@@ -185,13 +177,15 @@
         take = self._takers.get(type(message))
         return take(message, sender) if take is not None else Received(message, sender)
 
-    def take_question(self, received):
-        """Answer the question of another node."""
-        answer = self._answerers[type(received.message)]
+    def answer_room(self, received):
+        """Answer whether the backend server would take a request."""
+        ask = received.message
         try:
-            answer(received.message, received.sender)
+            answer = RoomAnswer(ask.number, self._judge(ask.order))
         except ValueError as error:
-            log.warning("Peers: a datagram is absurd: %s.", error)
+            log.warning("Peers: a question is absurd: %s.", error)
+            return
+        self._wire.send(received.sender, answer)
 
     def greet(self, message):
         """Tell a node that has just started of this one at once."""
@@ -219,9 +213,9 @@
 
     def decide_rate(self, wanted):
         """Decide on a request, or ask the node that holds the rate."""
-        holder = self._find_holder(wanted.organisation)
+        holder = self._rates.find_holder(wanted.organisation)
         if holder is None:
-            wanted.reply.set(self._decide_held(wanted.organisation))
+            wanted.reply.set(self._rates.decide_held(wanted.organisation))
             return
         number = self._questions.keep(wanted)
         ask = RateAsk(number, wanted.organisation.name, self._settings.name)
@@ -233,9 +227,7 @@
 
     def decide_alone(self, wanted):
         """Decide by this node's share, since the holder did not answer."""
-        members = self.table.count_members()
-        wait_s = self._limiter.decide_alone(wanted.organisation, members)
-        wanted.reply.set(wait_s)
+        wanted.reply.set(self._rates.decide_alone(wanted.organisation))
 
     def _announce_to(self, peers):
         self._begin_round()
@@ -249,18 +241,6 @@
         fresh_age_s = self.table.tell_fresh_age()
         self._builder.describe(news, self._document.version, fresh_age_s)
 
-    def _find_holder(self, organisation):
-        live = self.table.find_live()
-        if live is not self._live:
-            self._live = live
-            self._live_by_name = {peer.name: peer for peer in live}
-        name = self._limiter.find_holder(organisation.name, self._live_by_name)
-        return self._live_by_name.get(name)
-
-    def _decide_held(self, organisation):
-        live = len(self.table.find_live()) + 1
-        return self._limiter.decide(organisation, live, self.table.count_members())
-
     def _take_news(self, news, _):
         before = self.table.peers.get(news.node)
         known_boot = before.news.boot if before and before.news else None
@@ -290,9 +270,9 @@
         if organisation is None:
             return
         reply = RelayedReply(self._wire, sender, ask.number)
-        holder = None if ask.relayed else self._find_holder(organisation)
+        holder = None if ask.relayed else self._rates.find_holder(organisation)
         if holder is None:
-            reply.set(self._decide_held(organisation))
+            reply.set(self._rates.decide_held(organisation))
             return
         # The other node can't see the holder, but this one does: two holders would
         # grant the rate twice.
@@ -305,9 +285,6 @@
         if wanted is not None:
             wanted.reply.set(0.0 if answer.granted else max(answer.wait_s, 0.001))
 
-    def _answer_room(self, ask, sender):
-        self._wire.send(sender, RoomAnswer(ask.number, self._judge(ask.order)))
-
     def _take_room_answer(self, answer, _):
         wanted = self._questions.take(answer.number)
         if wanted is not None:
--- a/persimmonlane/peers/tests/test_gossip.py
+++ b/persimmonlane/peers/tests/test_gossip.py
@@ -22,6 +22,9 @@
     def __init__(self):
         self.sent = []
 
+    def set_taker(self, take):
+        self.take = take
+
     def send(self, address, message):
         self.sent.append((address, decoder.decode(encoder.encode(message))))
 
@@ -129,6 +132,12 @@
         ((address, answer),) = self.wire.sent
         self.assertEqual((ASKER, True), (address, answer.granted))
 
+    def test_question_needs_no_actor(self):
+        ask = RateAsk(7, "census", "nine", False)
+        self.assertIsNone(self.wire.take(ask, ASKER))
+        ((address, answer),) = self.wire.sent
+        self.assertEqual((ASKER, 7, True), (address, answer.number, answer.granted))
+
     def test_question_is_decided_here_if_no_better_holder_is_known(self):
         self.ask()
         ((address, answer),) = self.wire.sent
--- /dev/null
+++ b/persimmonlane/peers/tests/test_rates.py
@@ -0,0 +1,59 @@
+import threading
+
+import testtools
+
+from ...clocks import ManualClock
+from ...quotas.buckets import rank_holders
+from ...routing.rulebook import Organisation
+from ..messages import Announcement
+from ..rates import RateKeeper
+from ..table import PeerTable
+
+BURST = 40
+THREADS = 4
+
+
+class RateKeeperTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        names = [f"node-{number}" for number in range(10)]
+        *self.ranked, own = rank_holders("census", names)
+        self.table = PeerTable(own, 1, self.clock)
+        self.rates = RateKeeper(own, self.clock, self.table)
+        self.organisation = Organisation("census", 1000.0, BURST, None)
+
+    def hear(self, name, sequence=1):
+        news = Announcement(name, 1, sequence, "a:1", "south", False, 1, 0, 0, 0, None)
+        self.table.take(news)
+
+    def test_holder_is_the_first_of_the_live_nodes(self):
+        first, *rest = self.ranked
+        for name in sorted(self.ranked):
+            self.hear(name)
+        self.assertEqual(first, self.rates.find_holder(self.organisation).name)
+        self.clock.advance(2.0)
+        for name in sorted(rest):
+            self.hear(name, 2)
+        self.clock.advance(1.0)
+        self.assertEqual(rest[0], self.rates.find_holder(self.organisation).name)
+
+    def test_node_that_sees_no_other_holds_the_rate(self):
+        self.assertIsNone(self.rates.find_holder(self.organisation))
+
+    def test_threads_together_get_no_more_than_the_tokens(self):
+        granted = []
+        self.rates.decide_held(self.organisation)
+        self.clock.advance(1.0)
+
+        def ask():
+            for _ in range(BURST):
+                if self.rates.decide_held(self.organisation) <= 0:
+                    granted.append(True)
+
+        threads = [threading.Thread(target=ask) for _ in range(THREADS)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(BURST, len(granted))
--- a/persimmonlane/peers/tests/test_restarts.py
+++ b/persimmonlane/peers/tests/test_restarts.py
@@ -36,6 +36,9 @@
         self.network = network
         self.host = host
 
+    def set_taker(self, take):
+        self.take = take
+
     def send(self, address, message):
         raw = encoder.encode(message)
         self.network.waiting.append((self.host, address[0], raw))
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -25,6 +25,7 @@
     decoder,
     encoder,
 )
+from persimmonlane.peers.rates import RateKeeper
 from persimmonlane.routing.rulebook import Organisation
 from persimmonlane.serving.ingress import Ingress
 from persimmonlane.sitenode import OwnNews, SiteNode
@@ -274,16 +275,15 @@
         settings, node.clock, None, node.describe, table, None, None, None, None
     )
     stub = NodeStub(settings, table)
-    gossip = Gossip(None, settings, node.clock, None, node.describe, Document(), None)
-    gossip.table = table
+    rates = RateKeeper(settings.name, node.clock, table)
     return {
         "find_live": table.find_live,
         "count_members": table.count_members,
         "is_relay": lambda: table.is_relay(settings.data_centre, 1),
         "may_eject": lambda: SiteNode.may_eject(stub),
         "find_candidates": lambda: ingress._find_candidates(SERVICES[0]),
-        "find_holder": lambda: gossip._find_holder(ORGANISATION),
-        "decide_held": lambda: gossip._decide_held(ORGANISATION),
+        "find_holder": lambda: rates.find_holder(ORGANISATION),
+        "decide_held": lambda: rates.decide_held(ORGANISATION),
     }
 
 
