Check a peer's address when it is taken

A node that announced, or registered in the store, an address that is none would have ended the actor, and with it the process, of every node at its next round: the address was only taken apart for sending. It is now refused where it comes in, and taken apart once.

--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -219,11 +219,12 @@
             return
         number = self._questions.keep(wanted)
         ask = RateAsk(number, wanted.organisation.name, self._settings.name)
-        self._send(holder.address, ask)
+        self._send(holder.host, ask)
 
     def ask_room(self, wanted):
         """Ask another node whether its backend server would take a request."""
-        self._send(wanted.address, RoomAsk(self._questions.keep(wanted), wanted.order))
+        host, _ = split_address(wanted.address)
+        self._send(host, RoomAsk(self._questions.keep(wanted), wanted.order))
 
     def decide_alone(self, wanted):
         """Decide by this node's share, since the holder did not answer."""
@@ -232,7 +233,7 @@
     def _announce_to(self, peers):
         self._begin_round()
         for peer in peers:
-            self._send(peer.address, self._builder.build(peer))
+            self._send(peer.host, self._builder.build(peer))
 
     def _begin_round(self):
         self.table.note_sent(self._builder.begin_round())
@@ -278,7 +279,7 @@
         # grant the rate twice.
         number = self._questions.keep(RateWanted(organisation, reply))
         relayed = RateAsk(number, ask.organisation, self._settings.name, True)
-        self._send(holder.address, relayed)
+        self._send(holder.host, relayed)
 
     def _take_answer(self, answer, _):
         wanted = self._questions.take(answer.number)
@@ -290,6 +291,5 @@
         if wanted is not None:
             wanted.reply.set(answer.report)
 
-    def _send(self, address, message):
-        host, _ = split_address(address)
+    def _send(self, host, message):
         self._wire.send((host, self._settings.gossip_port), message)
--- a/persimmonlane/peers/peer.py
+++ b/persimmonlane/peers/peer.py
@@ -3,6 +3,8 @@
 Another node as this one knows it.
 """
 
+from ..settings import split_address
+
 # A peer that is silent for longer is not sent requests.
 LIVE_S = 2.6
 # A peer that is silent for longer no longer counts as a member.
@@ -17,6 +19,7 @@
     Attributes:
         name: Name of the node.
         address: Address for requests from other nodes.
+        host: The host of that address.
         data_centre: Name of its data centre, empty before it was heard.
         news: Its newest `Announcement`, or None before it was heard.
         heard_at: Seconds at which that came.
@@ -29,6 +32,7 @@
     __slots__ = (
         "name",
         "address",
+        "host",
         "data_centre",
         "news",
         "heard_at",
@@ -40,8 +44,19 @@
     )
 
     def __init__(self, name, address, known_at):
+        """Begin with a node that was not heard yet.
+
+        Args:
+            name: Name of the node.
+            address: Address for requests from other nodes.
+            known_at: Seconds.
+
+        Raises:
+            ValueError: If the address is invalid.
+        """
         self.name = name
         self.address = address
+        self.host, _ = split_address(address)
         self.data_centre = ""
         self.news = None
         self.heard_at = None
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -4,12 +4,15 @@
 is known to be. Answers restarts, cuts and freezes of nodes.
 """
 
+import logging
 import operator
 import threading
 
 from .peer import LIVE_S, MEMBER_S, Peer, move_peer
 from .recents import RecentPeers
 
+log = logging.getLogger("persimmonlane.peers")
+
 KEPT_SENDS = 256
 
 
@@ -75,7 +78,10 @@
         with self._lock:
             self._listed_at = self._clock.now()
             for name, address in addresses.items():
-                self.note_registered(name, address)
+                try:
+                    self.note_registered(name, address)
+                except ValueError:
+                    log.warning("Peers: the address of %s is invalid.", name)
 
     def note_registered(self, name, address):
         """Take a node that the store names."""
--- a/persimmonlane/peers/tests/test_table.py
+++ b/persimmonlane/peers/tests/test_table.py
@@ -36,6 +36,15 @@
         message = decoder.decode(encoder.encode(news()))
         self.assertEqual(news(), message)
 
+    def test_invalid_address_is_not_taken(self):
+        self.assertRaises(ValueError, self.table.take, news(address="nowhere"))
+        self.table.note_listed({"c": "nowhere", "d": "10.0.0.4:80"})
+        self.assertEqual(["d"], list(self.table.peers))
+        self.table.take(news())
+        moved = news(sequence=2, address="nowhere")
+        self.assertRaises(ValueError, self.table.take, moved)
+        self.assertEqual("10.0.0.2:80", self.table.peers["b"].address)
+
     def test_old_announcements_change_nothing(self):
         self.table.take(news(sequence=5))
         self.assertIsNone(self.table.take(news(sequence=4)))
