--- a/persimmonlane/owner/serving.py
+++ b/persimmonlane/owner/serving.py
@@ -4,7 +4,6 @@
 """
 
 import logging
-import os
 import threading
 
 from ..errors import Refusal
@@ -14,8 +13,11 @@
 from ..platform import headers as wire
 from ..routing.orders import OwnerReport
 from ..serving.callers import CallerLeft
+from ..serving.departure import NodeEnding
 from ..serving.exchange import Call, Exchange, ExchangeError
+from ..signals import Signal
 from ..verdicts import Verdict
+from .fates import Fates
 from .gate import Gate, Ticket
 from .standing import DOUBT_SCORE, ServerRecord, Standing
 from .times import WorkTimes
@@ -55,6 +57,8 @@
         "_changed_since_tick",
         "_misdirected",
         "_times",
+        "_leaving",
+        "_fates",
     )
 
     def __init__(self, settings, hosted, clock, pool, may_eject):
@@ -69,6 +73,27 @@
         self._changed_since_tick = False
         self._misdirected = None
         self._times = WorkTimes()
+        self._leaving = False
+        self._fates = Fates(clock)
+
+    def leave(self):
+        """Close the gate for good: the node was told to stop.
+
+        What runs goes on; what waits is refused as not run, so that it is placed
+        elsewhere.
+        """
+        with self._lock:
+            self._leaving = True
+            self._update_gate()
+
+    def withdraw(self, request_id):
+        """Keep a request from the backend server from now on.
+
+        Returns:
+            Whether it was never handed over, and so never runs.
+        """
+        with self._lock:
+            return self._fates.withdraw(request_id)
 
     def take_heartbeat(self, heartbeat):
         """Take a heartbeat of the backend server."""
@@ -154,9 +179,9 @@
             ExchangeError: If it was, and no whole answer came.
             CallerLeft: If the caller went away.
         """
-        wakener = Wakener()
+        wakener = Signal()
         with self._lock:
-            ticket = self._build_ticket(order, call.arrived, wakener.wake)
+            ticket = self._build_ticket(order, call.arrived, wakener.set)
         outcome, verdict, status = "given-up", "", 0
         try:
             answer = self._pass(order, call, ticket, wakener, caller)
@@ -173,11 +198,17 @@
         self._enter(order, ticket)
         try:
             self._await_slot(ticket, wakener, caller)
+            self._hand(order)
             return self._exchange(order, call, ticket, caller)
         finally:
             with self._lock:
                 self.gate.leave(ticket)
 
+    def _hand(self, order):
+        with self._lock:
+            if not self._fates.hand(order.request_id):
+                raise refuse("request-withdrawn", "its ingress node took it back")
+
     def _tell(self, order, call, ticket, outcome, verdict, status):
         now = self._clock.now()
         granted_at = ticket.granted_at if ticket.granted_at is not None else now
@@ -199,7 +230,7 @@
         )
 
     def _update_gate(self):
-        ready = self.hosted.is_ready()
+        ready = self.hosted.is_ready() and not self._leaving
         if ready and self.hosted.is_current(self._misdirected):
             ready = False
         slots = self.hosted.current.slots if ready else 0
@@ -252,7 +283,10 @@
             waits_s = ticket.waits_until - self._clock.now()
             if waits_s <= 0:
                 raise refuse("server-busy", "no slot became free soon enough")
-            caller.wait(wakener, min(waits_s, WATCH_S))
+            try:
+                caller.wait(wakener, min(waits_s, WATCH_S))
+            except NodeEnding as error:
+                raise refuse("server-leaving", "the node ends") from error
         if ticket.deadline - self._clock.now() <= LEAST_LEFT_S:
             raise refuse("deadline-passed", "no time is left")
 
@@ -385,27 +419,6 @@
         self.on_wait = on_wait
 
 
-class Wakener:
-    """Wakes a thread that waits for a slot; it can be polled."""
-
-    __slots__ = ("_number",)
-
-    def __init__(self):
-        self._number = os.eventfd(0, os.EFD_NONBLOCK)
-
-    def fileno(self):
-        """Return the descriptor that becomes readable."""
-        return self._number
-
-    def wake(self):
-        """Wake the thread."""
-        os.eventfd_write(self._number, 1)
-
-    def close(self):
-        """Release the descriptor."""
-        os.close(self._number)
-
-
 def find_request_id(headers):
     """Return the identifier of the request that an answer echoes."""
     return wire.read_marks(headers).request_id
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -18,6 +18,8 @@
     RateAsk,
     RoomAnswer,
     RoomAsk,
+    WithdrawalAnswer,
+    WithdrawalAsk,
 )
 from .questions import OpenQuestions
 from .rates import RateKeeper
@@ -123,6 +125,25 @@
         self.reply = reply
 
 
+class WithdrawalWanted:
+    """An owner is to keep a request from its backend server.
+
+    Attributes:
+        address: Address of the owner.
+        boot: Boot number of the process to which the request was sent.
+        request_id: Identifier of the request.
+        reply: Future that takes whether the request is sure never to run there.
+    """
+
+    __slots__ = ("address", "boot", "request_id", "reply")
+
+    def __init__(self, address, boot, request_id, reply):
+        self.address = address
+        self.boot = boot
+        self.request_id = request_id
+        self.reply = reply
+
+
 class Gossip(Actor):
     """Knows the other nodes and holds the rates that fall to this one.
 
@@ -131,7 +152,7 @@
     """
 
     handlers = {
-        Received: "answer_room",
+        Received: "take_question",
         PeerStarted: "greet",
         StrangerHeard: "introduce",
         NodesRegistered: "take_registered",
@@ -139,21 +160,22 @@
         RateWanted: "decide_rate",
         ShareWanted: "decide_alone",
         RoomWanted: "ask_room",
+        WithdrawalWanted: "ask_withdrawal",
         Tick: "announce",
     }
 
-    def __init__(self, application, settings, clock, wire, describe, document, judge):
+    def __init__(self, application, settings, clock, wire, describe, document, owner):
         super().__init__(application)
         self._settings = settings
         self._clock = clock
         self._wire = wire
         self._describe = describe
         self._document = document
-        self._judge = judge
-        boot = random.randrange(BOOT_LIMIT)
-        self._builder = AnnouncementBuilder(settings, clock, boot)
+        self._owner = owner
+        self._boot = random.randrange(BOOT_LIMIT)
+        self._builder = AnnouncementBuilder(settings, clock, self._boot)
         self._questions = OpenQuestions()
-        self.table = PeerTable(settings.name, boot, clock)
+        self.table = PeerTable(settings.name, self._boot, clock)
         self._rates = RateKeeper(settings.name, clock, self.table)
         self._takers = {
             Announcement: self._take_news,
@@ -161,6 +183,11 @@
             RateAsk: self._answer_rate,
             RateAnswer: self._take_answer,
             RoomAnswer: self._take_room_answer,
+            WithdrawalAnswer: self._take_withdrawal_answer,
+        }
+        self._answerers = {
+            RoomAsk: self._answer_room,
+            WithdrawalAsk: self._answer_withdrawal,
         }
         wire.set_taker(self.take)
 
@@ -177,15 +204,13 @@
         take = self._takers.get(type(message))
         return take(message, sender) if take is not None else Received(message, sender)
 
-    def answer_room(self, received):
-        """Answer whether the backend server would take a request."""
-        ask = received.message
+    def take_question(self, received):
+        """Answer the question of another node."""
+        answer = self._answerers[type(received.message)]
         try:
-            answer = RoomAnswer(ask.number, self._judge(ask.order))
+            answer(received.message, received.sender)
         except ValueError as error:
-            log.warning("Peers: a question is absurd: %s.", error)
-            return
-        self._wire.send(received.sender, answer)
+            log.warning("Peers: a datagram is absurd: %s.", error)
 
     def greet(self, message):
         """Tell a node that has just started of this one at once."""
@@ -226,6 +251,13 @@
         host, _ = split_address(wanted.address)
         self._send(host, RoomAsk(self._questions.keep(wanted), wanted.order))
 
+    def ask_withdrawal(self, wanted):
+        """Ask an owner to keep a request from its backend server."""
+        number = self._questions.keep(wanted)
+        ask = WithdrawalAsk(number, wanted.boot, wanted.request_id)
+        host, _ = split_address(wanted.address)
+        self._send(host, ask)
+
     def decide_alone(self, wanted):
         """Decide by this node's share, since the holder did not answer."""
         wanted.reply.set(self._rates.decide_alone(wanted.organisation))
@@ -286,6 +318,19 @@
         if wanted is not None:
             wanted.reply.set(0.0 if answer.granted else max(answer.wait_s, 0.001))
 
+    def _answer_room(self, ask, sender):
+        self._wire.send(sender, RoomAnswer(ask.number, self._owner.judge(ask.order)))
+
+    def _answer_withdrawal(self, ask, sender):
+        # A process that has started since does not know what the one before did.
+        never_runs = ask.boot == self._boot and self._owner.withdraw(ask.request_id)
+        self._wire.send(sender, WithdrawalAnswer(ask.number, never_runs))
+
+    def _take_withdrawal_answer(self, answer, _):
+        wanted = self._questions.take(answer.number)
+        if wanted is not None:
+            wanted.reply.set(answer.never_runs)
+
     def _take_room_answer(self, answer, _):
         wanted = self._questions.take(answer.number)
         if wanted is not None:
--- a/persimmonlane/serving/callers.py
+++ b/persimmonlane/serving/callers.py
@@ -6,19 +6,29 @@
 import select
 import socket
 
+from .departure import NodeEnding
+
 
 class CallerLeft(Exception):
     """The caller closed its connection before the answer."""
 
 
 class CallerWatch:
-    """Waits for an answer while watching whether the caller leaves."""
+    """Waits for an answer while watching whether the caller or the node leaves."""
+
+    __slots__ = ("_socket", "_departure", "_watching", "_closed")
 
-    __slots__ = ("_socket", "_watching")
+    def __init__(self, sock, departure):
+        """Take what is watched.
 
-    def __init__(self, sock):
+        Args:
+            sock: The caller's socket.
+            departure: The `Departure` of the node.
+        """
         self._socket = sock
+        self._departure = departure
         self._watching = True
+        self._closed = False
 
     def wait(self, backend, timeout_s, other=None):
         """Return whether the backend socket became readable in time.
@@ -30,9 +40,13 @@
 
         Raises:
             CallerLeft: If the caller closed its connection meanwhile.
+            NodeEnding: If the node ends.
         """
         poll = select.poll()
         poll.register(backend, select.POLLIN)
+        poll.register(self._departure.ended, select.POLLIN)
+        if not self._closed:
+            poll.register(self._departure.closed, select.POLLIN)
         if self._watching:
             poll.register(self._socket, select.POLLIN)
         if other is not None:
@@ -41,6 +55,10 @@
         ready = {number for number, _ in events}
         if backend.fileno() in ready:
             return True
+        if self._departure.ended.fileno() in ready:
+            raise NodeEnding
+        # One look is due when the node closes.
+        self._closed = self._closed or self._departure.closed.fileno() in ready
         if self._socket.fileno() in ready:
             self._check_caller()
         return False
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -16,9 +16,10 @@
 from ..routing.orders import Order
 from ..verdicts import Verdict
 from .answers import describe_refusal, get_reason
-from .attempts import AnswerInHand, IngressRequest, find_rank
+from .attempts import AnswerInHand, IngressRequest, Stage, find_rank
 from .bodies import BodyError, create_body
 from .callers import CallerLeft, CallerWatch
+from .departure import NodeEnding, describe_ending
 from .exchange import ExchangeError
 from .hops import ORDER, REPORT, REPORTED_ID, wait_long
 
@@ -89,7 +90,7 @@
 
     def build_watch(self):
         """Return the `CallerWatch` of the connection."""
-        return CallerWatch(self.req.conn.socket)
+        return CallerWatch(self.req.conn.socket, self.node.departure)
 
 
 class CallerGateway(Gateway):
@@ -105,11 +106,13 @@
             self.build_watch(),
             node.clock.now(),
         )
-        with node.track():
+        with node.running.track(request):
             try:
                 self._respond(request)
             except Refusal as refusal:
                 self._refuse(request, refusal)
+            except NodeEnding:
+                self._refuse(request, describe_ending(request.stage is Stage.SERVER))
             except CallerLeft:
                 node.events.note_left(request)
                 self.abort()
@@ -120,11 +123,15 @@
     def _respond(self, request):
         node = self.node
         node.admission.identify(request)
+        node.departure.check(request.arrived, request.deadline)
         self.req.conn.socket.settimeout(
             max(LEAST_BODY_S, request.deadline - node.clock.now())
         )
         limits = node.documents.rulebook.limits
         request.body = self.read_body(limits.body_bytes)
+        request.received_at = node.clock.now()
+        request.stage = Stage.ADMISSION
+        node.departure.check(request.arrived, request.deadline)
         node.admit(find_rank(request))
         node.admission.check_rate(request)
         try:
@@ -165,12 +172,10 @@
             else:
                 self.write_text(200, rulebook.raw)
             return
-        with self.node.track():
-            self._serve()
+        self._serve()
 
     def _serve(self):
         arrived = self.node.clock.now()
-        owner = self.node.owner
         text = find_first(self.req.inheaders.listed, ORDER)
         try:
             order = msgspec.json.decode(text, type=Order)
@@ -179,6 +184,11 @@
             self.req.close_connection = True
             self.write_text(400)
             return
+        with self.node.running.track(order):
+            self._answer(order, arrived)
+
+    def _answer(self, order, arrived):
+        owner = self.node.owner
         try:
             answer = self._run(order, arrived)
         except Refusal as refusal:
@@ -190,6 +200,10 @@
             status = 504 if error.code == "deadline-passed" else 502
             report = owner.report(error.verdict, error.code)
             self._write(order, report, status, [], b"")
+        except NodeEnding:
+            refusal = describe_ending(True)
+            report = owner.report(refusal.verdict, refusal.code)
+            self._write(order, report, refusal.status, [], b"")
         except CallerLeft:
             self.abort()
         else:
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -20,11 +20,12 @@
 from ..routing.orders import Order
 from ..routing.rulebook import choose_part
 from ..verdicts import Verdict
-from .attempts import SERVER_FAULT, AnswerInHand, Attempt, Choice, find_rank
+from .attempts import SERVER_FAULT, AnswerInHand, Attempt, Choice, Stage, find_rank
 from .exchange import Call, Exchange, ExchangeError
 from .hedge import Hedge, Superseded
 from .hops import ORDER, clean_headers, find_reported_id, read_report, wait_long
 from .placement import Candidate, Placement
+from .withdrawal import HopWait
 
 log = logging.getLogger("persimmonlane.serving")
 
@@ -66,6 +67,8 @@
         "_placement",
         "_times",
         "_events",
+        "_departure",
+        "_withdrawals",
     )
 
     def __init__(
@@ -79,6 +82,8 @@
         pool,
         budget,
         events,
+        departure,
+        withdrawals,
     ):
         self._settings = settings
         self._clock = clock
@@ -93,6 +98,8 @@
         self._placement = Placement(self._rng)
         self._times = WorkTimes()
         self._events = events
+        self._departure = departure
+        self._withdrawals = withdrawals
 
     def forward(self, request):
         """Return the `WholeAnswer` for an admitted request whose body was read.
@@ -101,6 +108,7 @@
             Refusal: If the node answers itself.
             CallerLeft: If the caller went away.
         """
+        request.stage = Stage.PLACEMENT
         service = request.service = choose_part(request.route, self._rng)
         with self._lock:
             self._budget.note_request(service, self._count_members())
@@ -168,7 +176,7 @@
 
     def take_hedge(self, request):
         """Return whether a second attempt of a request may be made now."""
-        return self._take_token(request.service)
+        return self._departure.may_begin() and self._take_token(request.service)
 
     def run_hedge(self, request, watch, first_id):
         """Return the `Attempt` of a second attempt beside the first, or None.
@@ -213,7 +221,7 @@
     def _choose(self, request, service, tried, waits):
         """Return the next `Choice`, or None."""
         left_s = request.deadline - self._clock.now()
-        if left_s <= LEAST_LEFT_S:
+        if left_s <= LEAST_LEFT_S or not self._departure.may_begin():
             return None
         candidates = self._find_candidates(service)
         fresh = [item for item in candidates if item.server.server_id not in tried]
@@ -223,7 +231,8 @@
                 fresh, request.route.idempotent, len(request.body)
             )
         if chosen is not None:
-            return Choice(chosen, QUEUE_PATIENCE_S[min(len(waits), 2)], False)
+            patience_s = QUEUE_PATIENCE_S[min(len(waits), 2)]
+            return Choice(chosen, self._departure.limit_patience(patience_s), False)
         if sum(map(Attempt.was_last, waits.values())) >= MOST_RESORTS:
             return None
         # Rather than refuse the request, let it wait where that is shortest.
@@ -245,7 +254,7 @@
             left_s * LAST_PATIENCE_SHARE,
             request.route.objective_s * OBJECTIVE_PATIENCE_SHARE,
         )
-        return Choice(chosen, patience_s, True)
+        return Choice(chosen, self._departure.limit_patience(patience_s), True)
 
     def _find_candidates(self, service):
         now = self._clock.now()
@@ -266,6 +275,8 @@
 
     def _attempt(self, request, choice, hedge=None, watch=None):
         began = self._clock.now()
+        request.stage = Stage.SERVER
+        request.server_id = choice.candidate.server.server_id
         attempt, outcome = None, "given-up"
         try:
             attempt = self._send(request, choice, hedge, watch)
@@ -328,6 +339,7 @@
             return refused
         text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
         left_s = request.deadline - self._clock.now()
+        withdraw = functools.partial(self._withdrawals.ask, order, peer, peer.news.boot)
         headers = drop_hop_by_hop(clean_headers(request.headers))
         call = Call(
             address=peer.address,
@@ -339,7 +351,7 @@
             deadline=request.deadline + OWNER_GRACE_S,
             connect_s=min(CONNECT_S, left_s * CONNECT_SHARE),
             find_id=find_reported_id,
-            on_wait=on_wait,
+            on_wait=HopWait(self._departure, withdraw, on_wait),
         )
         self._count_pending(peer, 1)
         try:
@@ -347,12 +359,19 @@
         except ExchangeError as error:
             if error.kind in (Kind.CONNECT, Kind.ERROR):
                 peer.note_unreachable(self._clock.now())
-            return Attempt(None, error.verdict, error.code, kind=error.kind)
+            verdict = error.verdict
+            if self._may_withdraw(request, error) and withdraw():
+                verdict = Verdict.NOT_RUN
+            return Attempt(None, verdict, error.code, kind=error.kind)
         finally:
             self._count_pending(peer, -1)
         peer.note_reached()
         return read_report(answer, peer, order.server_id)
 
+    def _may_withdraw(self, request, error):
+        left_s = request.deadline - self._clock.now()
+        return error.verdict is Verdict.MAY_HAVE_RUN and left_s > LEAST_LEFT_S
+
     def _ask_room(self, request, order, peer):
         """Return the `Attempt` of an owner that would refuse a long body, or None."""
         if peer.data_centre == self._settings.data_centre:
@@ -377,6 +396,8 @@
             peer.pending += change
 
     def _describe_full(self, service, waits):
+        if not self._departure.may_begin():
+            return self._departure.refuse()
         refusals = list(waits.values())
         wait_s = min((item.wait_s for item in refusals), default=RETRY_AFTER_S)
         codes = ", ".join(item.code for item in refusals) or "none is known"
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -3,7 +3,6 @@
 Assembles the one process that runs beside a backend server.
 """
 
-import contextlib
 import logging
 import random
 import signal
@@ -25,9 +24,12 @@
 from .platform.store import SiteStore
 from .reporting.ledger import Ledger, UnixClock
 from .reporting.part import Reporter
+from .routing.orders import Order
 from .serving.admission import Admission
+from .serving.attempts import IngressRequest
 from .serving.budget import RetryBudget
 from .serving.connections import ConnectionPool
+from .serving.departure import Departure
 from .serving.events import RequestEvents
 from .serving.gateways import (
     DOCUMENT_PATH,
@@ -37,7 +39,9 @@
     ReadinessGateway,
 )
 from .serving.ingress import Ingress
+from .serving.running import RunningRequests
 from .serving.servers import SiteServer
+from .serving.withdrawal import Withdrawals
 from .settings import split_address
 from .upkeep.documents import DocumentHolder
 from .upkeep.part import Upkeep
@@ -55,8 +59,11 @@
 IDLE_MARGIN_S = 2.0
 # Callers take two questions, a second apart, to learn that the node is leaving.
 LEAVE_NOTICE_S = 2.3
-END_MARGIN_S = 0.8
 LOOK_S = 0.05
+# Time for a request to come in on a new connection.
+ARRIVAL_S = 0.15
+# Time for the last answers to go out.
+ANSWERS_S = 0.2
 RELOAD_S = 3.0
 # Ejected servers are tried every second or two, so that each still gets requests.
 MOST_FAILING = 0.34
@@ -87,6 +94,8 @@
         admission: The `Admission`.
         ingress: The `Ingress`.
         events: The `RequestEvents`.
+        running: The `RunningRequests`.
+        departure: The `Departure`.
         closes_connections: Whether answers ask callers to connect anew.
     """
 
@@ -99,9 +108,8 @@
         self._reread = reread
         self._reload_wanted = threading.Event()
         self._left_settings = []
-        self._leaving = False
-        self._running = 0
-        self._lock = threading.Lock()
+        self.running = RunningRequests()
+        self.departure = Departure(clock)
         self._ended = threading.Event()
         self.documents = DocumentHolder(decode_document)
         hosted = HostedServer(
@@ -117,11 +125,13 @@
             self._wire,
             self.describe,
             self.documents,
-            self.owner.judge,
+            self.owner,
         )
         self._table = table = self._gossip.proxy().table.get()
         ledger = Ledger(UnixClock(), settings.name)
-        self.events = RequestEvents(clock, ledger, self.documents, table, settings.name)
+        self.events = RequestEvents(
+            clock, ledger, self.documents, table, settings.name, self.departure
+        )
         self._reporter = Reporter(ledger)
         self.admission = Admission(settings, self.documents, table, self._gossip)
         self.ingress = Ingress(
@@ -134,6 +144,8 @@
             pool,
             RetryBudget(settings.retry_ratio, settings.retry_slack),
             self.events,
+            self.departure,
+            Withdrawals(self._gossip),
         )
         self._upkeep = Upkeep(
             settings,
@@ -155,6 +167,7 @@
             SiteServer(settings.nodes, self._bind(NodeGateway), NODE_THREADS),
             SiteServer(settings.callers, self._bind(CallerGateway), CALLER_THREADS),
         ]
+        self._request_servers = self._servers[2:]
         self._ticker = threading.Thread(target=self._tick, daemon=True)
 
     def start(self):
@@ -170,17 +183,44 @@
 
     def drain(self):
         """Finish what runs; the callers learn meanwhile to go elsewhere."""
-        began = self.clock.now()
-        self._leaving = True
+        self.departure.begin(self._settings.grace_s)
         self.closes_connections = True
+        self.owner.leave()
         self._announcer.wake()
-        last_s = self._settings.grace_s - END_MARGIN_S
-        while (past_s := self.clock.now() - began) < last_s:
-            if past_s >= LEAVE_NOTICE_S and self._running == 0:
-                break
-            self._ended.wait(LOOK_S)
+        self._await_end(lambda: self._may_end() or not self.departure.may_begin())
+        self.departure.close()
+        self._await_end(self._may_end)
+        for server in self._request_servers:
+            server.stop_accepting()
+        # Requests on connections that were made before that may still be on their way.
+        self._ended.wait(ARRIVAL_S)
+        self._await_end(self._is_idle)
         self._upkeep.stop()
-        log.info("Node: %d requests were running at the end.", self._running)
+        self._end_waits()
+
+    def _await_end(self, is_over):
+        while self.departure.find_left() > 0 and not is_over():
+            self._ended.wait(LOOK_S)
+
+    def _may_end(self):
+        return self.departure.find_age() >= LEAVE_NOTICE_S and not self._has_work()
+
+    def _has_work(self):
+        requests = self.running.list(IngressRequest)
+        return self.running.list(Order) or any(item.is_admitted() for item in requests)
+
+    def _is_idle(self):
+        return not any(server.count_open() for server in self._request_servers)
+
+    def _end_waits(self):
+        """Answer the requests that are unfinished."""
+        for request in self.running.list(IngressRequest):
+            self.events.note_unfinished(request)
+        log.info("Node: %d requests were running at the end.", self.running.count)
+        self.departure.end()
+        ends_at = self.clock.now() + ANSWERS_S
+        while not self._is_idle() and self.clock.now() < ends_at:
+            self._ended.wait(LOOK_S)
 
     def stop(self):
         """End threads and sockets."""
@@ -189,7 +229,6 @@
         self._reporter.stop()
         self._upkeep.stop()
         self._wire.stop()
-        # Each server takes up to half a second to end.
         enders = [threading.Thread(target=server.stop) for server in self._servers]
         for ender in enders:
             ender.start()
@@ -201,12 +240,12 @@
         owner = self.owner
         current = owner.hosted.current
         if current is None:
-            return OwnNews(self._leaving, None)
+            return OwnNews(self.departure.is_leaving(), None)
         gate = owner.gate
         server = ServerNews(
             current.server_id,
             current.service,
-            gate.slots > 0 and not self._leaving,
+            gate.slots > 0 and not self.departure.is_leaving(),
             gate.slots,
             gate.running,
             gate.waiting,
@@ -214,11 +253,11 @@
             max(0.0, owner.hosted.cold_until - self.clock.now()),
             owner.is_doubtful(),
         )
-        return OwnNews(self._leaving, server)
+        return OwnNews(self.departure.is_leaving(), server)
 
     def is_ready(self):
         """Return whether callers may send requests to this node."""
-        return not self._leaving and self.documents.rulebook is not None
+        return not self.departure.is_leaving() and self.documents.rulebook is not None
 
     def may_eject(self):
         """Return whether enough servers of the service are left without this one."""
@@ -234,22 +273,11 @@
         Raises:
             Refusal: Not run, with code `node-busy`.
         """
-        if rank >= 0 and self._running > MOST_CALLERS:
+        if rank >= 0 and self.running.count > MOST_CALLERS:
             raise Refusal(
                 503, "node-busy", "the node is busy", retry_after=RETRY_AFTER_S
             )
 
-    @contextlib.contextmanager
-    def track(self):
-        """Count a request as running."""
-        with self._lock:
-            self._running += 1
-        try:
-            yield
-        finally:
-            with self._lock:
-                self._running -= 1
-
     def fetch_document(self, address):
         """Take the document of another node; return whether that worked."""
         host, port = split_address(address)
@@ -266,7 +294,7 @@
 
     def _take_rulebook(self, rulebook):
         limits = rulebook.limits
-        for server in self._servers[2:]:
+        for server in self._request_servers:
             server.header_timeout_s = limits.header_timeout_s
             server.timeout = limits.idle_timeout_s + IDLE_MARGIN_S
             server.max_request_header_size = limits.header_bytes * 2
