--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -8,10 +8,12 @@
 import random
 
 from ..actors import Actor, Tick
-from ..quotas.limiter import Limiter
 from ..settings import split_address
+from .announcing import AnnouncementBuilder
+from .deltas import expand
 from .messages import (
     Announcement,
+    Delta,
     RateAnswer,
     RateAsk,
     RoomAnswer,
@@ -20,6 +22,7 @@
     WithdrawalAsk,
 )
 from .questions import OpenQuestions
+from .rates import RateKeeper
 from .table import PeerTable
 from .wire import DatagramWire as DatagramWire
 from .wire import Received
@@ -39,6 +42,19 @@
         self.peer = peer
 
 
+class StrangerHeard:
+    """A `Delta` came from a process that was not heard before.
+
+    Attributes:
+        sender: Address from which it came.
+    """
+
+    __slots__ = ("sender",)
+
+    def __init__(self, sender):
+        self.sender = sender
+
+
 class NodesRegistered:
     """The nodes that the store names, as a table of names and addresses."""
 
@@ -138,6 +154,7 @@
     handlers = {
         Received: "take_question",
         PeerStarted: "greet",
+        StrangerHeard: "introduce",
         NodesRegistered: "take_registered",
         FreshnessKnown: "take_freshness",
         RateWanted: "decide_rate",
@@ -156,27 +173,23 @@
         self._document = document
         self._owner = owner
         self._boot = random.randrange(BOOT_LIMIT)
-        self._sequence = 0
+        self._builder = AnnouncementBuilder(settings, clock, self._boot)
         self._questions = OpenQuestions()
-        self._live = None
-        self._live_by_name = {}
-        self._limiter = Limiter(settings.name, clock)
         self.table = PeerTable(settings.name, self._boot, clock)
+        self._rates = RateKeeper(settings.name, clock, self.table)
         self._takers = {
             Announcement: self._take_news,
+            Delta: self._take_delta,
+            RateAsk: self._answer_rate,
             RateAnswer: self._take_answer,
             RoomAnswer: self._take_room_answer,
             WithdrawalAnswer: self._take_withdrawal_answer,
         }
         self._answerers = {
-            RateAsk: self._answer_rate,
             RoomAsk: self._answer_room,
             WithdrawalAsk: self._answer_withdrawal,
         }
-
-    def on_start(self):
-        """Take what needs no decision of the actor's without a hand-over to it."""
-        self._wire.set_taker(self.take)
+        wire.set_taker(self.take)
 
     def take(self, message, sender):
         """Take a datagram in the thread that has received it.
@@ -189,7 +202,7 @@
             The message for the actor, or None if nothing is left to do.
         """
         take = self._takers.get(type(message))
-        return take(message) if take is not None else Received(message, sender)
+        return take(message, sender) if take is not None else Received(message, sender)
 
     def take_question(self, received):
         """Answer the question of another node."""
@@ -203,6 +216,11 @@
         """Tell a node that has just started of this one at once."""
         self._announce_to([message.peer])
 
+    def introduce(self, message):
+        """Tell a node that this one does not know of this one, so that it answers."""
+        self._begin_round()
+        self._wire.send(message.sender, self._builder.build_full())
+
     def take_registered(self, message):
         """Learn of nodes from the store."""
         self.table.note_listed(message.addresses)
@@ -220,70 +238,43 @@
 
     def decide_rate(self, wanted):
         """Decide on a request, or ask the node that holds the rate."""
-        holder = self._find_holder(wanted.organisation)
+        holder = self._rates.find_holder(wanted.organisation)
         if holder is None:
-            wanted.reply.set(self._decide_held(wanted.organisation))
+            wanted.reply.set(self._rates.decide_held(wanted.organisation))
             return
         number = self._questions.keep(wanted)
         ask = RateAsk(number, wanted.organisation.name, self._settings.name)
-        self._send(holder.address, ask)
+        self._send(holder.host, ask)
 
     def ask_room(self, wanted):
         """Ask another node whether its backend server would take a request."""
-        self._send(wanted.address, RoomAsk(self._questions.keep(wanted), wanted.order))
+        host, _ = split_address(wanted.address)
+        self._send(host, RoomAsk(self._questions.keep(wanted), wanted.order))
 
     def ask_withdrawal(self, wanted):
         """Ask an owner to keep a request from its backend server."""
         number = self._questions.keep(wanted)
         ask = WithdrawalAsk(number, wanted.boot, wanted.request_id)
-        self._send(wanted.address, ask)
+        host, _ = split_address(wanted.address)
+        self._send(host, ask)
 
     def decide_alone(self, wanted):
         """Decide by this node's share, since the holder did not answer."""
-        members = self.table.count_members()
-        wait_s = self._limiter.decide_alone(wanted.organisation, members)
-        wanted.reply.set(wait_s)
+        wanted.reply.set(self._rates.decide_alone(wanted.organisation))
 
     def _announce_to(self, peers):
-        self._sequence += 1
-        self.table.note_sent(self._sequence)
+        self._begin_round()
+        for peer in peers:
+            self._send(peer.host, self._builder.build(peer))
+
+    def _begin_round(self):
+        self.table.note_sent(self._builder.begin_round())
         news = self._describe()
         # The age goes with the version read after it, or with a newer one.
         fresh_age_s = self.table.tell_fresh_age()
-        version = self._document.version
-        for peer in peers:
-            message = self._build_announcement(peer, news, fresh_age_s, version)
-            self._send(peer.address, message)
-
-    def _build_announcement(self, peer, news, fresh_age_s, version):
-        heard = peer.news
-        return Announcement(
-            self._settings.name,
-            self._boot,
-            self._sequence,
-            self._settings.nodes,
-            self._settings.data_centre,
-            news.leaving,
-            version,
-            fresh_age_s,
-            heard.sequence if heard else 0,
-            heard.boot if heard else 0,
-            news.server,
-        )
+        self._builder.describe(news, self._document.version, fresh_age_s)
 
-    def _find_holder(self, organisation):
-        live = self.table.find_live()
-        if live is not self._live:
-            self._live = live
-            self._live_by_name = {peer.name: peer for peer in live}
-        name = self._limiter.find_holder(organisation.name, self._live_by_name)
-        return self._live_by_name.get(name)
-
-    def _decide_held(self, organisation):
-        live = len(self.table.find_live()) + 1
-        return self._limiter.decide(organisation, live, self.table.count_members())
-
-    def _take_news(self, news):
+    def _take_news(self, news, _):
         before = self.table.peers.get(news.node)
         known_boot = before.news.boot if before and before.news else None
         peer = self.table.take(news)
@@ -298,6 +289,12 @@
             self.table.note_version_fresh(news.version, fresh_at, in_force)
         return PeerStarted(peer) if known_boot != news.boot else None
 
+    def _take_delta(self, delta, sender):
+        peer = self.table.find_by_boot(delta.boot)
+        if peer is None:
+            return StrangerHeard(sender)
+        return self._take_news(expand(delta, peer.news), sender)
+
     def _answer_rate(self, ask, sender):
         rulebook = self._document.rulebook
         organisation = (
@@ -306,17 +303,17 @@
         if organisation is None:
             return
         reply = RelayedReply(self._wire, sender, ask.number)
-        holder = None if ask.relayed else self._find_holder(organisation)
+        holder = None if ask.relayed else self._rates.find_holder(organisation)
         if holder is None:
-            reply.set(self._decide_held(organisation))
+            reply.set(self._rates.decide_held(organisation))
             return
         # The other node can't see the holder, but this one does: two holders would
         # grant the rate twice.
         number = self._questions.keep(RateWanted(organisation, reply))
         relayed = RateAsk(number, ask.organisation, self._settings.name, True)
-        self._send(holder.address, relayed)
+        self._send(holder.host, relayed)
 
-    def _take_answer(self, answer):
+    def _take_answer(self, answer, _):
         wanted = self._questions.take(answer.number)
         if wanted is not None:
             wanted.reply.set(0.0 if answer.granted else max(answer.wait_s, 0.001))
@@ -329,16 +326,15 @@
         never_runs = ask.boot == self._boot and self._owner.withdraw(ask.request_id)
         self._wire.send(sender, WithdrawalAnswer(ask.number, never_runs))
 
-    def _take_withdrawal_answer(self, answer):
+    def _take_withdrawal_answer(self, answer, _):
         wanted = self._questions.take(answer.number)
         if wanted is not None:
             wanted.reply.set(answer.never_runs)
 
-    def _take_room_answer(self, answer):
+    def _take_room_answer(self, answer, _):
         wanted = self._questions.take(answer.number)
         if wanted is not None:
             wanted.reply.set(answer.report)
 
-    def _send(self, address, message):
-        host, _ = split_address(address)
+    def _send(self, host, message):
         self._wire.send((host, self._settings.gossip_port), message)
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -4,6 +4,7 @@
 own, and on questions to its peer table, by the number of peers.
 """
 
+import contextlib
 import random
 import socket
 import statistics
@@ -14,8 +15,17 @@
 from persimmonlane.actors import Tick
 from persimmonlane.application import Application
 from persimmonlane.clocks import BootClock
+from persimmonlane.peers.deltas import shorten
 from persimmonlane.peers.gossip import ANNOUNCE_S, DatagramWire, Gossip
-from persimmonlane.peers.messages import Announcement, ServerNews, encoder
+from persimmonlane.peers.messages import (
+    Announcement,
+    Delta,
+    RateAsk,
+    ServerNews,
+    decoder,
+    encoder,
+)
+from persimmonlane.peers.rates import RateKeeper
 from persimmonlane.routing.rulebook import Organisation
 from persimmonlane.serving.ingress import Ingress
 from persimmonlane.sitenode import OwnNews, SiteNode
@@ -29,6 +39,9 @@
 BATCHES = 5
 MS_PER_S = 1000.0
 US_PER_S = 1_000_000.0
+ORGANISATION = Organisation("census", 1e6, 1e6, None)
+ASKS = 200
+ASK_PAUSE_S = 0.01
 
 
 class Settings:
@@ -44,10 +57,13 @@
 
 
 class Document:
-    """A document that all nodes have in force."""
+    """A document that all nodes have in force, and its rulebook."""
 
     version = 7
-    rulebook = None
+    organisations = {ORGANISATION.name: ORGANISATION}
+
+    def __init__(self):
+        self.rulebook = self
 
 
 class NodeStub:
@@ -58,63 +74,99 @@
         self._table = table
 
 
-class Peers:
-    """Sockets of the other nodes, which announce themselves once a round."""
-
-    def __init__(self, count, port):
-        self._port = port
-        self._rng = random.Random(1)
-        self._sockets = [self._open(number) for number in range(count)]
-        self._sequence = 0
+class RemotePeer:
+    """Socket of another node.
 
-    def _open(self, number):
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind((f"127.1.{number // 200}.{number % 200 + 1}", self._port))
-        return sock
+    Attributes:
+        heard: Newest message that came from the node, or None.
+    """
 
-    def announce(self, pause_s):
-        """Send an announcement of each, with a pause between two."""
-        self._sequence += 1
-        for number, sock in enumerate(self._sockets):
-            sock.sendto(self._encode(number), (OWN_IP, self._port))
-            self._drain(sock)
-            time.sleep(pause_s)
+    __slots__ = ("heard", "_socket", "_address", "_number", "_target", "_rng")
+
+    def __init__(self, number, port):
+        self.heard = None
+        host = f"127.1.{number // 200}.{number % 200 + 1}"
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((host, port))
+        self._socket.setblocking(False)
+        self._address = f"{host}:15001"
+        self._number = number
+        self._target = (OWN_IP, port)
+        self._rng = random.Random(number)
+
+    def announce(self, sequence):
+        """Announce itself, in the short form if the node knows it."""
+        self._drain()
+        news = self._build_news(sequence)
+        knows = self.heard is not None and self.heard.echo_boot == news.boot
+        message = shorten(news) if knows else news
+        self.send(message)
+
+    def send(self, message):
+        """Send a message to the node."""
+        self._socket.sendto(encoder.encode(message), self._target)
 
     def close(self):
-        """Close the sockets."""
-        for sock in self._sockets:
-            sock.close()
+        """Close the socket."""
+        self._socket.close()
 
-    def _encode(self, number):
+    def _build_news(self, sequence):
+        number = self._number
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         service = SERVICES[number % len(SERVICES)]
         running = self._rng.randrange(8)
         server = ServerNews(
             f"i-{number:08x}", service, True, 8, running, 0, "sound", 0.0
         )
-        return encoder.encode(
-            Announcement(
-                f"sidecar-{data_centre}-{number + 1}",
-                number + 1,
-                self._sequence,
-                f"127.1.{number // 200}.{number % 200 + 1}:15001",
-                data_centre,
-                False,
-                Document.version,
-                0.4,
-                1,
-                1,
-                server,
-            )
+        return Announcement(
+            f"sidecar-{data_centre}-{number + 1}",
+            (1 << 47) + number,
+            sequence,
+            self._address,
+            data_centre,
+            False,
+            Document.version,
+            0.4,
+            self.heard.sequence if self.heard else 0,
+            self.heard.boot if self.heard else 0,
+            server,
+            True,
         )
 
-    def _drain(self, sock):
-        sock.setblocking(False)
-        try:
+    def _drain(self):
+        with contextlib.suppress(BlockingIOError):
             while True:
-                sock.recv(4096)
-        except BlockingIOError:
-            return
+                message = decoder.decode(self._socket.recv(4096))
+                if isinstance(message, Announcement | Delta):
+                    self.heard = message
+
+
+class Peers:
+    """The other nodes, which announce themselves once a round."""
+
+    def __init__(self, count, port):
+        self._peers = [RemotePeer(number, port) for number in range(count)]
+        self._sequence = 0
+
+    def announce(self, pause_s):
+        """Send an announcement of each, with a pause between two."""
+        self._sequence += 1
+        for peer in self._peers:
+            peer.announce(self._sequence)
+            time.sleep(pause_s)
+
+    def close(self):
+        """Close the sockets."""
+        for peer in self._peers:
+            peer.close()
+
+    def ask_rate(self):
+        """Ask the node for leave to run a request, as if it held the rate."""
+        self._peers[0].send(RateAsk(1, ORGANISATION.name, "peer", True))
+
+    def count_bytes(self):
+        """Return the bytes of the message that came last to the first peer."""
+        return len(encoder.encode(self._peers[0].heard))
 
 
 class Node:
@@ -170,8 +222,10 @@
 
 def measure_receiving(node, peers, count):
     """Return the median milliseconds that a round of peers' announcements costs."""
-    peers.announce(0.0)
-    time.sleep(ANNOUNCE_S)
+    for _ in range(3):
+        peers.announce(0.0)
+        node.actor.tell(Tick())
+        time.sleep(ANNOUNCE_S / 2)
     spent = []
     for _ in range(ROUNDS):
         before = node.measure_spent()
@@ -181,10 +235,12 @@
     return statistics.median(spent) * MS_PER_S
 
 
-def measure_announcing(node):
+def measure_announcing(node, peers):
     """Return the median milliseconds that a round of own announcements costs."""
     spent = []
     for _ in range(ROUNDS * 5):
+        peers.announce(0.0)
+        time.sleep(ANNOUNCE_S / 10)
         before = node.measure_spent()
         node.actor.tell(Tick())
         time.sleep(ANNOUNCE_S / 10)
@@ -192,6 +248,15 @@
     return statistics.median(spent) * MS_PER_S
 
 
+def measure_rate_question(node, peers):
+    """Return the microseconds that the question for leave of another node costs."""
+    before = node.measure_spent()
+    for _ in range(ASKS):
+        peers.ask_rate()
+        time.sleep(ASK_PAUSE_S)
+    return (node.measure_spent() - before) / ASKS * US_PER_S
+
+
 def time_call(call):
     """Return the microseconds of processor time that a call takes."""
     spent = []
@@ -210,17 +275,15 @@
         settings, node.clock, None, node.describe, table, None, None, None, None
     )
     stub = NodeStub(settings, table)
-    gossip = Gossip(None, settings, node.clock, None, node.describe, Document(), None)
-    gossip.table = table
-    organisation = Organisation("census", 1000.0, 1000.0, None)
+    rates = RateKeeper(settings.name, node.clock, table)
     return {
         "find_live": table.find_live,
         "count_members": table.count_members,
         "is_relay": lambda: table.is_relay(settings.data_centre, 1),
         "may_eject": lambda: SiteNode.may_eject(stub),
         "find_candidates": lambda: ingress._find_candidates(SERVICES[0]),
-        "find_holder": lambda: gossip._find_holder(organisation),
-        "decide_held": lambda: gossip._decide_held(organisation),
+        "find_holder": lambda: rates.find_holder(ORGANISATION),
+        "decide_held": lambda: rates.decide_held(ORGANISATION),
     }
 
 
@@ -233,9 +296,12 @@
         live = len(node.table.find_live())
         print(f"{count} peers, {live} live")
         print(f"  receiving  {receiving_ms:8.2f} ms/s")
-        print(f"  announcing {measure_announcing(node):8.2f} ms/s")
+        print(f"  announcing {measure_announcing(node, peers):8.2f} ms/s")
         peers.announce(0.0)
+        print(f"  a datagram {peers.count_bytes():8} bytes")
         time.sleep(ANNOUNCE_S / 5)
+        print(f"  rate question   {measure_rate_question(node, peers):8.1f} us")
+        peers.announce(0.0)
         for name, call in list_questions(node).items():
             print(f"  {name:15} {time_call(call):8.1f} us")
     finally:
