Bound the reading of a body as a whole; let a refusal reach a caller that still sends

Suspected from reading, not seen: CallerGateway set the socket to the time left, 0.05 s at the least, and wrote the answer under it; a late answer to a slow reader could end half-way. A body that drips was bounded by read only. And a refusal that closes the connection before the body was read resets it, so that the answer can be lost; while a node leaves, every answer closes. The time left bounds the reading of the body now and nothing else, and after such a refusal the rest of the body is read for a second at most. test_refusal_of_a_late_upload passed before, too: no caller of a test lost its answer.

--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -3,6 +3,7 @@
 What the node's HTTP servers do with a request.
 """
 
+import contextlib
 import logging
 
 import cheroot.server
@@ -28,6 +29,7 @@
 DOCUMENT_PATH = "/persimmon/document"
 HEARTBEAT_LIMIT_BYTES = 64 * 1024
 LINGER_BYTES = 1024 * 1024
+LINGER_S = 1.0
 LEAST_BODY_S = 0.05
 
 
@@ -81,6 +83,16 @@
             raise Refusal(400, error.code, error.message) from error
         return b"".join(pieces)
 
+    @contextlib.contextmanager
+    def limit_reading(self, limit_s):
+        """Bound the time of all reads of the block together."""
+        conn = self.req.conn
+        conn.limit_reading(limit_s)
+        try:
+            yield
+        finally:
+            conn.lift_limit()
+
     def abort(self):
         """Close the connection without an answer: nobody waits for one."""
         req = self.req
@@ -124,11 +136,10 @@
         node = self.node
         node.admission.identify(request)
         node.departure.check(request.arrived, request.deadline)
-        self.req.conn.socket.settimeout(
-            max(LEAST_BODY_S, request.deadline - node.clock.now())
-        )
         limits = node.documents.rulebook.limits
-        request.body = self.read_body(limits.body_bytes)
+        left_s = max(LEAST_BODY_S, request.deadline - node.clock.now())
+        with self.limit_reading(left_s):
+            request.body = self.read_body(limits.body_bytes)
         request.received_at = node.clock.now()
         request.stage = Stage.ADMISSION
         node.departure.check(request.arrived, request.deadline)
@@ -150,14 +161,20 @@
         headers, body = describe_refusal(refusal)
         if request.wishes.request_id:
             headers.append(wire.echo_id(request.wishes.request_id))
-        self._skip_body()
-        self.write(refusal.status, headers, body)
-
-    def _skip_body(self):
-        """Read what is left of the body, so that closing does not reset."""
         rfile = self.req.rfile
         if getattr(rfile, "remaining", 0) > LINGER_BYTES or self.req.chunked_read:
             self.req.close_connection = True
+        self.write(refusal.status, headers, body)
+        if request.received_at is None and self.req.close_connection:
+            self._linger()
+
+    def _linger(self):
+        """Read what is left of the body: closing before would reset the answer."""
+        with self.limit_reading(LINGER_S):
+            try:
+                self.read_body(LINGER_BYTES)
+            except Refusal as refusal:
+                log.debug("Serving: the rest of a body was not read: %s.", refusal)
 
 
 class NodeGateway(Gateway):
--- a/persimmonlane/tests/test_endless_answers.py
+++ b/persimmonlane/tests/test_endless_answers.py
@@ -47,7 +47,9 @@
 
     def assert_released(self):
         running = self.site.nodes["near"][0], self.site.nodes["far"][0]
-        self.assertTrue(await_true(lambda: not any(node._running for node in running)))
+        self.assertTrue(
+            await_true(lambda: not any(node.running.count for node in running))
+        )
         self.assertTrue(await_true(lambda: count_exchanges() == 0))
         self.assertTrue(await_true(lambda: threading.active_count() <= self.threads))
         self.assertEqual(0, self.owner.gate.running)
--- a/persimmonlane/tests/test_stopping.py
+++ b/persimmonlane/tests/test_stopping.py
@@ -89,6 +89,14 @@
         stop.join()
         self.assertEqual([], self.server.requests)
 
+    def test_refusal_of_a_late_upload_is_not_reset(self):
+        stop = self.begin_stop()
+        self.await_leaving(0.6)
+        late = [Caller(self.site, body=b"x" * 500_000) for _ in range(8)]
+        self.assertEqual({(503, "not-run")}, {caller.wait() for caller in late})
+        stop.join()
+        self.assertEqual([], self.server.requests)
+
     def test_request_at_a_server_that_hangs_is_answered_as_its_node_ends(self):
         self.server.script = Script(hang=True)
         caller = Caller(self.site)
