--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -34,7 +34,6 @@
     Attributes:
         site: The `Site`.
         processes: The `Process` records of all processes so far.
-        skipped: Number of signals that found no process that had been ready.
     """
 
     def __init__(self, directory, plan, kill_after_s):
@@ -42,7 +41,6 @@
         for vm in self.site.vms:
             vm.server.script = WorkScript(body=b"x" * plan.answer_bytes)
         self.processes = [Process(vm.name) for vm in self.site.vms]
-        self.skipped = 0
         self._kill_after_s = kill_after_s
         self._current = list(self.processes)
         self._misses = [0] * len(self.site.vms)
@@ -80,7 +78,6 @@
         """Send a signal to a node that has been ready and still runs."""
         process = self._current[index]
         if process.gone is not None or not process.was_ready:
-            self.skipped += 1
             return
         sent = SentSignal(number.name, time.monotonic())
         if number == signal.SIGTERM and process.first_stop is None:
