--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -272,7 +272,17 @@
     """Return the questions to the table that requests and ticks ask, by name."""
     settings, table = node.settings, node.table
     ingress = Ingress(
-        settings, node.clock, None, node.describe, table, None, None, None, None
+        settings=settings,
+        clock=node.clock,
+        owner=None,
+        describe=node.describe,
+        gossip=table,
+        actor=None,
+        pool=None,
+        budget=None,
+        events=None,
+        departure=None,
+        withdrawals=None,
     )
     stub = NodeStub(settings, table)
     rates = RateKeeper(settings.name, node.clock, table)
