--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -24,7 +24,6 @@
 from .questions import OpenQuestions
 from .rates import RateKeeper
 from .table import PeerTable
-from .wire import DatagramWire as DatagramWire
 from .wire import Received
 
 log = logging.getLogger("persimmonlane.peers")
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -18,8 +18,9 @@
 from .owner.hosted import HostedServer
 from .owner.serving import Owner
 from .owner.standing import Standing
-from .peers.gossip import ANNOUNCE_S, DatagramWire, Gossip
+from .peers.gossip import ANNOUNCE_S, Gossip
 from .peers.messages import ServerNews
+from .peers.wire import DatagramWire
 from .platform.documents import decode_document
 from .platform.store import SiteStore
 from .reporting.ledger import Ledger, UnixClock
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -16,7 +16,7 @@
 from persimmonlane.application import Application
 from persimmonlane.clocks import BootClock
 from persimmonlane.peers.deltas import shorten
-from persimmonlane.peers.gossip import ANNOUNCE_S, DatagramWire, Gossip
+from persimmonlane.peers.gossip import ANNOUNCE_S, Gossip
 from persimmonlane.peers.messages import (
     Announcement,
     Delta,
@@ -26,6 +26,7 @@
     encoder,
 )
 from persimmonlane.peers.rates import RateKeeper
+from persimmonlane.peers.wire import DatagramWire
 from persimmonlane.routing.rulebook import Organisation
 from persimmonlane.serving.ingress import Ingress
 from persimmonlane.sitenode import OwnNews, SiteNode
