Look at the caller while a long body is sent

Callers saw: one that left while a backend server took a long body slowly was not noticed before all of it had been sent, or the deadline. Cause: the loop that sends pieces polls the backend server alone. Why it works: the loop looks at the caller every 0.25 s, as the reading of an answer does.

--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -19,7 +19,7 @@
 
 SEND_PIECE_BYTES = 16 * 1024
 IDLE_SHARE = 0.5
-# Seconds between looks at the caller while bytes come without a pause.
+# Seconds between looks at the caller while bytes are sent or come without a pause.
 LOOK_S = 0.25
 # Answers to other requests that may stand before the right one.
 STRAY_LIMIT = 3
@@ -104,7 +104,7 @@
         self._caller = caller
         self._connection = None
         self._whole = False
-        self._look_at = None
+        self._look_at = clock.now() + LOOK_S
 
     def run(self):
         """Return the `WholeAnswer`.
@@ -180,9 +180,11 @@
         poll = select.poll()
         poll.register(sock, select.POLLIN | select.POLLOUT)
         while rest:
-            events = poll.poll(max(1, int(self._find_left() * 1000)))
+            pause_s = min(self._find_left(), LOOK_S)
+            events = poll.poll(max(1, int(pause_s * 1000)))
+            self._look()
             if not events:
-                raise self._describe_timeout()
+                continue
             if events[0][1] & (select.POLLIN | select.POLLHUP | select.POLLERR):
                 return False
             try:
@@ -192,7 +194,6 @@
         return True
 
     def _read(self):
-        self._look_at = self._clock.now() + LOOK_S
         self._connection.input.begin(self._await)
         reader = AnswerReader(self._connection, self.call.method, self._pool.memory)
         for _ in range(STRAY_LIMIT):
@@ -208,17 +209,21 @@
     def _await(self):
         connection = self._connection
         while True:
-            now = self._clock.now()
-            left_s = self.call.deadline - now
+            left_s = self.call.deadline - self._clock.now()
             if left_s <= 0:
                 raise self._describe_timeout()
-            if now >= self._look_at:
-                self._look_at = now + LOOK_S
-                self._caller.check()
+            self._look()
             pause_s = self.call.on_wait()
             if self._caller.wait(connection.sock, min(left_s, pause_s)):
                 return
 
+    def _look(self):
+        """Look at the caller, if the last look is long ago."""
+        now = self._clock.now()
+        if now >= self._look_at:
+            self._look_at = now + LOOK_S
+            self._caller.check()
+
     def _read_one(self, reader):
         try:
             return reader.read()
--- a/persimmonlane/serving/tests/test_endless.py
+++ b/persimmonlane/serving/tests/test_endless.py
@@ -210,6 +210,30 @@
         self.assertIsInstance(self.run_beside(exchange), CallerLeft)
         self.assertIsNone(self.pool.take(server.address))
 
+    def test_caller_leaves_while_a_long_body_is_sent(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+        def read_slowly():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(1)
+                self.caller.close()
+                while connection.recv(1024):
+                    time.sleep(0.05)
+
+        threading.Thread(target=read_slowly, daemon=True).start()
+        host, port = listener.getsockname()
+        exchange = self.create(
+            None,
+            address=f"{host}:{port}",
+            method="POST",
+            body=b"y" * (32 * 1024 * 1024),
+            deadline=self.clock.now() + 4 * PATIENCE_S,
+        )
+        self.assertIsInstance(self.run_beside(exchange), CallerLeft)
+
     def check_without_pause(self, leave, expected):
         self.clock = ManualClock(100.0)
 
