--- a/persimmonlane/application.py
+++ b/persimmonlane/application.py
@@ -4,8 +4,8 @@
 """
 
 import logging
+import queue
 import signal
-import threading
 
 log = logging.getLogger("persimmonlane.application")
 
@@ -49,7 +49,8 @@
         self.parts = []
         self.failure = None
         self._started = []
-        self._ending = threading.Event()
+        # Signal handlers interrupt each other; a put takes no lock that they could.
+        self._ending = queue.SimpleQueue()
 
     def add(self, part):
         """Add a part and return it."""
@@ -65,11 +66,11 @@
         """
         log.error("Application: failed with code %s: %s.", code, message)
         self.failure = code
-        self._ending.set()
+        self._ending.put(None)
 
     def end(self):
-        """Ask the application to drain and stop."""
-        self._ending.set()
+        """Ask the application to drain and stop; callable from a signal handler."""
+        self._ending.put(None)
 
     def run(self):
         """Run until a signal or a failure; return the exit status.
@@ -80,7 +81,7 @@
             signal.signal(number, self._handle_signal)
         try:
             self.start()
-            self._ending.wait()
+            self._ending.get()
             if self.failure is None:
                 self.drain()
         finally:
@@ -117,4 +118,4 @@
 
     def _handle_signal(self, number, frame):
         # The drain ends by itself within the grace time; signals come in series.
-        self._ending.set()
+        self.end()
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -313,7 +313,7 @@
         self._send(holder.host, relayed)
 
     def _take_answer(self, answer, _):
-        wanted = self._questions.take(answer.number)
+        wanted = self._questions.take(answer.number, RateWanted)
         if wanted is not None:
             wanted.reply.set(0.0 if answer.granted else max(answer.wait_s, 0.001))
 
@@ -326,12 +326,12 @@
         self._wire.send(sender, WithdrawalAnswer(ask.number, never_runs))
 
     def _take_withdrawal_answer(self, answer, _):
-        wanted = self._questions.take(answer.number)
+        wanted = self._questions.take(answer.number, WithdrawalWanted)
         if wanted is not None:
             wanted.reply.set(answer.never_runs)
 
     def _take_room_answer(self, answer, _):
-        wanted = self._questions.take(answer.number)
+        wanted = self._questions.take(answer.number, RoomWanted)
         if wanted is not None:
             wanted.reply.set(answer.report)
 
--- a/persimmonlane/peers/questions.py
+++ b/persimmonlane/peers/questions.py
@@ -3,9 +3,11 @@
 What was asked of other nodes and is not answered yet.
 """
 
+import random
 import threading
 
 MOST_ASKS = 1000
+FIRST_LIMIT = 1 << 48
 
 
 class OpenQuestions:
@@ -15,7 +17,8 @@
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._last = 0
+        # Late answers to the process before find nothing.
+        self._last = random.randrange(FIRST_LIMIT)
         self._wanted = {}
 
     def keep(self, wanted):
@@ -27,7 +30,14 @@
                 self._wanted.pop(next(iter(self._wanted)))
             return self._last
 
-    def take(self, number):
-        """Return what waits for an answer, or None; no second answer finds it."""
+    def take(self, number, cls):
+        """Return what waits for an answer, or None; no second answer finds it.
+
+        Args:
+            number: Number of the question.
+            cls: Class of what may wait for such an answer.
+        """
         with self._lock:
-            return self._wanted.pop(number, None)
+            if not isinstance(self._wanted.get(number), cls):
+                return None
+            return self._wanted.pop(number)
--- a/persimmonlane/serving/departure.py
+++ b/persimmonlane/serving/departure.py
@@ -31,7 +31,7 @@
         ended: A `Signal` that is set once waits for answers have to end.
     """
 
-    __slots__ = ("closed", "ended", "_clock", "_began_at", "_grace_s")
+    __slots__ = ("closed", "ended", "_clock", "_began_at", "_grace_s", "_is_closed")
 
     def __init__(self, clock):
         self.closed = Signal()
@@ -39,6 +39,7 @@
         self._clock = clock
         self._began_at = None
         self._grace_s = 0.0
+        self._is_closed = False
 
     def begin(self, grace_s):
         """Note that the node was told to stop.
@@ -66,7 +67,9 @@
 
     def may_begin(self):
         """Return whether a request may still be handed to a backend server."""
-        return not self.is_leaving() or self.find_age() < self._grace_s * START_SHARE
+        if not self.is_leaving():
+            return True
+        return not self._is_closed and self.find_age() < self._grace_s * START_SHARE
 
     def limit_patience(self, patience_s):
         """Return how long a request may wait for a slot.
@@ -106,7 +109,8 @@
         )
 
     def close(self):
-        """Wake those that wait, as nothing may be begun any more."""
+        """Let nothing be begun any more, and wake those that wait."""
+        self._is_closed = True
         self.closed.set()
 
     def end(self):
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -370,7 +370,9 @@
 
     def _may_withdraw(self, request, error):
         left_s = request.deadline - self._clock.now()
-        return error.verdict is Verdict.MAY_HAVE_RUN and left_s > LEAST_LEFT_S
+        if not request.wishes.request_id or left_s <= LEAST_LEFT_S:
+            return False
+        return error.verdict is Verdict.MAY_HAVE_RUN
 
     def _ask_room(self, request, order, peer):
         """Return the `Attempt` of an owner that would refuse a long body, or None."""
--- a/persimmonlane/serving/tests/test_departure.py
+++ b/persimmonlane/serving/tests/test_departure.py
@@ -70,7 +70,14 @@
             self.assertTrue(grace_s * 5 / 6 < departure.find_left() < grace_s)
             departure.ended.close()
 
-    def test_second_signal_moves_no_bound(self):
+    def test_node_that_has_closed_begins_nothing_however_early(self):
+        self.leave(2.4)
+        self.departure.close()
+        self.assertFalse(self.departure.may_begin())
+        refusal = self.assertRaises(Refusal, self.check, 0.1)
+        self.assertIs(Verdict.NOT_RUN, refusal.verdict)
+
+    def test_second_begin_moves_no_bound(self):
         self.leave(2.0)
         self.leave(2.0)
         self.assertEqual(4.0, self.departure.find_age())
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -63,8 +63,8 @@
 LOOK_S = 0.05
 # Time for a request to come in on a new connection.
 ARRIVAL_S = 0.15
-# Time for the last answers to go out.
-ANSWERS_S = 0.2
+# Share of the grace time for the last answers to go out.
+ANSWERS_SHARE = 1 / 30
 RELOAD_S = 3.0
 # Ejected servers are tried every second or two, so that each still gets requests.
 MOST_FAILING = 0.34
@@ -107,7 +107,7 @@
         self.closes_connections = False
         self._settings = settings
         self._reread = reread
-        self._reload_wanted = threading.Event()
+        self._reload_wanted = False
         self._left_settings = []
         self.running = RunningRequests()
         self.departure = Departure(clock)
@@ -219,7 +219,7 @@
             self.events.note_unfinished(request)
         log.info("Node: %d requests were running at the end.", self.running.count)
         self.departure.end()
-        ends_at = self.clock.now() + ANSWERS_S
+        ends_at = self.clock.now() + self._settings.grace_s * ANSWERS_SHARE
         while not self._is_idle() and self.clock.now() < ends_at:
             self._ended.wait(LOOK_S)
 
@@ -303,14 +303,15 @@
 
     def reload(self):
         """Read the settings anew, soon; callable from a signal handler."""
-        self._reload_wanted.set()
+        # A handler may not take a lock: another signal can interrupt it.
+        self._reload_wanted = True
 
     def _tick(self):
         reload_at = self.clock.now() + RELOAD_S
         while not self._ended.wait(CONTROL_TICK_S):
             self.owner.tick()
-            if self._reload_wanted.is_set() or self.clock.now() >= reload_at:
-                self._reload_wanted.clear()
+            if self._reload_wanted or self.clock.now() >= reload_at:
+                self._reload_wanted = False
                 self._adopt_settings()
                 reload_at = self.clock.now() + RELOAD_S
 
--- a/persimmonlane/tests/test_application.py
+++ b/persimmonlane/tests/test_application.py
@@ -2,6 +2,8 @@
 import logging
 import os
 import signal
+import subprocess
+import sys
 
 import testtools
 
@@ -103,6 +105,35 @@
         self.assertIn("a drains", self.calls)
         self.assertEqual("a stops", self.calls[-1])
 
+    def test_burst_of_signals_does_not_keep_the_process_from_draining(self):
+        script = """
+import os, signal, threading
+from persimmonlane.application import Application, Part
+
+class Bursting(Part):
+    def ready(self):
+        threading.Thread(target=self.send, daemon=True).start()
+
+    def send(self):
+        for _ in range(300):
+            os.kill(os.getpid(), signal.SIGTERM)
+
+    def drain(self):
+        print("drained")
+
+application = Application()
+application.add(Bursting())
+raise SystemExit(application.run())
+"""
+        for _ in range(5):
+            done = subprocess.run(
+                [sys.executable, "-c", script],
+                capture_output=True,
+                text=True,
+                timeout=60,
+            )
+            self.assertEqual((0, "drained\n"), (done.returncode, done.stdout))
+
     def test_actor_that_dies_ends_the_process_without_draining(self):
         actor = Failing.start(self.application)
         actor.tell("broken")
--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -142,7 +142,7 @@
         live = node._table.find_live()
         return node.is_ready() and any(p.news.server for p in live)
 
-    def call(self, path, service="near", headers=None, **fields):
+    def call(self, path, service="near", headers=None, pool=urllib3, **fields):
         _, settings = self.nodes[service]
         sent = {
             "Host": "shop.example",
@@ -151,7 +151,7 @@
             "X-Credential": KEY,
         }
         sent.update(headers or {})
-        return urllib3.request(
+        return pool.request(
             fields.pop("method", "GET"),
             f"http://{settings.callers}{path}",
             headers=sent,
--- a/persimmonlane/tests/test_stopping.py
+++ b/persimmonlane/tests/test_stopping.py
@@ -103,3 +103,20 @@
         self.assertTrue(await_true(lambda: self.server.requests))
         self.begin_stop().join()
         self.assertEqual((504, "may-have-run"), caller.wait())
+
+    def test_request_on_an_open_connection_as_an_idle_node_ends_did_not_run(self):
+        _, settings = self.site.nodes["near"]
+        settings.grace_s = 2 * GRACE_S
+        with urllib3.PoolManager(retries=False, maxsize=1) as kept:
+            before = Caller(self.site, path="/none/", pool=kept)
+            self.assertEqual((404, "not-run"), before.wait())
+            end, answers = self.node._end_waits, []
+
+            def call_and_end():
+                answers.append(Caller(self.site, pool=kept).wait())
+                end()
+
+            self.node._end_waits = call_and_end
+            self.begin_stop().join()
+        self.assertEqual([(503, "not-run")], answers)
+        self.assertEqual([], self.server.requests)
--- a/tools/soak/tests/test_callers.py
+++ b/tools/soak/tests/test_callers.py
@@ -29,6 +29,12 @@
             data = b""
             while self.mark not in data:
                 data += connection.recv(1 if self.mark == b"P" else REQUEST_BYTES)
+            if self.mark == b"P":
+                # The rest has come and stays unread, so that the close resets.
+                while not connection.recv(REQUEST_BYTES, socket.MSG_PEEK).endswith(
+                    b"0\r\n\r\n"
+                ):
+                    pass
             connection.sendall(self.answer)
             connection.shutdown(socket.SHUT_RDWR)
 
