Move the document's freshness and the actor's commands into modules of their own

The peer table kept two things, membership and the freshness of the document; the actor's module held the commands as well. Both are about to grow. Send times, which the coming digests echo too, are a class of their own. The table now knows its own data centre.

--- /dev/null
+++ b/persimmonlane/peers/commands.py
@@ -0,0 +1,130 @@
+"""Messages for the `Gossip` actor from the other parts of the node."""
+
+from .messages import RateResponse
+
+
+class PeerStarted:
+    """The first announcement from a process of a `Peer` was received."""
+
+    __slots__ = ("peer",)
+
+    def __init__(self, peer):
+        self.peer = peer
+
+
+class UnknownPeerHeard:
+    """A `Delta` was received from a process that has not announced itself.
+
+    Attributes:
+        sender: Address of the sender, as host and port.
+    """
+
+    __slots__ = ("sender",)
+
+    def __init__(self, sender):
+        self.sender = sender
+
+
+class NodesRegistered:
+    """The nodes registered in the store, as a dict of addresses by node name."""
+
+    __slots__ = ("addresses",)
+
+    def __init__(self, addresses):
+        self.addresses = addresses
+
+
+class FreshnessConfirmed:
+    """The document in force was confirmed as the newest at a time in seconds."""
+
+    __slots__ = ("at",)
+
+    def __init__(self, at):
+        self.at = at
+
+
+class RateCheck:
+    """Checks a request against the rate of its organisation.
+
+    Attributes:
+        organisation: The `Organisation`.
+        reply: Future for the seconds to wait, 0 or less if the request is within the
+            rate.
+    """
+
+    __slots__ = ("organisation", "reply")
+
+    def __init__(self, organisation, reply):
+        self.organisation = organisation
+        self.reply = reply
+
+
+class LocalRateCheck:
+    """Checks a request against this node's share, as the rate's holder did not answer.
+
+    Attributes:
+        organisation: The `Organisation`.
+        reply: Future for the seconds to wait, 0 or less if the request is within the
+            share.
+    """
+
+    __slots__ = ("organisation", "reply")
+
+    def __init__(self, organisation, reply):
+        self.organisation = organisation
+        self.reply = reply
+
+
+class RemoteReply:
+    """Sends the result of a `RateRequest` back to the node that sent it.
+
+    It takes the place of the future in a `RateCheck` if the request is relayed.
+    """
+
+    __slots__ = ("_transport", "_sender", "_correlation_id")
+
+    def __init__(self, transport, sender, correlation_id):
+        self._transport = transport
+        self._sender = sender
+        self._correlation_id = correlation_id
+
+    def set(self, wait_s):
+        """Send the seconds to wait; the request is granted if there are none."""
+        response = RateResponse(self._correlation_id, wait_s <= 0.0, wait_s)
+        self._transport.send(self._sender, response)
+
+
+class CapacityCheck:
+    """Asks another node whether its backend server has capacity for a request.
+
+    Attributes:
+        address: Address of the node.
+        order: The `Order` that would be sent with the request.
+        reply: Future for the `OwnerReport`.
+    """
+
+    __slots__ = ("address", "order", "reply")
+
+    def __init__(self, address, order, reply):
+        self.address = address
+        self.order = order
+        self.reply = reply
+
+
+class CancellationCommand:
+    """Asks an owner to cancel a request before it reaches its backend server.
+
+    Attributes:
+        address: Address of the owner.
+        boot: Boot number of the process to which the request was sent.
+        request_id: Identifier of the request.
+        reply: Future for whether the request is certain never to run there.
+    """
+
+    __slots__ = ("address", "boot", "request_id", "reply")
+
+    def __init__(self, address, boot, request_id, reply):
+        self.address = address
+        self.boot = boot
+        self.request_id = request_id
+        self.reply = reply
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -10,6 +10,17 @@
 from ..actors import Actor, Tick
 from ..settings import split_address
 from .announcing import AnnouncementBuilder
+from .commands import (
+    CancellationCommand,
+    CapacityCheck,
+    FreshnessConfirmed,
+    LocalRateCheck,
+    NodesRegistered,
+    PeerStarted,
+    RateCheck,
+    RemoteReply,
+    UnknownPeerHeard,
+)
 from .deltas import apply_delta
 from .messages import (
     Announcement,
@@ -32,133 +43,6 @@
 BOOT_LIMIT = 1 << 48
 
 
-class PeerStarted:
-    """The first announcement from a process of a `Peer` was received."""
-
-    __slots__ = ("peer",)
-
-    def __init__(self, peer):
-        self.peer = peer
-
-
-class UnknownPeerHeard:
-    """A `Delta` was received from a process that has not announced itself.
-
-    Attributes:
-        sender: Address of the sender, as host and port.
-    """
-
-    __slots__ = ("sender",)
-
-    def __init__(self, sender):
-        self.sender = sender
-
-
-class NodesRegistered:
-    """The nodes registered in the store, as a dict of addresses by node name."""
-
-    __slots__ = ("addresses",)
-
-    def __init__(self, addresses):
-        self.addresses = addresses
-
-
-class FreshnessConfirmed:
-    """The document in force was confirmed as the newest at a time in seconds."""
-
-    __slots__ = ("at",)
-
-    def __init__(self, at):
-        self.at = at
-
-
-class RateCheck:
-    """Checks a request against the rate of its organisation.
-
-    Attributes:
-        organisation: The `Organisation`.
-        reply: Future for the seconds to wait, 0 or less if the request is within the
-            rate.
-    """
-
-    __slots__ = ("organisation", "reply")
-
-    def __init__(self, organisation, reply):
-        self.organisation = organisation
-        self.reply = reply
-
-
-class LocalRateCheck:
-    """Checks a request against this node's share, as the rate's holder did not answer.
-
-    Attributes:
-        organisation: The `Organisation`.
-        reply: Future for the seconds to wait, 0 or less if the request is within the
-            share.
-    """
-
-    __slots__ = ("organisation", "reply")
-
-    def __init__(self, organisation, reply):
-        self.organisation = organisation
-        self.reply = reply
-
-
-class RemoteReply:
-    """Sends the result of a `RateRequest` back to the node that sent it.
-
-    It takes the place of the future in a `RateCheck` if the request is relayed.
-    """
-
-    __slots__ = ("_transport", "_sender", "_correlation_id")
-
-    def __init__(self, transport, sender, correlation_id):
-        self._transport = transport
-        self._sender = sender
-        self._correlation_id = correlation_id
-
-    def set(self, wait_s):
-        """Send the seconds to wait; the request is granted if there are none."""
-        response = RateResponse(self._correlation_id, wait_s <= 0.0, wait_s)
-        self._transport.send(self._sender, response)
-
-
-class CapacityCheck:
-    """Asks another node whether its backend server has capacity for a request.
-
-    Attributes:
-        address: Address of the node.
-        order: The `Order` that would be sent with the request.
-        reply: Future for the `OwnerReport`.
-    """
-
-    __slots__ = ("address", "order", "reply")
-
-    def __init__(self, address, order, reply):
-        self.address = address
-        self.order = order
-        self.reply = reply
-
-
-class CancellationCommand:
-    """Asks an owner to cancel a request before it reaches its backend server.
-
-    Attributes:
-        address: Address of the owner.
-        boot: Boot number of the process to which the request was sent.
-        request_id: Identifier of the request.
-        reply: Future for whether the request is certain never to run there.
-    """
-
-    __slots__ = ("address", "boot", "request_id", "reply")
-
-    def __init__(self, address, boot, request_id, reply):
-        self.address = address
-        self.boot = boot
-        self.request_id = request_id
-        self.reply = reply
-
-
 class Gossip(Actor):
     """Actor that tracks the other nodes and enforces the rates that this one holds.
 
@@ -192,7 +76,7 @@
         self._boot = random.randrange(BOOT_LIMIT)
         self._builder = AnnouncementBuilder(settings, clock, self._boot)
         self._pending = PendingQueries()
-        self.table = PeerTable(settings.name, self._boot, clock)
+        self.table = PeerTable(settings.name, settings.data_centre, self._boot, clock)
         self._rates = FleetRateLimiter(settings.name, clock, self.table)
         self._datagram_handlers = {
             Announcement: self._handle_announcement,
@@ -257,11 +141,11 @@
 
     def mark_fresh(self, message):
         """Record that the store confirmed the document as the newest."""
-        self.table.mark_fresh(message.at)
+        self.table.freshness.mark(message.at)
 
     def announce(self, _):
         """Announce this node to all known peers."""
-        self.table.apply_version_in_force(self._document.version)
+        self.table.freshness.apply_version_in_force(self._document.version)
         self.table.remove_expired()
         self._announce_to(list(self.table.peers.values()))
 
@@ -299,11 +183,11 @@
             self._send(peer.host, self._builder.build(peer))
 
     def _begin_round(self):
-        self.table.record_send_time(self._builder.begin_round())
+        self.table.send_times.record(self._builder.begin_round())
         state = self._describe()
         # The age is read before the version: if a newer version comes into force in
         # between, the age holds for it as well.
-        fresh_age_s = self.table.encode_fresh_age()
+        fresh_age_s = self.table.freshness.encode_age()
         self._builder.update(state, self._document.version, fresh_age_s)
 
     def _handle_announcement(self, announcement, _):
@@ -320,7 +204,7 @@
         fresh_at = self.table.compute_fresh_at(announcement)
         if fresh_at is not None:
             in_force = self._document.version
-            self.table.mark_version_fresh(announcement.version, fresh_at, in_force)
+            self.table.freshness.mark_version(announcement.version, fresh_at, in_force)
         return PeerStarted(peer) if known_boot != announcement.boot else None
 
     def _handle_delta(self, delta, sender):
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -1,8 +1,7 @@
 """Membership table of the fleet.
 
-Tracks which nodes are live, the status of their backend servers, and when the document
-in force was last confirmed as the newest. Handles restarts and suspensions of nodes and
-network partitions.
+Tracks which nodes are live and the status of their backend servers. Handles restarts
+and suspensions of nodes and network partitions.
 """
 
 import logging
@@ -10,63 +9,47 @@
 import threading
 
 from .cache import RecentPeers
+from .freshness import DocumentFreshness, SendTimes
 from .peer import LIVE_TIMEOUT_S, MEMBER_TIMEOUT_S, Peer, create_moved_peer
 
 log = logging.getLogger("persimmonlane.peers")
 
-MAX_SEND_TIMES = 256
-
-
-class ConfirmedVersion:
-    """A version of the document that was confirmed as the newest.
-
-    Attributes:
-        version: Number of the version.
-        confirmed_at: Clock seconds at which it was the newest.
-    """
-
-    __slots__ = ("version", "confirmed_at")
-
-    def __init__(self, version, confirmed_at):
-        self.version = version
-        self.confirmed_at = confirmed_at
-
 
 class PeerTable:
     """The other nodes of the fleet by name; methods are thread-safe.
 
     Attributes:
         peers: Dict of `Peer`s by name. Copy it before iterating.
-        fresh_at: Clock seconds at which the document in force was last confirmed as
-            the newest, or None.
+        freshness: The `DocumentFreshness` of the document in force.
+        send_times: The `SendTimes` of this node's announcements.
     """
 
     __slots__ = (
         "peers",
-        "fresh_at",
+        "freshness",
+        "send_times",
         "_clock",
         "_lock",
         "_own_name",
-        "_boot",
-        "_sent_at",
+        "_data_centre",
         "_store_listed_at",
-        "_unapplied_version",
         "_by_boot",
+        "_by_host",
         "_live",
         "_members",
     )
 
-    def __init__(self, own_name, boot, clock):
+    def __init__(self, own_name, data_centre, boot, clock):
         self.peers = {}
-        self.fresh_at = None
+        self.freshness = DocumentFreshness(clock)
+        self.send_times = SendTimes(boot, clock)
         self._clock = clock
         self._lock = threading.RLock()
         self._own_name = own_name
-        self._boot = boot
-        self._sent_at = {}
+        self._data_centre = data_centre
         self._store_listed_at = float("-inf")
-        self._unapplied_version = None
         self._by_boot = {}
+        self._by_host = {}
         self._live = RecentPeers(LIVE_TIMEOUT_S, operator.attrgetter("heard_at"))
         self._members = RecentPeers(
             MEMBER_TIMEOUT_S, operator.attrgetter("last_seen_at")
@@ -101,17 +84,11 @@
             peer = self.peers.get(name)
             if peer is None or (peer.address != address and not peer.is_live(now)):
                 self.peers[name] = Peer(name, address, now)
-                self._index_boots()
+                self._index()
             else:
                 peer.last_seen_at = now
             self._members.invalidate()
 
-    def record_send_time(self, sequence):
-        """Record the current time as the send time of an announcement."""
-        self._sent_at[sequence] = self._clock.now()
-        while len(self._sent_at) > MAX_SEND_TIMES:
-            self._sent_at.pop(next(iter(self._sent_at)))
-
     def apply_announcement(self, announcement):
         """Apply an announcement of another node.
 
@@ -138,81 +115,32 @@
             peer.apply_announcement(announcement, now)
             self.peers[announcement.node] = peer
             if self._by_boot.get(announcement.boot) is not peer:
-                self._index_boots()
+                self._index()
             return peer
 
     def find_by_boot(self, boot):
         """Return the `Peer` whose current process has a boot number, or None."""
         return self._by_boot.get(boot)
 
-    def compute_fresh_at(self, announcement):
-        """Return the time at which a peer's version was the newest, or None.
+    def is_local_host(self, host):
+        """Return whether a host is that of a known node in this data centre."""
+        peer = self._by_host.get(host)
+        return peer is not None and peer.data_centre == self._data_centre
+
+    def compute_fresh_at(self, message):
+        """Return the time at which the sender's version was the newest, or None.
 
-        The announced age is subtracted from the time at which this node sent the
-        announcement that the peer echoes. A delay on the way back therefore can't make
-        the version look fresher than it is.
+        Args:
+            message: The `Announcement`, with the age and the echo of the sender.
 
         Returns:
-            Clock seconds, or None if the peer does not know the age or echoes no
+            Clock seconds, or None if the sender does not know the age or echoes no
             announcement whose send time is known.
         """
-        sent_at = self._sent_at.get(announcement.echo)
-        if (
-            sent_at is None
-            or announcement.echo_boot != self._boot
-            or announcement.fresh_age_s < 0
-        ):
+        sent_at = self.send_times.find(message.echo, message.echo_boot)
+        if sent_at is None or message.fresh_age_s < 0:
             return None
-        return sent_at - announcement.fresh_age_s
-
-    def mark_fresh(self, at):
-        """Record that the document in force was the newest at a time in seconds."""
-        with self._lock:
-            if self.fresh_at is None or at > self.fresh_at:
-                self.fresh_at = at
-
-    def mark_version_fresh(self, version, at, in_force):
-        """Record that a version was the newest at a time.
-
-        Versions only increase, so a newer version in force was at least as fresh at
-        that time. If the version in force is older, the time is kept and applied once
-        the version comes into force.
-
-        Args:
-            version: Number of the version.
-            at: Clock seconds at which it was the newest.
-            in_force: Number of the version in force.
-        """
-        with self._lock:
-            if version <= in_force:
-                self.mark_fresh(at)
-            elif (
-                self._unapplied_version is None
-                or at > self._unapplied_version.confirmed_at
-            ):
-                self._unapplied_version = ConfirmedVersion(version, at)
-
-    def apply_version_in_force(self, version):
-        """Apply a kept confirmation if the version in force has reached it."""
-        with self._lock:
-            unapplied = self._unapplied_version
-            if unapplied is not None and unapplied.version <= version:
-                self.mark_fresh(unapplied.confirmed_at)
-                self._unapplied_version = None
-
-    def compute_fresh_age(self):
-        """Return the seconds since the document was last confirmed as the newest.
-
-        The age is infinite if the document was never confirmed.
-        """
-        if self.fresh_at is None:
-            return float("inf")
-        return self._clock.now() - self.fresh_at
-
-    def encode_fresh_age(self):
-        """Return the age in seconds as sent to peers: -1.0 if it is not known."""
-        age_s = self.compute_fresh_age()
-        return age_s if age_s != float("inf") else -1.0
+        return sent_at - message.fresh_age_s
 
     def list_live(self):
         """Return the live `Peer`s; callers must not modify the list."""
@@ -236,7 +164,7 @@
             for peer in expired:
                 del self.peers[peer.name]
             if expired:
-                self._index_boots()
+                self._index()
 
     def is_relay(self, data_centre, relay_count):
         """Return whether this node is a relay of its data centre.
@@ -256,9 +184,12 @@
         )
         return preceding < relay_count
 
-    def _index_boots(self):
-        heard = [peer for peer in self.peers.values() if peer.announcement is not None]
-        self._by_boot = {peer.announcement.boot: peer for peer in heard}
+    def _index(self):
+        peers = list(self.peers.values())
+        self._by_host = {peer.host: peer for peer in peers}
+        self._by_boot = {
+            peer.announcement.boot: peer for peer in peers if peer.announcement
+        }
 
     def _list_recent(self, recents):
         cached = recents.get(self._clock.now())
--- a/persimmonlane/peers/tests/test_cancellation.py
+++ b/persimmonlane/peers/tests/test_cancellation.py
@@ -2,7 +2,8 @@
 import testtools
 
 from ...clocks import ManualClock
-from ..gossip import CancellationCommand, Gossip
+from ..commands import CancellationCommand
+from ..gossip import Gossip
 from ..messages import CancellationRequest, CancellationResponse
 from ..transport import ReceivedDatagram
 from .test_gossip import FakeTransport, Settings
--- a/persimmonlane/peers/tests/test_deltas.py
+++ b/persimmonlane/peers/tests/test_deltas.py
@@ -229,14 +229,14 @@
 
     def test_fresh_age_is_computed_from_the_echo_in_deltas(self):
         self.run_rounds(3)
-        self.a.table.mark_fresh(self.clock.now())
+        self.a.table.freshness.mark(self.clock.now())
         self.b.announce(None)
         self.network.deliver()
         self.clock.advance(0.25)
         self.a.announce(None)
         self.assertIsInstance(self.network.list_messages()[0], Delta)
         self.network.deliver()
-        self.assertEqual(0.5, self.b.table.compute_fresh_age())
+        self.assertEqual(0.5, self.b.table.freshness.compute_age())
 
     def test_older_release_gets_full_announcements(self):
         self.run_rounds(2)
--- a/persimmonlane/peers/tests/test_gossip.py
+++ b/persimmonlane/peers/tests/test_gossip.py
@@ -6,7 +6,8 @@
 from ...quotas.buckets import rank_holders
 from ...routing.metadata import OwnerReport
 from ...routing.rulebook import Organisation
-from ..gossip import CapacityCheck, Gossip
+from ..commands import CapacityCheck
+from ..gossip import Gossip
 from ..messages import (
     Announcement,
     CapacityRequest,
@@ -38,6 +39,7 @@
 
 class Settings:
     name = "self"
+    data_centre = "south"
     gossip_port = 9
 
 
--- a/persimmonlane/peers/tests/test_rates.py
+++ b/persimmonlane/peers/tests/test_rates.py
@@ -19,7 +19,7 @@
         self.clock = ManualClock(100.0)
         names = [f"node-{number}" for number in range(10)]
         *self.ranked, own = rank_holders("census", names)
-        self.table = PeerTable(own, 1, self.clock)
+        self.table = PeerTable(own, "south", 1, self.clock)
         self.rates = FleetRateLimiter(own, self.clock, self.table)
         self.organisation = Organisation("census", 1000.0, BURST, None)
 
--- a/persimmonlane/peers/tests/test_restarts.py
+++ b/persimmonlane/peers/tests/test_restarts.py
@@ -92,7 +92,7 @@
         self.running.table.add_registered("again", "10.0.0.2:80")
         self.running.announce(None)
         self.network.deliver()
-        self.running.table.mark_fresh(self.clock.now())
+        self.running.table.freshness.mark(self.clock.now())
         self.last_announcement = self.capture_last_announcement()
         self.clock.advance(0.5)
         self.restarted, self.document = self.build("again", "10.0.0.2", 0)
@@ -168,24 +168,24 @@
     def test_freshness_is_applied_as_soon_as_the_version_is_in_force(self):
         self.running.announce(None)
         self.network.deliver()
-        self.assertEqual(float("inf"), self.restarted.table.compute_fresh_age())
+        self.assertEqual(float("inf"), self.restarted.table.freshness.compute_age())
         self.document.version = VERSION
         # A node announces itself as soon as a document comes into force.
         self.restarted.announce(None)
-        self.assertEqual(0.5, self.restarted.table.compute_fresh_age())
+        self.assertEqual(0.5, self.restarted.table.freshness.compute_age())
 
     def test_freshness_does_not_apply_to_an_older_version(self):
         self.running.announce(None)
         self.network.deliver()
         self.document.version = VERSION - 1
         self.restarted.announce(None)
-        self.assertEqual(float("inf"), self.restarted.table.compute_fresh_age())
+        self.assertEqual(float("inf"), self.restarted.table.freshness.compute_age())
 
     def test_freshness_applies_to_a_newer_version(self):
         self.document.version = VERSION + 1
         self.running.announce(None)
         self.network.deliver()
-        self.assertEqual(0.5, self.restarted.table.compute_fresh_age())
+        self.assertEqual(0.5, self.restarted.table.freshness.compute_age())
 
 
 class ExpiryTests(testtools.TestCase):
--- a/persimmonlane/peers/tests/test_table.py
+++ b/persimmonlane/peers/tests/test_table.py
@@ -30,7 +30,7 @@
     def setUp(self):
         super().setUp()
         self.clock = ManualClock(100.0)
-        self.table = PeerTable("a", 1, self.clock)
+        self.table = PeerTable("a", "south", 1, self.clock)
 
     def test_announcement_round_trips_through_the_codec(self):
         message = decoder.decode(encoder.encode(build_announcement()))
@@ -140,14 +140,14 @@
         self.assertEqual(1 + len(members), self.table.count_members())
 
     def test_fresh_age_is_subtracted_from_the_echoed_send_time(self):
-        self.table.record_send_time(9)
+        self.table.send_times.record(9)
         self.clock.advance(4.0)
         # The datagram was queued in the socket while this VM was suspended.
         fresh_at = self.table.compute_fresh_at(build_announcement(echo=9, echo_boot=1))
         self.assertEqual(99.5, fresh_at)
 
     def test_freshness_without_matching_echo_is_unknown(self):
-        self.table.record_send_time(9)
+        self.table.send_times.record(9)
         self.assertIsNone(
             self.table.compute_fresh_at(build_announcement(echo=8, echo_boot=1))
         )
@@ -166,8 +166,16 @@
         peer.mark_reachable()
         self.assertEqual(0.0, peer.backoff_until)
 
+    def test_host_is_local_if_its_node_is_in_the_data_centre(self):
+        self.table.apply_announcement(build_announcement())
+        far = build_announcement(node="c", address="10.0.0.3:80", data_centre="north")
+        self.table.apply_announcement(far)
+        hosts = ("10.0.0.2", "10.0.0.3", "10.0.0.9")
+        local = [self.table.is_local_host(host) for host in hosts]
+        self.assertEqual([True, False, False], local)
+
     def test_relays_are_the_first_live_nodes_of_a_data_centre(self):
-        self.table = PeerTable("c", 1, self.clock)
+        self.table = PeerTable("c", "south", 1, self.clock)
         self.assertTrue(self.table.is_relay("south", 1))
         self.table.apply_announcement(build_announcement(node="b"))
         self.assertFalse(self.table.is_relay("south", 1))
--- a/persimmonlane/serving/admission.py
+++ b/persimmonlane/serving/admission.py
@@ -10,7 +10,7 @@
 
 from ..errors import Refusal
 from ..headers import find_first
-from ..peers.gossip import LocalRateCheck, RateCheck
+from ..peers.commands import LocalRateCheck, RateCheck
 
 log = logging.getLogger("persimmonlane.serving")
 
@@ -124,7 +124,7 @@
         # The request was sent before now, so a document that was the newest shortly
         # before lacks every key whose revocation had to be in effect by then.
         limit_s = self._settings.key_revocation_s - FRESHNESS_MARGIN_S
-        if self._table.compute_fresh_age() > limit_s:
+        if self._table.freshness.compute_age() > limit_s:
             raise Refusal(
                 503,
                 "document-stale",
@@ -133,6 +133,6 @@
             )
 
     def _build_denial(self, status, code, message):
-        if self._table.compute_fresh_age() > MAX_DENIAL_AGE_S:
+        if self._table.freshness.compute_age() > MAX_DENIAL_AGE_S:
             return Refusal(503, "document-stale", message, retry_after=RETRY_AFTER_S)
         return Refusal(status, code, message)
--- a/persimmonlane/serving/cancellation.py
+++ b/persimmonlane/serving/cancellation.py
@@ -8,7 +8,7 @@
 import pykka
 
 from ..outcomes import OutcomeKind
-from ..peers.gossip import CancellationCommand
+from ..peers.commands import CancellationCommand
 from ..verdicts import Verdict
 from .exchange import ExchangeError
 
--- a/persimmonlane/serving/events.py
+++ b/persimmonlane/serving/events.py
@@ -111,7 +111,7 @@
                 verdict.value if verdict else "",
                 reason,
                 self._documents.version,
-                self._table.encode_fresh_age(),
+                self._table.freshness.encode_age(),
                 self._clock.now() - request.arrived_at,
                 compute_receive_s(request),
                 self._shutdown.get_elapsed_s(),
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -17,7 +17,7 @@
 from ..outcomes import OutcomeKind
 from ..owner.latency import LatencyModels
 from ..owner.owner import ForwardedCall
-from ..peers.gossip import CapacityCheck
+from ..peers.commands import CapacityCheck
 from ..routing.metadata import Order
 from ..routing.rulebook import choose_service
 from ..verdicts import Verdict
--- a/persimmonlane/serving/tests/test_admission.py
+++ b/persimmonlane/serving/tests/test_admission.py
@@ -6,7 +6,7 @@
 from ...clocks import ManualClock
 from ...errors import Refusal
 from ...headers import Header
-from ...peers.gossip import LocalRateCheck, RateCheck
+from ...peers.commands import LocalRateCheck, RateCheck
 from ...peers.table import PeerTable
 from ...platform.documents import decode_document
 from ...routing.rulebook import Organisation
@@ -38,11 +38,11 @@
     def setUp(self):
         super().setUp()
         self.clock = ManualClock(100.0)
-        self.table = PeerTable("self", 1, self.clock)
+        self.table = PeerTable("self", "south", 1, self.clock)
         self.holder = Holder()
         self.holder.rulebook = decode_document(build_document())
         self.admission = Admission(Settings, self.holder, self.table, None)
-        self.table.mark_fresh(100.0)
+        self.table.freshness.mark(100.0)
 
     def identify(self, target="/near/", key=KEY):
         headers = [Header("Host", "shop.example"), Header("X-Credential", key)]
--- a/persimmonlane/serving/tests/test_placement.py
+++ b/persimmonlane/serving/tests/test_placement.py
@@ -33,7 +33,7 @@
 class PlacementTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.table = PeerTable("self", 1, ManualClock(5.0))
+        self.table = PeerTable("self", "south", 1, ManualClock(5.0))
         self.placement = Placement(random.Random(11))
 
     def add_candidate(self, number, same_data_centre=True, **changes):
--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -13,7 +13,7 @@
 
 from ..application import Part
 from ..errors import StoreError
-from ..peers.gossip import FreshnessConfirmed, NodesRegistered
+from ..peers.commands import FreshnessConfirmed, NodesRegistered
 from ..platform.documents import DOCUMENT_KEY, DOCUMENT_PREFIX
 from ..platform.store import HistoryGone, LeaseGone
 
@@ -120,7 +120,7 @@
             self._list_nodes(now)
 
     def _is_probe_due(self, now):
-        age_s = self._table.compute_fresh_age()
+        age_s = self._table.freshness.compute_age()
         if age_s > MAX_RELAYED_AGE_S:
             return True
         is_relay = self._table.is_relay(self._settings.data_centre, PROBING_RELAYS)
