Count the datagrams that a node sends, by kind and by distance

What crosses data centres is the dearest price on the sites of Viti Levu, and the nodes did not know what they send. Each 10 s the report names kind, near or far, datagrams and bytes with their IP and UDP headers.

--- /dev/null
+++ b/persimmonlane/peers/tests/test_traffic.py
@@ -0,0 +1,36 @@
+import testtools
+
+from ..messages import CapacityResponse, RateResponse
+from ..traffic import HEADER_BYTES, TrafficCounter
+
+
+class TrafficCounterTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.counter = TrafficCounter(lambda host: host.startswith("10.0."))
+
+    def drain(self):
+        return sorted(
+            (row.kind, row.is_local, row.datagrams, row.size)
+            for row in self.counter.drain()
+        )
+
+    def test_datagrams_are_counted_by_kind_and_distance(self):
+        response = RateResponse(1, True, 0.0)
+        self.counter.count(response, "10.0.0.1", 10)
+        self.counter.count(response, "10.0.0.2", 20)
+        self.counter.count(response, "10.1.0.1", 5)
+        self.counter.count(CapacityResponse(1, None), "10.1.0.1", 7)
+        self.assertEqual(
+            [
+                ("CapacityResponse", False, 1, 7 + HEADER_BYTES),
+                ("RateResponse", False, 1, 5 + HEADER_BYTES),
+                ("RateResponse", True, 2, 30 + 2 * HEADER_BYTES),
+            ],
+            self.drain(),
+        )
+
+    def test_drain_starts_a_new_interval(self):
+        self.counter.count(RateResponse(1, True, 0.0), "10.0.0.1", 10)
+        self.assertEqual(1, len(self.drain()))
+        self.assertEqual([], self.drain())
--- a/persimmonlane/peers/transport.py
+++ b/persimmonlane/peers/transport.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .messages import decoder, encoder
+from .traffic import TrafficCounter
 
 log = logging.getLogger("persimmonlane.peers")
 
@@ -26,11 +27,16 @@
 
 
 class DatagramTransport:
-    """Sends messages and receives them in a thread of its own."""
+    """Sends messages and receives them in a thread of its own.
 
-    __slots__ = ("_socket", "_thread", "_stopped", "_handle")
+    Attributes:
+        traffic: The `TrafficCounter` of the messages that were sent.
+    """
+
+    __slots__ = ("traffic", "_socket", "_thread", "_stopped", "_handle")
 
     def __init__(self, ip, port):
+        self.traffic = TrafficCounter()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((ip, port))
         self._thread = None
@@ -55,10 +61,13 @@
 
     def send(self, address, message):
         """Send a message without blocking; one that can't be sent is dropped."""
+        raw = encoder.encode(message)
         try:
-            self._socket.sendto(encoder.encode(message), socket.MSG_DONTWAIT, address)
+            self._socket.sendto(raw, socket.MSG_DONTWAIT, address)
         except OSError as error:
             log.debug("Peers: sending a datagram failed: %s.", error)
+            return
+        self.traffic.count(message, address[0], len(raw))
 
     def stop(self):
         """Stop the receiving thread and close the socket."""
--- a/persimmonlane/reporting/reporter.py
+++ b/persimmonlane/reporting/reporter.py
@@ -1,6 +1,6 @@
 """Record logging.
 
-Logs the request counts of each interval.
+Logs the counts of requests and of datagrams of each interval.
 """
 
 import logging
@@ -14,12 +14,13 @@
 
 
 class Reporter:
-    """Thread that logs the records of a `RequestCounter` at each interval."""
+    """Thread that logs the counts of a `RequestCounter` and a `TrafficCounter`."""
 
-    __slots__ = ("_counter", "_stopped", "_thread")
+    __slots__ = ("_counter", "_traffic", "_stopped", "_thread")
 
-    def __init__(self, counter):
+    def __init__(self, counter, traffic):
         self._counter = counter
+        self._traffic = traffic
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -33,9 +34,12 @@
         self.log_records()
 
     def log_records(self):
-        """Log a record for each service and organisation with requests."""
+        """Log a record for each service and organisation, and the datagrams sent."""
         for record in self._counter.drain():
             log.info("Reporting: counts.", extra={"record": to_builtins(record)})
+        counts = [count.describe() for count in self._traffic.drain()]
+        if counts:
+            log.info("Reporting: datagrams sent.", extra={"datagrams": counts})
 
     def _run(self):
         while not self._stopped.wait(INTERVAL_S):
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -129,11 +129,12 @@
             self.owner,
         )
         self._table = table = self._gossip.proxy().table.get()
+        self._wire.traffic.set_locator(table.is_local_host)
         ledger = RequestCounter(UnixClock(), settings.name)
         self.events = RequestEvents(
             clock, ledger, self.documents, table, settings.name, self.shutdown
         )
-        self._reporter = Reporter(ledger)
+        self._reporter = Reporter(ledger, self._wire.traffic)
         self.admission = Admission(settings, self.documents, table, self._gossip)
         self.ingress = Ingress(
             settings,
