Exchange digests between data centres instead of announcements to every node

Change: inside a data centre all is as before. Two relays a data centre, which rendezvous hashing names from the live nodes, send the states of their nodes to the relays of the others, and pass on to their neighbours what they hear. A state names a process by its boot number; what that implies is asked for once. Ages count from the message that a digest echoes, so that neither a paused node nor a late datagram makes anybody look alive. A node that has heard of a data centre for 4 s asks there itself; a data centre of which nobody is known to live is introduced to its own remembered nodes. Nodes of older releases get announcements, and are left out of the choice of relays. Boot numbers of new processes have 32 bits. Ruled out: longer intervals of the announcements (still by the square of the nodes); acknowledged state for each relay pair (state that a lost datagram can break).

--- a/persimmonlane/peers/announcing.py
+++ b/persimmonlane/peers/announcing.py
@@ -24,11 +24,11 @@
 
     def matches(self, other):
         """Return whether all fields are equal to those of another instance."""
-        return (self.leaving, self.server_id, self.service) == (
-            other.leaving,
-            other.server_id,
-            other.service,
-        )
+        return self.leaving == other.leaving and self.has_server_of(other)
+
+    def has_server_of(self, other):
+        """Return whether the backend server is that of another instance."""
+        return (self.server_id, self.service) == (other.server_id, other.service)
 
 
 class AnnouncementBuilder:
@@ -46,6 +46,7 @@
         "_clock",
         "_static_fields",
         "_static_since",
+        "_revision",
         "_full",
         "_delta",
     )
@@ -57,6 +58,7 @@
         self._clock = clock
         self._static_fields = None
         self._static_since = 0
+        self._revision = 0
         self._full = None
         self._delta = None
 
@@ -76,6 +78,8 @@
         """
         fields = StaticFields(state)
         if self._static_fields is None or not fields.matches(self._static_fields):
+            if self._static_fields and not fields.has_server_of(self._static_fields):
+                self._revision += 1
             self._static_fields = fields
             self._static_since = self.sequence
         self._full = Announcement(
@@ -91,6 +95,8 @@
             0,
             state.server,
             True,
+            True,
+            self._revision,
         )
         self._delta = build_delta(self._full)
 
--- a/persimmonlane/peers/cache.py
+++ b/persimmonlane/peers/cache.py
@@ -15,24 +15,21 @@
 
 
 class RecentPeers:
-    """Cache of the peers that were active within a time window.
+    """Cache of the peers that count as active until a time of their own.
 
     `get` is thread-safe; calls of the other methods must be serialised.
     """
 
-    __slots__ = ("_window_s", "_get_time", "_cached")
+    __slots__ = ("_get_expiry", "_cached")
 
-    def __init__(self, window_s, get_time):
+    def __init__(self, get_expiry):
         """Create an empty cache.
 
         Args:
-            window_s: Seconds for which a peer counts as active after its last sign of
-                activity.
-            get_time: Callable that takes a `Peer` and returns the clock seconds of its
-                last activity, or None.
+            get_expiry: Callable that takes a `Peer` and returns the clock seconds until
+                which it counts as active.
         """
-        self._window_s = window_s
-        self._get_time = get_time
+        self._get_expiry = get_expiry
         self._cached = EMPTY_CACHE
 
     def get(self, now):
@@ -44,11 +41,11 @@
         """Return the active ones among some `Peer`s and cache the list."""
         recent, earliest = [], float("inf")
         for peer in peers:
-            at = self._get_time(peer)
-            if at is not None and now - at < self._window_s:
+            expires_at = self._get_expiry(peer)
+            if now < expires_at:
                 recent.append(peer)
-                earliest = min(earliest, at)
-        self._cached = CachedPeers(recent, earliest + self._window_s)
+                earliest = min(earliest, expires_at)
+        self._cached = CachedPeers(recent, earliest)
         return recent
 
     def invalidate(self):
--- a/persimmonlane/peers/commands.py
+++ b/persimmonlane/peers/commands.py
@@ -25,13 +25,62 @@
         self.sender = sender
 
 
+class RegisteredNode:
+    """A node that is registered in the store.
+
+    Attributes:
+        name: Name of the node.
+        address: Address for requests from other nodes.
+        data_centre: Name of its data centre, empty if it is not registered.
+    """
+
+    __slots__ = ("name", "address", "data_centre")
+
+    def __init__(self, name, address, data_centre=""):
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+
+
 class NodesRegistered:
-    """The nodes registered in the store, as a dict of addresses by node name."""
+    """The `RegisteredNode`s in the store."""
+
+    __slots__ = ("nodes",)
+
+    def __init__(self, nodes):
+        self.nodes = nodes
+
+
+class DigestReceived:
+    """A `Digest` that asks for an answer was received.
+
+    Attributes:
+        host: Host of the sender.
+        unknown: Boot numbers of the nodes that it names and this one does not know.
+        is_first: Whether it is the first one from a process of another data centre.
+    """
+
+    __slots__ = ("host", "unknown", "is_first")
+
+    def __init__(self, host, unknown, is_first):
+        self.host = host
+        self.unknown = unknown
+        self.is_first = is_first
+
+
+class PendingMemberQuery:
+    """A `MemberQuery` that waits for responses.
+
+    Attributes:
+        host: Host of the node that was asked.
+        sent_at: Clock seconds at which it was sent.
+    """
 
-    __slots__ = ("addresses",)
+    __slots__ = ("host", "sent_at")
 
-    def __init__(self, addresses):
-        self.addresses = addresses
+    def __init__(self, host, sent_at):
+        self.host = host
+        self.sent_at = sent_at
 
 
 class FreshnessConfirmed:
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -63,6 +63,8 @@
         delta.echo_boot,
         apply_load(delta.load, known.server),
         known.accepts_deltas,
+        known.accepts_digests,
+        known.revision,
     )
 
 
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -1,7 +1,8 @@
 """Gossip between the nodes of the fleet.
 
 The actor announces this node to its peers and answers their queries. Announcements,
-rate requests and responses are handled in the receiving thread, without the actor.
+digests, rate requests and responses are handled in the receiving thread, without the
+actor.
 """
 
 import logging
@@ -13,6 +14,7 @@
 from .commands import (
     CancellationCommand,
     CapacityCheck,
+    DigestReceived,
     FreshnessConfirmed,
     LocalRateCheck,
     NodesRegistered,
@@ -29,18 +31,24 @@
     CapacityRequest,
     CapacityResponse,
     Delta,
+    Digest,
+    DigestRequest,
+    MemberQuery,
+    MemberResponse,
     RateRequest,
     RateResponse,
 )
 from .queries import PendingQueries
 from .rates import FleetRateLimiter
+from .remotes import RemoteMembership
 from .table import PeerTable
 from .transport import ReceivedDatagram
 
 log = logging.getLogger("persimmonlane.peers")
 
 ANNOUNCE_S = 1.0
-BOOT_LIMIT = 1 << 48
+# Boot numbers go into each digest, so they are no longer than they need to be.
+BOOT_LIMIT = 1 << 32
 
 
 class Gossip(Actor):
@@ -54,6 +62,7 @@
         ReceivedDatagram: "answer_query",
         PeerStarted: "announce_to_started",
         UnknownPeerHeard: "announce_to_unknown",
+        DigestReceived: "answer_digest",
         NodesRegistered: "update_registered",
         FreshnessConfirmed: "mark_fresh",
         RateCheck: "check_rate",
@@ -77,10 +86,23 @@
         self._builder = AnnouncementBuilder(settings, clock, self._boot)
         self._pending = PendingQueries()
         self.table = PeerTable(settings.name, settings.data_centre, self._boot, clock)
+        self._remotes = RemoteMembership(
+            settings,
+            clock,
+            self.table,
+            self._builder,
+            self._get_own_announcement,
+            document,
+            self._pending,
+            transport,
+            random.Random(),
+        )
         self._rates = FleetRateLimiter(settings.name, clock, self.table)
         self._datagram_handlers = {
             Announcement: self._handle_announcement,
             Delta: self._handle_delta,
+            Digest: self._remotes.handle_digest,
+            MemberResponse: self._remotes.handle_response,
             RateRequest: self._handle_rate_request,
             RateResponse: self._handle_rate_response,
             CapacityResponse: self._handle_capacity_response,
@@ -88,6 +110,8 @@
         }
         self._query_handlers = {
             CapacityRequest: self._handle_capacity_request,
+            DigestRequest: self._remotes.answer_request,
+            MemberQuery: self._remotes.answer_query,
             CancellationRequest: self._handle_cancellation_request,
         }
         transport.set_handler(self.handle_datagram)
@@ -134,9 +158,13 @@
         self._begin_round()
         self._transport.send(message.sender, self._builder.build_full())
 
+    def answer_digest(self, message):
+        """Answer the sender of a digest that names nodes which are not known here."""
+        self._remotes.answer_digest(message)
+
     def update_registered(self, message):
         """Add the nodes registered in the store and announce this node to them."""
-        self.table.update_registered(message.addresses)
+        self.table.update_registered(message.nodes)
         self.announce(None)
 
     def mark_fresh(self, message):
@@ -144,10 +172,12 @@
         self.table.freshness.mark(message.at)
 
     def announce(self, _):
-        """Announce this node to all known peers."""
+        """Announce this node to the peers that digests don't tell of it."""
         self.table.freshness.apply_version_in_force(self._document.version)
         self.table.remove_expired()
-        self._announce_to(list(self.table.peers.values()))
+        peers = list(self.table.peers.values())
+        self._announce_to([peer for peer in peers if not self.table.is_remote(peer)])
+        self._remotes.send_round()
 
     def check_rate(self, command):
         """Check a request against a rate held here, or query the rate's holder."""
@@ -182,6 +212,12 @@
         for peer in peers:
             self._send(peer.host, self._builder.build(peer))
 
+    def _get_own_announcement(self):
+        if self._builder.build_full() is None:
+            # A digest may arrive before the first round.
+            self._begin_round()
+        return self._builder.build_full()
+
     def _begin_round(self):
         self.table.send_times.record(self._builder.begin_round())
         state = self._describe()
@@ -205,7 +241,9 @@
         if fresh_at is not None:
             in_force = self._document.version
             self.table.freshness.mark_version(announcement.version, fresh_at, in_force)
-        return PeerStarted(peer) if known_boot != announcement.boot else None
+        if known_boot == announcement.boot or self.table.is_remote(peer):
+            return None
+        return PeerStarted(peer)
 
     def _handle_delta(self, delta, sender):
         peer = self.table.find_by_boot(delta.boot)
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -12,6 +12,9 @@
 from ..routing.metadata import Order, OwnerReport
 
 STANDINGS = tuple(standing.value for standing in HealthState)
+# Longer lists are refused, so that no datagram can keep the receiver busy.
+MAX_DIGEST_MEMBERS = 64
+MAX_QUERIED_MEMBERS = 64
 
 
 class ServerStatus(msgspec.Struct, array_like=True):
@@ -57,6 +60,9 @@
         echo_boot: Boot number of that announcement.
         server: `ServerStatus` of the node's backend server, or None.
         accepts_deltas: Whether the node accepts a `Delta` in place of an announcement.
+        accepts_digests: Whether the node accepts a `Digest` about the nodes of another
+            data centre in place of their announcements.
+        revision: Number that rises whenever the node has another backend server.
     """
 
     node: str
@@ -71,6 +77,8 @@
     echo_boot: int
     server: ServerStatus | None
     accepts_deltas: bool = False
+    accepts_digests: bool = False
+    revision: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class ServerLoad(msgspec.Struct, array_like=True):
@@ -118,6 +126,100 @@
     load: ServerLoad | None
 
 
+class MemberState(msgspec.Struct, array_like=True):
+    """State of one node in a `Digest`, without what its boot number and revision imply.
+
+    Attributes:
+        boot: Boot number of the node.
+        revision: As in `Announcement`.
+        sequence: Sequence number of the node's newest announcement.
+        age_ds: Tenths of a second since that announcement, rounded up.
+        leaving: As in `Announcement`.
+        load: `ServerLoad` of the node's backend server, or None.
+    """
+
+    boot: int
+    revision: Annotated[int, msgspec.Meta(ge=0)]
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    age_ds: Annotated[int, msgspec.Meta(ge=0)]
+    leaving: bool
+    load: ServerLoad | None
+
+
+class Digest(msgspec.Struct, array_like=True, tag="g"):
+    """States of several nodes, as their sender knows them.
+
+    Relays send the nodes of their own data centre to the relays of the others, and the
+    nodes of the others to the nodes of their own.
+
+    Attributes:
+        boot: Boot number of the sender.
+        sequence: Number that increases with each message of the sender.
+        version: Version of the document in force at the sender.
+        fresh_age_ms: Milliseconds since that version was last confirmed as the newest,
+            negative if unknown.
+        echo: Sequence number of the newest message received from the addressee.
+        echo_boot: Boot number of the process that sent that message.
+        members: The `MemberState`s.
+    """
+
+    boot: int
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    fresh_age_ms: int
+    echo: int
+    echo_boot: int
+    members: Annotated[list[MemberState], msgspec.Meta(max_length=MAX_DIGEST_MEMBERS)]
+
+
+class DigestRequest(msgspec.Struct, array_like=True, tag="h"):
+    """Asks a node for a `Digest` of its data centre.
+
+    Attributes:
+        boot: Boot number of the sender.
+        sequence: Number that increases with each message of the sender.
+    """
+
+    boot: int
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class MemberQuery(msgspec.Struct, array_like=True, tag="m"):
+    """Asks the sender of a `Digest` for the announcements of some of its nodes.
+
+    Attributes:
+        correlation_id: Number that matches the responses to this message.
+        boots: Boot numbers of the nodes.
+    """
+
+    correlation_id: int
+    boots: Annotated[list[int], msgspec.Meta(max_length=MAX_QUERIED_MEMBERS)]
+
+
+class Member(msgspec.Struct, array_like=True):
+    """The newest announcement of a node, as another node knows it.
+
+    Attributes:
+        announcement: The `Announcement`; its echo is meaningless.
+        age_ds: Tenths of a second since it was received, rounded up.
+    """
+
+    announcement: Announcement
+    age_ds: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class MemberResponse(msgspec.Struct, array_like=True, tag="n"):
+    """One of the responses to a `MemberQuery`.
+
+    Attributes:
+        correlation_id: Number from the `MemberQuery`.
+        members: The `Member`s.
+    """
+
+    correlation_id: int
+    members: Annotated[list[Member], msgspec.Meta(max_length=MAX_DIGEST_MEMBERS)]
+
+
 class RateRequest(msgspec.Struct, array_like=True, tag="q"):
     """Asks the holder of an organisation's rate whether to admit a request.
 
@@ -201,6 +303,10 @@
 Datagram = (
     Announcement
     | Delta
+    | Digest
+    | DigestRequest
+    | MemberQuery
+    | MemberResponse
     | RateRequest
     | RateResponse
     | CapacityRequest
--- a/persimmonlane/peers/peer.py
+++ b/persimmonlane/peers/peer.py
@@ -4,6 +4,9 @@
 
 # A peer without an announcement for this long gets no requests.
 LIVE_TIMEOUT_S = 2.6
+# The same for a peer that is known from digests: these take up to three rounds, and
+# their ages include the time since the message that they echo.
+REMOTE_LIVE_TIMEOUT_S = 6.0
 # A peer that is not seen for this long no longer counts as a member of the fleet.
 MEMBER_TIMEOUT_S = 30.0
 BACKOFF_FIRST_S = 1.0
@@ -17,9 +20,12 @@
         name: Name of the node.
         address: Address for requests from other nodes.
         host: The host of that address.
-        data_centre: Name of its data centre, empty before the first announcement.
+        data_centre: Name of its data centre, empty if it is not known yet.
+        accepts_digests: Whether it learns of other data centres from digests.
         announcement: Its newest `Announcement`, or None before the first one.
-        heard_at: Clock seconds at which that was received, or None.
+        heard_at: Clock seconds at which that was received, or None; in another data
+            centre, a time at which the peer was alive for certain.
+        live_until: Clock seconds until which the peer counts as live.
         last_seen_at: Clock seconds at which the store or a datagram last named it.
         backoff_until: Clock seconds until which it gets no requests.
         in_flight: Number of requests of this node that it is processing.
@@ -31,8 +37,10 @@
         "address",
         "host",
         "data_centre",
+        "accepts_digests",
         "announcement",
         "heard_at",
+        "live_until",
         "last_seen_at",
         "backoff_until",
         "in_flight",
@@ -40,13 +48,15 @@
         "_failures",
     )
 
-    def __init__(self, name, address, last_seen_at):
+    def __init__(self, name, address, last_seen_at, data_centre=""):
         """Create a peer that has not announced itself yet.
 
         Args:
             name: Name of the node.
             address: Address for requests from other nodes.
             last_seen_at: Clock seconds at which the store or a datagram named it.
+            data_centre: Name of its data centre, if the store tells it. Only releases
+                that accept digests register it.
 
         Raises:
             ValueError: If the address is invalid.
@@ -54,25 +64,48 @@
         self.name = name
         self.address = address
         self.host, _ = split_address(address)
-        self.data_centre = ""
+        self.data_centre = data_centre
+        self.accepts_digests = bool(data_centre)
         self.announcement = None
         self.heard_at = None
+        self.live_until = float("-inf")
         self.last_seen_at = last_seen_at
         self.backoff_until = 0.0
         self.in_flight = 0
         self.previous_boot = None
         self._failures = 0
 
-    def apply_announcement(self, announcement, now):
-        """Apply an `Announcement` that is not stale."""
+    def apply_announcement(self, announcement, heard_at, timeout_s=LIVE_TIMEOUT_S):
+        """Apply an `Announcement` that is not stale.
+
+        Args:
+            announcement: The `Announcement`.
+            heard_at: Clock seconds at which it was received.
+            timeout_s: Seconds from then for which the peer counts as live.
+        """
         latest = self.announcement
         if latest is None or latest.boot != announcement.boot:
             self.mark_reachable()
         if latest is not None and latest.boot != announcement.boot:
             self.previous_boot = latest.boot
+        if latest is None or latest.boot != announcement.boot:
+            self.heard_at = None
         self.announcement = announcement
         self.data_centre = announcement.data_centre
-        self.heard_at = self.last_seen_at = now
+        self.accepts_digests = announcement.accepts_digests
+        self.extend_life(heard_at, timeout_s)
+
+    def extend_life(self, heard_at, timeout_s):
+        """Record that the peer was alive at a time.
+
+        Args:
+            heard_at: Clock seconds of that time.
+            timeout_s: Seconds from then for which the peer counts as live.
+        """
+        if self.heard_at is None or heard_at > self.heard_at:
+            self.heard_at = heard_at
+        self.last_seen_at = max(self.last_seen_at, heard_at)
+        self.live_until = max(self.live_until, heard_at + timeout_s)
 
     def mark_unreachable(self, now):
         """Start a backoff that doubles with each failure, up to a maximum."""
@@ -116,7 +149,11 @@
 
     def is_live(self, now):
         """Return whether the peer has announced itself recently."""
-        return self.heard_at is not None and now - self.heard_at < LIVE_TIMEOUT_S
+        return now < self.live_until
+
+    def get_member_until(self):
+        """Return the clock seconds until which the peer counts as a member."""
+        return self.last_seen_at + MEMBER_TIMEOUT_S
 
 
 def create_moved_peer(known, announcement, now):
--- a/persimmonlane/peers/queries.py
+++ b/persimmonlane/peers/queries.py
@@ -30,6 +30,12 @@
                 self._pending.pop(next(iter(self._pending)))
             return self._last_id
 
+    def find(self, correlation_id, command_class):
+        """Return the command that waits for several responses; see `pop`."""
+        with self._lock:
+            command = self._pending.get(correlation_id)
+            return command if isinstance(command, command_class) else None
+
     def pop(self, correlation_id, command_class):
         """Remove and return the command that waits for a response.
 
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -9,8 +9,10 @@
 import threading
 
 from .cache import RecentPeers
+from .digests import DS_PER_S, apply_member_state, matches_state
 from .freshness import DocumentFreshness, SendTimes
-from .peer import LIVE_TIMEOUT_S, MEMBER_TIMEOUT_S, Peer, create_moved_peer
+from .peer import MEMBER_TIMEOUT_S, REMOTE_LIVE_TIMEOUT_S, Peer, create_moved_peer
+from .relays import RELAY_COUNT, rank_relays
 
 log = logging.getLogger("persimmonlane.peers")
 
@@ -32,6 +34,7 @@
         "_lock",
         "_own_name",
         "_data_centre",
+        "_boot",
         "_store_listed_at",
         "_by_boot",
         "_by_host",
@@ -47,33 +50,39 @@
         self._lock = threading.RLock()
         self._own_name = own_name
         self._data_centre = data_centre
+        self._boot = boot
         self._store_listed_at = float("-inf")
         self._by_boot = {}
         self._by_host = {}
-        self._live = RecentPeers(LIVE_TIMEOUT_S, operator.attrgetter("heard_at"))
-        self._members = RecentPeers(
-            MEMBER_TIMEOUT_S, operator.attrgetter("last_seen_at")
-        )
+        self._live = RecentPeers(operator.attrgetter("live_until"))
+        self._members = RecentPeers(Peer.get_member_until)
 
-    def update_registered(self, addresses):
+    def update_registered(self, nodes):
         """Add all nodes that are registered in the store.
 
         Nodes with an invalid address are logged and skipped.
 
         Args:
-            addresses: Dict of node addresses by node name.
+            nodes: The `RegisteredNode`s.
         """
         with self._lock:
             self._store_listed_at = self._clock.now()
-            for name, address in addresses.items():
+            for node in nodes:
                 try:
-                    self.add_registered(name, address)
+                    self.add_registered(node.name, node.address, node.data_centre)
                 except ValueError:
-                    log.warning("Peers: invalid address of node %s in the store.", name)
+                    log.warning(
+                        "Peers: invalid address of node %s in the store.", node.name
+                    )
 
-    def add_registered(self, name, address):
+    def add_registered(self, name, address, data_centre=""):
         """Add or refresh a node that is registered in the store.
 
+        Args:
+            name: Name of the node.
+            address: Address for requests from other nodes.
+            data_centre: Name of its data centre, empty if it is not known.
+
         Raises:
             ValueError: If the address is new and invalid.
         """
@@ -83,7 +92,7 @@
             now = self._clock.now()
             peer = self.peers.get(name)
             if peer is None or (peer.address != address and not peer.is_live(now)):
-                self.peers[name] = Peer(name, address, now)
+                self.peers[name] = Peer(name, address, now, data_centre)
                 self._index()
             else:
                 peer.last_seen_at = now
@@ -108,16 +117,100 @@
             peer = known
             if known is None or known.address != announcement.address:
                 peer = create_moved_peer(known, announcement, now)
-            # The cached lists stay valid only if they already contain this peer.
-            if peer is not known or not peer.is_live(now):
-                self._live.invalidate()
-                self._members.invalidate()
+            if peer is not known:
+                self._invalidate_lists()
+            self._refresh_lists_for(peer, now)
             peer.apply_announcement(announcement, now)
-            self.peers[announcement.node] = peer
-            if self._by_boot.get(announcement.boot) is not peer:
-                self._index()
+            self._store(peer)
             return peer
 
+    def apply_member(self, announcement, heard_at):
+        """Apply the announcement of a node of another data centre, from a third node.
+
+        Only its own announcements tell of a node of this data centre; of such a node
+        no more than the address is taken, so that it can be asked.
+
+        Args:
+            announcement: The `Announcement`.
+            heard_at: Clock seconds at which the node was alive for certain.
+
+        Raises:
+            ValueError: If the announced address is invalid.
+        """
+        if announcement.data_centre == self._data_centre:
+            if announcement.node not in self.peers:
+                self.add_registered(
+                    announcement.node, announcement.address, announcement.data_centre
+                )
+            return
+        with self._lock:
+            now = self._clock.now()
+            known = self.peers.get(announcement.node)
+            if known is not None and known.is_stale(announcement):
+                return
+            peer = known
+            if known is None or known.address != announcement.address:
+                peer = create_moved_peer(known, announcement, heard_at)
+            self._invalidate_lists()
+            peer.apply_announcement(
+                announcement, min(heard_at, now), REMOTE_LIVE_TIMEOUT_S
+            )
+            self._store(peer)
+
+    def apply_states(self, states, sent_at):
+        """Apply the states of nodes of other data centres from a digest.
+
+        Args:
+            states: The `MemberState`s.
+            sent_at: Clock seconds before which the digest was not sent, or None if that
+                is not known. Then nothing is applied.
+
+        Returns:
+            Boot numbers of the nodes whose announcements are needed first.
+        """
+        unknown = []
+        with self._lock:
+            for state in states:
+                peer = self._by_boot.get(state.boot)
+                if peer is None or not matches_state(peer.announcement, state):
+                    if state.boot != self._boot:
+                        unknown.append(state.boot)
+                elif sent_at is not None and self.is_remote(peer):
+                    self._apply_state(peer, state, sent_at)
+        return unknown
+
+    def is_remote(self, peer):
+        """Return whether digests tell of a `Peer`, instead of its announcements."""
+        return (
+            bool(peer.data_centre)
+            and peer.data_centre != self._data_centre
+            and peer.accepts_digests
+        )
+
+    def _apply_state(self, peer, state, sent_at):
+        if state.sequence < peer.announcement.sequence:
+            return
+        if state.sequence > peer.announcement.sequence:
+            peer.announcement = apply_member_state(state, peer.announcement)
+        now = self._clock.now()
+        self._refresh_lists_for(peer, now)
+        heard_at = min(now, sent_at - state.age_ds / DS_PER_S)
+        peer.extend_life(heard_at, REMOTE_LIVE_TIMEOUT_S)
+
+    def _store(self, peer):
+        self.peers[peer.name] = peer
+        if self._by_boot.get(peer.announcement.boot) is not peer:
+            self._index()
+
+    def _refresh_lists_for(self, peer, now):
+        """Invalidate the cached lists if they may lack a peer that is heard now."""
+        if not peer.is_live(now):
+            self._invalidate_lists()
+
+    def _invalidate_lists(self):
+        self._live.invalidate()
+        self._members.invalidate()
+
     def find_by_boot(self, boot):
         """Return the `Peer` whose current process has a boot number, or None."""
         return self._by_boot.get(boot)
@@ -166,23 +259,34 @@
             if expired:
                 self._index()
 
-    def is_relay(self, data_centre, relay_count):
-        """Return whether this node is a relay of its data centre.
+    def rank_relays(self, data_centre, count=RELAY_COUNT):
+        """Return the names of a data centre's relays, the first choice first.
 
-        The relays are the first live nodes by name that are not leaving.
+        Nodes of older releases relay nothing.
 
         Args:
-            data_centre: Name of this node's data centre.
-            relay_count: Number of relays per data centre.
+            data_centre: Name of the data centre.
+            count: Largest number of relays.
         """
-        preceding = sum(
-            1
+        names = [
+            peer.name
             for peer in self.list_live()
             if peer.data_centre == data_centre
-            and peer.name < self._own_name
+            and peer.accepts_digests
             and not peer.announcement.leaving
-        )
-        return preceding < relay_count
+        ]
+        if data_centre == self._data_centre:
+            names.append(self._own_name)
+        return rank_relays(data_centre, names, count)
+
+    def is_relay(self, data_centre, relay_count):
+        """Return whether this node is a relay of its data centre.
+
+        Args:
+            data_centre: Name of this node's data centre.
+            relay_count: Number of relays per data centre.
+        """
+        return self._own_name in self.rank_relays(data_centre, relay_count)
 
     def _index(self):
         peers = list(self.peers.values())
--- a/persimmonlane/peers/tests/test_deltas.py
+++ b/persimmonlane/peers/tests/test_deltas.py
@@ -97,8 +97,10 @@
         self.assertEqual(build_announcement().server, old.server)
 
     def test_announcement_of_an_older_release_is_decoded(self):
-        fields = msgspec.structs.asdict(build_announcement())
-        del fields["accepts_deltas"]
+        fields = {
+            name: getattr(build_announcement(), name)
+            for name in LegacyAnnouncement.__struct_fields__
+        }
         announcement = decoder.decode(encoder.encode(LegacyAnnouncement(**fields)))
         self.assertEqual(build_announcement(accepts_deltas=False), announcement)
 
@@ -212,7 +214,7 @@
             self.announce_without_delivery()
             self.b.announce(None)
             self.network.deliver()
-        self.b.table.update_registered({})
+        self.b.table.update_registered([])
         self.b.announce(None)
         self.assertEqual({}, self.b.table.peers)
         self.network.drop_queued()
--- a/persimmonlane/peers/tests/test_restarts.py
+++ b/persimmonlane/peers/tests/test_restarts.py
@@ -208,7 +208,7 @@
 
     def test_silent_node_that_is_not_in_the_store_is_removed(self):
         self.clock.advance(200.0)
-        self.gossip.table.update_registered({})
+        self.gossip.table.update_registered([])
         self.assertEqual([], self.list_announced_hosts())
 
     def test_announcing_node_that_is_not_in_the_store_is_kept(self):
@@ -217,5 +217,5 @@
             "b", 1, 1, "10.0.0.2:80", "south", False, 1, 0, 0, 0, None
         )
         self.gossip.table.apply_announcement(announcement)
-        self.gossip.table.update_registered({})
+        self.gossip.table.update_registered([])
         self.assertEqual(["10.0.0.2"], self.list_announced_hosts())
--- a/persimmonlane/peers/tests/test_table.py
+++ b/persimmonlane/peers/tests/test_table.py
@@ -3,8 +3,10 @@
 import testtools
 
 from ...clocks import ManualClock
+from ..commands import RegisteredNode
 from ..messages import Announcement, decoder, encoder
 from ..peer import LIVE_TIMEOUT_S, MEMBER_TIMEOUT_S
+from ..relays import rank_relays
 from ..table import PeerTable
 
 
@@ -42,7 +44,9 @@
             self.table.apply_announcement,
             build_announcement(address="nowhere"),
         )
-        self.table.update_registered({"c": "nowhere", "d": "10.0.0.4:80"})
+        self.table.update_registered(
+            [RegisteredNode("c", "nowhere"), RegisteredNode("d", "10.0.0.4:80")]
+        )
         self.assertEqual(["d"], list(self.table.peers))
         self.table.apply_announcement(build_announcement())
         moved = build_announcement(sequence=2, address="nowhere")
@@ -174,13 +178,35 @@
         local = [self.table.is_local_host(host) for host in hosts]
         self.assertEqual([True, False, False], local)
 
-    def test_relays_are_the_first_live_nodes_of_a_data_centre(self):
-        self.table = PeerTable("c", "south", 1, self.clock)
-        self.assertTrue(self.table.is_relay("south", 1))
-        self.table.apply_announcement(build_announcement(node="b"))
-        self.assertFalse(self.table.is_relay("south", 1))
-        self.assertTrue(self.table.is_relay("south", 2))
+    def test_relays_are_named_from_the_live_nodes_that_are_not_leaving(self):
+        names = ("b", "c", "d", "e")
+        for name in names:
+            self.table.apply_announcement(
+                build_announcement(
+                    node=name, address=f"10.0.1.{ord(name)}:80", accepts_digests=True
+                )
+            )
+        first, second, third, *_ = rank_relays("south", ["a", *names], 5)
+        self.assertEqual([first, second], self.table.rank_relays("south"))
+        for count in (1, 2, 3):
+            expected = "a" in rank_relays("south", ["a", *names], count)
+            self.assertEqual(expected, self.table.is_relay("south", count))
+        leaving = first if first != "a" else second
+        self.table.apply_announcement(
+            build_announcement(
+                node=leaving,
+                address=f"10.0.1.{ord(leaving)}:80",
+                sequence=2,
+                leaving=True,
+                accepts_digests=True,
+            )
+        )
+        expected = [name for name in (first, second, third) if name != leaving]
+        self.assertEqual(expected, self.table.rank_relays("south"))
+
+    def test_relays_of_another_data_centre_are_its_own_nodes(self):
         self.table.apply_announcement(
-            build_announcement(node="b", sequence=2, leaving=True)
+            build_announcement(data_centre="north", accepts_digests=True)
         )
-        self.assertTrue(self.table.is_relay("south", 1))
+        self.assertEqual(["b"], self.table.rank_relays("north"))
+        self.assertEqual(["a"], self.table.rank_relays("south"))
--- a/persimmonlane/peers/transport.py
+++ b/persimmonlane/peers/transport.py
@@ -93,7 +93,9 @@
             try:
                 self._dispatch(raw, sender, actor)
             except (msgspec.MsgspecError, ValueError) as error:
-                log.warning("Peers: invalid datagram: %s.", error)
+                # As an event the line is limited in rate, whatever is sent here.
+                fields = {"event": "datagram-invalid"}
+                log.warning("Peers: invalid datagram: %s.", error, extra=fields)
             except Exception:
                 log.exception("Peers: handling a datagram failed.")
 
--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -13,7 +13,7 @@
 
 from ..application import Part
 from ..errors import StoreError
-from ..peers.commands import FreshnessConfirmed, NodesRegistered
+from ..peers.commands import FreshnessConfirmed, NodesRegistered, RegisteredNode
 from ..platform.documents import DOCUMENT_KEY, DOCUMENT_PREFIX
 from ..platform.store import HistoryGone, LeaseGone
 
@@ -41,9 +41,11 @@
 
     Attributes:
         address: Address for requests from other nodes.
+        data_centre: Name of its data centre; empty in entries of older releases.
     """
 
     address: str
+    data_centre: str = ""
 
 
 class StoreSync(Part):
@@ -123,8 +125,9 @@
         age_s = self._table.freshness.compute_age()
         if age_s > MAX_RELAYED_AGE_S:
             return True
-        is_relay = self._table.is_relay(self._settings.data_centre, PROBING_RELAYS)
-        return is_relay and now >= self._probe_at
+        return now >= self._probe_at and self._table.is_relay(
+            self._settings.data_centre, PROBING_RELAYS
+        )
 
     def _probe(self, now):
         """Check that the document is still the newest, at the lowest cost.
@@ -163,14 +166,17 @@
         granted = self._store.grant_lease(
             max(ENTRY_LEASE_S, self._settings.min_lease_s)
         )
-        entry = msgspec.json.encode(NodeEntry(self._settings.peer_address))
+        settings = self._settings
+        entry = msgspec.json.encode(
+            NodeEntry(settings.peer_address, settings.data_centre)
+        )
         self._store.write(self._build_entry_key(), entry, granted.lease)
         self._lease = granted.lease
         self._renew_at = now + min(LEASE_RENEWAL_INTERVAL_S, granted.duration_s / 3.0)
         self._list_nodes(now)
 
     def _list_nodes(self, now):
-        addresses = {}
+        nodes = []
         for item in self._store.list(NODE_PREFIX):
             name = urllib.parse.unquote(item.key[len(NODE_PREFIX) :])
             try:
@@ -180,8 +186,8 @@
                     "Upkeep: the store's entry of node %s is invalid: %s.", name, error
                 )
                 continue
-            addresses[name] = entry.address
-        self._gossip.tell(NodesRegistered(addresses))
+            nodes.append(RegisteredNode(name, entry.address, entry.data_centre))
+        self._gossip.tell(NodesRegistered(nodes))
         self._list_at = now + LIST_INTERVAL_S * random.uniform(0.8, 1.2)
 
     def _build_entry_key(self):
