Let the process of a node prevail that goes on announcing itself

Cause: boot numbers have no order. A node that learned of a restarted peer first, and then got a late announcement of the peer's ended process, or another node's older knowledge of it, took that for the newer one, and refused the present process for good: a server that had left was in use, the one that runs was not. Change: the previous process is stale only while the present one is live; of what third nodes report, the process prevails that was alive later for certain.

--- a/persimmonlane/peers/peer.py
+++ b/persimmonlane/peers/peer.py
@@ -134,18 +134,36 @@
         server.waiting = report.waiting
         server.standing = report.standing
         server.suspect = report.suspect
+        server.error_risk = report.error_risk
+        server.hang_risk = report.hang_risk
 
-    def is_stale(self, announcement):
+    def is_stale(self, announcement, now):
         """Return whether an `Announcement` is no newer than the latest one.
 
-        All announcements of the peer's previous process are stale.
+        All announcements of the peer's previous process are stale while the present one
+        is live. Which of two processes is the newer one can't be told from the order of
+        two datagrams alone, so the one that goes on announcing itself prevails.
         """
         latest = self.announcement
         if latest is None:
             return False
         if latest.boot == announcement.boot:
             return latest.sequence >= announcement.sequence
-        return announcement.boot == self.previous_boot
+        return announcement.boot == self.previous_boot and self.is_live(now)
+
+    def is_outdated(self, announcement, heard_at):
+        """Return whether what a third node knows of the peer is no news.
+
+        Args:
+            announcement: The `Announcement` that the third node has received.
+            heard_at: Clock seconds at which its process was alive for certain.
+        """
+        latest = self.announcement
+        if latest is None:
+            return False
+        if latest.boot == announcement.boot:
+            return latest.sequence >= announcement.sequence
+        return self.heard_at is not None and self.heard_at >= heard_at
 
     def is_live(self, now):
         """Return whether the peer has announced itself recently."""
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -112,7 +112,7 @@
         with self._lock:
             now = self._clock.now()
             known = self.peers.get(announcement.node)
-            if known is not None and known.is_stale(announcement):
+            if known is not None and known.is_stale(announcement, now):
                 return None
             peer = known
             if known is None or known.address != announcement.address:
@@ -146,7 +146,7 @@
         with self._lock:
             now = self._clock.now()
             known = self.peers.get(announcement.node)
-            if known is not None and known.is_stale(announcement):
+            if known is not None and known.is_outdated(announcement, heard_at):
                 return
             peer = known
             if known is None or known.address != announcement.address:
--- a/persimmonlane/peers/tests/test_table.py
+++ b/persimmonlane/peers/tests/test_table.py
@@ -60,6 +60,26 @@
             self.table.apply_announcement(build_announcement(sequence=1, boot=8))
         )
 
+    def test_process_that_goes_on_announcing_itself_prevails(self):
+        # A late datagram of the ended process came after the first of the new one.
+        self.table.apply_announcement(build_announcement(boot=8))
+        self.table.apply_announcement(build_announcement(boot=7, sequence=90))
+        for sequence in range(2, 6):
+            self.clock.advance(1.0)
+            self.table.apply_announcement(build_announcement(boot=8, sequence=sequence))
+        self.assertEqual(8, self.table.peers["b"].announcement.boot)
+        self.assertEqual(["b"], self.list_live())
+
+    def test_older_knowledge_of_a_third_node_is_no_news(self):
+        far = {"data_centre": "north", "accepts_digests": True}
+        self.table.apply_member(build_announcement(boot=8, **far), 99.5)
+        self.table.apply_member(build_announcement(boot=7, sequence=90, **far), 98.0)
+        self.assertEqual(8, self.table.peers["b"].announcement.boot)
+        self.table.apply_member(build_announcement(boot=9, **far), 99.9)
+        self.assertEqual(9, self.table.peers["b"].announcement.boot)
+        self.table.apply_member(build_announcement(boot=8, **far), 100.0)
+        self.assertEqual(8, self.table.peers["b"].announcement.boot)
+
     def test_silent_peer_is_not_live_but_stays_a_member(self):
         self.table.apply_announcement(build_announcement())
         self.assertEqual(1, len(self.table.list_live()))
