Judge backend servers by the probability that they fail now

Cause: three errors or hangs ejected a server, and then 5 s without a failure made it healthy again, also when nothing was sent to it. With one or two requests a second for each server that costs most of an episode; and where a third of a service fails at once, no more may be ejected, and nothing else kept requests away from the rest. An error answer that a failed call of the server's own explains says nothing about it (the node sees those calls). Ruled out: ejecting by two errors always (false ejections where servers are merely busy); refusing at a lower probability (idle servers of a troubled service would all be refused).

--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -37,6 +37,8 @@
         STANDINGS.index(server.standing),
         math.ceil(server.cold_s * MS_PER_S),
         server.suspect,
+        server.error_risk,
+        server.hang_risk,
     )
 
 
@@ -94,4 +96,6 @@
         STANDINGS[load.standing],
         load.cold_ms / MS_PER_S,
         load.suspect,
+        load.error_risk,
+        load.hang_risk,
     )
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..owner.health import HealthState
-from ..routing.metadata import Order, OwnerReport
+from ..routing.metadata import Order, OwnerReport, Percent
 
 STANDINGS = tuple(standing.value for standing in HealthState)
 # Longer lists are refused, so that no datagram can keep the receiver busy.
@@ -30,6 +30,8 @@
         standing: Value of its `HealthState`.
         cold_s: Seconds until the end of its slow start.
         suspect: Whether it is refused non-idempotent requests.
+        error_risk: Probability that it fails by errors, in percent.
+        hang_risk: Probability that it hangs, in percent.
     """
 
     server_id: str
@@ -41,6 +43,13 @@
     standing: str
     cold_s: float
     suspect: bool = False
+    error_risk: Percent = 0
+    hang_risk: Percent = 0
+
+    @property
+    def risk(self):
+        """Probability that it fails, 0 to 1."""
+        return min(1.0, (self.error_risk + self.hang_risk) / 100)
 
 
 class Announcement(msgspec.Struct, array_like=True, tag="a"):
@@ -92,6 +101,8 @@
         standing: Index of the standing in `STANDINGS`.
         cold_ms: Milliseconds until the end of the server's slow start.
         suspect: As in `ServerStatus`.
+        error_risk: As in `ServerStatus`.
+        hang_risk: As in `ServerStatus`.
     """
 
     ready: bool
@@ -101,6 +112,8 @@
     standing: Annotated[int, msgspec.Meta(ge=0, lt=len(STANDINGS))]
     cold_ms: int
     suspect: bool
+    error_risk: Percent = 0
+    hang_risk: Percent = 0
 
 
 class Delta(msgspec.Struct, array_like=True, tag="d"):
--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -3,8 +3,12 @@
 The structs are sent as arrays: the order of their fields is part of the protocol.
 """
 
+from typing import Annotated
+
 import msgspec
 
+Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
+
 
 class CallerMetadata:
     """Metadata that a caller sends with its request.
@@ -83,6 +87,8 @@
         standing: Value of the backend server's `HealthState`.
         wait_s: Expected seconds until a slot is free.
         suspect: Whether non-idempotent requests are refused for now.
+        error_risk: Probability that its backend server fails by errors, in percent.
+        hang_risk: Probability that its backend server hangs, in percent.
     """
 
     verdict: str
@@ -92,3 +98,5 @@
     standing: str
     wait_s: float = 0.0
     suspect: bool = False
+    error_risk: Percent = 0
+    hang_risk: Percent = 0
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -14,7 +14,14 @@
 from ..routing.metadata import Order
 from ..verdicts import Verdict
 from .answers import describe_refusal, get_reason_phrase
-from .attempts import BackendErrorResponse, IngressRequest, Stage, get_priority
+from .attempts import (
+    NESTED_CALL_PRIORITY,
+    SERVER_ERROR_STATUS,
+    BackendErrorResponse,
+    IngressRequest,
+    Stage,
+    get_priority,
+)
 from .bodies import BodyError, create_body
 from .callers import CallerDisconnected, CallerWatch
 from .exchange import ExchangeError
@@ -166,6 +173,8 @@
         except BackendErrorResponse as error:
             answer = error.answer
         node.events.note_answered(request, answer.status)
+        if answer.status >= SERVER_ERROR_STATUS:
+            self._note_nested_failure(request)
         headers = drop_hop_by_hop(answer.headers)
         headers = [h for h in headers if h.name.lower() != "content-length"]
         if answer.status not in (204, 304):
@@ -174,6 +183,8 @@
 
     def _refuse(self, request, refusal):
         self.node.events.note_refused(request, refusal)
+        if refusal.status >= SERVER_ERROR_STATUS:
+            self._note_nested_failure(request)
         headers, body = describe_refusal(refusal)
         if request.metadata.request_id:
             headers.append(wire.build_request_id_header(request.metadata.request_id))
@@ -184,6 +195,10 @@
         if request.body_read_at is None and self.req.close_connection:
             self._linger()
 
+    def _note_nested_failure(self, request):
+        if get_priority(request) == NESTED_CALL_PRIORITY:
+            self.node.owner.note_nested_failure()
+
     def _linger(self):
         """Read the rest of the body before the connection is closed.
 
--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -5,6 +5,8 @@
 cold starts, ejections and unreachable nodes.
 """
 
+import math
+
 from ..owner.health import HealthState
 
 # Weight of a server in another data centre relative to one in this data centre. There
@@ -18,6 +20,10 @@
 # Applies to requests that are not idempotent, at a server that rejects them because it
 # is suspected of failing.
 SUSPECT_WEIGHT = 0.01
+# How strongly the probability that a server fails lowers its weight: a request that is
+# not idempotent is lost there, while others may find out.
+RISK_DECAY = 2.0
+RISK_DECAY_NOT_IDEMPOTENT = 10.0
 HALF_OPEN_WEIGHT = 4.0
 HALF_OPEN_WEIGHT_NOT_IDEMPOTENT = 0.01
 HALF_OPEN_BUSY_WEIGHT = 0.02
@@ -115,8 +121,11 @@
     if server.standing == HealthState.HALF_OPEN.value:
         weight = HALF_OPEN_WEIGHT if idempotent else HALF_OPEN_WEIGHT_NOT_IDEMPOTENT
         weight = weight if server.running == 0 else HALF_OPEN_BUSY_WEIGHT
-    elif server.suspect and not idempotent:
-        weight *= SUSPECT_WEIGHT
+    else:
+        decay = RISK_DECAY if idempotent else RISK_DECAY_NOT_IDEMPOTENT
+        weight *= math.exp(-decay * server.risk)
+        if server.suspect and not idempotent:
+            weight *= SUSPECT_WEIGHT
     if not candidate.same_data_centre:
         weight *= (
             REMOTE_WEIGHT_LONG_BODY if body_bytes > LONG_BODY_BYTES else REMOTE_WEIGHT
--- a/persimmonlane/serving/tests/test_placement.py
+++ b/persimmonlane/serving/tests/test_placement.py
@@ -78,6 +78,23 @@
         suspect, healthy = self.count_choices(candidates, idempotent=False)
         self.assertThat(suspect, testtools.matchers.LessThan(PLACEMENT_COUNT * 0.05))
 
+    def test_risky_server_gets_few_requests_that_are_not_idempotent(self):
+        candidates = [self.add_candidate(1, error_risk=60), self.add_candidate(2)]
+        risky, healthy = self.count_choices(candidates, idempotent=False)
+        self.assertThat(risky, testtools.matchers.LessThan(PLACEMENT_COUNT * 0.05))
+
+    def test_idempotent_requests_show_whether_a_risky_server_fails(self):
+        candidates = [self.add_candidate(1, hang_risk=60), self.add_candidate(2)]
+        risky, healthy = self.count_choices(candidates, idempotent=True)
+        self.assertThat(risky, testtools.matchers.GreaterThan(PLACEMENT_COUNT * 0.1))
+        self.assertThat(risky, testtools.matchers.LessThan(healthy))
+
+    def test_report_updates_the_risk(self):
+        candidates = [self.add_candidate(1), self.add_candidate(2)]
+        report = OwnerReport("ran", "", 0, 0, "sound", 0.0, False, 70, 10)
+        candidates[0].peer.apply_report("i-1", report)
+        self.assertEqual(0.8, candidates[0].server.risk)
+
     def test_server_reported_full_gets_few_further_requests(self):
         candidates = [self.add_candidate(1), self.add_candidate(2)]
         report = OwnerReport("not-run", "server-busy", 4, 3, "sound", 0.2)
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -15,6 +15,7 @@
 from persimmonlane.actors import Tick
 from persimmonlane.application import Application
 from persimmonlane.clocks import BootClock
+from persimmonlane.owner.fleethealth import FleetHealth
 from persimmonlane.peers.deltas import build_delta
 from persimmonlane.peers.gossip import ANNOUNCE_S, Gossip
 from persimmonlane.peers.messages import (
@@ -29,7 +30,7 @@
 from persimmonlane.peers.transport import DatagramTransport
 from persimmonlane.routing.rulebook import Organisation
 from persimmonlane.serving.ingress import Ingress
-from persimmonlane.sitenode import NodeState, SiteNode
+from persimmonlane.sitenode import NodeState
 
 PEER_COUNTS = (30, 90, 300)
 SERVICES = ("aangifte", "archief", "dossier")
@@ -67,14 +68,6 @@
         self.rulebook = self
 
 
-class NodeStub:
-    """Stub with the attributes of a node that `SiteNode.may_eject` reads."""
-
-    def __init__(self, settings, table):
-        self._settings = settings
-        self._table = table
-
-
 class RemotePeer:
     """A remote peer, simulated by a UDP socket.
 
@@ -288,13 +281,13 @@
         shutdown=None,
         cancellations=None,
     )
-    node_stub = NodeStub(settings, table)
+    fleet = FleetHealth(settings.service, table)
     rates = FleetRateLimiter(settings.name, node.clock, table)
     return {
         "list_live": table.list_live,
         "count_members": table.count_members,
         "is_relay": lambda: table.is_relay(settings.data_centre, 1),
-        "may_eject": lambda: SiteNode.may_eject(node_stub),
+        "may_eject": fleet.may_eject,
         "find_candidates": lambda: ingress._find_candidates(SERVICES[0]),
         "find_holder": lambda: rates.find_holder(ORGANISATION),
         "decide_held": lambda: rates.decide_as_holder(ORGANISATION),
