Check the risk of a server in the tests of endless answers

They read two private scores of the former detector, and were red since it was replaced; they ask as before that the failure counts against the server, by its kind.

--- a/persimmonlane/tests/test_endless_answers.py
+++ b/persimmonlane/tests/test_endless_answers.py
@@ -76,16 +76,18 @@
         self.assert_released()
 
     def check_rejected(self, flood):
+        before = self.owner.detector.risk.errors
         self.check_failure(flood, 502)
         self.assertThat(
-            self.owner.detector._failure_score, testtools.matchers.GreaterThan(0.0)
+            self.owner.detector.risk.errors, testtools.matchers.GreaterThan(before)
         )
         self.assert_recovers()
 
     def check_timeout(self, flood):
+        before = self.owner.detector.risk.hangs
         self.check_failure(flood, 504, SHORT_TIMEOUT_MS)
         self.assertThat(
-            self.owner.detector._hang_score, testtools.matchers.GreaterThan(0.0)
+            self.owner.detector.risk.hangs, testtools.matchers.GreaterThan(before)
         )
         self.assert_recovers()
 
