Lend an organisation's tokens to the other data centres

Besides, under loss of datagrams and a flood all nodes granted their own shares on top of the rate. Change: in each data centre one node decides. In the home data centre, which rendezvous hashing names, it keeps the bucket; elsewhere it borrows spans of tokens, sized by recent use. What is lent counts against the burst until it is reported as spent or lapses, so that bucket and loans never hold more than the burst. Two borrowers grant no more than one, so a silent one is passed over at once; two holders would, so there requests fall back to the node's share as before. What is granted without an answer is reported and charged. A data centre that is cut off grants a small part of its share until the others must have noticed, then all of it. While an older release is live, all look for one holder among all nodes, as it does. Ruled out: a static split of the rate (refuses an organisation that sends in one place); optimistic grants with later reconciliation (twice the burst in one window).

--- a/persimmonlane/peers/commands.py
+++ b/persimmonlane/peers/commands.py
@@ -99,13 +99,15 @@
         organisation: The `Organisation`.
         reply: Future for the seconds to wait, 0 or less if the request is within the
             rate.
+        asked_node: Name of the node that is asked, empty before it is chosen.
     """
 
-    __slots__ = ("organisation", "reply")
+    __slots__ = ("organisation", "reply", "asked_node")
 
-    def __init__(self, organisation, reply):
+    def __init__(self, organisation, reply, asked_node=""):
         self.organisation = organisation
         self.reply = reply
+        self.asked_node = asked_node
 
 
 class LocalRateCheck:
@@ -177,3 +179,35 @@
         self.boot = boot
         self.request_id = request_id
         self.reply = reply
+
+
+class PendingLoan:
+    """A `LoanRequest` of this node that waits for the response.
+
+    Attributes:
+        organisation: The `Organisation`.
+        sequence: Number of the request.
+        sent_at: Clock seconds at which it was sent.
+    """
+
+    __slots__ = ("organisation", "sequence", "sent_at")
+
+    def __init__(self, organisation, sequence, sent_at):
+        self.organisation = organisation
+        self.sequence = sequence
+        self.sent_at = sent_at
+
+
+class RelayedLoan:
+    """A `LoanRequest` of another node that was passed on.
+
+    Attributes:
+        sender: Address of the node that sent it, as host and port.
+        correlation_id: Number from its request.
+    """
+
+    __slots__ = ("sender", "correlation_id")
+
+    def __init__(self, sender, correlation_id):
+        self.sender = sender
+        self.correlation_id = correlation_id
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -16,6 +16,8 @@
 MAX_DIGEST_MEMBERS = 64
 MAX_QUERIED_MEMBERS = 64
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
+
 
 class ServerStatus(msgspec.Struct, array_like=True):
     """Status of a backend server as seen by its owner.
@@ -241,12 +243,17 @@
         organisation: Name of the organisation.
         node: Name of the sending node.
         relayed: Whether it is sent on behalf of another node.
+        boot: Boot number of the process that decided on requests alone.
+        granted_alone: Requests of the organisation that this process has granted
+            without an answer since it started.
     """
 
     correlation_id: int
     organisation: str
     node: str
     relayed: bool = False
+    boot: int = 0
+    granted_alone: Count = 0
 
 
 class RateResponse(msgspec.Struct, array_like=True, tag="r"):
@@ -263,6 +270,45 @@
     wait_s: float
 
 
+class LoanRequest(msgspec.Struct, array_like=True, tag="l"):
+    """Asks the holder of an organisation's rate to lend tokens to a data centre.
+
+    Attributes:
+        correlation_id: Number that matches the response to this message.
+        organisation: Name of the organisation.
+        borrower: Boot number of the node that borrows.
+        sequence: Number that increases with each request of the borrower.
+        want: Number of tokens asked for.
+        unspent: Number of tokens that are still borrowed.
+        granted_alone: Requests that the borrower has granted without a lender since
+            its process started.
+        relayed: Whether it is sent on behalf of another node.
+    """
+
+    correlation_id: int
+    organisation: str
+    borrower: int
+    sequence: Count
+    want: Count
+    unspent: Count
+    granted_alone: Count
+    relayed: bool = False
+
+
+class LoanResponse(msgspec.Struct, array_like=True, tag="k"):
+    """Response to a `LoanRequest`.
+
+    Attributes:
+        correlation_id: Number from the `LoanRequest`.
+        tokens: Number of tokens that are lent.
+        wait_s: If there are none, seconds until the lender has one.
+    """
+
+    correlation_id: int
+    tokens: Count
+    wait_s: Annotated[float, msgspec.Meta(ge=0.0)]
+
+
 class CapacityRequest(msgspec.Struct, array_like=True, tag="s"):
     """Asks the owner of a backend server whether it would accept a request now.
 
@@ -322,6 +368,8 @@
     | MemberResponse
     | RateRequest
     | RateResponse
+    | LoanRequest
+    | LoanResponse
     | CapacityRequest
     | CapacityResponse
     | CancellationRequest
--- a/persimmonlane/serving/admission.py
+++ b/persimmonlane/serving/admission.py
@@ -21,6 +21,7 @@
 # does not allow is refused with a retryable status.
 MAX_DENIAL_AGE_S = 3.0
 RATE_REPLY_TIMEOUT_S = 0.08
+RATE_QUERIES = 2
 SHARE_REPLY_TIMEOUT_S = 0.5
 RETRY_AFTER_S = 0.3
 
@@ -93,13 +94,14 @@
     def _get_rate_wait_s(self, organisation):
         """Return the seconds until the rate limit allows a request, 0 if it does now.
 
-        The node that holds the organisation's rate decides. If it does not answer, this
-        node decides by its own share of the rate.
+        Another node decides, or one that takes its place if it does not answer. If that
+        one does not answer either, this node decides by its own share of the rate.
         """
-        try:
-            return self._query(RateCheck, organisation, RATE_REPLY_TIMEOUT_S)
-        except pykka.Timeout:
-            log.debug("Serving: the node that holds the rate did not answer.")
+        for _ in range(RATE_QUERIES):
+            try:
+                return self._query(RateCheck, organisation, RATE_REPLY_TIMEOUT_S)
+            except pykka.Timeout:
+                log.debug("Serving: the node that decides on rates did not answer.")
         try:
             return self._query(LocalRateCheck, organisation, SHARE_REPLY_TIMEOUT_S)
         except pykka.Timeout as error:
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -26,6 +26,7 @@
     decoder,
     encoder,
 )
+from persimmonlane.peers.queries import PendingQueries
 from persimmonlane.peers.rates import FleetRateLimiter
 from persimmonlane.peers.transport import DatagramTransport
 from persimmonlane.routing.rulebook import Organisation
@@ -68,6 +69,14 @@
         self.rulebook = self
 
 
+class NoReply:
+    """Stub of a reply that nobody waits for."""
+
+    @staticmethod
+    def set(wait_s):
+        """Ignore the decision."""
+
+
 class RemotePeer:
     """A remote peer, simulated by a UDP socket.
 
@@ -282,7 +291,9 @@
         cancellations=None,
     )
     fleet = FleetHealth(settings.service, table)
-    rates = FleetRateLimiter(settings.name, node.clock, table)
+    rates = FleetRateLimiter(
+        settings, node.clock, table, 1, Document(), PendingQueries(), None
+    )
     return {
         "list_live": table.list_live,
         "count_members": table.count_members,
@@ -290,7 +301,7 @@
         "may_eject": fleet.may_eject,
         "find_candidates": lambda: ingress._find_candidates(SERVICES[0]),
         "find_holder": lambda: rates.find_holder(ORGANISATION),
-        "decide_held": lambda: rates.decide_as_holder(ORGANISATION),
+        "decide_held": lambda: rates.decide(ORGANISATION, NoReply),
     }
 
 
