--- a/persimmonlane/peers/tests/test_traffic.py
+++ b/persimmonlane/peers/tests/test_traffic.py
@@ -1,5 +1,6 @@
 import testtools
 
+from ...headers import Header
 from ..messages import CapacityResponse, RateResponse
 from ..traffic import HEADER_BYTES, TrafficCounter
 
@@ -11,7 +12,7 @@
 
     def drain(self):
         return sorted(
-            (row.kind, row.is_local, row.datagrams, row.size)
+            (row.kind, row.is_local, row.messages, row.size)
             for row in self.counter.drain()
         )
 
@@ -34,3 +35,22 @@
         self.counter.count(RateResponse(1, True, 0.0), "10.0.0.1", 10)
         self.assertEqual(1, len(self.drain()))
         self.assertEqual([], self.drain())
+
+    def test_exchange_is_counted_with_headers_and_bodies(self):
+        self.counter.count_exchange("10.1.0.1", Message(b"abc"), Message(b"x" * 50))
+        self.counter.count_exchange("10.1.0.1", Message(b""), None)
+        self.assertEqual(
+            [
+                ("ForwardedRequest", False, 2, 2 * (len("/a") + 8) + 3),
+                ("ForwardedResponse", False, 1, 8 + 50),
+            ],
+            self.drain(),
+        )
+
+
+class Message:
+    target = "/a"
+
+    def __init__(self, body):
+        self.headers = [Header("N", "123")]
+        self.body = body
--- a/persimmonlane/peers/traffic.py
+++ b/persimmonlane/peers/traffic.py
@@ -1,4 +1,4 @@
-"""Count of the datagrams that a node sends to other nodes.
+"""Count of what a node sends to other nodes.
 
 Links between data centres are costly, so what crosses them is counted apart.
 """
@@ -10,21 +10,21 @@
 
 
 class TrafficCount:
-    """Datagrams of one kind since the last drain.
+    """Messages of one kind since the last drain.
 
     Attributes:
-        kind: Class name of the message.
-        is_local: Whether they went to nodes of the sender's data centre.
-        datagrams: Number of datagrams.
+        kind: Class name of a message in datagrams, or name of a part of an exchange.
+        is_local: Whether the other node is in the sender's data centre.
+        messages: Number of messages.
         size: Their bytes, headers included.
     """
 
-    __slots__ = ("kind", "is_local", "datagrams", "size")
+    __slots__ = ("kind", "is_local", "messages", "size")
 
     def __init__(self, kind, is_local):
         self.kind = kind
         self.is_local = is_local
-        self.datagrams = 0
+        self.messages = 0
         self.size = 0
 
     def describe(self):
@@ -32,13 +32,13 @@
         return {
             "kind": self.kind,
             "near": self.is_local,
-            "datagrams": self.datagrams,
+            "messages": self.messages,
             "bytes": self.size,
         }
 
 
 class TrafficCounter:
-    """Counts sent datagrams by kind and by distance; thread-safe."""
+    """Counts messages by kind and by distance; thread-safe."""
 
     __slots__ = ("_counts", "_is_local", "_lock")
 
@@ -58,16 +58,38 @@
 
     def count(self, message, host, payload_bytes):
         """Count a datagram that was sent to a host."""
-        key = (type(message).__name__, self._is_local(host))
+        self._add(type(message).__name__, host, payload_bytes + HEADER_BYTES)
+
+    def count_exchange(self, host, request, response):
+        """Count a request to a host and its response, both without their framing.
+
+        Args:
+            host: Host of the other node.
+            request: The `OutgoingRequest`.
+            response: The `CompleteResponse`, or None if there was none.
+        """
+        size = measure_headers(request.headers) + len(request.body)
+        self._add("ForwardedRequest", host, size + len(request.target))
+        if response is not None:
+            size = measure_headers(response.headers) + len(response.body)
+            self._add("ForwardedResponse", host, size)
+
+    def _add(self, kind, host, size):
+        key = (kind, self._is_local(host))
         with self._lock:
             row = self._counts.get(key)
             if row is None:
                 row = self._counts[key] = TrafficCount(*key)
-            row.datagrams += 1
-            row.size += payload_bytes + HEADER_BYTES
+            row.messages += 1
+            row.size += size
 
     def drain(self):
         """Return the `TrafficCount`s since the last drain and start anew."""
         with self._lock:
             counts, self._counts = self._counts, {}
         return list(counts.values())
+
+
+def measure_headers(headers):
+    """Return the bytes of some `Header`s in a message."""
+    return sum(len(header.name) + len(header.value) + 4 for header in headers)
--- a/persimmonlane/reporting/reporter.py
+++ b/persimmonlane/reporting/reporter.py
@@ -1,6 +1,6 @@
 """Record logging.
 
-Logs the counts of requests and of datagrams of each interval.
+Logs the counts of requests and of messages to other nodes in each interval.
 """
 
 import logging
@@ -34,12 +34,12 @@
         self.log_records()
 
     def log_records(self):
-        """Log a record for each service and organisation, and the datagrams sent."""
+        """Log a record for each service and organisation, and what other nodes got."""
         for record in self._counter.drain():
             log.info("Reporting: counts.", extra={"record": to_builtins(record)})
         counts = [count.describe() for count in self._traffic.drain()]
         if counts:
-            log.info("Reporting: datagrams sent.", extra={"datagrams": counts})
+            log.info("Reporting: messages to nodes.", extra={"messages": counts})
 
     def _run(self):
         while not self._stopped.wait(INTERVAL_S):
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -289,6 +289,7 @@
         events=None,
         shutdown=None,
         cancellations=None,
+        traffic=None,
     )
     fleet = FleetHealth(settings.service, table)
     rates = FleetRateLimiter(
