Share the retry tokens of a data centre between its nodes

The slack was split by the nodes: a bucket of one token, half full, refilled by 0.17 a request at less than one request a second. Change: in each data centre one node a service keeps the pool, for its share of the fleet; it adds the fraction of the requests that nodes report, and a part of the slack in each window. A node that reaches no pool has a tenth of its part of the slack. Tests: retries over a simulated fleet in every window against the users' bound, with holders that die, nodes that restart and a data centre that is cut off.

--- a/persimmonlane/fleetsettings.py
+++ b/persimmonlane/fleetsettings.py
@@ -26,6 +26,7 @@
         grace_s: Seconds between SIGTERM and SIGKILL.
         retry_ratio: Retries allowed, as a fraction of the requests.
         retry_slack: Retries allowed in addition, over the whole fleet.
+        retry_window_s: Time window in which both count, in seconds.
     """
 
     DEFAULTS = {
@@ -33,6 +34,7 @@
         "grace_s": 6.0,
         "retry_ratio": 0.1,
         "retry_slack": 10.0,
+        "retry_window_s": 10.0,
     }
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "grace_s",
         "retry_ratio",
         "retry_slack",
+        "retry_window_s",
     )
 
     def __init__(self, **fields):
--- a/persimmonlane/peers/commands.py
+++ b/persimmonlane/peers/commands.py
@@ -211,3 +211,20 @@
     def __init__(self, sender, correlation_id):
         self.sender = sender
         self.correlation_id = correlation_id
+
+
+class RetryCheck:
+    """Asks for a retry token of a service.
+
+    Attributes:
+        service: Name of the service.
+        requests: Requests to it that this node has got since its start.
+        reply: Future for whether there is a token.
+    """
+
+    __slots__ = ("service", "requests", "reply")
+
+    def __init__(self, service, requests, reply):
+        self.service = service
+        self.requests = requests
+        self.reply = reply
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -20,6 +20,7 @@
     NodesRegistered,
     PeerStarted,
     RateCheck,
+    RetryCheck,
     UnknownPeerHeard,
 )
 from .deltas import apply_delta
@@ -38,10 +39,13 @@
     MemberResponse,
     RateRequest,
     RateResponse,
+    RetryRequest,
+    RetryResponse,
 )
 from .queries import PendingQueries
 from .rates import FleetRateLimiter
 from .remotes import RemoteMembership
+from .retries import FleetRetryBudget
 from .table import PeerTable
 from .transport import ReceivedDatagram
 
@@ -68,6 +72,7 @@
         FreshnessConfirmed: "mark_fresh",
         RateCheck: "check_rate",
         LocalRateCheck: "check_local_rate",
+        RetryCheck: "check_retry",
         CapacityCheck: "check_capacity",
         CancellationCommand: "request_cancellation",
         Tick: "announce",
@@ -107,12 +112,17 @@
             self._pending,
             transport,
         )
+        self._retries = FleetRetryBudget(
+            settings, clock, self.table, self._boot, self._pending, transport
+        )
         self._datagram_handlers = {
             Announcement: self._handle_announcement,
             Delta: self._handle_delta,
             Digest: self._remotes.handle_digest,
             MemberResponse: self._remotes.handle_response,
             RateRequest: self._rates.answer_request,
+            RetryRequest: self._retries.answer_request,
+            RetryResponse: self._retries.apply_response,
             LoanRequest: self._rates.answer_loan_request,
             LoanResponse: self._rates.apply_loan_response,
             RateResponse: self._rates.apply_response,
@@ -194,6 +204,10 @@
         """Check a request against the rate of its organisation."""
         self._rates.check(command.organisation, command.reply)
 
+    def check_retry(self, command):
+        """Ask for a retry token of a service."""
+        self._retries.check(command)
+
     def check_capacity(self, command):
         """Ask another node whether its backend server would accept a request."""
         host, _ = split_address(command.address)
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -309,6 +309,34 @@
     wait_s: Annotated[float, msgspec.Meta(ge=0.0)]
 
 
+class RetryRequest(msgspec.Struct, array_like=True, tag="u"):
+    """Asks the node that keeps a service's retry tokens for one.
+
+    Attributes:
+        correlation_id: Number that matches the response to this message.
+        service: Name of the service.
+        boot: Boot number of the sender.
+        requests: Requests to the service that it has got since its start.
+    """
+
+    correlation_id: int
+    service: str
+    boot: int
+    requests: Count
+
+
+class RetryResponse(msgspec.Struct, array_like=True, tag="v"):
+    """Response to a `RetryRequest`.
+
+    Attributes:
+        correlation_id: Number from the `RetryRequest`.
+        granted: Whether there is a token.
+    """
+
+    correlation_id: int
+    granted: bool
+
+
 class CapacityRequest(msgspec.Struct, array_like=True, tag="s"):
     """Asks the owner of a backend server whether it would accept a request now.
 
@@ -370,6 +398,8 @@
     | RateResponse
     | LoanRequest
     | LoanResponse
+    | RetryRequest
+    | RetryResponse
     | CapacityRequest
     | CapacityResponse
     | CancellationRequest
--- a/persimmonlane/peers/tests/simulation.py
+++ b/persimmonlane/peers/tests/simulation.py
@@ -17,6 +17,9 @@
 
 class Settings:
     gossip_port = PORT
+    retry_ratio = 0.2
+    retry_slack = 62.0
+    retry_window_s = 10.0
 
     def __init__(self, name, host, data_centre):
         self.name = name
--- a/persimmonlane/platform/settings.py
+++ b/persimmonlane/platform/settings.py
@@ -119,6 +119,7 @@
         grace_s=bounds.get("GraceS", defaults["grace_s"]),
         retry_ratio=bounds.get("BudgetRatio", defaults["retry_ratio"]),
         retry_slack=bounds.get("BudgetSlack", defaults["retry_slack"]),
+        retry_window_s=bounds.get("BudgetWindowS", defaults["retry_window_s"]),
     )
 
 
--- a/persimmonlane/serving/budget.py
+++ b/persimmonlane/serving/budget.py
@@ -1,59 +1,89 @@
 """Retry budget.
 
-Limits the retries and hedges of this node to its part of the fleet's budget. When many
-backend servers fail at once, unlimited retries would add to the overload.
+A retry or a hedge takes a token, which the nodes of the data centre share.
 """
 
-# Leaves room in the ratio for calls that retried requests make in turn: they count as
-# retries of the called service.
-RETRY_RATIO_FACTOR = 0.85
-# Leaves room in the slack for the tokens with which restarted nodes begin.
-SLACK_FACTOR = 0.8
-INITIAL_FILL_SHARE = 0.5
+import logging
+import threading
 
+import pykka
 
-class RetryBudget:
-    """A token bucket for retries per service; not thread-safe.
+from ..peers.commands import RetryCheck
+from ..quotas.buckets import Bucket
+
+log = logging.getLogger("persimmonlane.serving")
 
-    Each request adds a fraction of a token, up to this node's part of the slack. In any
-    period the retries of the fleet stay within that fraction of its requests plus the
-    whole slack.
-    """
+REPLY_TIMEOUT_S = 0.03
+# Part of the slack that the nodes have of their own, for when their pool is silent.
+ALONE_FACTOR = 0.1
+# Tokens that were taken for hedges and not needed, kept for the next.
+MAX_KEPT = 2
 
-    __slots__ = ("_ratio", "_slack", "_tokens")
 
-    def __init__(self, ratio, slack):
-        self._ratio = ratio * RETRY_RATIO_FACTOR
-        self._slack = slack * SLACK_FACTOR
-        self._tokens = {}
+class RetryBudget:
+    """Retry tokens of one node; thread-safe."""
+
+    __slots__ = (
+        "_settings",
+        "_clock",
+        "_table",
+        "_actor",
+        "_lock",
+        "_requests",
+        "_kept",
+        "_alone",
+    )
 
-    def note_request(self, service, members):
-        """Add the fraction of a token that a request earns.
+    def __init__(self, settings, clock, table, actor):
+        """Create the budget.
 
         Args:
-            service: Name of the service.
-            members: Number of nodes in the fleet.
+            settings: The `FleetSettings`.
+            clock: Clock in seconds.
+            table: The `PeerTable`.
+            actor: Reference to the `Gossip` actor, which asks for tokens.
         """
-        tokens = self._get_tokens(service, members) + self._ratio
-        self._tokens[service] = min(self._get_max_tokens(members), tokens)
+        self._settings = settings
+        self._clock = clock
+        self._table = table
+        self._actor = actor
+        self._lock = threading.Lock()
+        self._requests = {}
+        self._kept = {}
+        self._alone = {}
 
-    def take(self, service, members):
+    def note_request(self, service):
+        """Count a request, which earns a fraction of a token."""
+        with self._lock:
+            self._requests[service] = self._requests.get(service, 0) + 1
+
+    def take(self, service):
         """Take a token; return whether one was available."""
-        tokens = self._get_tokens(service, members)
-        if tokens < 1.0:
-            return False
-        self._tokens[service] = tokens - 1.0
-        return True
-
-    def refund(self, service, members):
-        """Return an unused token to the bucket."""
-        tokens = self._get_tokens(service, members) + 1.0
-        self._tokens[service] = min(self._get_max_tokens(members), tokens)
-
-    def _get_tokens(self, service, members):
-        return self._tokens.get(
-            service, self._get_max_tokens(members) * INITIAL_FILL_SHARE
-        )
-
-    def _get_max_tokens(self, members):
-        return max(1.0, self._slack / members)
+        with self._lock:
+            if self._kept.get(service, 0):
+                self._kept[service] -= 1
+                return True
+            requests = self._requests.get(service, 0)
+        command = RetryCheck(service, requests, pykka.ThreadingFuture())
+        self._actor.tell(command)
+        try:
+            return command.reply.get(timeout=REPLY_TIMEOUT_S)
+        except pykka.Timeout:
+            log.debug("Serving: the node that keeps the retry tokens did not answer.")
+        return self._take_alone(service)
+
+    def refund(self, service):
+        """Return an unused token."""
+        with self._lock:
+            kept = self._kept.get(service, 0) + 1
+            self._kept[service] = min(MAX_KEPT, kept)
+
+    def _take_alone(self, service):
+        now = self._clock.now()
+        slack = self._settings.retry_slack * ALONE_FACTOR / self._table.count_members()
+        rate = slack / self._settings.retry_window_s
+        with self._lock:
+            bucket = self._alone.get(service)
+            if bucket is None:
+                bucket = self._alone[service] = Bucket(rate, 1.0, 1.0, now)
+            return bucket.take(now) <= 0.0
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -88,6 +88,7 @@
         "_events",
         "_shutdown",
         "_cancellations",
+        "_traffic",
     )
 
     def __init__(
@@ -103,6 +104,7 @@
         events,
         shutdown,
         cancellations,
+        traffic,
     ):
         self._settings = settings
         self._clock = clock
@@ -119,6 +121,7 @@
         self._events = events
         self._shutdown = shutdown
         self._cancellations = cancellations
+        self._traffic = traffic
 
     def forward(self, request):
         """Return the `CompleteResponse` for an admitted request whose body was read.
@@ -135,13 +138,9 @@
         """
         request.stage = Stage.PLACEMENT
         service = request.service = choose_service(request.route, self._rng)
-        with self._lock:
-            self._budget.note_request(service, self._count_members())
+        self._budget.note_request(service)
         return self._run_attempts(request, service)
 
-    def _count_members(self):
-        return self._table.count_members()
-
     def _run_attempts(self, request, service):
         tried, rejections = set(), {}
         dispatched = 0
@@ -150,7 +149,7 @@
             choice = self._choose_next(request, service, tried, rejections)
             if choice is None:
                 raise failure or self._build_overload_refusal(service, rejections)
-            if failure is not None and not self._take_token(service):
+            if failure is not None and not self._budget.take(service):
                 raise failure
             attempt, hedge_count = self._run_hedged(request, choice, dispatched)
             server_id = choice.candidate.server.server_id
@@ -158,7 +157,7 @@
             if attempt.verdict is Verdict.NOT_RUN:
                 attempt.last_resort = choice.last_resort
                 rejections[server_id] = attempt
-                if attempt.code == SHED_BY_SERVER and not self._take_token(service):
+                if attempt.code == SHED_BY_SERVER and not self._budget.take(service):
                     raise failure or self._build_overload_refusal(service, rejections)
                 continue
             dispatched += 1 + hedge_count
@@ -206,7 +205,7 @@
 
     def acquire_hedge(self, request):
         """Take a retry token for a hedge; return whether it may be sent now."""
-        return self._shutdown.may_dispatch() and self._take_token(request.service)
+        return self._shutdown.may_dispatch() and self._budget.take(request.service)
 
     def run_hedge(self, request, watch, first_server_id):
         """Return the `Attempt` of a hedge, or None if no server accepts it.
@@ -225,7 +224,7 @@
             if choice is None or choice.last_resort:
                 # The first attempt may still be answered, so a last resort is not
                 # worth a slot.
-                self._refund_token(request.service)
+                self._budget.refund(request.service)
                 return None
             choice.max_wait_s = HEDGE_MAX_WAIT_S
             attempt = self._attempt(request, choice, watch=watch)
@@ -244,14 +243,6 @@
             and left_s > MIN_TIME_LEFT_S
         )
 
-    def _take_token(self, service):
-        with self._lock:
-            return self._budget.take(service, self._count_members())
-
-    def _refund_token(self, service):
-        with self._lock:
-            self._budget.refund(service, self._count_members())
-
     def _choose_next(self, request, service, tried, rejections):
         """Return the next `PlacementChoice`, or None if no attempt may be made.
 
@@ -400,6 +391,7 @@
             on_wait=CancelOnShutdown(self._shutdown, cancel, on_wait),
         )
         self._change_in_flight(peer, 1)
+        answer = None
         try:
             answer = Exchange(call, self._pool, self._clock, watch).run()
         except ExchangeError as error:
@@ -411,6 +403,7 @@
             return Attempt(None, verdict, error.code, kind=error.kind)
         finally:
             self._change_in_flight(peer, -1)
+            self._traffic.count_exchange(peer.host, call, answer)
         peer.mark_reachable()
         return parse_report(answer, peer, order.server_id)
 
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -143,10 +143,11 @@
             table,
             self._gossip,
             pool,
-            RetryBudget(settings.retry_ratio, settings.retry_slack),
+            RetryBudget(settings, clock, table, self._gossip),
             self.events,
             self.shutdown,
             CancellationClient(self._gossip),
+            self._wire.traffic,
         )
         self._upkeep = StoreSync(
             settings,
