Hedge in time, by what the owners know of a route

Change: owners report median, spread and number of answers of the route; ingress nodes adopt them as far as they know less. A request whose deadline leaves time for one more attempt only is hedged sooner.

--- a/persimmonlane/owner/latency.py
+++ b/persimmonlane/owner/latency.py
@@ -17,6 +17,27 @@
 MIN_COMMON_ANSWERS = 10
 MIN_DURATION_S = 0.001
 COMMON_OBJECTIVE_S = 1.0
+# Weight of an owner's figures in the model of a node that knows nothing itself.
+ADOPTION_WEIGHT = 0.5
+MS_PER_S = 1000.0
+PERCENT = 100.0
+
+
+class LatencyFigures:
+    """What a latency model tells other nodes.
+
+    Attributes:
+        median_ms: Median in milliseconds, 0 if there is no model.
+        deviation_percent: Standard deviation of the logarithms, in percent.
+        answers: Number of answers learned from.
+    """
+
+    __slots__ = ("median_ms", "deviation_percent", "answers")
+
+    def __init__(self, median_ms=0, deviation_percent=0, answers=0):
+        self.median_ms = median_ms
+        self.deviation_percent = deviation_percent
+        self.answers = answers
 
 
 class LatencyModel:
@@ -56,6 +77,28 @@
         if self._common is not None:
             self._common.learn(duration_s)
 
+    def adopt(self, figures):
+        """Move towards what an owner has learned, if it knows more.
+
+        Args:
+            figures: The `LatencyFigures`.
+        """
+        if not figures.median_ms or figures.answers <= self.answers:
+            return
+        weight = ADOPTION_WEIGHT * (1.0 - self.answers / figures.answers)
+        mean = math.log(figures.median_ms / MS_PER_S)
+        variance = (figures.deviation_percent / PERCENT) ** 2
+        self.mean += weight * (mean - self.mean)
+        self.variance += weight * (variance - self.variance)
+
+    def describe(self):
+        """Return the `LatencyFigures` of the model."""
+        return LatencyFigures(
+            max(1, round(math.exp(self.mean) * MS_PER_S)),
+            round(math.sqrt(self.variance) * PERCENT),
+            self.answers,
+        )
+
     def compute_survival(self, duration_s):
         """Return the fraction of healthy requests that run longer than this."""
         deviation = max(MIN_DEVIATION, math.sqrt(self.variance))
@@ -87,3 +130,8 @@
         if model is None:
             model = self._models[route] = LatencyModel(objective_s, self._common)
         return model
+
+    def describe(self, route):
+        """Return the `LatencyFigures` of a route."""
+        model = self._models.get(route)
+        return model.describe() if model is not None else LatencyFigures()
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -169,8 +169,16 @@
         """Return whether non-idempotent requests are refused for now."""
         return self.detector.is_suspect()
 
-    def report(self, verdict, code="", wait_s=0.0):
-        """Return the `OwnerReport` that accompanies an answer."""
+    def report(self, verdict, code="", wait_s=0.0, route=""):
+        """Return the `OwnerReport` that accompanies an answer.
+
+        Args:
+            verdict: The `Verdict`.
+            code: Code of the failure; empty if the backend server answered.
+            wait_s: Expected seconds until a slot is free.
+            route: Name of the request's route, to report what is known of it.
+        """
+        figures = self._latency_models.describe(route)
         return OwnerReport(
             verdict.value,
             code,
@@ -181,6 +189,9 @@
             self.is_suspect(),
             self.detector.risk.error_percent,
             self.detector.risk.hang_percent,
+            figures.median_ms,
+            figures.deviation_percent,
+            figures.answers,
         )
 
     def check_admission(self, order):
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -9,15 +9,13 @@
 import msgspec
 
 from ..owner.health import HealthState
-from ..routing.metadata import Order, OwnerReport, Percent
+from ..routing.metadata import Count, Order, OwnerReport, Percent
 
 STANDINGS = tuple(standing.value for standing in HealthState)
 # Longer lists are refused, so that no datagram can keep the receiver busy.
 MAX_DIGEST_MEMBERS = 64
 MAX_QUERIED_MEMBERS = 64
 
-Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
-
 
 class ServerStatus(msgspec.Struct, array_like=True):
     """Status of a backend server as seen by its owner.
--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -8,6 +8,7 @@
 import msgspec
 
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
 
 
 class CallerMetadata:
@@ -89,6 +90,10 @@
         suspect: Whether non-idempotent requests are refused for now.
         error_risk: Probability that its backend server fails by errors, in percent.
         hang_risk: Probability that its backend server hangs, in percent.
+        median_ms: Median processing time of the route's healthy requests there, in
+            milliseconds; 0 if it is not known.
+        deviation_percent: Standard deviation of the times' logarithms, in percent.
+        answers: Number of answers that these figures are learned from.
     """
 
     verdict: str
@@ -100,3 +105,6 @@
     suspect: bool = False
     error_risk: Percent = 0
     hang_risk: Percent = 0
+    median_ms: Count = 0
+    deviation_percent: Count = 0
+    answers: Count = 0
--- a/persimmonlane/serving/attempts.py
+++ b/persimmonlane/serving/attempts.py
@@ -108,9 +108,18 @@
         wait_s: Seconds until the owner expects a free slot.
         kind: The `OutcomeKind` of a failure.
         last_resort: Whether it was made as a last resort.
+        figures: The owner's `LatencyFigures` of the route, or None.
     """
 
-    __slots__ = ("answer", "verdict", "code", "wait_s", "kind", "last_resort")
+    __slots__ = (
+        "answer",
+        "verdict",
+        "code",
+        "wait_s",
+        "kind",
+        "last_resort",
+        "figures",
+    )
 
     def __init__(self, answer, verdict, code="", wait_s=0.0, kind=OutcomeKind.OK):
         self.answer = answer
@@ -119,6 +128,7 @@
         self.wait_s = wait_s
         self.kind = kind
         self.last_resort = False
+        self.figures = None
 
     def was_last_resort(self):
         """Return whether this was a last resort, with the longest wait allowed."""
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -248,7 +248,7 @@
             answer = self._run(order, arrived_at)
         except Refusal as refusal:
             report = owner.report(
-                Verdict.NOT_RUN, refusal.code, refusal.retry_after or 0.0
+                Verdict.NOT_RUN, refusal.code, refusal.retry_after or 0.0, order.route
             )
             self._write(order, report, refusal.status, [], b"")
         except ExchangeError as error:
@@ -262,7 +262,7 @@
         except CallerDisconnected:
             self.abort()
         else:
-            report = owner.report(Verdict.RAN)
+            report = owner.report(Verdict.RAN, route=order.route)
             headers = drop_hop_by_hop(answer.headers)
             headers = [h for h in headers if h.name.lower() != "content-length"]
             self._write(order, report, answer.status, headers, answer.body)
--- a/persimmonlane/serving/hedge.py
+++ b/persimmonlane/serving/hedge.py
@@ -21,6 +21,10 @@
 POLL_INTERVAL_S = 0.05
 # No hedge is made if less than this share of the typical time is left.
 MIN_TIME_LEFT_SHARE = 0.7
+# A request whose deadline leaves time for one more attempt only, in typical times, is
+# hedged as soon as at most this share of successful requests take longer.
+LAST_CHANCE_SHARE = 1.8
+LAST_CHANCE_SURVIVAL_LIMIT = 0.4
 
 
 class Superseded(Exception):
@@ -128,10 +132,9 @@
         if self.started or self._abandoned:
             return 1.0
         survival = self._latency.compute_survival(now - self._first_started_at)
-        limit = UNHEALTHY_SURVIVAL_LIMIT if self._is_unhealthy() else SURVIVAL_LIMIT
-        if survival > limit:
-            return POLL_INTERVAL_S
         left_s = self._request.deadline - now
+        if survival > self._get_survival_limit(left_s):
+            return POLL_INTERVAL_S
         if left_s < self._latency.estimate_mean() * MIN_TIME_LEFT_SHARE:
             self._abandoned = True
             return 1.0
@@ -176,6 +179,14 @@
         for signal in (self._succeeded, self._cancelled, self._finished):
             signal.close()
 
+    def _get_survival_limit(self, left_s):
+        """Return the share of slower successful requests from which on to hedge."""
+        if self._is_unhealthy():
+            return UNHEALTHY_SURVIVAL_LIMIT
+        if left_s < self._latency.estimate_mean() * LAST_CHANCE_SHARE:
+            return LAST_CHANCE_SURVIVAL_LIMIT
+        return SURVIVAL_LIMIT
+
     def _is_unhealthy(self):
         peer = self._candidate.peer
         server = self._candidate.server
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -186,7 +186,7 @@
             return self._attempt(request, choice), 0
         now = self._clock.now()
         with self._lock:
-            latency = self._latency_models.get_model(route.name, route.objective_s)
+            latency = self._get_latency_model(route)
         hedge = Hedge(self, request, candidate, latency, now)
         try:
             attempt = self._attempt(request, choice, hedge)
@@ -316,12 +316,23 @@
         try:
             attempt = self._send(request, choice, hedge, watch)
             outcome = attempt.code or "answered"
+            self._adopt_figures(request, attempt)
         finally:
             self._events.note_attempt(
                 request, choice, watch is not None, started_at, attempt, outcome
             )
         return attempt
 
+    def _adopt_figures(self, request, attempt):
+        if attempt.figures is None:
+            return
+        with self._lock:
+            model = self._get_latency_model(request.route)
+            model.adopt(attempt.figures)
+
+    def _get_latency_model(self, route):
+        return self._latency_models.get_model(route.name, route.objective_s)
+
     def _send(self, request, choice, hedge, watch):
         candidate = choice.candidate
         server = candidate.server
--- a/persimmonlane/serving/nodeheaders.py
+++ b/persimmonlane/serving/nodeheaders.py
@@ -6,6 +6,7 @@
 
 from ..headers import find_first
 from ..outcomes import OutcomeKind
+from ..owner.latency import LatencyFigures
 from ..platform import headers as wire
 from ..routing.metadata import OwnerReport
 from ..verdicts import Verdict
@@ -67,7 +68,16 @@
             if answer.status == GATEWAY_TIMEOUT_STATUS
             else OutcomeKind.ERROR
         )
-        return Attempt(None, verdict, report.code, report.wait_s, kind)
+        attempt = Attempt(None, verdict, report.code, report.wait_s, kind)
+        attempt.figures = read_figures(report)
+        return attempt
     internal = (REPORT_HEADER.lower(), REQUEST_ID_HEADER.lower())
     answer.headers = [h for h in answer.headers if h.name.lower() not in internal]
-    return Attempt(answer, Verdict.RAN)
+    attempt = Attempt(answer, Verdict.RAN)
+    attempt.figures = read_figures(report)
+    return attempt
+
+
+def read_figures(report):
+    """Return the `LatencyFigures` in an `OwnerReport`."""
+    return LatencyFigures(report.median_ms, report.deviation_percent, report.answers)
