Lend small organisations what they need, and no more

A token that is lent counts against the burst until it is reported as spent; with a burst of two or three that left nothing for anybody else for three seconds. It keeps none in stock below three requests a second. Test: an organisation at half of a rate of three a second.

--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -277,6 +277,7 @@
         borrower: Boot number of the node that borrows.
         sequence: Number that increases with each request of the borrower.
         want: Number of tokens asked for.
+        needed: Number of those that are spent as soon as they arrive.
         unspent: Number of tokens that are still borrowed.
         granted_alone: Requests that the borrower has granted without a lender since
             its process started.
@@ -288,6 +289,7 @@
     borrower: int
     sequence: Count
     want: Count
+    needed: Count
     unspent: Count
     granted_alone: Count
     relayed: bool = False
--- a/persimmonlane/peers/rates.py
+++ b/persimmonlane/peers/rates.py
@@ -336,7 +336,7 @@
         )
         if waits:
             borrowed.waiting.append(reply)
-        if borrower.is_due(now):
+        if borrower.is_due(len(borrowed.waiting) or silent, now):
             if silent:
                 lender = self.find_lender(organisation, borrowed.sequence) or lender
             self._borrow(organisation, borrowed, lender, now)
@@ -381,6 +381,7 @@
             self._boot,
             borrowed.sequence,
             want,
+            min(want, len(borrowed.waiting)),
             borrower.count_unspent(now),
             borrower.granted_alone,
         )
@@ -394,6 +395,7 @@
             request.borrower,
             request.sequence,
             request.want,
+            request.needed,
             request.unspent,
             request.granted_alone,
             True,
--- a/persimmonlane/peers/tests/test_loans.py
+++ b/persimmonlane/peers/tests/test_loans.py
@@ -154,6 +154,15 @@
         fleet.load(20.0, RATE * 0.6)
         self.assertEqual((0, 0), (fleet.refused, fleet.alone))
 
+    def test_small_organisation_within_its_rate_is_rarely_refused(self):
+        fleet = LoadedFleet(rate=3.0)
+        fleet.load(4.0, 0.5)
+        fleet.refused = fleet.alone = 0
+        fleet.load(60.0, 1.5)
+        # One bucket of this rate and burst in one place would refuse about one request.
+        self.assertEqual(0, fleet.alone)
+        self.assertThat(fleet.refused, LessThan(5))
+
     def test_requests_that_arrive_together_are_not_refused(self):
         fleet = LoadedFleet()
         fleet.load(3.0, 1.0)
@@ -360,7 +369,9 @@
 
     def ask(self, sequence, want=5, unspent=0, organisation="census"):
         boot = self.borrower.gossip._boot
-        request = LoanRequest(sequence, organisation, boot, sequence, want, unspent, 0)
+        request = LoanRequest(
+            sequence, organisation, boot, sequence, want, 0, unspent, 0
+        )
         deliver(self.holder.gossip, request, (self.borrower.host, PORT))
 
     def test_replayed_request_lends_nothing(self):
--- a/persimmonlane/quotas/borrowing.py
+++ b/persimmonlane/quotas/borrowing.py
@@ -14,6 +14,8 @@
 LOAN_COVER_S = 1.0
 # More is asked for when what is left covers less than this.
 LOW_COVER_S = 0.4
+# Requests a second from which on tokens are kept in stock.
+MIN_STOCK_USE = 3.0
 # Time constant of the measured use.
 USE_PERIOD_S = 2.0
 # An answer that takes longer doesn't come; then another request is sent.
@@ -75,13 +77,23 @@
         """Return the seconds for which the lender is known to have no tokens."""
         return max(0.0, self._empty_until - now)
 
-    def is_due(self, now):
-        """Return whether the lender is to be asked now."""
+    def is_due(self, waiting, now):
+        """Return whether the lender is to be asked now.
+
+        Args:
+            waiting: Number of requests that need a token.
+            now: Clock time in seconds.
+        """
         if self._asked_at is not None and now - self._asked_at < RETRY_INTERVAL_S:
             return False
         if now < self._empty_until:
             return False
-        return self._get_tokens(now) < max(1.0, self._get_use(now) * LOW_COVER_S)
+        if waiting:
+            return True
+        # Tokens that an organisation with few requests leaves unspent are missing
+        # elsewhere.
+        use = self._get_use(now)
+        return use >= MIN_STOCK_USE and self._get_tokens(now) < use * LOW_COVER_S
 
     def is_lender_silent(self, now):
         """Return whether the lender has left a request unanswered."""
@@ -98,8 +110,9 @@
         self._asked_at = now
         if self._unanswered_since is None:
             self._unanswered_since = now
-        use = math.ceil(self._get_use(now) * LOAN_COVER_S)
-        return max(1, waiting, use - self._get_tokens(now))
+        use = self._get_use(now)
+        stock = math.ceil(use * LOAN_COVER_S) if use >= MIN_STOCK_USE else 0
+        return max(1, waiting, waiting + stock - self._get_tokens(now))
 
     def count_unspent(self, now):
         """Return the number of tokens that are still borrowed."""
