--- a/persimmonlane/peers/commands.py
+++ b/persimmonlane/peers/commands.py
@@ -214,17 +214,17 @@
 
 
 class RetryCheck:
-    """Asks for a retry token of a service.
+    """Asks for a retry token of a service, or only reports the requests to it.
 
     Attributes:
         service: Name of the service.
         requests: Requests to it that this node has got since its start.
-        reply: Future for whether there is a token.
+        reply: Future for whether there is a token, or None if none is wanted.
     """
 
     __slots__ = ("service", "requests", "reply")
 
-    def __init__(self, service, requests, reply):
+    def __init__(self, service, requests, reply=None):
         self.service = service
         self.requests = requests
         self.reply = reply
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -310,10 +310,11 @@
 
 
 class RetryRequest(msgspec.Struct, array_like=True, tag="u"):
-    """Asks the node that keeps a service's retry tokens for one.
+    """Asks the node that keeps a service's retry tokens for one, or only reports.
 
     Attributes:
-        correlation_id: Number that matches the response to this message.
+        correlation_id: Number that matches the response to this message; 0 if there
+            is to be none.
         service: Name of the service.
         boot: Boot number of the sender.
         requests: Requests to the service that it has got since its start.
--- a/persimmonlane/peers/retries.py
+++ b/persimmonlane/peers/retries.py
@@ -49,19 +49,27 @@
         """Decide on a `RetryCheck`, or ask the node that keeps the pool."""
         holder = self._find_holder(command.service)
         if holder is None:
-            granted = self._decide(command.service, self._boot, command.requests)
-            command.reply.set(granted)
+            granted = self._decide(
+                command.service, self._boot, command.requests, command.reply is not None
+            )
+            if command.reply is not None:
+                command.reply.set(granted)
             return
+        correlation_id = 0 if command.reply is None else self._pending.add(command)
         request = RetryRequest(
-            self._pending.add(command), command.service, self._boot, command.requests
+            correlation_id, command.service, self._boot, command.requests
         )
         self._transport.send((holder.host, self._settings.gossip_port), request)
 
     def answer_request(self, request, sender):
         """Answer a `RetryRequest`."""
-        granted = self._decide(request.service, request.boot, request.requests)
-        response = RetryResponse(request.correlation_id, granted)
-        self._transport.send(sender, response)
+        wants_token = request.correlation_id != 0
+        granted = self._decide(
+            request.service, request.boot, request.requests, wants_token
+        )
+        if wants_token:
+            response = RetryResponse(request.correlation_id, granted)
+            self._transport.send(sender, response)
 
     def apply_response(self, response, _):
         """Pass the decision in a `RetryResponse` on to the waiting request."""
@@ -69,12 +77,12 @@
         if command is not None:
             command.reply.set(response.granted)
 
-    def _decide(self, service, boot, requests):
+    def _decide(self, service, boot, requests, wants_token):
         near = self._list_near()
         share = (len(near) + 1) / max(1, self._table.count_members())
         with self._lock:
             self._pool.report(service, min(1.0, share), boot, requests)
-            return self._pool.take(service, min(1.0, share))
+            return wants_token and self._pool.take(service, min(1.0, share))
 
     def _find_holder(self, service):
         by_name = {peer.name: peer for peer in self._list_near()}
--- a/persimmonlane/quotas/retries.py
+++ b/persimmonlane/quotas/retries.py
@@ -13,7 +13,7 @@
 RATIO_FACTOR = 0.85
 # Parts of the slack: for full pools, and for what is added to them in each window. The
 # rest is for pools that begin anew, and for nodes that can't reach theirs.
-CAPACITY_FACTOR = 0.35
+CAPACITY_FACTOR = 0.4
 REFILL_FACTOR = 0.35
 INITIAL_FILL = 0.5
 # A pool of a small part of the fleet still allows single retries.
@@ -91,7 +91,8 @@
         capacity = max(MIN_CAPACITY, slack * CAPACITY_FACTOR)
         pool = self._pools.get(service)
         if pool is None:
-            bucket = Bucket(rate, capacity, capacity * INITIAL_FILL, now)
+            initial = max(MIN_CAPACITY, capacity * INITIAL_FILL)
+            bucket = Bucket(rate, capacity, initial, now)
             pool = self._pools[service] = ServicePool(bucket)
         elif pool.bucket.rate != rate or pool.bucket.burst != capacity:
             pool.bucket.set_rate(rate, capacity, now)
--- a/persimmonlane/serving/budget.py
+++ b/persimmonlane/serving/budget.py
@@ -14,6 +14,8 @@
 log = logging.getLogger("persimmonlane.serving")
 
 REPLY_TIMEOUT_S = 0.03
+# The pool is told of the requests after this many, and with each question.
+REPORTED_REQUESTS = 6
 # Part of the slack that the nodes have of their own, for when their pool is silent.
 ALONE_FACTOR = 0.1
 # Tokens that were taken for hedges and not needed, kept for the next.
@@ -55,7 +57,9 @@
     def note_request(self, service):
         """Count a request, which earns a fraction of a token."""
         with self._lock:
-            self._requests[service] = self._requests.get(service, 0) + 1
+            requests = self._requests[service] = self._requests.get(service, 0) + 1
+        if requests % REPORTED_REQUESTS == 0:
+            self._actor.tell(RetryCheck(service, requests))
 
     def take(self, service):
         """Take a token; return whether one was available."""
--- a/persimmonlane/serving/tests/test_budget.py
+++ b/persimmonlane/serving/tests/test_budget.py
@@ -7,7 +7,7 @@
 from ...clocks import ManualClock
 from ...peers.commands import RetryCheck
 from ...peers.table import PeerTable
-from ..budget import REPLY_TIMEOUT_S, RetryBudget
+from ..budget import REPLY_TIMEOUT_S, REPORTED_REQUESTS, RetryBudget
 
 
 class Settings:
@@ -25,6 +25,8 @@
 
     def tell(self, check):
         self.checks.append((check.service, check.requests))
+        if check.reply is None:
+            return
         decision = self.decisions.pop(0) if self.decisions else None
         if decision is not None:
             check.reply.set(decision)
@@ -52,6 +54,13 @@
         budget.take("series")
         self.assertEqual([("prices", 3), ("series", 0)], self.actor.checks)
 
+    def test_requests_are_reported_though_no_token_is_wanted(self):
+        budget = self.build()
+        for _ in range(2 * REPORTED_REQUESTS):
+            budget.note_request("prices")
+        reported = [("prices", REPORTED_REQUESTS), ("prices", 2 * REPORTED_REQUESTS)]
+        self.assertEqual(reported, self.actor.checks)
+
     def test_unused_token_is_kept_for_the_next(self):
         budget = self.build(True)
         budget.take("prices")
