--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -41,7 +41,7 @@
 # Weight of a server without a free slot, in this data centre and in others; falls with
 # each of its first 8 queued requests.
 FULL_WEIGHT = 0.05
-FULL_WEIGHT_REMOTE = 0.25
+FULL_WEIGHT_REMOTE = 0.0005
 FULL_QUEUE_DECAY = 0.1
 
 
