Keep sources of a newer document that are added while others are taken

Cause: the receiving thread appended to a list that the fetching thread had already taken and was sorting: the source was lost until the next announcement, or the sort raised ValueError and ended that thread for good. Change: the list is read, swapped and appended to under the lock.

--- a/persimmonlane/upkeep/documents.py
+++ b/persimmonlane/upkeep/documents.py
@@ -101,7 +101,9 @@
             address: Address of the node.
             is_local: Whether the node is in this one's data centre.
         """
-        self._sources.append(DocumentSource(version, address, is_local))
+        source = DocumentSource(version, address, is_local)
+        with self._lock:
+            self._sources.append(source)
         self._source_added.set()
 
     def wait_for_sources(self, timeout_s):
@@ -114,9 +116,14 @@
             timeout_s: Longest time in seconds to wait for a first node.
         """
         self._source_added.wait(timeout_s)
-        if not any(source.is_local for source in self._sources):
+        if not self._has_local_source():
             self._stopped.wait(REMOTE_FETCH_DELAY_S)
         self._source_added.clear()
-        sources, self._sources = self._sources, []
+        with self._lock:
+            sources, self._sources = self._sources, []
         sources.sort(key=lambda source: not source.is_local)
         return [source.address for source in sources if source.version > self.version]
+
+    def _has_local_source(self):
+        with self._lock:
+            return any(source.is_local for source in self._sources)
