Go on fetching documents after an unexpected error

Cause: the thread that fetches newer documents from other nodes had no guard. An error that fetch_document does not foresee ended it for good; from then on the node got new versions only from its own reads of the store, later than they must be in force. Change: such an error is logged and the next source is asked. Result: test_thread_goes_on_after_an_unexpected_error; before: the second source was never asked.

--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -233,7 +233,17 @@
 
     def _fetch_from_peers(self):
         while not self._stopped.is_set():
-            addresses = self._documents.wait_for_sources(RETRY_DELAY_S)
-            for address in dict.fromkeys(addresses):
-                if self._fetch_document(address):
-                    break
+            self._fetch_newer_document()
+
+    def _fetch_newer_document(self):
+        addresses = self._documents.wait_for_sources(RETRY_DELAY_S)
+        for address in dict.fromkeys(addresses):
+            if self._try_fetch(address):
+                break
+
+    def _try_fetch(self, address):
+        try:
+            return self._fetch_document(address)
+        except Exception:
+            log.exception("Upkeep: fetching the document from %s failed.", address)
+            return False
--- /dev/null
+++ b/persimmonlane/upkeep/tests/test_fetching.py
@@ -0,0 +1,34 @@
+import threading
+
+import testtools
+
+from ..documents import DocumentHolder
+from ..storesync import StoreSync
+
+TIMEOUT_S = 5.0
+
+
+class FetchingTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.documents = DocumentHolder(None)
+        self.fetched = []
+        self.sync = StoreSync(
+            None, None, None, self.documents, None, None, self.fetch_document
+        )
+        self.addCleanup(self.sync.stop)
+        self.fetched_good = threading.Event()
+
+    def fetch_document(self, address):
+        self.fetched.append(address)
+        if address == "bad:80":
+            raise RuntimeError("not foreseen")
+        self.fetched_good.set()
+        return True
+
+    def test_thread_goes_on_after_an_unexpected_error(self):
+        thread = threading.Thread(target=self.sync._fetch_from_peers, daemon=True)
+        self.documents.add_source(2, "bad:80", True)
+        self.documents.add_source(2, "good:80", True)
+        thread.start()
+        self.assertTrue(self.fetched_good.wait(TIMEOUT_S))
