Ask the next source if the first has no newer document any more

Cause: fetch_document returned True for any valid document, also for one that is not newer, and the other sources were dropped then. A node that was restarted after it had announced a version answers so. Change: sources are asked until one has brought the version that it or the next announces; each address once. Result: test_next_source_is_asked_if_the_first_has_no_newer_version_any_more; before: only the restarted one was asked.

--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -300,7 +300,7 @@
             )
 
     def fetch_document(self, address):
-        """Fetch the document from another node; return whether it was accepted."""
+        """Fetch the document from another node, which replaces an older one."""
         host, port = split_address(address)
         try:
             with urllib3.HTTPConnectionPool(host, port, retries=False) as pool:
@@ -309,8 +309,11 @@
             log.warning(
                 "Node: failed to fetch the document from %s: %s.", address, error
             )
-            return False
-        return answer.status == 200 and self.documents.apply(answer.data, address)
+            return
+        if answer.status != 200:
+            log.warning("Node: %s has no document: %d.", address, answer.status)
+            return
+        self.documents.apply(answer.data, address)
 
     def _bind(self, gateway):
         return lambda request: gateway(request, self)
--- a/persimmonlane/upkeep/documents.py
+++ b/persimmonlane/upkeep/documents.py
@@ -107,7 +107,7 @@
         self._source_added.set()
 
     def wait_for_sources(self, timeout_s):
-        """Wait for nodes with a newer version and return their addresses.
+        """Wait for nodes with a newer version and return their `DocumentSource`s.
 
         Nodes of this data centre come first: links to other data centres are costly,
         and a node of this data centre is likely to have the version shortly.
@@ -121,8 +121,8 @@
         self._source_added.clear()
         with self._lock:
             sources, self._sources = self._sources, []
-        sources.sort(key=lambda source: not source.is_local)
-        return [source.address for source in sources if source.version > self.version]
+        sources = [source for source in sources if source.version > self.version]
+        return sorted(sources, key=lambda source: not source.is_local)
 
     def _has_local_source(self):
         with self._lock:
--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -59,7 +59,7 @@
         gossip: Actor that is told of registered nodes and of the document's freshness.
         table: Table of the known nodes.
         fetch_document: Function that fetches the document from the node at an address
-            and returns whether it succeeded.
+            and puts it into force if it is newer.
     """
 
     name = "upkeep"
@@ -236,14 +236,15 @@
             self._fetch_newer_document()
 
     def _fetch_newer_document(self):
-        addresses = self._documents.wait_for_sources(RETRY_DELAY_S)
-        for address in dict.fromkeys(addresses):
-            if self._try_fetch(address):
-                break
+        asked = set()
+        for source in self._documents.wait_for_sources(RETRY_DELAY_S):
+            # A source may have been restarted since, and have an older version now.
+            if source.version > self._documents.version and source.address not in asked:
+                asked.add(source.address)
+                self._try_fetch(source.address)
 
     def _try_fetch(self, address):
         try:
-            return self._fetch_document(address)
+            self._fetch_document(address)
         except Exception:
             log.exception("Upkeep: fetching the document from %s failed.", address)
-            return False
--- a/persimmonlane/upkeep/tests/test_documents.py
+++ b/persimmonlane/upkeep/tests/test_documents.py
@@ -21,7 +21,8 @@
             return DocumentSource(*fields)
 
         def take():
-            found.extend(holder.wait_for_sources(0.0))
+            sources = holder.wait_for_sources(0.0)
+            found.extend(source.address for source in sources)
 
         self.patch(documents, "DocumentSource", build_slowly)
         adder = threading.Thread(target=holder.add_source, args=(2, "new:80", True))
--- a/persimmonlane/upkeep/tests/test_fetching.py
+++ b/persimmonlane/upkeep/tests/test_fetching.py
@@ -24,7 +24,7 @@
         if address == "bad:80":
             raise RuntimeError("not foreseen")
         self.fetched_good.set()
-        return True
+        return True  # As a node does that was restarted and has an older version.
 
     def test_thread_goes_on_after_an_unexpected_error(self):
         thread = threading.Thread(target=self.sync._fetch_from_peers, daemon=True)
@@ -32,3 +32,9 @@
         self.documents.add_source(2, "good:80", True)
         thread.start()
         self.assertTrue(self.fetched_good.wait(TIMEOUT_S))
+
+    def test_next_source_is_asked_if_the_first_has_no_newer_version_any_more(self):
+        for address in ("restarted:80", "restarted:80", "good:80"):
+            self.documents.add_source(2, address, True)
+        self.sync._fetch_newer_document()
+        self.assertEqual(["restarted:80", "good:80"], self.fetched)
