Log how long the replaced document had not been confirmed

The line of a new version named its source, but not whether the node had lost touch with the relays before (hypothesis: silent relays), or knew of the version and could not fetch it (hypothesis: lost or dead sources). The age of the last confirmation tells the two apart: large only in the first case.

--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 import random
 import threading
 import urllib.parse
@@ -82,6 +83,7 @@
         self._retry_at = 0.0
         self._document_revision = None
         self._renewal_due = True
+        documents.add_listener(self._log_unconfirmed_time)
         self._threads = [
             threading.Thread(target=self._run_periodic_tasks, daemon=True),
             threading.Thread(target=self._run_document_watch, daemon=True),
@@ -97,6 +99,16 @@
         """Make the threads stop after the call that they are in."""
         self._stopped.set()
 
+    def _log_unconfirmed_time(self, rulebook):
+        """Log for how long the node could not know that there was a new version."""
+        age_s = self._table.freshness.compute_age()
+        if math.isfinite(age_s):
+            log.info(
+                "Upkeep: version %08x replaces one that was confirmed %.2f s before.",
+                rulebook.version,
+                age_s,
+            )
+
     def _run_periodic_tasks(self):
         while not self._stopped.wait(POLL_INTERVAL_S):
             now = self._clock.now()
