Ask the store before a missed change is late

Cause: nodes that are no relay trusted the relays of their data centre until the last confirmation was 2.6 s old, a constant of its own beside a bound of 2 s (2.5 s grown). Relays that freeze, die or are cut from the store look alive for 2.6 s, and neither pass on a change nor leave a reason to ask. Class: a time-out that isn't derived from the bound that it must keep. Change: the age limit is the bound from the settings (ConfigApplyS) less the time for reading, spread over the nodes, so that the first one tells the others (ProbeSchedule). A confirmation by the store is announced at once within the data centre, which keeps the ages low. Any silence is covered, whatever its reason: the limit is on what the node itself knows.

--- a/persimmonlane/fleetsettings.py
+++ b/persimmonlane/fleetsettings.py
@@ -22,6 +22,7 @@
         server: Address of the backend server.
         service: Name of the backend server's service.
         heartbeat_s: Interval between the backend server's heartbeats, in seconds.
+        document_apply_s: Seconds within which a new version of the document applies.
         key_revocation_s: Seconds within which a revoked API key is rejected.
         grace_s: Seconds between SIGTERM and SIGKILL.
         retry_ratio: Retries allowed, as a fraction of the requests.
@@ -30,6 +31,7 @@
     """
 
     DEFAULTS = {
+        "document_apply_s": 2.0,
         "key_revocation_s": 5.0,
         "grace_s": 6.0,
         "retry_ratio": 0.1,
@@ -51,6 +53,7 @@
         "server",
         "service",
         "heartbeat_s",
+        "document_apply_s",
         "key_revocation_s",
         "grace_s",
         "retry_ratio",
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -189,15 +189,15 @@
         self.announce(None)
 
     def mark_fresh(self, message):
-        """Record that the store confirmed the document as the newest."""
+        """Record that the store confirmed the document, and tell the nodes nearby."""
         self.table.freshness.mark(message.at)
+        self._announce_to_local_nodes()
 
     def announce(self, _):
-        """Announce this node to the peers that digests don't tell of it."""
+        """Announce this node, and send the digests that are due."""
         self.table.freshness.apply_version_in_force(self._document.version)
         self.table.remove_expired()
-        peers = list(self.table.peers.values())
-        self._announce_to([peer for peer in peers if not self.table.is_remote(peer)])
+        self._announce_to_local_nodes()
         self._remotes.send_round()
 
     def check_rate(self, command):
@@ -224,6 +224,10 @@
         """Check a request against this node's share of the rate."""
         command.reply.set(self._rates.decide_from_share(command.organisation))
 
+    def _announce_to_local_nodes(self):
+        peers = list(self.table.peers.values())
+        self._announce_to([peer for peer in peers if not self.table.is_remote(peer)])
+
     def _announce_to(self, peers):
         self._begin_round()
         for peer in peers:
--- a/persimmonlane/platform/settings.py
+++ b/persimmonlane/platform/settings.py
@@ -115,6 +115,7 @@
         server=settings_file.app_addr,
         service=settings_file.service,
         heartbeat_s=settings_file.heartbeat_s,
+        document_apply_s=bounds.get("ConfigApplyS", defaults["document_apply_s"]),
         key_revocation_s=bounds.get("RevokeS", defaults["key_revocation_s"]),
         grace_s=bounds.get("GraceS", defaults["grace_s"]),
         retry_ratio=bounds.get("BudgetRatio", defaults["retry_ratio"]),
--- a/persimmonlane/platform/tests/test_decoding.py
+++ b/persimmonlane/platform/tests/test_decoding.py
@@ -25,7 +25,7 @@
   Control: "10.1.0.26:8540"
 InternalPorts: [7000, 7015]
 Unknown: {a: 1}
-Bounds: ["GraceS=6", "StrictRevoke=true", "RevokeS=5"]
+Bounds: ["GraceS=6", "StrictRevoke=true", "RevokeS=5", "ConfigApplyS=2.5"]
 AppAddr: "10.1.0.26:8547"
 Service: "prices"
 Platform: {Address: "10.200.1.7:8545", form: "kv", TtlMinS: 1}
@@ -180,6 +180,7 @@
         settings = read_fleet_settings(self.write_file(SETTINGS))
         self.assertEqual("10.1.0.26:8548", settings.caller_address)
         self.assertEqual((6.0, 5.0), (settings.grace_s, settings.key_revocation_s))
+        self.assertEqual(2.5, settings.document_apply_s)
         self.assertEqual(7000, settings.gossip_port)
 
     def test_invalid_settings_are_rejected(self):
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -157,6 +157,7 @@
             self._gossip,
             table,
             self.fetch_document,
+            random.Random(),
         )
         self._announcer = Announcer(self._gossip, random.random)
         self.owner.on_change = self._announcer.wake
--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -6,7 +6,6 @@
 
 import logging
 import math
-import random
 import threading
 import urllib.parse
 
@@ -17,6 +16,7 @@
 from ..peers.commands import FreshnessConfirmed, NodesRegistered, RegisteredNode
 from ..platform.documents import DOCUMENT_KEY, DOCUMENT_PREFIX
 from ..platform.store import HistoryGone, LeaseGone
+from .probing import ProbeSchedule
 
 log = logging.getLogger("persimmonlane.upkeep")
 
@@ -24,10 +24,6 @@
 ENTRY_LEASE_S = 30.0
 LEASE_RENEWAL_INTERVAL_S = 10.0
 RETRY_DELAY_S = 0.7
-PROBE_INTERVAL_S = 1.2
-# Age of the last confirmation that the document is the newest, beyond which a node that
-# is no relay asks the store itself instead of relying on the relays.
-MAX_RELAYED_AGE_S = 2.6
 # Number of nodes in each data centre that probe the store or watch the document for the
 # others.
 PROBING_RELAYS = 1
@@ -61,12 +57,13 @@
         table: Table of the known nodes.
         fetch_document: Function that fetches the document from the node at an address
             and puts it into force if it is newer.
+        rng: The `random.Random` that spreads the nodes' calls.
     """
 
     name = "upkeep"
 
     def __init__(
-        self, settings, clock, store, documents, gossip, table, fetch_document
+        self, settings, clock, store, documents, gossip, table, fetch_document, rng
     ):
         self._settings = settings
         self._clock = clock
@@ -75,11 +72,12 @@
         self._gossip = gossip
         self._table = table
         self._fetch_document = fetch_document
+        self._rng = rng
+        self._probes = ProbeSchedule(settings, rng)
         self._stopped = threading.Event()
         self._lease = None
         self._renew_at = 0.0
         self._list_at = 0.0
-        self._probe_at = 0.0
         self._retry_at = 0.0
         self._document_revision = None
         self._renewal_due = True
@@ -118,7 +116,7 @@
                 self._run_due_tasks(now)
             except StoreError as error:
                 log.warning("Upkeep: %s.", error)
-                self._retry_at = now + RETRY_DELAY_S * random.uniform(0.8, 1.2)
+                self._retry_at = now + RETRY_DELAY_S * self._rng.uniform(0.8, 1.2)
                 self._renewal_due = True
             except Exception:
                 log.exception("Upkeep: a periodic task failed.")
@@ -135,11 +133,10 @@
 
     def _is_probe_due(self, now):
         age_s = self._table.freshness.compute_age()
-        if age_s > MAX_RELAYED_AGE_S:
-            return True
-        return now >= self._probe_at and self._table.is_relay(
-            self._settings.data_centre, PROBING_RELAYS
-        )
+        return self._probes.is_due(now, age_s, self._is_probing_relay)
+
+    def _is_probing_relay(self):
+        return self._table.is_relay(self._settings.data_centre, PROBING_RELAYS)
 
     def _probe(self, now):
         """Check that the document is still the newest, at the lowest cost.
@@ -157,7 +154,7 @@
                 self._read_document()
             else:
                 self._gossip.tell(FreshnessConfirmed(started_at))
-        self._probe_at = now + PROBE_INTERVAL_S
+        self._probes.note_probe(now)
 
     def _read_document(self):
         started_at = self._clock.now()
@@ -200,7 +197,7 @@
                 continue
             nodes.append(RegisteredNode(name, entry.address, entry.data_centre))
         self._gossip.tell(NodesRegistered(nodes))
-        self._list_at = now + LIST_INTERVAL_S * random.uniform(0.8, 1.2)
+        self._list_at = now + LIST_INTERVAL_S * self._rng.uniform(0.8, 1.2)
 
     def _build_entry_key(self):
         return NODE_PREFIX + urllib.parse.quote(self._settings.name, safe="")
--- a/persimmonlane/upkeep/tests/test_fetching.py
+++ b/persimmonlane/upkeep/tests/test_fetching.py
@@ -1,3 +1,4 @@
+import random
 import threading
 
 import testtools
@@ -14,7 +15,14 @@
         self.documents = DocumentHolder(None)
         self.fetched = []
         self.sync = StoreSync(
-            None, None, None, self.documents, None, None, self.fetch_document
+            None,
+            None,
+            None,
+            self.documents,
+            None,
+            None,
+            self.fetch_document,
+            random.Random(1),
         )
         self.addCleanup(self.sync.stop)
         self.fetched_good = threading.Event()
--- a/persimmonlane/upkeep/tests/test_logging.py
+++ b/persimmonlane/upkeep/tests/test_logging.py
@@ -1,3 +1,5 @@
+import random
+
 import testtools
 
 from ...clocks import ManualClock
@@ -16,7 +18,16 @@
         self.clock = ManualClock(100.0)
         self.table = PeerTable("self", "south", 1, self.clock)
         self.documents = DocumentHolder(lambda raw: Rulebook)
-        StoreSync(None, self.clock, None, self.documents, None, self.table, None)
+        StoreSync(
+            None,
+            self.clock,
+            None,
+            self.documents,
+            None,
+            self.table,
+            None,
+            random.Random(1),
+        )
 
     def test_log_tells_how_long_the_old_version_was_not_confirmed(self):
         self.table.freshness.mark(99.0)
