Keep the limit that a backend server names in its answers

Cause: nothing read the header Server-Limit; a missing capability, not a slip. Change: the owner, through which every request to its server passes (first attempts, retries, hedges, nested calls, from whichever node), applies the limit as a token bucket where slots are granted. A request that the limit can't take within the wait that it accepts is refused at once as server-limited, with the seconds until the limit takes it. A malformed value changes nothing; an answer without the header ends the limit; 0 leaves a request each 4 s, whose answer shows the end; a new process of the server knows none. A refusal by the limit is no evidence of a failure.

--- a/persimmonlane/owner/admission.py
+++ b/persimmonlane/owner/admission.py
@@ -8,6 +8,7 @@
 import itertools
 
 from ..errors import Refusal
+from .limits import ServerLimit
 
 MIN_RETRY_AFTER_S = 0.05
 # A request that has run longer than all but this fraction of healthy requests counts as
@@ -64,10 +65,12 @@
 
     Attributes:
         slots: Concurrency limit of the backend server; 0 refuses all new requests.
+        limit: The `ServerLimit` of the backend server.
     """
 
     __slots__ = (
         "slots",
+        "limit",
         "_clock",
         "_running",
         "_waiting",
@@ -77,6 +80,7 @@
 
     def __init__(self, clock):
         self.slots = 0
+        self.limit = ServerLimit(clock)
         self._clock = clock
         self._running = set()
         self._waiting = []
@@ -115,15 +119,21 @@
         if self.slots <= 0:
             raise build_refusal("server-leaving", 0.0)
         free = self.slots - self.running - self._count_reserved(ticket.priority)
-        if free > 0 and not self._waiting:
+        limit_wait_s = self.limit.get_wait_s(len(self._list_ahead(ticket.priority)))
+        if free > 0 and not self._waiting and limit_wait_s <= 0.0:
             return True
         now = self._clock.now()
-        self._last_contention[ticket.priority] = now
-        wait_s = self.estimate_wait(ticket.priority)
+        if free <= 0:
+            self._last_contention[ticket.priority] = now
+        slot_wait_s = self.estimate_wait(ticket.priority)
+        wait_s = max(slot_wait_s, limit_wait_s)
         processing_s = ticket.latency.estimate_mean() * MIN_PROCESSING_RATIO
         left_s = ticket.deadline - now
         if wait_s > ticket.max_wait_s or wait_s + processing_s > left_s:
-            raise build_refusal("server-busy", wait_s)
+            is_limited = limit_wait_s > slot_wait_s
+            raise build_refusal(
+                "server-limited" if is_limited else "server-busy", wait_s
+            )
         return False
 
     def release(self, ticket):
@@ -150,8 +160,13 @@
             self._refuse(ticket, build_refusal(code, 0.0))
 
     def admit_waiting(self):
-        """Grant free slots to waiting requests; refuse those with too little time."""
+        """Grant free slots to waiting requests, within the limit of the server.
+
+        Requests with too little time are refused.
+        """
         while self._waiting and self.running < self.slots:
+            if self.limit.get_wait_s() > 0.0:
+                return
             _, _, ticket = heapq.heappop(self._waiting)
             processing_s = ticket.latency.estimate_mean() * MIN_PROCESSING_RATIO
             if ticket.deadline - self._clock.now() < processing_s:
@@ -172,7 +187,7 @@
             return 0.0
         if self.running < self.slots and not self._waiting:
             return 0.0
-        ahead = [entry[2] for entry in self._waiting if entry[0] <= priority]
+        ahead = self._list_ahead(priority)
         now = self._clock.now()
         progressing = [
             ticket
@@ -194,6 +209,10 @@
         """Return the `Ticket`s that hold a slot."""
         return list(self._running)
 
+    def _list_ahead(self, priority):
+        """Return the waiting `Ticket`s that go before a new one of a priority."""
+        return [entry[2] for entry in self._waiting if entry[0] <= priority]
+
     def _count_reserved(self, priority):
         """Return the number of slots reserved for requests of higher priority."""
         since = self._clock.now() - RESERVE_S
@@ -205,6 +224,7 @@
         return 1 if contended else 0
 
     def _grant(self, ticket):
+        self.limit.take()
         ticket.granted_at = self._clock.now()
         self._running.add(ticket)
 
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -122,6 +122,7 @@
             current = self.hosted.current
             if changed and (before is None or before.born != current.born):
                 self.detector.reset()
+                self.admission_queue.limit.reset()
                 self._misdirected_id = None
             self._update_slots()
         if changed:
@@ -146,6 +147,7 @@
                 self._changed_since_tick = True
             self._evaluate_running()
             self._update_slots()
+            self.admission_queue.admit_waiting()
             changed = self._changed_since_tick or slots != self.admission_queue.slots
             self._changed_since_tick = False
         if changed:
@@ -354,6 +356,7 @@
 
     def _exchange(self, order, call, ticket, caller):
         server_id = order.server_id
+        incarnation = self.hosted.current
         time_left_s = ticket.deadline - self._clock.now()
         headers = drop_hop_by_hop(call.headers)
         headers += wire.build_backend_headers(order, time_left_s, server_id)
@@ -376,6 +379,7 @@
         )
         try:
             answer = exchange.run()
+            self._note_limit(answer, incarnation)
             self._check_answer(answer, server_id)
         except ExchangeError as error:
             if error.kind is OutcomeKind.TIMEOUT:
@@ -399,6 +403,39 @@
             self._record(OutcomeKind.OK, self._record_success, ticket)
         return answer
 
+    def _note_limit(self, answer, incarnation):
+        """Apply the limit that an answer names, or its end.
+
+        An answer that can't be the server's own, or whose limit can't be read, is no
+        sign that the limit has ended.
+
+        Args:
+            answer: The `CompleteResponse`.
+            incarnation: A `Heartbeat` of the process that it came from.
+        """
+        marks = wire.parse_response_headers(answer.headers)
+        if marks.is_limit_malformed:
+            log.warning("Owner: %s names a malformed limit.", incarnation.server_id)
+            return
+        if not (marks.signed or marks.not_run):
+            return
+        limit = self.admission_queue.limit
+        with self._lock:
+            current = self.hosted.current
+            before = limit.rate
+            if (current.server_id, current.born) == (
+                incarnation.server_id,
+                incarnation.born,
+            ):
+                limit.note_answer(marks.limit)
+            self._changed_since_tick |= limit.rate != before
+        if limit.rate != before:
+            log.info(
+                "Owner: the limit of %s is %s requests a second.",
+                incarnation.server_id,
+                limit.rate,
+            )
+
     def _check_answer(self, answer, server_id):
         marks = wire.parse_response_headers(answer.headers)
         if marks.not_run or answer.status == MISDIRECTED_STATUS:
--- a/persimmonlane/owner/tests/test_owner.py
+++ b/persimmonlane/owner/tests/test_owner.py
@@ -29,7 +29,9 @@
     return Order(**fields)
 
 
-class OwnerAdmissionTests(testtools.TestCase):
+class OwnerTestCase(testtools.TestCase):
+    """An owner with a ready backend server."""
+
     def setUp(self):
         super().setUp()
         self.clock = ManualClock(50.0)
@@ -37,11 +39,13 @@
         self.owner = Owner(None, hosted, self.clock, None)
         self.send_heartbeat("i-1")
 
-    def send_heartbeat(self, server_id, state=ServerState.READY):
+    def send_heartbeat(self, server_id, state=ServerState.READY, born=5):
         self.owner.handle_heartbeat(
-            Heartbeat(server_id, "prices", "10.0.0.1:80", 5, 1, state, SLOTS, 0.0)
+            Heartbeat(server_id, "prices", "10.0.0.1:80", born, 1, state, SLOTS, 0.0)
         )
 
+
+class OwnerAdmissionTests(OwnerTestCase):
     def fill_slots(self):
         for _ in range(SLOTS):
             order = build_order()
--- a/persimmonlane/platform/headers.py
+++ b/persimmonlane/platform/headers.py
@@ -3,7 +3,9 @@
 Parses and builds the HTTP headers that the platform defines.
 """
 
-from ..headers import Header, find_first
+import re
+
+from ..headers import Header, find_first, find_values
 from ..routing.metadata import AnswerMetadata, CallerMetadata
 
 REQUEST_ID = "X-Request-Id"
@@ -19,6 +21,8 @@
 TARGET_INSTANCE = "X-Target-Instance"
 # Set by a backend server that answers without having run the request.
 NOT_EXECUTED = "X-Not-Executed"
+# Requests per second that a backend server takes from all nodes together.
+SERVER_LIMIT = "Server-Limit"
 
 # Lower-case names of the headers that are removed from a caller's request before it is
 # forwarded; the node sets its own values where a backend server needs them.
@@ -28,6 +32,7 @@
 )
 MS_PER_S = 1000.0
 MAX_TIMEOUT_DIGITS = 9
+LIMIT_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}", re.ASCII)
 
 
 def parse_request_headers(headers):
@@ -71,13 +76,23 @@
 
 def parse_response_headers(headers):
     """Return the `AnswerMetadata` parsed from a backend server's response headers."""
+    limits = find_values(headers, SERVER_LIMIT.lower())
+    limit = parse_limit(limits[0]) if limits else None
     return AnswerMetadata(
         find_first(headers, REQUEST_ID),
         bool(find_first(headers, RESPONSE_SIGNATURE)),
         bool(find_first(headers, NOT_EXECUTED)),
+        limit,
+        bool(limits) and limit is None,
     )
 
 
+def parse_limit(text):
+    """Return a limit header's value in requests per second, or None if malformed."""
+    text = text.strip()
+    return float(text) if LIMIT_PATTERN.fullmatch(text) else None
+
+
 def build_request_id_header(request_id):
     """Return the response header that carries the request's identifier."""
     return Header(REQUEST_ID, request_id)
--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -9,6 +9,7 @@
 
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
+Rate = Annotated[float, msgspec.Meta(ge=0.0)]
 
 
 class CallerMetadata:
@@ -35,14 +36,19 @@
         request_id: Identifier of the request that it answers.
         signed: Whether the answer has a signature.
         not_run: Whether it reports that the request did not run.
+        limit: Requests per second that the server takes from all nodes together, or
+            None if it names no limit.
+        is_limit_malformed: Whether it names a limit that can't be read.
     """
 
-    __slots__ = ("request_id", "signed", "not_run")
+    __slots__ = ("request_id", "signed", "not_run", "limit", "is_limit_malformed")
 
-    def __init__(self, request_id, signed, not_run):
+    def __init__(self, request_id, signed, not_run, limit, is_limit_malformed):
         self.request_id = request_id
         self.signed = signed
         self.not_run = not_run
+        self.limit = limit
+        self.is_limit_malformed = is_limit_malformed
 
 
 class Order(msgspec.Struct, array_like=True):
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -43,6 +43,7 @@
         response_headers = [
             ("X-Request-Id", request_headers.get("x-request-id", "")),
             ("X-Server-Load", "1,0,4"),
+            *script.headers,
         ]
         if script.not_run:
             response_headers.append(("X-Not-Executed", "1"))
@@ -99,9 +100,10 @@
             `HANG_S` seconds at most.
         work_s: Processing time of each request in seconds.
         flood: The `Flood` that it sends in place of a response, or None.
+        headers: Further headers of the response, as pairs of name and value.
     """
 
-    __slots__ = ("status", "body", "not_run", "hang", "work_s", "flood")
+    __slots__ = ("status", "body", "not_run", "hang", "work_s", "flood", "headers")
 
     def __init__(
         self,
@@ -111,6 +113,7 @@
         hang=False,
         work_s=0.0,
         flood=None,
+        headers=(),
     ):
         self.status = status
         self.body = body
@@ -118,6 +121,7 @@
         self.hang = hang
         self.work_s = work_s
         self.flood = flood
+        self.headers = headers
 
     def get_work_s(self, headers):
         """Return the processing time of a request in seconds.
--- /dev/null
+++ b/persimmonlane/tests/test_limits.py
@@ -0,0 +1,43 @@
+import time
+
+import testtools
+from testtools.matchers import LessThan
+
+from ..standins.backend import Script
+from .test_sitenode import Site, wait_until
+
+LIMIT = 1.0
+# What the platform grants, beside the limit.
+OVER = 1.5
+SLACK = 5
+CALLS = 24
+SHORT = {"X-Timeout-Ms": "300"}
+
+
+class LimitTests(testtools.TestCase):
+    """A backend server gets no more than the limit that it names in its answers."""
+
+    def setUp(self):
+        super().setUp()
+        self.site = Site(self)
+        self.assertTrue(wait_until(self.site.is_converged))
+        self.server = self.site.servers["far"]
+        self.server.script = Script(headers=(("Server-Limit", str(LIMIT)),))
+        self.statuses = []
+
+    def call_from_both_nodes(self):
+        for number in range(CALLS):
+            service = ("near", "far")[number % 2]
+            answer = self.site.call("/far/", service, SHORT, method="POST", body=b"x")
+            self.statuses.append(answer.status)
+
+    def count_allowed(self, began):
+        return OVER * LIMIT * (time.monotonic() - began) + SLACK
+
+    def test_limit_holds_for_all_nodes_together(self):
+        self.assertEqual(200, self.site.call("/far/", method="POST").status)
+        began, before = time.monotonic(), len(self.server.requests)
+        self.call_from_both_nodes()
+        got = len(self.server.requests) - before
+        self.assertThat(got, LessThan(self.count_allowed(began)))
+        self.assertEqual({200, 503}, set(self.statuses))
