Tell a restarted owner the limit that its server has named

Cause: only the owner knew the limit, and a restart of its process forgot it, while the other machines that had passed on the answer stay bound by it. Change: a node remembers the limits in the answers that it passed on and sends them along with the order of each request; an owner that has had no answer yet adopts the lowest.

--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -298,6 +298,8 @@
 
     def _check(self, order):
         self._update_slots()
+        if self.hosted.is_current(order.server_id):
+            self.admission_queue.limit.adopt(order.limit)
         if not self.hosted.is_current(order.server_id):
             raise build_not_run_refusal("server-gone", "the backend server is gone")
         self._check_state(order)
--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -67,6 +67,8 @@
         max_wait_s: Longest accepted estimate of the wait for a slot, in seconds.
         objective_s: Latency objective of the route, in seconds.
         force: Whether to admit it regardless of the backend server's health state.
+        limit: Requests per second that the backend server takes, as it told the ingress
+            node, or None.
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     max_wait_s: float
     objective_s: float
     force: bool = False
+    limit: Rate | None = None
 
 
 class OwnerReport(msgspec.Struct, array_like=True):
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -39,6 +39,7 @@
     get_reported_request_id,
     parse_report,
 )
+from .notices import ServerNotices
 from .placement import Candidate, Placement
 
 log = logging.getLogger("persimmonlane.serving")
@@ -90,6 +91,7 @@
         "_shutdown",
         "_cancellations",
         "_traffic",
+        "_notices",
     )
 
     def __init__(
@@ -123,6 +125,7 @@
         self._shutdown = shutdown
         self._cancellations = cancellations
         self._traffic = traffic
+        self._notices = ServerNotices()
 
     def forward(self, request):
         """Return the `CompleteResponse` for an admitted request whose body was read.
@@ -318,6 +321,9 @@
         try:
             attempt = self._send(request, choice, hedge, watch)
             outcome = attempt.code or "answered"
+            if attempt.answer is not None:
+                server_id = choice.candidate.server.server_id
+                self._notices.note_answer(server_id, attempt.answer)
             self._adopt_figures(request, attempt)
         finally:
             self._events.note_attempt(
@@ -351,6 +357,7 @@
             choice.max_wait_s,
             request.route.objective_s,
             choice.last_resort,
+            self._notices.find_limit(server.server_id),
         )
         if hedge is not None:
             watch = hedge.watch
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -11,6 +11,7 @@
 import urllib3
 
 THREADS = 16
+SLOTS = 4
 HANG_S = 30.0
 HEARTBEAT_TIMEOUT_S = 1.0
 
@@ -156,6 +157,7 @@
         script: The `Script` that determines its responses.
         requests: Target, headers and body of each received request.
         executions: The `Execution` of each received request.
+        slots: Number of concurrent requests that its heartbeats state.
         released: Event that ends hanging requests and floods.
         floods: Each `Flood` that was started.
         closed_floods: Each `Flood` that ended because the peer closed the
@@ -169,6 +171,7 @@
         self.executions = []
         self.floods = []
         self.closed_floods = []
+        self.slots = SLOTS
         self.released = threading.Event()
         self._address = address
         self._service = service
@@ -202,7 +205,7 @@
         self._sequence += 1
         body = {
             "Address": self._address,
-            "Info": {"Service": self._service, "Slots": 4},
+            "Info": {"Service": self._service, "Slots": self.slots},
             "Status": {"State": state, "Sequence": self._sequence},
             "born": self._born,
         }
--- a/persimmonlane/tests/test_limits.py
+++ b/persimmonlane/tests/test_limits.py
@@ -1,3 +1,4 @@
+import concurrent.futures
 import time
 
 import testtools
@@ -31,6 +32,13 @@
             answer = self.site.call("/far/", service, SHORT, method="POST", body=b"x")
             self.statuses.append(answer.status)
 
+    def restart_node_beside_the_server(self):
+        self.server.slots = CALLS
+        node, _ = self.site.nodes["far"]
+        node.stop()
+        self.site.restart_node(self, "far")
+        self.assertTrue(wait_until(self.site.is_converged))
+
     def count_allowed(self, began):
         return OVER * LIMIT * (time.monotonic() - began) + SLACK
 
@@ -41,3 +49,14 @@
         got = len(self.server.requests) - before
         self.assertThat(got, LessThan(self.count_allowed(began)))
         self.assertEqual({200, 503}, set(self.statuses))
+
+    def test_limit_holds_after_a_restart_of_the_node_beside_the_server(self):
+        self.assertEqual(200, self.site.call("/far/", method="POST").status)
+        self.restart_node_beside_the_server()
+        self.server.script = Script(work_s=0.25, headers=self.server.script.headers)
+        began, before = time.monotonic(), len(self.server.requests)
+        with concurrent.futures.ThreadPoolExecutor(CALLS) as pool:
+            for _ in range(CALLS):
+                pool.submit(self.site.call, "/far/", "near", SHORT, method="POST")
+        got = len(self.server.requests) - before
+        self.assertThat(got, LessThan(self.count_allowed(began)))
