Place requests by what the limits of their servers allow

Cause: only the owner knew the limit; placement weighed its free slots. Change: the limit is announced and reported like the rest of a server's state (new last fields, which older releases ignore). Placement takes the limit times the mean processing time as the requests that such a server can run at once (Little's law); a last resort takes the interval of the limit as its wait. Result: test_limited_server_gets_the_share_that_its_limit_allows and test_last_resort_prefers_a_server_without_a_limit; before, weights were equal.

--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -194,6 +194,7 @@
             figures.median_ms,
             figures.deviation_percent,
             figures.answers,
+            self.admission_queue.limit.rate,
         )
 
     def check_admission(self, order):
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -39,6 +39,7 @@
         server.suspect,
         server.error_risk,
         server.hang_risk,
+        server.limit,
     )
 
 
@@ -98,4 +99,5 @@
         load.suspect,
         load.error_risk,
         load.hang_risk,
+        load.limit,
     )
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..owner.health import HealthState
-from ..routing.metadata import Count, Order, OwnerReport, Percent
+from ..routing.metadata import Count, Order, OwnerReport, Percent, Rate
 
 STANDINGS = tuple(standing.value for standing in HealthState)
 # Longer lists are refused, so that no datagram can keep the receiver busy.
@@ -32,6 +32,7 @@
         suspect: Whether it is refused non-idempotent requests.
         error_risk: Probability that it fails by errors, in percent.
         hang_risk: Probability that it hangs, in percent.
+        limit: Requests per second that it takes, or None without a limit.
     """
 
     server_id: str
@@ -45,6 +46,7 @@
     suspect: bool = False
     error_risk: Percent = 0
     hang_risk: Percent = 0
+    limit: Rate | None = None
 
     @property
     def risk(self):
@@ -103,6 +105,7 @@
         suspect: As in `ServerStatus`.
         error_risk: As in `ServerStatus`.
         hang_risk: As in `ServerStatus`.
+        limit: As in `ServerStatus`.
     """
 
     ready: bool
@@ -114,6 +117,7 @@
     suspect: bool
     error_risk: Percent = 0
     hang_risk: Percent = 0
+    limit: Rate | None = None
 
 
 class Delta(msgspec.Struct, array_like=True, tag="d"):
--- a/persimmonlane/peers/peer.py
+++ b/persimmonlane/peers/peer.py
@@ -136,6 +136,7 @@
         server.suspect = report.suspect
         server.error_risk = report.error_risk
         server.hang_risk = report.hang_risk
+        server.limit = report.limit
 
     def is_stale(self, announcement, now):
         """Return whether an `Announcement` is no newer than the latest one.
--- a/persimmonlane/peers/tests/test_deltas.py
+++ b/persimmonlane/peers/tests/test_deltas.py
@@ -5,7 +5,7 @@
 from ...clocks import ManualClock
 from ..announcing import AnnouncementBuilder
 from ..deltas import apply_delta, build_delta
-from ..messages import Announcement, Delta, ServerStatus, decoder, encoder
+from ..messages import Announcement, Delta, ServerLoad, ServerStatus, decoder, encoder
 from ..peer import LIVE_TIMEOUT_S, MEMBER_TIMEOUT_S
 from .test_restarts import Network, NodeState, build_gossip
 
@@ -29,6 +29,20 @@
     server: ServerStatus | None
 
 
+class LegacyLoad(msgspec.Struct, array_like=True):
+    """The load of a server as defined in releases without limits."""
+
+    ready: bool
+    slots: int
+    running: int
+    waiting: int
+    standing: int
+    cold_ms: int
+    suspect: bool
+    error_risk: int = 0
+    hang_risk: int = 0
+
+
 def build_announcement(**changes):
     server = ServerStatus("i-1", "census", True, 4, 2, 1, "trial", 0.25, True)
     fields = {
@@ -104,6 +118,24 @@
         announcement = decoder.decode(encoder.encode(LegacyAnnouncement(**fields)))
         self.assertEqual(build_announcement(accepts_deltas=False), announcement)
 
+    def test_older_release_decodes_a_load_with_a_limit(self):
+        announcement = build_announcement()
+        announcement.server.limit = 1.5
+        raw = encoder.encode(build_delta(announcement).load)
+        self.assertEqual(2, msgspec.msgpack.decode(raw, type=LegacyLoad).running)
+        self.assertEqual(1.5, msgspec.msgpack.decode(raw, type=ServerLoad).limit)
+
+    def test_load_of_an_older_release_has_no_limit(self):
+        raw = encoder.encode(LegacyLoad(True, 4, 2, 1, 0, 0, False))
+        self.assertIsNone(msgspec.msgpack.decode(raw, type=ServerLoad).limit)
+
+    def test_limit_that_is_no_number_of_requests_is_invalid(self):
+        for limit in (-1.0, float("nan"), float("inf")):
+            delta = build_delta(build_announcement())
+            delta.load.limit = limit
+            raw = encoder.encode(delta)
+            self.assertRaises(msgspec.ValidationError, decoder.decode, raw)
+
 
 class Document:
     version = 7
--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -9,7 +9,7 @@
 
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
-Rate = Annotated[float, msgspec.Meta(ge=0.0)]
+Rate = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
 
 
 class CallerMetadata:
@@ -103,6 +103,7 @@
             milliseconds; 0 if it is not known.
         deviation_percent: Standard deviation of the times' logarithms, in percent.
         answers: Number of answers that these figures are learned from.
+        limit: Requests per second that the backend server takes, or None.
     """
 
     verdict: str
@@ -117,3 +118,4 @@
     median_ms: Count = 0
     deviation_percent: Count = 0
     answers: Count = 0
+    limit: Rate | None = None
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -266,7 +266,11 @@
             map(Attempt.was_last_resort, rejections.values())
         ):
             chosen = self._placement.choose(
-                untried, request.route.idempotent, len(request.body), len(rejections)
+                untried,
+                request.route.idempotent,
+                len(request.body),
+                len(rejections),
+                self._estimate_mean_s(request.route),
             )
         if chosen is not None:
             share = QUEUE_WAIT_SHARES[min(len(rejections), 2)]
@@ -338,6 +342,10 @@
             model = self._get_latency_model(request.route)
             model.adopt(attempt.figures)
 
+    def _estimate_mean_s(self, route):
+        with self._lock:
+            return self._get_latency_model(route).estimate_mean()
+
     def _get_latency_model(self, route):
         return self._latency_models.get_model(route.name, route.objective_s)
 
--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -36,6 +36,8 @@
     HealthState.HALF_OPEN.value: 0.4,
     HealthState.EJECTED.value: 0.8,
 }
+# Lowest limit in such estimates, in requests per second.
+MIN_LIMIT_RATE = 0.1
 # Assumed for a server that has not reported an expected wait.
 DEFAULT_WAIT_S = 0.1
 # Weight of a server without a free slot, in this data centre and in others; falls with
@@ -70,7 +72,7 @@
     def __init__(self, rng):
         self._rng = rng
 
-    def choose(self, candidates, idempotent, body_bytes, refusals=0):
+    def choose(self, candidates, idempotent, body_bytes, refusals=0, mean_s=0.0):
         """Return a random candidate, or None if all of them are ejected.
 
         Args:
@@ -78,12 +80,14 @@
             idempotent: Whether the request may run more than once.
             body_bytes: Length of the request body.
             refusals: Number of servers that have refused the request.
+            mean_s: Mean processing time of such requests, in seconds.
         """
         usable = [item for item in candidates if is_usable(item)]
         if not usable:
             return None
         weights = [
-            calculate_weight(item, idempotent, body_bytes, refusals) for item in usable
+            calculate_weight(item, idempotent, body_bytes, refusals, mean_s)
+            for item in usable
         ]
         return self._rng.choices(usable, weights)[0]
 
@@ -105,7 +109,10 @@
 
     def _estimate_wait_s(self, candidate, rejections):
         rejection = rejections.get(candidate.server.server_id)
-        wait_s = rejection.wait_s if rejection is not None else DEFAULT_WAIT_S
+        if rejection is not None:
+            wait_s = rejection.wait_s
+        else:
+            wait_s = get_default_wait_s(candidate.server)
         return wait_s + HEALTH_PENALTIES_S[candidate.server.standing]
 
 
@@ -114,12 +121,30 @@
     return candidate.server.standing != HealthState.EJECTED.value
 
 
-def calculate_weight(candidate, idempotent, body_bytes, refusals=0):
+def get_default_wait_s(server):
+    """Return the wait in seconds to assume at a server that has not reported one."""
+    if server.limit is None:
+        return DEFAULT_WAIT_S
+    return max(DEFAULT_WAIT_S, 1.0 / max(MIN_LIMIT_RATE, server.limit))
+
+
+def estimate_concurrency(server, mean_s):
+    """Return the number of requests that a server can run at the same time.
+
+    By Little's law, a limited server runs no more than its limit times the processing
+    time on average.
+    """
+    if server.limit is None:
+        return server.slots
+    return min(server.slots, server.limit * mean_s)
+
+
+def calculate_weight(candidate, idempotent, body_bytes, refusals=0, mean_s=0.0):
     """Return the relative probability with which a candidate is chosen."""
     server = candidate.server
     in_flight = candidate.peer.in_flight if candidate.peer is not None else 0
     busy = max(server.running + server.waiting, in_flight)
-    free = server.slots - busy
+    free = estimate_concurrency(server, mean_s) - busy
     full_weight = FULL_WEIGHT if candidate.same_data_centre else FULL_WEIGHT_REMOTE
     weight = free if free > 0 else full_weight * FULL_QUEUE_DECAY ** min(-free, 8)
     if candidate.peer is None:
--- a/persimmonlane/serving/tests/test_placement.py
+++ b/persimmonlane/serving/tests/test_placement.py
@@ -107,3 +107,20 @@
         report = OwnerReport("not-run", "server-gone", 4, 3, "ejected", 0.2)
         candidate.peer.apply_report("i-0", report)
         self.assertEqual(0, candidate.server.running)
+
+    def test_limited_server_gets_the_share_that_its_limit_allows(self):
+        limited = self.add_candidate(1, limit=1.0)
+        other = self.add_candidate(2)
+        counts = [0, 0]
+        for _ in range(PLACEMENT_COUNT):
+            chosen = self.placement.choose([limited, other], True, 0, mean_s=0.5)
+            counts[chosen is other] += 1
+        expected = PLACEMENT_COUNT * 0.5 / 4.5
+        self.assertThat(counts[0], testtools.matchers.LessThan(expected * 1.3))
+        self.assertThat(counts[0], testtools.matchers.GreaterThan(expected * 0.7))
+
+    def test_last_resort_prefers_a_server_without_a_limit(self):
+        limited = self.add_candidate(1, limit=0.0)
+        other = self.add_candidate(2, running=4, waiting=1)
+        chosen = self.placement.choose_last_resort([limited, other], {})
+        self.assertIs(other, chosen)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -277,6 +277,7 @@
             owner.is_suspect(),
             owner.detector.risk.error_percent,
             owner.detector.risk.hang_percent,
+            admission_queue.limit.rate,
         )
         return NodeState(self.shutdown.is_shutting_down(), server)
 
