Give a backend server nothing more once its answers say that it leaves

Cause: nothing read the header Server-Leaving; a server that leaves was known only by its heartbeats, which may come late, or by its departure. Change: the owner takes such an answer as the departure of the process that it came from: it refuses what waits and what comes, and no later heartbeat of that process brings it back. A node remembers which processes have told it so, and chooses them no more, whatever a restarted owner announces. A process is known by its start (new last field of the full announcement), since an identifier may come back. Result: three tests over HTTP in tests/test_limits.py; before: the server got 2 requests in place of 1 in each.

--- a/persimmonlane/owner/backend.py
+++ b/persimmonlane/owner/backend.py
@@ -112,7 +112,7 @@
         return changed
 
     def apply_departure(self, server_id, born):
-        """Apply a departure; return whether the current incarnation has departed.
+        """Apply a departure; return whether the current incarnation departs by it.
 
         Args:
             server_id: Identifier of the backend server that departs.
@@ -125,8 +125,9 @@
         if born is not None and born < current.born:
             return False
         self._record_departure(server_id, max(born or 0, current.born))
+        changed = not self._has_departed
         self._has_departed = True
-        return True
+        return changed
 
     def is_ready(self):
         """Return whether the backend server takes new requests."""
@@ -141,6 +142,12 @@
         """Return whether an identifier is that of the current incarnation."""
         return self.current is not None and self.current.server_id == server_id
 
+    def is_incarnation(self, heartbeat):
+        """Return whether a `Heartbeat` came from the current incarnation."""
+        return self.current is not None and self._is_same_incarnation(
+            self.current, heartbeat
+        )
+
     def _supersedes_current(self, heartbeat):
         if heartbeat.service != self._service or heartbeat.address != self._address:
             log.warning(
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -382,7 +382,7 @@
         )
         try:
             answer = exchange.run()
-            self._note_limit(answer, incarnation)
+            self._note_statements(answer, incarnation)
             self._check_answer(answer, server_id)
         except ExchangeError as error:
             if error.kind is OutcomeKind.TIMEOUT:
@@ -406,37 +406,35 @@
             self._record(OutcomeKind.OK, self._record_success, ticket)
         return answer
 
-    def _note_limit(self, answer, incarnation):
-        """Apply the limit that an answer names, or its end.
-
-        An answer that can't be the server's own, or whose limit can't be read, is no
-        sign that the limit has ended.
+    def _note_statements(self, answer, incarnation):
+        """Apply what the backend server says of itself in an answer.
 
         Args:
             answer: The `CompleteResponse`.
             incarnation: A `Heartbeat` of the process that it came from.
         """
         marks = wire.parse_response_headers(answer.headers)
-        if marks.is_limit_malformed:
-            log.warning("Owner: %s names a malformed limit.", incarnation.server_id)
-            return
-        if not (marks.signed or marks.not_run):
+        if not marks.is_genuine():
             return
-        limit = self.admission_queue.limit
         with self._lock:
-            current = self.hosted.current
-            before = limit.rate
-            if (current.server_id, current.born) == (
-                incarnation.server_id,
-                incarnation.born,
-            ):
-                limit.note_answer(marks.limit)
-            self._changed_since_tick |= limit.rate != before
+            if not self.hosted.is_incarnation(incarnation):
+                return
+            self._apply_limit(marks)
+        if marks.leaving:
+            self.handle_departure(incarnation.server_id, incarnation.born)
+
+    def _apply_limit(self, marks):
+        limit = self.admission_queue.limit
+        server_id = self.hosted.current.server_id
+        before = limit.rate
+        if marks.is_limit_malformed:
+            log.warning("Owner: %s names a malformed limit.", server_id)
+            return
+        limit.note_answer(marks.limit)
         if limit.rate != before:
+            self._changed_since_tick = True
             log.info(
-                "Owner: the limit of %s is %s requests a second.",
-                incarnation.server_id,
-                limit.rate,
+                "Owner: the limit of %s is %s requests a second.", server_id, limit.rate
             )
 
     def _check_answer(self, answer, server_id):
--- a/persimmonlane/peers/announcing.py
+++ b/persimmonlane/peers/announcing.py
@@ -14,13 +14,14 @@
 class StaticFields:
     """The rarely changing fields of an announcement that a `Delta` leaves out."""
 
-    __slots__ = ("leaving", "server_id", "service")
+    __slots__ = ("leaving", "server_id", "service", "born")
 
     def __init__(self, state):
         server = state.server
         self.leaving = state.leaving
         self.server_id = server.server_id if server is not None else None
         self.service = server.service if server is not None else None
+        self.born = server.born if server is not None else None
 
     def matches(self, other):
         """Return whether all fields are equal to those of another instance."""
@@ -28,7 +29,8 @@
 
     def has_server_of(self, other):
         """Return whether the backend server is that of another instance."""
-        return (self.server_id, self.service) == (other.server_id, other.service)
+        own = (self.server_id, self.service, self.born)
+        return own == (other.server_id, other.service, other.born)
 
 
 class AnnouncementBuilder:
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -100,4 +100,5 @@
         load.error_risk,
         load.hang_risk,
         load.limit,
+        known.born,
     )
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -33,6 +33,7 @@
         error_risk: Probability that it fails by errors, in percent.
         hang_risk: Probability that it hangs, in percent.
         limit: Requests per second that it takes, or None without a limit.
+        born: Unix milliseconds of its start; 0 if it is not known.
     """
 
     server_id: str
@@ -47,6 +48,7 @@
     error_risk: Percent = 0
     hang_risk: Percent = 0
     limit: Rate | None = None
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
     @property
     def risk(self):
--- a/persimmonlane/peers/tests/test_deltas.py
+++ b/persimmonlane/peers/tests/test_deltas.py
@@ -11,6 +11,7 @@
 
 ROUND_INTERVAL_S = 1.0
 MAX_DELTA_BYTES = 56
+BORN = 1_785_000_000_000
 
 
 class LegacyAnnouncement(msgspec.Struct, array_like=True, tag="a"):
@@ -45,6 +46,7 @@
 
 def build_announcement(**changes):
     server = ServerStatus("i-1", "census", True, 4, 2, 1, "trial", 0.25, True)
+    server.born = BORN
     fields = {
         "node": "b",
         "boot": 1 << 47,
@@ -71,6 +73,7 @@
     def test_delta_carries_all_changing_fields(self):
         announcement = build_announcement()
         earlier = ServerStatus("i-1", "census", False, 1, 0, 0, "sound", 0.0, False)
+        earlier.born = BORN
         known = {"sequence": 3, "version": 1, "echo": 1, "server": earlier}
         self.assertEqual(announcement, self.convert(announcement, **known))
 
--- a/persimmonlane/platform/headers.py
+++ b/persimmonlane/platform/headers.py
@@ -23,6 +23,9 @@
 NOT_EXECUTED = "X-Not-Executed"
 # Requests per second that a backend server takes from all nodes together.
 SERVER_LIMIT = "Server-Limit"
+# Set to `LEAVING` by a backend server that takes no new requests for good.
+SERVER_LEAVING = "Server-Leaving"
+LEAVING = "1"
 
 # Lower-case names of the headers that are removed from a caller's request before it is
 # forwarded; the node sets its own values where a backend server needs them.
@@ -84,6 +87,7 @@
         bool(find_first(headers, NOT_EXECUTED)),
         limit,
         bool(limits) and limit is None,
+        find_first(headers, SERVER_LEAVING).strip() == LEAVING,
     )
 
 
--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -39,16 +39,29 @@
         limit: Requests per second that the server takes from all nodes together, or
             None if it names no limit.
         is_limit_malformed: Whether it names a limit that can't be read.
+        leaving: Whether the server says that it is leaving.
     """
 
-    __slots__ = ("request_id", "signed", "not_run", "limit", "is_limit_malformed")
+    __slots__ = (
+        "request_id",
+        "signed",
+        "not_run",
+        "limit",
+        "is_limit_malformed",
+        "leaving",
+    )
 
-    def __init__(self, request_id, signed, not_run, limit, is_limit_malformed):
+    def __init__(self, request_id, signed, not_run, limit, is_limit_malformed, leaving):
         self.request_id = request_id
         self.signed = signed
         self.not_run = not_run
         self.limit = limit
         self.is_limit_malformed = is_limit_malformed
+        self.leaving = leaving
+
+    def is_genuine(self):
+        """Return whether the answer is certain to be the backend server's own."""
+        return self.signed or self.not_run
 
 
 class Order(msgspec.Struct, array_like=True):
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -313,6 +313,8 @@
                 continue
             if announcement.leaving or peer.backoff_until > now:
                 continue
+            if self._notices.is_leaving(server):
+                continue
             same_data_centre = peer.data_centre == self._settings.data_centre
             found.append(Candidate(server, peer, same_data_centre))
         return found
@@ -326,8 +328,7 @@
             attempt = self._send(request, choice, hedge, watch)
             outcome = attempt.code or "answered"
             if attempt.answer is not None:
-                server_id = choice.candidate.server.server_id
-                self._notices.note_answer(server_id, attempt.answer)
+                self._notices.note_answer(choice.candidate.server, attempt.answer)
             self._adopt_figures(request, attempt)
         finally:
             self._events.note_attempt(
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -278,6 +278,7 @@
             owner.detector.risk.error_percent,
             owner.detector.risk.hang_percent,
             admission_queue.limit.rate,
+            current.born,
         )
         return NodeState(self.shutdown.is_shutting_down(), server)
 
--- a/persimmonlane/tests/test_limits.py
+++ b/persimmonlane/tests/test_limits.py
@@ -60,3 +60,36 @@
                 pool.submit(self.site.call, "/far/", "near", SHORT, method="POST")
         got = len(self.server.requests) - before
         self.assertThat(got, LessThan(self.count_allowed(began)))
+
+
+class LeavingTests(testtools.TestCase):
+    """A backend server that says it is leaving gets no new requests."""
+
+    def setUp(self):
+        super().setUp()
+        self.site = Site(self)
+        self.assertTrue(wait_until(self.site.is_converged))
+        self.server = self.site.servers["far"]
+        self.server.script = Script(headers=(("Server-Leaving", "1"),))
+        self.assertEqual(200, self.site.call("/far/", method="POST").status)
+
+    def test_leaving_server_gets_no_further_request(self):
+        for service in ("near", "far"):
+            answer = self.site.call("/far/", service, SHORT, method="POST")
+            self.assertEqual(503, answer.status)
+            self.assertEqual("not-run", answer.headers["Persimmon-Verdict"])
+        self.assertEqual(1, len(self.server.requests))
+
+    def test_late_heartbeat_does_not_bring_a_leaving_server_back(self):
+        _, settings = self.site.nodes["far"]
+        self.server.send_heartbeat(settings.heartbeat_address)
+        self.site.call("/far/", "near", SHORT, method="POST")
+        self.assertEqual(1, len(self.server.requests))
+
+    def test_restarted_node_does_not_bring_a_leaving_server_back(self):
+        node, _ = self.site.nodes["far"]
+        node.stop()
+        self.site.restart_node(self, "far")
+        self.assertTrue(wait_until(self.site.is_converged))
+        self.site.call("/far/", "near", SHORT, method="POST")
+        self.assertEqual(1, len(self.server.requests))
