Spread the return of callers that limited servers can't take

Change: where all servers of a service name limits, the moment is drawn from the time in which their sum takes what was refused in the last second, here times the nodes that do the same; a single refused caller is told the wait that the limit gives. Nothing is held back: the refusal itself leaves at once, and with any unlimited server the wait for it counts alone.

--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -41,6 +41,7 @@
 )
 from .notices import ServerNotices
 from .placement import Candidate, Placement
+from .returns import ReturnSchedule
 
 log = logging.getLogger("persimmonlane.serving")
 
@@ -92,6 +93,7 @@
         "_cancellations",
         "_traffic",
         "_notices",
+        "_returns",
     )
 
     def __init__(
@@ -126,6 +128,7 @@
         self._cancellations = cancellations
         self._traffic = traffic
         self._notices = ServerNotices()
+        self._returns = ReturnSchedule(clock, self._rng)
 
     def forward(self, request):
         """Return the `CompleteResponse` for an admitted request whose body was read.
@@ -481,9 +484,15 @@
             503,
             "overloaded" if refusals else "no-server",
             f"no backend server of {service} can take the request: {codes}",
-            retry_after=max(wait_s, 0.05),
+            retry_after=self._choose_return_s(service, wait_s),
         )
 
+    def _choose_return_s(self, service, wait_s):
+        limits = [item.server.limit for item in self._find_candidates(service)]
+        node_count = len(self._table.list_live()) + 1
+        with self._lock:
+            return self._returns.choose_s(service, wait_s, limits, node_count)
+
 
 def poll_hedge(hedge, clock):
     """Start the hedge if it is due; return the seconds until the next call."""
