Split the owner: its evidence on health, its calls and what answers say

HealthEvidence records outcomes for the failure detector, calls.py holds the received request and its refusals, and ServerLimit reads the answer that names it. Two calls in test_owner.py follow the moved method; they ask the same.

--- /dev/null
+++ b/persimmonlane/owner/calls.py
@@ -0,0 +1,38 @@
+"""Requests as the owner receives them, and its refusals of them."""
+
+from ..errors import Refusal
+from ..platform import headers as wire
+
+
+class ForwardedCall:
+    """A request as the owner received it.
+
+    Attributes:
+        method: HTTP method.
+        target: Request target.
+        headers: The `Header`s for the backend server.
+        body: Bytes.
+        received_at: Clock time at which it was received, in seconds.
+        on_wait: Callable that is called repeatedly while the answer is awaited, and
+            returns the seconds until the next call.
+    """
+
+    __slots__ = ("method", "target", "headers", "body", "received_at", "on_wait")
+
+    def __init__(self, method, target, headers, body, received_at, on_wait):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.received_at = received_at
+        self.on_wait = on_wait
+
+
+def get_echoed_request_id(headers):
+    """Return the request identifier that an answer echoes."""
+    return wire.parse_response_headers(headers).request_id
+
+
+def build_not_run_refusal(code, message):
+    """Return the `Refusal` of a request that the backend server did not run."""
+    return Refusal(503, code, message, retry_after=0.0)
--- a/persimmonlane/owner/limits.py
+++ b/persimmonlane/owner/limits.py
@@ -4,8 +4,12 @@
 is a first attempt, a retry or a hedge. So the owner alone keeps the sum.
 """
 
+import logging
+
 from ..quotas.buckets import Bucket
 
+log = logging.getLogger("persimmonlane.owner")
+
 # Requests that may be sent at once after a pause, as the time in which the limit
 # allows them.
 BURST_S = 1.0
@@ -34,14 +38,24 @@
         self._bucket = None
         self._has_answer = False
 
-    def note_answer(self, rate):
-        """Apply what the newest answer says.
+    def apply_answer(self, metadata):
+        """Apply what the newest answer says; return whether the limit has changed.
+
+        A limit that can't be read is no sign that there is none.
 
         Args:
-            rate: Requests per second, or None if the answer names no limit.
+            metadata: The `AnswerMetadata` of an answer of the server's own.
         """
+        if metadata.is_limit_malformed:
+            log.warning("Owner: the backend server names a malformed limit.")
+            return False
+        before = self.rate
         self._has_answer = True
-        self._set(rate)
+        self._set(metadata.limit)
+        if self.rate == before:
+            return False
+        log.info("Owner: the limit is %s requests a second.", self.rate)
+        return True
 
     def adopt(self, rate):
         """Apply what another node has seen, until there is an answer of this process.
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -12,21 +12,15 @@
 from ..outcomes import OutcomeKind
 from ..platform import headers as wire
 from ..routing.metadata import OwnerReport
-from ..serving.callers import CallerDisconnected
 from ..serving.exchange import Exchange, ExchangeError, OutgoingRequest
 from ..serving.shutdown import NodeShutdown
 from ..signals import PollableEvent
 from ..verdicts import Verdict
 from .admission import AdmissionQueue, Ticket
+from .calls import build_not_run_refusal, get_echoed_request_id
 from .dispatch import DispatchLog
-from .health import (
-    HEALTHY_BREAK_RATIO,
-    HEALTHY_ERROR_RATIO,
-    HEALTHY_SHED_RATIO,
-    FailureDetector,
-    HealthState,
-    estimate_prior,
-)
+from .evidence import HealthEvidence
+from .health import FailureDetector, HealthState, estimate_prior
 from .latency import LatencyModels
 
 log = logging.getLogger("persimmonlane.owner")
@@ -38,8 +32,6 @@
 MISDIRECTED_STATUS = 421
 HALF_OPEN_SLOTS = 1
 PRIOR_INTERVAL_S = 1.0
-# Longer than a request lasts whose nested call has failed.
-NESTED_MEMORY_S = 30.0
 
 
 class Owner:
@@ -61,15 +53,13 @@
         "_clock",
         "_pool",
         "_lock",
-        "_changed_since_tick",
         "_misdirected_id",
         "_latency_models",
         "_admission_stopped",
         "_dispatch_log",
         "_fleet",
         "_prior_at",
-        "_nested_failures",
-        "_was_suspect",
+        "_evidence",
     )
 
     def __init__(self, settings, hosted, clock, pool):
@@ -82,14 +72,12 @@
         self._clock = clock
         self._pool = pool
         self._lock = threading.Lock()
-        self._changed_since_tick = False
+        self._evidence = HealthEvidence(clock, self.detector, self.admission_queue)
         self._misdirected_id = None
         self._latency_models = LatencyModels()
         self._admission_stopped = False
         self._dispatch_log = DispatchLog(clock)
         self._prior_at = float("-inf")
-        self._nested_failures = []
-        self._was_suspect = False
 
     def watch_fleet(self, fleet):
         """Set the `FleetHealth` of the other servers of the service."""
@@ -144,24 +132,19 @@
         with self._lock:
             slots = self.admission_queue.slots
             if self.detector.tick():
-                self._changed_since_tick = True
-            self._evaluate_running()
+                self._evidence.has_changed = True
+            self._evidence.evaluate_running()
             self._update_slots()
             self.admission_queue.admit_waiting()
-            changed = self._changed_since_tick or slots != self.admission_queue.slots
-            self._changed_since_tick = False
+            changed = self._evidence.has_changed or slots != self.admission_queue.slots
+            self._evidence.has_changed = False
         if changed:
             self.on_change()
 
     def note_nested_failure(self):
-        """Note that a call which the backend server made of its own has failed.
-
-        A request that made such a call fails, too, though the server is healthy.
-        """
-        now = self._clock.now()
+        """Note that a call which the backend server made of its own has failed."""
         with self._lock:
-            recent = [at for at in self._nested_failures if now - at < NESTED_MEMORY_S]
-            self._nested_failures = [*recent, now]
+            self._evidence.note_nested_failure()
 
     def is_ready(self):
         """Return whether the backend server takes new requests."""
@@ -316,7 +299,7 @@
         if detector.state is HealthState.HALF_OPEN:
             self._check_half_open(order)
             return
-        self._evaluate_running()
+        self._evidence.evaluate_running()
         if not order.idempotent and self.is_suspect():
             raise build_not_run_refusal(
                 "server-suspect", "the backend server may be failing"
@@ -386,24 +369,21 @@
             self._check_answer(answer, server_id)
         except ExchangeError as error:
             if error.kind is OutcomeKind.TIMEOUT:
-                self._record(error.kind, self._record_unanswered, ticket)
+                self._record(self._evidence.record_unanswered, error.kind, ticket)
             else:
-                self._record(
-                    error.kind, self.detector.record_failure, HEALTHY_BREAK_RATIO
-                )
+                self._record(self._evidence.record_break, error.kind)
             raise
         except Refusal:
-            self._record(
-                OutcomeKind.SHED, self.detector.record_failure, HEALTHY_SHED_RATIO
-            )
+            self._record(self._evidence.record_shed)
             raise
         except Exception:
-            self._record(OutcomeKind.CANCELLED, self._record_unanswered, ticket)
+            cancelled = OutcomeKind.CANCELLED
+            self._record(self._evidence.record_unanswered, cancelled, ticket)
             raise
         if answer.status >= MIN_SERVER_ERROR_STATUS:
-            self._record(OutcomeKind.ERROR, self._record_error, ticket)
+            self._record(self._evidence.record_error, ticket)
         else:
-            self._record(OutcomeKind.OK, self._record_success, ticket)
+            self._record(self._evidence.record_success, ticket)
         return answer
 
     def _note_statements(self, answer, incarnation):
@@ -419,24 +399,11 @@
         with self._lock:
             if not self.hosted.is_incarnation(incarnation):
                 return
-            self._apply_limit(marks)
+            if self.admission_queue.limit.apply_answer(marks):
+                self._evidence.has_changed = True
         if marks.leaving:
             self.handle_departure(incarnation.server_id, incarnation.born)
 
-    def _apply_limit(self, marks):
-        limit = self.admission_queue.limit
-        server_id = self.hosted.current.server_id
-        before = limit.rate
-        if marks.is_limit_malformed:
-            log.warning("Owner: %s names a malformed limit.", server_id)
-            return
-        limit.note_answer(marks.limit)
-        if limit.rate != before:
-            self._changed_since_tick = True
-            log.info(
-                "Owner: the limit of %s is %s requests a second.", server_id, limit.rate
-            )
-
     def _check_answer(self, answer, server_id):
         marks = wire.parse_response_headers(answer.headers)
         if marks.not_run or answer.status == MISDIRECTED_STATUS:
@@ -463,66 +430,13 @@
         )
         self.on_change()
 
-    def _evaluate_running(self):
-        """Evaluate the running requests; return whether the health state changed."""
-        now = self._clock.now()
-        running = [
-            (
-                ticket.granted_at,
-                ticket.latency.compute_survival(now - ticket.granted_at),
-            )
-            for ticket in self.admission_queue.list_running()
-        ]
-        before = self.detector.state
-        self.detector.evaluate_running(running)
-        return self._apply_state_change(before, "overdue requests")
-
-    def _compute_survival(self, ticket):
-        return ticket.latency.compute_survival(self._clock.now() - ticket.granted_at)
-
-    def _record_success(self, ticket):
-        self.detector.record_success(self._compute_survival(ticket))
-        ticket.latency.learn(self._clock.now() - ticket.granted_at)
-
-    def _record_error(self, ticket):
-        """Record an error answer, unless a failed nested call explains it."""
-        for at in self._nested_failures:
-            if at >= ticket.granted_at:
-                self._nested_failures.remove(at)
-                return
-        self.detector.record_failure(HEALTHY_ERROR_RATIO)
-
-    def _record_unanswered(self, ticket):
-        self.detector.record_unanswered(
-            ticket.granted_at, self._compute_survival(ticket)
-        )
-
-    def _record(self, kind, record_method, argument):
+    def _record(self, record, *fields):
+        """Record an outcome by a method of the `HealthEvidence`."""
         with self._lock:
-            before = self.detector.state
-            record_method(argument)
-            changed = self._apply_state_change(before, kind.value)
+            changed = record(*fields)
         if changed:
             self.on_change()
 
-    def _apply_state_change(self, before, cause):
-        after = self.detector.state
-        if before is after:
-            return self._apply_suspicion()
-        log.info("Owner: the backend server is %s after %s.", after.value, cause)
-        self._changed_since_tick = True
-        if after is HealthState.EJECTED:
-            self.admission_queue.refuse_waiting("server-ejected")
-        return True
-
-    def _apply_suspicion(self):
-        """Return whether the server has become or ceased to be suspect."""
-        changed = self.is_suspect() is not self._was_suspect
-        self._was_suspect = self.is_suspect()
-        if changed:
-            self._changed_since_tick = True
-        return changed
-
     def _may_eject(self):
         return self._fleet is None or self._fleet.may_eject()
 
@@ -531,40 +445,3 @@
         if self._fleet is not None and now - self._prior_at >= PRIOR_INTERVAL_S:
             self._prior_at = now
             self.detector.prior = estimate_prior(self._fleet.list_risks())
-
-
-class ForwardedCall:
-    """A request as the owner received it.
-
-    Attributes:
-        method: HTTP method.
-        target: Request target.
-        headers: The `Header`s for the backend server.
-        body: Bytes.
-        received_at: Clock time at which it was received, in seconds.
-        on_wait: Callable that is called repeatedly while the answer is awaited, and
-            returns the seconds until the next call.
-    """
-
-    __slots__ = ("method", "target", "headers", "body", "received_at", "on_wait")
-
-    def __init__(self, method, target, headers, body, received_at, on_wait):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.received_at = received_at
-        self.on_wait = on_wait
-
-
-def get_echoed_request_id(headers):
-    """Return the request identifier that an answer echoes."""
-    return wire.parse_response_headers(headers).request_id
-
-
-def build_not_run_refusal(code, message):
-    """Return the `Refusal` of a request that the backend server did not run."""
-    return Refusal(503, code, message, retry_after=0.0)
-
-
-__all__ = ["CallerDisconnected", "ForwardedCall", "Owner", "build_not_run_refusal"]
--- a/persimmonlane/owner/tests/test_owner.py
+++ b/persimmonlane/owner/tests/test_owner.py
@@ -2,7 +2,6 @@
 from testtools.matchers import GreaterThan
 
 from ...clocks import ManualClock
-from ...outcomes import OutcomeKind
 from ...routing.metadata import Order
 from ..backend import Heartbeat, HostedServer, ServerState
 from ..health import FailureRisk, HealthState
@@ -90,7 +89,7 @@
         ticket = self.owner._build_ticket(build_order(), self.clock.now(), lambda: None)
         self.owner._admit(build_order(), ticket)
         self.clock.advance(0.2)
-        self.owner._record(OutcomeKind.ERROR, self.owner._record_error, ticket)
+        self.owner._record(self.owner._evidence.record_error, ticket)
 
     def get_risk(self):
         return self.owner.detector.risk.total
@@ -106,7 +105,7 @@
         ticket = self.owner._build_ticket(build_order(), self.clock.now(), lambda: None)
         self.owner._admit(build_order(), ticket)
         self.owner.note_nested_failure()
-        self.owner._record(OutcomeKind.ERROR, self.owner._record_error, ticket)
+        self.owner._record(self.owner._evidence.record_error, ticket)
         self.assertEqual(before, self.get_risk())
         self.answer_with_error()
         self.assertThat(self.get_risk(), GreaterThan(before * 5))
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -8,7 +8,7 @@
 
 from ..errors import InputError, Refusal
 from ..headers import Header, drop_hop_by_hop, find_first, find_values
-from ..owner.owner import ForwardedCall
+from ..owner.calls import ForwardedCall
 from ..platform import headers as wire
 from ..platform import heartbeats
 from ..routing.metadata import Order
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -15,8 +15,8 @@
 from ..errors import Refusal
 from ..headers import Header, drop_hop_by_hop
 from ..outcomes import OutcomeKind
+from ..owner.calls import ForwardedCall
 from ..owner.latency import LatencyModels
-from ..owner.owner import ForwardedCall
 from ..peers.commands import CapacityCheck
 from ..routing.metadata import Order
 from ..routing.rulebook import choose_service
