Split the ingress: candidates, capacity questions, and how a hedge is polled

CandidateFinder and CapacityClient take what isn't the course of a request. tools/peercost.py follows a renamed method.

--- a/persimmonlane/serving/attempts.py
+++ b/persimmonlane/serving/attempts.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from ..errors import Refusal
 from ..outcomes import OutcomeKind
 from ..platform import headers as wire
 from ..verdicts import Verdict
@@ -169,3 +170,14 @@
     if organisation.priority is not None:
         return organisation.priority
     return request.route.priority
+
+
+def build_failure_refusal(attempt):
+    """Return the `Refusal` for a request whose failed `Attempt` may have run."""
+    status = 504 if attempt.kind is OutcomeKind.TIMEOUT else 502
+    return Refusal(
+        status,
+        attempt.code,
+        "the backend server did not answer",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
--- a/persimmonlane/serving/hedge.py
+++ b/persimmonlane/serving/hedge.py
@@ -120,6 +120,14 @@
         self._abandoned = False
         self.watch = AttemptWatch(request.caller, self._succeeded)
 
+    def poll(self, clock):
+        """Start the second attempt if it is due; return the seconds to the next call.
+
+        Args:
+            clock: Clock in seconds.
+        """
+        return self.start_if_due(clock.now())
+
     def start_if_due(self, now):
         """Start the second attempt if it is due.
 
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -10,14 +10,12 @@
 import threading
 
 import msgspec
-import pykka
 
 from ..errors import Refusal
 from ..headers import Header, drop_hop_by_hop
 from ..outcomes import OutcomeKind
 from ..owner.calls import ForwardedCall
 from ..owner.latency import LatencyModels
-from ..peers.commands import CapacityCheck
 from ..routing.metadata import Order
 from ..routing.rulebook import choose_service
 from ..verdicts import Verdict
@@ -27,9 +25,12 @@
     BackendErrorResponse,
     PlacementChoice,
     Stage,
+    build_failure_refusal,
     get_priority,
 )
 from .cancellation import CancelOnShutdown
+from .candidates import CandidateFinder
+from .capacity import CapacityClient
 from .exchange import Exchange, ExchangeError, OutgoingRequest
 from .hedge import Hedge, Superseded
 from .nodeheaders import (
@@ -39,16 +40,11 @@
     get_reported_request_id,
     parse_report,
 )
-from .notices import ServerNotices
-from .placement import Candidate, Placement
+from .placement import Placement
 from .returns import ReturnSchedule
 
 log = logging.getLogger("persimmonlane.serving")
 
-CAPACITY_REPLY_TIMEOUT_S = 0.06
-# The owner in another data centre is asked for capacity before a body of this length is
-# sent to it.
-CAPACITY_CHECK_MIN_BYTES = 1024
 CONNECT_TIMEOUT_S = 0.4
 # Added to the request's deadline so that a timeout reported by the owner still arrives.
 OWNER_DEADLINE_MARGIN_S = 0.05
@@ -79,9 +75,6 @@
         "_settings",
         "_clock",
         "_owner",
-        "_describe",
-        "_table",
-        "_actor",
         "_pool",
         "_budget",
         "_lock",
@@ -92,8 +85,9 @@
         "_shutdown",
         "_cancellations",
         "_traffic",
-        "_notices",
+        "_candidates",
         "_returns",
+        "_capacity",
     )
 
     def __init__(
@@ -114,9 +108,6 @@
         self._settings = settings
         self._clock = clock
         self._owner = owner
-        self._describe = describe
-        self._table = table
-        self._actor = actor
         self._pool = pool
         self._budget = budget
         self._lock = threading.Lock()
@@ -127,8 +118,9 @@
         self._shutdown = shutdown
         self._cancellations = cancellations
         self._traffic = traffic
-        self._notices = ServerNotices()
+        self._candidates = CandidateFinder(settings, clock, describe, table)
         self._returns = ReturnSchedule(clock, self._rng)
+        self._capacity = CapacityClient(settings, actor)
 
     def forward(self, request):
         """Return the `CompleteResponse` for an admitted request whose body was read.
@@ -262,7 +254,7 @@
         left_s = request.deadline - self._clock.now()
         if left_s <= MIN_TIME_LEFT_S or not self._shutdown.may_dispatch():
             return None
-        candidates = self._find_candidates(service)
+        candidates = self._candidates.find(service)
         untried = [item for item in candidates if item.server.server_id not in tried]
         chosen = None
         if len(rejections) < MAX_PLACEMENTS and not any(
@@ -303,25 +295,6 @@
         )
         return PlacementChoice(chosen, self._shutdown.limit_wait(max_wait_s), True)
 
-    def _find_candidates(self, service):
-        now = self._clock.now()
-        found = []
-        own = self._describe().server
-        if own is not None and own.service == service and own.ready:
-            found.append(Candidate(own, None, True))
-        for peer in self._table.list_live():
-            announcement = peer.announcement
-            server = announcement.server
-            if server is None or server.service != service or not server.ready:
-                continue
-            if announcement.leaving or peer.backoff_until > now:
-                continue
-            if self._notices.is_leaving(server):
-                continue
-            same_data_centre = peer.data_centre == self._settings.data_centre
-            found.append(Candidate(server, peer, same_data_centre))
-        return found
-
     def _attempt(self, request, choice, hedge=None, watch=None):
         started_at = self._clock.now()
         request.stage = Stage.SERVER
@@ -331,7 +304,9 @@
             attempt = self._send(request, choice, hedge, watch)
             outcome = attempt.code or "answered"
             if attempt.answer is not None:
-                self._notices.note_answer(choice.candidate.server, attempt.answer)
+                self._candidates.notices.note_answer(
+                    choice.candidate.server, attempt.answer
+                )
             self._adopt_figures(request, attempt)
         finally:
             self._events.note_attempt(
@@ -369,11 +344,11 @@
             choice.max_wait_s,
             request.route.objective_s,
             choice.last_resort,
-            self._notices.find_limit(server.server_id),
+            self._candidates.notices.find_limit(server.server_id),
         )
         if hedge is not None:
             watch = hedge.watch
-            on_wait = functools.partial(poll_hedge, hedge, self._clock)
+            on_wait = functools.partial(hedge.poll, self._clock)
         else:
             watch = watch or request.caller
             on_wait = get_default_poll_s
@@ -401,7 +376,7 @@
         return Attempt(answer, Verdict.RAN)
 
     def _attempt_remote(self, request, order, peer, watch, on_wait):
-        rejected = self._check_capacity(request, order, peer)
+        rejected = self._capacity.check(request, order, peer)
         if rejected is not None:
             return rejected
         text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
@@ -445,31 +420,6 @@
             return False
         return error.verdict is Verdict.MAY_HAVE_RUN
 
-    def _check_capacity(self, request, order, peer):
-        """Ask a remote owner for capacity before a long body is sent to it.
-
-        Returns:
-            The rejected `Attempt` if the owner has no capacity, else None.
-        """
-        if peer.data_centre == self._settings.data_centre:
-            return None
-        if len(request.body) < CAPACITY_CHECK_MIN_BYTES:
-            return None
-        query = CapacityCheck(peer.address, order, pykka.ThreadingFuture())
-        self._actor.tell(query)
-        try:
-            report = query.reply.get(timeout=CAPACITY_REPLY_TIMEOUT_S)
-        except pykka.Timeout:
-            # Connecting to the owner will show whether it is reachable.
-            log.debug("Serving: %s did not answer the capacity query.", peer.name)
-            return None
-        if not report.code:
-            return None
-        peer.apply_report(order.server_id, report)
-        return Attempt(
-            None, Verdict.NOT_RUN, report.code, report.wait_s, OutcomeKind.ERROR
-        )
-
     def _change_in_flight(self, peer, change):
         with self._lock:
             peer.in_flight += change
@@ -488,23 +438,7 @@
         )
 
     def _choose_return_s(self, service, wait_s):
-        limits = [item.server.limit for item in self._find_candidates(service)]
-        node_count = len(self._table.list_live()) + 1
+        limits = [item.server.limit for item in self._candidates.find(service)]
+        node_count = self._candidates.count_nodes()
         with self._lock:
             return self._returns.choose_s(service, wait_s, limits, node_count)
-
-
-def poll_hedge(hedge, clock):
-    """Start the hedge if it is due; return the seconds until the next call."""
-    return hedge.start_if_due(clock.now())
-
-
-def build_failure_refusal(attempt):
-    """Return the `Refusal` for a request whose failed `Attempt` may have run."""
-    status = 504 if attempt.kind is OutcomeKind.TIMEOUT else 502
-    return Refusal(
-        status,
-        attempt.code,
-        "the backend server did not answer",
-        verdict=Verdict.MAY_HAVE_RUN,
-    )
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -300,7 +300,7 @@
         "count_members": table.count_members,
         "is_relay": lambda: table.is_relay(settings.data_centre, 1),
         "may_eject": fleet.may_eject,
-        "find_candidates": lambda: ingress._find_candidates(SERVICES[0]),
+        "find_candidates": lambda: ingress._candidates.find(SERVICES[0]),
         "find_holder": lambda: rates.find_holder(ORGANISATION),
         "decide_held": lambda: rates.decide(ORGANISATION, NoReply),
     }
