Read no limit or departure from another server at the same address

Callers saw nothing; found in the read-over of the change. Cause: an address may be given to another server, which answers 421 and may name its own limit or say that it leaves. Change: an answer 421 says nothing of the server that was asked. Result: test_answer_of_another_server_at_the_address_sets_none; before: 1.0 for None.

--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -394,7 +394,7 @@
             incarnation: A `Heartbeat` of the process that it came from.
         """
         marks = wire.parse_response_headers(answer.headers)
-        if not marks.is_genuine():
+        if not marks.is_genuine() or answer.status == MISDIRECTED_STATUS:
             return
         with self._lock:
             if not self.hosted.is_incarnation(incarnation):
--- a/persimmonlane/owner/tests/test_limits.py
+++ b/persimmonlane/owner/tests/test_limits.py
@@ -16,13 +16,13 @@
 STEP_S = 1.0 / CALLS_PER_S
 
 
-def build_answer(limit=None, signed=True):
+def build_answer(limit=None, signed=True, status=200):
     headers = [Header("X-Request-Id", "one")]
     if signed:
         headers.append(Header("X-Response-Signature", "s.1"))
     if limit is not None:
         headers.append(Header("Server-Limit", limit))
-    return CompleteResponse(200, headers, b"", None)
+    return CompleteResponse(status, headers, b"", None)
 
 
 def count_most_in_window(times):
@@ -119,6 +119,10 @@
         self.name_limit(signed=False)
         self.assertEqual(1.0, self.owner.admission_queue.limit.rate)
 
+    def test_answer_of_another_server_at_the_address_sets_none(self):
+        self.name_limit("1", status=421)
+        self.assertIsNone(self.owner.admission_queue.limit.rate)
+
     def test_malformed_limit_neither_sets_nor_ends_one(self):
         malformed = ("", "-1", "nan", "inf", "1e3", "1,5", "\u0661", "9" * 40, ".")
         for text in malformed:
