Pause between probes of the store that confirm nothing

Cause: an age beyond the limit made each poll, 0.1 s apart, a probe. Change: 0.7 s between two probes, as after an error. A probe that confirms the document lowers the age, so the bound on missed changes is untouched (test_lateness). Result: test_probe_that_confirms_nothing_is_not_repeated_at_once; before, is_due was true 0.1 s after a probe.

--- a/persimmonlane/upkeep/probing.py
+++ b/persimmonlane/upkeep/probing.py
@@ -6,6 +6,8 @@
 # Keeps the nodes from asking at the same moment when their relays fall silent: the
 # first one tells the others.
 ASK_SPREAD_S = 0.3
+# Between two probes of a node, if the first one confirmed nothing.
+MIN_GAP_S = 0.7
 # The shortest age that the confirmations of a relay have when they arrive.
 MIN_MAX_AGE_S = 0.5
 
@@ -18,7 +20,7 @@
     or cut off from the store looks alive for a while.
     """
 
-    __slots__ = ("_settings", "_spread_s", "_next_at")
+    __slots__ = ("_settings", "_spread_s", "_probed_at")
 
     def __init__(self, settings, rng):
         """Create the schedule.
@@ -29,7 +31,7 @@
         """
         self._settings = settings
         self._spread_s = ASK_SPREAD_S * rng.random()
-        self._next_at = 0.0
+        self._probed_at = float("-inf")
 
     def is_due(self, now, age_s, is_relay):
         """Return whether to probe now.
@@ -39,13 +41,14 @@
             age_s: Seconds since the document was last confirmed as the newest.
             is_relay: Callable that tells whether this node probes for the others.
         """
+        pause_s = now - self._probed_at
         if age_s > self._compute_max_age_s():
-            return True
-        return now >= self._next_at and is_relay()
+            return pause_s >= MIN_GAP_S
+        return pause_s >= PROBE_INTERVAL_S and is_relay()
 
     def note_probe(self, now):
         """Record that the node has probed at a time in seconds."""
-        self._next_at = now + PROBE_INTERVAL_S
+        self._probed_at = now
 
     def _compute_max_age_s(self):
         max_age_s = self._settings.document_apply_s - READ_MARGIN_S
