Introduce a data centre to fewer nodes of another at a time

Cause: each relay introduces itself to four nodes of a silent data centre in each round, and each of these asks for the announcements of all nodes that it doesn't know, before its own relays tell it of them. Change: two nodes in place of four.

--- a/persimmonlane/peers/remotes.py
+++ b/persimmonlane/peers/remotes.py
@@ -31,7 +31,7 @@
 # Without news of a data centre for this long, a node asks there itself.
 ASK_AFTER_S = 4.0
 # Nodes of a silent data centre to which a relay introduces itself in each round.
-INTRODUCTIONS = 4
+INTRODUCTIONS = 2
 # A node that sent a digest within this time also gets one, even if it is no relay by
 # this node's knowledge.
 SENDER_TIMEOUT_S = 2.5
