--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -49,10 +49,9 @@
 # Added to the request's deadline so that a timeout reported by the owner still arrives.
 OWNER_DEADLINE_MARGIN_S = 0.05
 CONNECT_TIME_SHARE = 0.25
-# Longest accepted wait for a slot, as a share of the latency objective, by the number
-# of rejections so far; and that of a hedge.
-QUEUE_WAIT_SHARES = (0.1, 0.2, 0.4)
-HEDGE_WAIT_SHARE = 0.03
+# Longest accepted wait for a slot, by the number of rejections so far.
+MAX_QUEUE_WAITS_S = (0.05, 0.15, 0.5)
+HEDGE_MAX_WAIT_S = 0.02
 # After this many rejections only last resorts are tried.
 MAX_PLACEMENTS = 4
 MAX_LAST_RESORTS = 2
@@ -225,7 +224,7 @@
                 # worth a slot.
                 self._budget.refund(request.service)
                 return None
-            choice.max_wait_s = request.route.objective_s * HEDGE_WAIT_SHARE
+            choice.max_wait_s = HEDGE_MAX_WAIT_S
             attempt = self._attempt(request, choice, watch=watch)
             if attempt.verdict is not Verdict.NOT_RUN or attempt.code == SHED_BY_SERVER:
                 return attempt
@@ -264,12 +263,10 @@
                 untried,
                 request.route.idempotent,
                 len(request.body),
-                len(rejections),
                 self._estimate_mean_s(request.route),
             )
         if chosen is not None:
-            share = QUEUE_WAIT_SHARES[min(len(rejections), 2)]
-            max_wait_s = min(left_s, request.route.objective_s) * share
+            max_wait_s = MAX_QUEUE_WAITS_S[min(len(rejections), 2)]
             return PlacementChoice(chosen, self._shutdown.limit_wait(max_wait_s), False)
         if sum(map(Attempt.was_last_resort, rejections.values())) >= MAX_LAST_RESORTS:
             return None
--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -11,10 +11,9 @@
 
 # Weight of a server in another data centre relative to one in this data centre. There
 # are many such servers, and together they must get few requests while a server in this
-# data centre has a free slot, or will soon have one. Each refusal makes them likelier.
+# data centre has a free slot.
 REMOTE_WEIGHT = 0.002
 REMOTE_WEIGHT_LONG_BODY = 0.0005
-REMOTE_GROWTH = 10.0
 LONG_BODY_BYTES = 16 * 1024
 LOCAL_WEIGHT = 1.5
 COLD_START_WEIGHT = 0.5
@@ -40,11 +39,10 @@
 MIN_LIMIT_RATE = 0.1
 # Assumed for a server that has not reported an expected wait.
 DEFAULT_WAIT_S = 0.1
-# Weight of a server without a free slot, in this data centre and in others; falls with
-# each of its first 8 queued requests.
-FULL_WEIGHT = 0.05
-FULL_WEIGHT_REMOTE = 0.0005
-FULL_QUEUE_DECAY = 0.1
+# Weight of a server without a free slot; halves with each of its first 8 queued
+# requests.
+FULL_WEIGHT = 0.0005
+FULL_QUEUE_DECAY = 0.5
 
 
 class Candidate:
@@ -72,22 +70,20 @@
     def __init__(self, rng):
         self._rng = rng
 
-    def choose(self, candidates, idempotent, body_bytes, refusals=0, mean_s=0.0):
+    def choose(self, candidates, idempotent, body_bytes, mean_s=0.0):
         """Return a random candidate, or None if all of them are ejected.
 
         Args:
             candidates: The `Candidate`s that were not tried yet.
             idempotent: Whether the request may run more than once.
             body_bytes: Length of the request body.
-            refusals: Number of servers that have refused the request.
             mean_s: Mean processing time of such requests, in seconds.
         """
         usable = [item for item in candidates if is_usable(item)]
         if not usable:
             return None
         weights = [
-            calculate_weight(item, idempotent, body_bytes, refusals, mean_s)
-            for item in usable
+            calculate_weight(item, idempotent, body_bytes, mean_s) for item in usable
         ]
         return self._rng.choices(usable, weights)[0]
 
@@ -139,14 +135,13 @@
     return min(server.slots, server.limit * mean_s)
 
 
-def calculate_weight(candidate, idempotent, body_bytes, refusals=0, mean_s=0.0):
+def calculate_weight(candidate, idempotent, body_bytes, mean_s=0.0):
     """Return the relative probability with which a candidate is chosen."""
     server = candidate.server
     in_flight = candidate.peer.in_flight if candidate.peer is not None else 0
     busy = max(server.running + server.waiting, in_flight)
     free = estimate_concurrency(server, mean_s) - busy
-    full_weight = FULL_WEIGHT if candidate.same_data_centre else FULL_WEIGHT_REMOTE
-    weight = free if free > 0 else full_weight * FULL_QUEUE_DECAY ** min(-free, 8)
+    weight = free if free > 0 else FULL_WEIGHT * FULL_QUEUE_DECAY ** min(-free, 8)
     if candidate.peer is None:
         weight *= LOCAL_WEIGHT
     if server.cold_s > 0:
@@ -159,9 +154,9 @@
         if server.suspect and not idempotent:
             weight *= SUSPECT_WEIGHT
     if not candidate.same_data_centre:
-        long = body_bytes > LONG_BODY_BYTES
-        weight *= REMOTE_WEIGHT_LONG_BODY if long else REMOTE_WEIGHT
-        weight *= REMOTE_GROWTH ** min(refusals, 2)
+        weight *= (
+            REMOTE_WEIGHT_LONG_BODY if body_bytes > LONG_BODY_BYTES else REMOTE_WEIGHT
+        )
     return weight
 
 
