Ask again for exactly the two kinds of answers in the test of a limit

The exact set {200, 503} is back. So that a slow machine has no reason to answer 504, the requests now have 1,000 ms in place of 300; more time can only let more requests reach the server, so the count that the test guards is asked no less.

--- a/persimmonlane/tests/test_limits.py
+++ b/persimmonlane/tests/test_limits.py
@@ -12,7 +12,7 @@
 OVER = 1.5
 SLACK = 5
 CALLS = 24
-SHORT = {"X-Timeout-Ms": "300"}
+SHORT = {"X-Timeout-Ms": "1000"}
 
 
 class LimitTests(testtools.TestCase):
@@ -48,8 +48,7 @@
         self.call_from_both_nodes()
         got = len(self.server.requests) - before
         self.assertThat(got, LessThan(self.count_allowed(began)))
-        self.assertIn(200, self.statuses)
-        self.assertIn(503, self.statuses)
+        self.assertEqual({200, 503}, set(self.statuses))
 
     def test_limit_holds_after_a_restart_of_the_node_beside_the_server(self):
         self.assertEqual(200, self.site.call("/far/", method="POST").status)
