Let the store's stand-in come back from a copy, with the era in its answers

Revisions, history, items and leases go back and are given out again; a watch from a revision that the store does not have gets 410. One function handles a call, whether it comes over HTTP or not. No product code has changed.

--- a/persimmonlane/standins/store.py
+++ b/persimmonlane/standins/store.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import copy
 import threading
 import time
 import urllib.parse
@@ -14,6 +15,7 @@
 THREADS = 16
 PAGE_ITEMS = 100
 WATCH_POLL_S = 0.02
+ERA_HEADER = "Store-Era"
 
 
 class Item:
@@ -42,6 +44,20 @@
         }
 
 
+class StoreCopy:
+    """What a copy of the store holds: it is lost what was written after it."""
+
+    __slots__ = ("revision", "items", "events", "compacted", "leases", "next_lease")
+
+    def __init__(self, revision, items, events, compacted, leases, next_lease):
+        self.revision = revision
+        self.items = items
+        self.events = events
+        self.compacted = compacted
+        self.leases = leases
+        self.next_lease = next_lease
+
+
 class StoreState:
     """Contents of the store; thread-safe.
 
@@ -50,6 +66,8 @@
         drops_responses: Whether POST calls take effect but get no response.
         calls: Method and target of each call so far.
         revision: Revision of the last change.
+        era: Value of the header that tells how often the store was restored, or None
+            if its answers have none.
     """
 
     def __init__(self):
@@ -57,6 +75,7 @@
         self.drops_responses = False
         self.calls = []
         self.revision = 1
+        self.era = None
         self._items = {}
         self._events = []
         self._compacted = 0
@@ -81,6 +100,39 @@
             for lease in list(self._leases):
                 self._remove_lease(lease)
 
+    def take_copy(self):
+        """Return a `StoreCopy` to which the store can be restored."""
+        with self._changed:
+            return StoreCopy(
+                self.revision,
+                copy.deepcopy(self._items),
+                list(self._events),
+                self._compacted,
+                dict(self._leases),
+                self._next_lease,
+            )
+
+    def restore(self, taken):
+        """Come back from a `StoreCopy`, in the next era.
+
+        Revisions and lease numbers that were given out since are given out again.
+        """
+        with self._changed:
+            self.revision = taken.revision
+            self._items = copy.deepcopy(taken.items)
+            self._events = list(taken.events)
+            self._compacted = taken.compacted
+            self._leases = dict(taken.leases)
+            self._next_lease = taken.next_lease
+            self.era = int(self.era or 0) + 1
+            self._changed.notify_all()
+
+    def find_lease(self, key):
+        """Return the lease number of a key, 0 without a lease, None without the key."""
+        with self._changed:
+            item = self._items.get(key)
+            return None if item is None else item.lease
+
     def keys(self):
         """Return the existing keys in sorted order."""
         with self._changed:
@@ -114,7 +166,7 @@
         deadline = time.monotonic() + wait_s
         with self._changed:
             while True:
-                if after < self._compacted:
+                if after < self._compacted or after > self.revision:
                     return 410, {}
                 events = [
                     row
@@ -167,6 +219,41 @@
             self._remove_lease(lease)
             return 200, {}
 
+    def handle(self, method, target, raw):
+        """Handle a call; return the status and body of the response.
+
+        Args:
+            method: HTTP method.
+            target: Request target.
+            raw: Body in bytes.
+        """
+        self.calls.append(f"{method} {target}")
+        if self.error_status:
+            return self.error_status, {}
+        path, _, query = target.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        name, _, argument = path.removeprefix("/persimmonlane/").partition("/")
+        body = msgspec.json.decode(raw) if raw else {}
+        calls = {
+            "GET kv-key": lambda: self.read(fields["Key"]),
+            "GET kv-range": lambda: self.read_range(
+                fields["Prefix"], fields.get("after", "")
+            ),
+            "GET kv-watch": lambda: self.watch(
+                fields["Prefix"], int(fields["after"]), int(fields["WaitMs"]) / 1000
+            ),
+            "POST kv-txn": lambda: self.apply_transaction(body),
+            "POST kv-lease": lambda: self.grant_lease(body["TtlS"]),
+            "POST kv-keep": lambda: self.renew_lease(int(argument)),
+            "DELETE kv-lease-end": lambda: self.revoke_lease(int(argument)),
+        }
+        call = calls.get(f"{method} {name}")
+        return call() if call else (404, {})
+
+    def build_headers(self):
+        """Return the headers that every response has, as a dict."""
+        return {} if self.era is None else {ERA_HEADER: str(self.era)}
+
     def _remove_lease(self, lease):
         del self._leases[lease]
         for key in [k for k, item in self._items.items() if item.lease == lease]:
@@ -201,41 +288,15 @@
     def respond(self):
         """Handle one call."""
         req = self.req
-        target = req.uri.decode("ascii")
         raw = req.rfile.read()
-        self.state.calls.append(f"{req.method.decode()} {target}")
-        if self.state.error_status:
-            self._write(self.state.error_status, {})
-            return
-        status, body = self._dispatch(req.method.decode(), target, raw)
+        method, target = req.method.decode(), req.uri.decode("ascii")
+        status, body = self.state.handle(method, target, raw)
         if self.state.drops_responses and req.method == b"POST":
             req.close_connection = True
             req.sent_headers = True
             return
         self._write(status, body)
 
-    def _dispatch(self, method, target, raw):
-        path, _, query = target.partition("?")
-        fields = dict(urllib.parse.parse_qsl(query))
-        name, _, argument = path.removeprefix("/persimmonlane/").partition("/")
-        body = msgspec.json.decode(raw) if raw else {}
-        state = self.state
-        calls = {
-            "GET kv-key": lambda: state.read(fields["Key"]),
-            "GET kv-range": lambda: state.read_range(
-                fields["Prefix"], fields.get("after", "")
-            ),
-            "GET kv-watch": lambda: state.watch(
-                fields["Prefix"], int(fields["after"]), int(fields["WaitMs"]) / 1000
-            ),
-            "POST kv-txn": lambda: state.apply_transaction(body),
-            "POST kv-lease": lambda: state.grant_lease(body["TtlS"]),
-            "POST kv-keep": lambda: state.renew_lease(int(argument)),
-            "DELETE kv-lease-end": lambda: state.revoke_lease(int(argument)),
-        }
-        call = calls.get(f"{method} {name}")
-        return call() if call else (404, {})
-
     def _write(self, status, body):
         data = msgspec.json.encode(body)
         self.req.status = f"{status} Status".encode()
@@ -243,6 +304,10 @@
             (b"Content-Type", b"application/json"),
             (b"Content-Length", str(len(data)).encode()),
         ]
+        self.req.outheaders += [
+            (name.encode(), value.encode())
+            for name, value in self.state.build_headers().items()
+        ]
         self.req.ensure_headers_sent()
         self.req.write(data)
 
