Split the synchronisation with the store by its jobs; simulate it through the real client

Registration, reading, and watching are classes of their own, with a step that the threads call and that tests can call too. The simulated fleet now calls the store's stand-in through SiteStore, so that headers, revisions and leases are those of the protocol. No logic has changed.

--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -246,7 +246,10 @@
         state.error_status = 503
         self.assertTrue(
             wait_until(
-                lambda: all(n._upkeep._renewal_due for n, _ in self.site.nodes.values())
+                lambda: all(
+                    node._upkeep.registration.is_renewal_requested()
+                    for node, _ in self.site.nodes.values()
+                )
             )
         )
         state.error_status = 0
--- a/persimmonlane/upkeep/tests/simulation.py
+++ b/persimmonlane/upkeep/tests/simulation.py
@@ -1,90 +1,127 @@
-"""Fleet whose nodes keep their documents up to date, on a simulated clock."""
+"""Fleet whose nodes keep their documents up to date, on a simulated clock.
+
+The nodes call a store's stand-in through the real client, without a network.
+"""
+
+import msgspec
+import urllib3.exceptions
 
-from ...errors import StoreError
 from ...peers.tests.simulation import STEP_S, Fleet
 from ...platform.documents import DOCUMENT_KEY
-from ...platform.store import GrantedLease, ReadResult, StoreItem, WatchResult
+from ...platform.store import SiteStore
+from ...standins.store import StoreState
 from ..documents import REMOTE_FETCH_DELAY_S, DocumentHolder
-from ..storesync import RETRY_DELAY_S, WATCHING_RELAYS, StoreSync
+from ..storesync import StoreSync
+from ..watching import RETRY_DELAY_S
 
 # Time that a call to a node or a store which does not answer takes.
 FETCH_TIMEOUT_S = 0.6
 STORE_TIMEOUT_S = 1.5
-LEASE_S = 30.0
 # Time within which a new version must be in force, by the operators' bound.
 APPLY_S = 2.0
 # Rounds of datagrams that follow each other without a noticeable delay.
 EXCHANGES = 3
+WATCH_PATH = "/persimmonlane/kv-watch"
 
 
 class Rulebook:
-    def __init__(self, version):
-        self.version = version
+    def __init__(self, raw):
+        self.version = int(raw.partition(b":")[0])
+        self.raw = bytes(raw)
 
 
 class Store:
-    """The store.
+    """The store, and the operator who changes the document.
 
     Attributes:
+        state: The `StoreState`.
         version: Version of the document.
-        revision: Revision of the newest change.
-        document_revision: Revision of the document's newest change.
         cut: Hosts that it does not answer.
-        reads: Calls of `read`.
+        is_away: Whether it refuses all calls.
+        read_count: Calls that read an item.
+        call_count: All calls; a watch counts once, however long it waits.
     """
 
     def __init__(self):
-        self.version = 1
-        self.revision = 1
-        self.document_revision = 1
+        self.state = StoreState()
+        self.version = 0
         self.cut = set()
-        self.reads = 0
+        self.is_away = False
+        self.read_count = 0
+        self.call_count = 0
+        self.change()
 
-    def change(self):
-        self.revision += 1
-        self.document_revision = self.revision
+    def change(self, contents=""):
+        """Write the next version of the document."""
         self.version += 1
+        self.write(self.version, contents)
 
+    def write(self, version, contents=""):
+        self.state.put(DOCUMENT_KEY, f"{version}:{contents}".encode())
 
-class StoreClient:
-    """The client of one host."""
 
-    def __init__(self, store, host):
-        self._store = store
-        self._host = host
+class StillWaiting(BaseException):
+    """A watch that has nothing to tell yet; no part of the product may catch this."""
 
-    def _check(self):
-        if self._host in self._store.cut:
-            raise StoreError("no answer")
 
-    def read(self, key):
-        self._check()
-        self._store.reads += 1
-        value = self._store.version if key == DOCUMENT_KEY else b""
-        return ReadResult(value, self._store.revision)
+class StoreResponse:
+    def __init__(self, status, data, headers):
+        self.status = status
+        self.data = data
+        self.headers = headers
 
-    def watch(self, prefix, after, wait_s):
-        self._check()
-        store = self._store
-        if store.document_revision <= after:
-            return WatchResult([], after)
-        event = StoreItem(DOCUMENT_KEY, store.version, store.document_revision)
-        return WatchResult([event], store.revision)
 
-    def list(self, prefix):
-        self._check()
-        return []
+class StorePool:
+    """Takes the place of the connections of one host to the store.
+
+    Attributes:
+        timed_out: Whether a call was not answered since this was last reset.
+    """
+
+    def __init__(self, store, host, clock):
+        self.timed_out = False
+        self._store = store
+        self._host = host
+        self._clock = clock
+        self._watch = None
+        self._watch_until = 0.0
 
-    def grant_lease(self, duration_s):
-        self._check()
-        return GrantedLease(1, LEASE_S)
+    def urlopen(self, method, target, body=None, headers=None, timeout=None):
+        if target.startswith(WATCH_PATH):
+            return self._wait(method, target)
+        return self._call(method, target, body)
 
-    def renew_lease(self, lease):
-        self._check()
+    def _call(self, method, target, body=None):
+        if self._host in self._store.cut:
+            self.timed_out = True
+            self._watch = None
+            raise urllib3.exceptions.ProtocolError("no answer")
+        if self._store.is_away:
+            self._watch = None
+            raise urllib3.exceptions.ProtocolError("refused")
+        self._store.call_count += 1
+        self._store.read_count += "/kv-key?" in target
+        state = self._store.state
+        status, answer = state.handle(method, target, body or b"")
+        return StoreResponse(
+            status, msgspec.json.encode(answer), dict(state.build_headers())
+        )
 
-    def write(self, key, value, lease):
-        self._check()
-        self._store.revision += 1
+    def _wait(self, method, target):
+        """Return the response to a watch, which waits for as long as it was told to."""
+        path, _, wait_ms = target.rpartition("=")
+        now = self._clock.now()
+        if self._watch is None:
+            self._watch = path
+            self._watch_until = now + int(wait_ms) / 1000
+        else:
+            self._store.call_count -= 1
+        response = self._call(method, f"{self._watch}=0")
+        has_events = b'"Key"' in response.data
+        if response.status == 200 and not has_events and now < self._watch_until:
+            raise StillWaiting
+        self._watch = None
+        return response
 
 
 class ActorReference:
@@ -101,22 +138,28 @@
     Attributes:
         documents: Its `DocumentHolder`.
         applied_at: Clock seconds at which each version came into force.
+        history: The versions that came into force, in order.
+        table: Its `PeerTable`.
     """
 
     def __init__(self, fleet, node):
         self.documents = DocumentHolder(Rulebook)
         self.applied_at = {}
+        self.history = []
+        self.table = node.table
         self._fleet = fleet
         self._clock = fleet.clock
-        self._table = node.table
         self._host = node.host
-        self._settings = settings = node.gossip._settings
+        self._pool = StorePool(fleet.store, node.host, fleet.clock)
+        store = SiteStore("store:80")
+        store._pool = self._pool
+        settings = node.gossip._settings
         settings.min_lease_s = 1.0
         settings.document_apply_s = APPLY_S
         self._sync = StoreSync(
-            self._settings,
+            settings,
             fleet.clock,
-            StoreClient(fleet.store, node.host),
+            store,
             self.documents,
             ActorReference(node.gossip),
             node.table,
@@ -126,40 +169,43 @@
         self._tasks_at = 0.0
         self._watch_at = 0.0
         self._fetch_at = 0.0
-        self._after = None
         self._to_ask = []
         self.documents.add_listener(self._note_applied)
+        gossip = node.gossip
+        for part in (gossip, gossip._remotes, gossip._rates):
+            part._document = self.documents
 
     def _note_applied(self, rulebook):
         self.applied_at[rulebook.version] = self._clock.now()
+        self.history.append(rulebook.version)
         self._fleet.changed.add(self._host)
 
+    def is_fresh(self, limit_s):
+        """Return whether the document was confirmed within a time in seconds."""
+        return self.table.freshness.compute_age() <= limit_s
+
     def step(self):
         now = self._clock.now()
         if now >= self._tasks_at:
-            self._run_tasks(now)
+            self._sync.run_due_tasks()
+            if self._has_timed_out():
+                self._tasks_at = now + STORE_TIMEOUT_S + RETRY_DELAY_S
         if now >= self._watch_at:
-            self._watch(now)
+            self._wait_for_changes(now)
         if now >= self._fetch_at:
             self._fetch_next(now)
 
-    def _run_tasks(self, now):
+    def _wait_for_changes(self, now):
         try:
-            self._sync._run_due_tasks(now)
-        except StoreError:
-            self._sync._renewal_due = True
-            self._tasks_at = now + STORE_TIMEOUT_S + RETRY_DELAY_S
-
-    def _watch(self, now):
-        if not self._table.is_relay(self._settings.data_centre, WATCHING_RELAYS):
-            self._after = None
-            self._watch_at = now + RETRY_DELAY_S
-        elif self._sync._document_revision is not None:
-            after = self._after or self._sync._document_revision
-            try:
-                self._after = self._sync._wait_for_changes(after)
-            except StoreError:
-                self._watch_at = now + STORE_TIMEOUT_S
+            self._watch_at = now + self._sync.watch.wait()
+        except StillWaiting:
+            return
+        if self._has_timed_out():
+            self._watch_at = now + STORE_TIMEOUT_S
+
+    def _has_timed_out(self):
+        timed_out, self._pool.timed_out = self._pool.timed_out, False
+        return timed_out
 
     def _fetch_next(self, now):
         if not self._to_ask:
@@ -173,14 +219,14 @@
         while self._to_ask and now >= self._fetch_at:
             source = self._to_ask.pop(0)
             if source.version > self.documents.version:
-                self._sync._try_fetch(source.address)
+                self._sync.fetch_from(source.address)
 
     def _fetch(self, address):
         source = self._fleet.find_running(address.split(":")[0])
         if source is None:
             self._fetch_at = self._clock.now() + FETCH_TIMEOUT_S
-        else:
-            self.documents.apply(source.documents.version, address)
+        elif source.documents.rulebook is not None:
+            self.documents.apply(source.documents.rulebook.raw, address)
 
 
 class SyncedFleet:
@@ -192,6 +238,7 @@
         rng: The `random.Random` of the fleet.
         paused: Hosts that stand still.
         changed: Hosts that announce themselves before the next step.
+        synced: The `SyncedNode`s by host.
     """
 
     def __init__(self, sizes, seed):
@@ -201,15 +248,20 @@
         self.paused = self._fleet.network.paused
         self.store = Store()
         self.changed = set()
-        self.synced = {}
-        for host, node in self._fleet.nodes.items():
-            self.synced[host] = synced = SyncedNode(self, node)
-            gossip = node.gossip
-            for part in (gossip, gossip._remotes, gossip._rates):
-                part._document = synced.documents
+        self.synced = {
+            host: SyncedNode(self, node) for host, node in self._fleet.nodes.items()
+        }
+
+    def restart(self, host):
+        """Start a new process of a node, which knows nothing."""
+        self.synced[host] = SyncedNode(self, self._fleet.start(host))
+
+    def kill(self, host):
+        self._fleet.kill(host)
+        del self.synced[host]
 
     def find_running(self, host):
-        return None if host in self.paused else self.synced[host]
+        return None if host in self.paused else self.synced.get(host)
 
     def run(self, seconds):
         for _ in range(round(seconds / STEP_S)):
@@ -226,7 +278,8 @@
         for _ in range(EXCHANGES):
             changed, self.changed = self.changed, set()
             for host in changed - self.paused:
-                self._fleet.nodes[host].announce()
+                if host in self._fleet.nodes:
+                    self._fleet.nodes[host].announce()
             self._fleet.network.deliver()
 
     def list_data_centres(self):
--- a/persimmonlane/upkeep/tests/test_fetching.py
+++ b/persimmonlane/upkeep/tests/test_fetching.py
@@ -44,5 +44,5 @@
     def test_next_source_is_asked_if_the_first_has_no_newer_version_any_more(self):
         for address in ("restarted:80", "restarted:80", "good:80"):
             self.documents.add_source(2, address, True)
-        self.sync._fetch_newer_document()
+        self.sync.fetch_newer_document()
         self.assertEqual(["restarted:80", "good:80"], self.fetched)
--- /dev/null
+++ b/persimmonlane/upkeep/watching.py
@@ -0,0 +1,77 @@
+"""Watch of the document in the store."""
+
+import logging
+
+from ..errors import StoreError
+from ..platform.documents import DOCUMENT_KEY, DOCUMENT_PREFIX
+from ..platform.store import HistoryGone
+
+log = logging.getLogger("persimmonlane.upkeep")
+
+# Number of nodes in each data centre that watch the document for the others.
+WATCHING_RELAYS = 2
+WATCH_TIMEOUT_S = 10.0
+RETRY_DELAY_S = 0.7
+
+
+class DocumentWatch:
+    """Waits for changes of the document, as long as this node is a relay."""
+
+    __slots__ = ("_settings", "_store", "_documents", "_reader", "_table", "_after")
+
+    def __init__(self, settings, store, documents, reader, table):
+        """Create a watch.
+
+        Args:
+            settings: The `FleetSettings`.
+            store: The `SiteStore`.
+            documents: The `DocumentHolder`.
+            reader: The `DocumentReader`.
+            table: Table of the known nodes.
+        """
+        self._settings = settings
+        self._store = store
+        self._documents = documents
+        self._reader = reader
+        self._table = table
+        self._after = None
+
+    def wait(self):
+        """Wait for the next changes; return the seconds to pause before the next call.
+
+        No error is raised; they are logged.
+        """
+        if not self._table.is_relay(self._settings.data_centre, WATCHING_RELAYS):
+            self._after = None
+            return RETRY_DELAY_S
+        if self._reader.revision is None:
+            return 0.0
+        try:
+            self._apply_changes(self._after or self._reader.revision)
+        except HistoryGone:
+            log.warning(
+                "Upkeep: the store no longer has the changes; reading the document."
+            )
+            # The watch goes on at the revision of that read.
+            self._after = None
+            self._read_document()
+        except StoreError as error:
+            log.warning("Upkeep: watching the document failed: %s.", error)
+            return RETRY_DELAY_S
+        except Exception:
+            log.exception("Upkeep: unexpected error while watching the document.")
+            return RETRY_DELAY_S
+        return 0.0
+
+    def _apply_changes(self, after):
+        changes = self._store.watch(DOCUMENT_PREFIX, after, WATCH_TIMEOUT_S)
+        for event in changes.events:
+            if event.key == DOCUMENT_KEY and event.value is not None:
+                self._documents.apply(event.value, "a watch")
+        self._after = changes.as_of or after
+
+    def _read_document(self):
+        try:
+            self._reader.read()
+        except StoreError as error:
+            log.warning("Upkeep: reading the document failed: %s.", error)
