--- a/persimmonlane/upkeep/tests/simulation.py
+++ b/persimmonlane/upkeep/tests/simulation.py
@@ -11,6 +11,7 @@
 from ...platform.store import SiteStore
 from ...standins.store import StoreState
 from ..documents import REMOTE_FETCH_DELAY_S, DocumentHolder
+from ..registration import NODE_PREFIX
 from ..storesync import StoreSync
 from ..watching import RETRY_DELAY_S
 
@@ -30,34 +31,62 @@
         self.raw = bytes(raw)
 
 
+class WrittenDocument:
+    """A document that the operator wrote, and when that was confirmed."""
+
+    def __init__(self, version, raw, at):
+        self.version = version
+        self.raw = raw
+        self.at = at
+
+
 class Store:
     """The store, and the operator who changes the document.
 
     Attributes:
         state: The `StoreState`.
         version: Version of the document.
+        written: The `WrittenDocument`s that the operator has first written, in order.
         cut: Hosts that it does not answer.
         is_away: Whether it refuses all calls.
         read_count: Calls that read an item.
         call_count: All calls; a watch counts once, however long it waits.
+        late_answers: Response that the next call of a host gets, by the host.
     """
 
-    def __init__(self):
+    def __init__(self, clock):
         self.state = StoreState()
+        self.state.era = 1
         self.version = 0
+        self.written = []
         self.cut = set()
         self.is_away = False
         self.read_count = 0
         self.call_count = 0
+        self.late_answers = {}
+        self._clock = clock
         self.change()
 
     def change(self, contents=""):
         """Write the next version of the document."""
         self.version += 1
-        self.write(self.version, contents)
+        raw = f"{self.version}:{contents}".encode()
+        self.state.put(DOCUMENT_KEY, raw)
+        self.written.append(WrittenDocument(self.version, raw, self._clock.now()))
+
+    def write_again(self, since):
+        """Write again the documents that were written at a time or later.
 
-    def write(self, version, contents=""):
-        self.state.put(DOCUMENT_KEY, f"{version}:{contents}".encode())
+        Args:
+            since: Clock seconds.
+        """
+        for document in self.written:
+            if document.at >= since:
+                self.state.put(DOCUMENT_KEY, document.raw)
+
+    def find_newest(self, at):
+        """Return the newest version that was confirmed at a time in clock seconds."""
+        return max(item.version for item in self.written if item.at <= at)
 
 
 class StillWaiting(BaseException):
@@ -99,6 +128,8 @@
         if self._store.is_away:
             self._watch = None
             raise urllib3.exceptions.ProtocolError("refused")
+        if self._host in self._store.late_answers:
+            return self._store.late_answers.pop(self._host)
         self._store.call_count += 1
         self._store.read_count += "/kv-key?" in target
         state = self._store.state
@@ -180,9 +211,14 @@
         self.history.append(rulebook.version)
         self._fleet.changed.add(self._host)
 
-    def is_fresh(self, limit_s):
-        """Return whether the document was confirmed within a time in seconds."""
-        return self.table.freshness.compute_age() <= limit_s
+    @property
+    def confirmed_at(self):
+        """Clock seconds at which its document was confirmed as the newest, or None."""
+        return self.table.freshness.confirmed_at
+
+    def stop_watching(self):
+        """Let its watch hear nothing any more."""
+        self._watch_at = float("inf")
 
     def step(self):
         now = self._clock.now()
@@ -246,7 +282,7 @@
         self.clock = self._fleet.clock
         self.rng = self._fleet.rng
         self.paused = self._fleet.network.paused
-        self.store = Store()
+        self.store = Store(self.clock)
         self.changed = set()
         self.synced = {
             host: SyncedNode(self, node) for host, node in self._fleet.nodes.items()
@@ -260,6 +296,12 @@
         self._fleet.kill(host)
         del self.synced[host]
 
+    def list_registered(self):
+        """Return the hosts of the nodes whose entries are in the store."""
+        keys = self.store.state.keys()
+        names = [key.removeprefix(NODE_PREFIX) for key in keys if NODE_PREFIX in key]
+        return {name.removeprefix("vm-") for name in names}
+
     def find_running(self, host):
         return None if host in self.paused else self.synced.get(host)
 
