Let what was learned from the store lose its force when the store is restored

What callers saw, on other systems: a confirmed change not in force in time, or taken back, after the store had come back from a copy.

Cause: revisions, lease numbers and versions were compared across a restore, in which the store gives them out again. Nothing read the header that counts the restores.

Fix: the client reads it from every answer, errors too, and one GenerationTracker keeps it. Revisions and leases are pairs with their generation, so that those of an earlier one match nothing: a watch gets HistoryGone, a lease LeaseGone, a probe reads anew. A late answer is refused. A document's stamp says in which generation the store was last known to hold it; peers pass that on, and a confirmation counts for a document of the same generation or later. What is in force stays in force: a version only gives way to a higher one, or to another document of its own number that the store holds in a later generation, as that one was never confirmed. For 2.5 s after a restore, in which the operator writes again what was lost, nothing is confirmed; a node that starts learns from the entries whether that time is over. Nodes tell each other of the generation, so that each registers anew within 2 s, spread over half a second. A store without the header is used as before; one that ceases to send it is not believed for four answers, with a log line each.

--- a/persimmonlane/peers/announcing.py
+++ b/persimmonlane/peers/announcing.py
@@ -69,14 +69,15 @@
         self.sequence += 1
         return self.sequence
 
-    def update(self, state, version, fresh_age_s):
+    def update(self, state, stamp, fresh_age_s, store_generation=0):
         """Set the state to announce in this round.
 
         Args:
             state: The `NodeState`.
-            version: Version of the document in force.
-            fresh_age_s: Seconds since that version was last confirmed as the newest,
+            stamp: The `DocumentStamp` of the document in force.
+            fresh_age_s: Seconds since that document was last confirmed as the newest,
                 negative if unknown.
+            store_generation: Latest generation of the store that the node has seen.
         """
         fields = StaticFields(state)
         if self._static_fields is None or not fields.matches(self._static_fields):
@@ -91,7 +92,7 @@
             self._settings.peer_address,
             self._settings.data_centre,
             state.leaving,
-            version,
+            stamp.version,
             fresh_age_s,
             0,
             0,
@@ -99,6 +100,8 @@
             True,
             True,
             self._revision,
+            stamp.generation,
+            store_generation,
         )
         self._delta = build_delta(self._full)
 
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -22,6 +22,8 @@
         announcement.echo,
         announcement.echo_boot,
         build_load(announcement.server),
+        announcement.document_generation,
+        announcement.store_generation,
     )
 
 
@@ -68,6 +70,8 @@
         known.accepts_deltas,
         known.accepts_digests,
         known.revision,
+        delta.document_generation,
+        delta.store_generation,
     )
 
 
--- a/persimmonlane/peers/digests.py
+++ b/persimmonlane/peers/digests.py
@@ -70,6 +70,8 @@
         known.accepts_deltas,
         known.accepts_digests,
         known.revision,
+        known.document_generation,
+        known.store_generation,
     )
 
 
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -10,6 +10,7 @@
 
 from ..owner.health import HealthState
 from ..routing.metadata import Count, Order, OwnerReport, Percent, Rate
+from ..routing.stamps import DocumentStamp
 
 STANDINGS = tuple(standing.value for standing in HealthState)
 # Longer lists are refused, so that no datagram can keep the receiver busy.
@@ -76,6 +77,9 @@
         accepts_digests: Whether the node accepts a `Digest` about the nodes of another
             data centre in place of their announcements.
         revision: Number that rises whenever the node has another backend server.
+        document_generation: Latest generation of the store that is known to hold that
+            version, 0 if that is not known.
+        store_generation: Latest generation of the store that the node has seen.
     """
 
     node: str
@@ -92,6 +96,13 @@
     accepts_deltas: bool = False
     accepts_digests: bool = False
     revision: Annotated[int, msgspec.Meta(ge=0)] = 0
+    document_generation: Count = 0
+    store_generation: Count = 0
+
+    @property
+    def stamp(self):
+        """The `DocumentStamp` of the document in force at the node."""
+        return DocumentStamp(self.version, self.document_generation)
 
 
 class ServerLoad(msgspec.Struct, array_like=True):
@@ -134,6 +145,8 @@
         echo: As in `Announcement`.
         echo_boot: As in `Announcement`.
         load: `ServerLoad` of the node's backend server, or None.
+        document_generation: As in `Announcement`.
+        store_generation: As in `Announcement`.
     """
 
     boot: int
@@ -143,6 +156,8 @@
     echo: int
     echo_boot: int
     load: ServerLoad | None
+    document_generation: Count = 0
+    store_generation: Count = 0
 
 
 class MemberState(msgspec.Struct, array_like=True):
@@ -181,6 +196,8 @@
         echo_boot: Boot number of the process that sent that message.
         members: The `MemberState`s.
         is_answer: Whether it is sent only because the addressee sends digests.
+        document_generation: As in `Announcement`.
+        store_generation: As in `Announcement`.
     """
 
     boot: int
@@ -191,6 +208,13 @@
     echo_boot: int
     members: Annotated[list[MemberState], msgspec.Meta(max_length=MAX_DIGEST_MEMBERS)]
     is_answer: bool = False
+    document_generation: Count = 0
+    store_generation: Count = 0
+
+    @property
+    def stamp(self):
+        """The `DocumentStamp` of the document in force at the sender."""
+        return DocumentStamp(self.version, self.document_generation)
 
 
 class DigestRequest(msgspec.Struct, array_like=True, tag="h"):
--- a/persimmonlane/serving/nodeheaders.py
+++ b/persimmonlane/serving/nodeheaders.py
@@ -17,6 +17,8 @@
 ORDER_HEADER = "Persimmon-Order"
 REPORT_HEADER = "Persimmon-Report"
 REQUEST_ID_HEADER = "Persimmon-Request"
+# Latest generation of the store that is known to hold the document in the answer.
+GENERATION_HEADER = "Persimmon-Generation"
 GATEWAY_TIMEOUT_STATUS = 504
 
 
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -22,7 +22,7 @@
 from .peers.messages import ServerStatus
 from .peers.transport import DatagramTransport
 from .platform.documents import decode_document
-from .platform.store import SiteStore
+from .platform.store import SiteStore, parse_generation
 from .reporting.counter import RequestCounter, UnixClock
 from .reporting.reporter import Reporter
 from .routing.metadata import Order
@@ -40,11 +40,13 @@
     ReadinessGateway,
 )
 from .serving.ingress import Ingress
+from .serving.nodeheaders import GENERATION_HEADER
 from .serving.servers import NodeHTTPServer
 from .serving.shutdown import Shutdown
 from .serving.tracker import RunningRequests
 from .settings import split_address
 from .upkeep.documents import DocumentHolder
+from .upkeep.generations import GenerationTracker
 from .upkeep.storesync import StoreSync
 
 log = logging.getLogger("persimmonlane.node")
@@ -111,6 +113,7 @@
         self.shutdown = Shutdown(clock)
         self._stopping = threading.Event()
         self.documents = DocumentHolder(decode_document)
+        generations = GenerationTracker(clock)
         hosted = HostedServer(
             settings.server, settings.service, settings.heartbeat_s, clock
         )
@@ -124,6 +127,7 @@
             self._wire,
             self.describe,
             self.documents,
+            generations,
             self.owner,
         )
         self._table = table = self._gossip.proxy().table.get()
@@ -152,7 +156,8 @@
         self._upkeep = StoreSync(
             settings,
             clock,
-            SiteStore(settings.store),
+            SiteStore(settings.store, generations),
+            generations,
             self.documents,
             self._gossip,
             table,
@@ -162,6 +167,7 @@
         self._announcer = Announcer(self._gossip, random.random)
         self.owner.on_change = self._announcer.wake
         self.documents.add_listener(self._apply_rulebook)
+        generations.add_listener(lambda event: self._announcer.wake())
         self._servers = [
             NodeHTTPServer(
                 settings.readiness_address,
@@ -316,7 +322,8 @@
         if answer.status != 200:
             log.warning("Node: %s has no document: %d.", address, answer.status)
             return
-        self.documents.apply(answer.data, address)
+        generation = parse_generation(answer.headers.get(GENERATION_HEADER))
+        self.documents.apply(answer.data, address, generation)
 
     def _bind(self, gateway):
         return lambda request: gateway(request, self)
--- a/persimmonlane/upkeep/tests/test_logging.py
+++ b/persimmonlane/upkeep/tests/test_logging.py
@@ -8,6 +8,10 @@
 from ..storesync import StoreSync
 
 
+class Settings:
+    name = "self"
+
+
 class Rulebook:
     version = 2
 
@@ -19,9 +23,10 @@
         self.table = PeerTable("self", "south", 1, self.clock)
         self.documents = DocumentHolder(lambda raw: Rulebook)
         StoreSync(
-            None,
+            Settings,
             self.clock,
             None,
+            None,
             self.documents,
             None,
             self.table,
--- a/persimmonlane/upkeep/watching.py
+++ b/persimmonlane/upkeep/watching.py
@@ -44,15 +44,15 @@
         if not self._table.is_relay(self._settings.data_centre, WATCHING_RELAYS):
             self._after = None
             return RETRY_DELAY_S
-        if self._reader.revision is None:
+        if self._reader.position is None:
             return 0.0
         try:
-            self._apply_changes(self._after or self._reader.revision)
+            self._apply_changes(self._find_start())
         except HistoryGone:
             log.warning(
-                "Upkeep: the store no longer has the changes; reading the document."
+                "Upkeep: the store doesn't have the changes; reading the document."
             )
-            # The watch goes on at the revision of that read.
+            # The watch goes on at the position of that read.
             self._after = None
             self._read_document()
         except StoreError as error:
@@ -63,12 +63,20 @@
             return RETRY_DELAY_S
         return 0.0
 
+    def _find_start(self):
+        """Return the position to watch from: one of the store's present generation."""
+        read_at = self._reader.position
+        if self._after is None or self._after.generation != read_at.generation:
+            return read_at
+        return self._after
+
     def _apply_changes(self, after):
         changes = self._store.watch(DOCUMENT_PREFIX, after, WATCH_TIMEOUT_S)
         for event in changes.events:
             if event.key == DOCUMENT_KEY and event.value is not None:
-                self._documents.apply(event.value, "a watch")
-        self._after = changes.as_of or after
+                generation = changes.position.generation
+                self._documents.apply(event.value, "a watch", generation)
+        self._after = changes.position
 
     def _read_document(self):
         try:
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -30,8 +30,10 @@
 from persimmonlane.peers.rates import FleetRateLimiter
 from persimmonlane.peers.transport import DatagramTransport
 from persimmonlane.routing.rulebook import Organisation
+from persimmonlane.routing.stamps import DocumentStamp
 from persimmonlane.serving.ingress import Ingress
 from persimmonlane.sitenode import NodeState
+from persimmonlane.upkeep.generations import GenerationTracker
 
 PEER_COUNTS = (30, 90, 300)
 SERVICES = ("aangifte", "archief", "dossier")
@@ -63,6 +65,7 @@
     """Stub of the document that is in force on all nodes, and of its rulebook."""
 
     version = 7
+    stamp = DocumentStamp(7)
     organisations = {ORGANISATION.name: ORGANISATION}
 
     def __init__(self):
@@ -195,6 +198,7 @@
             self._transport,
             self.describe,
             Document(),
+            GenerationTracker(self.clock),
             None,
         )
         self.table = self.actor.proxy().table.get()
