Count no node as a member for an entry from before a restore of the store

Callers would see refusals within their rate: a node that had left before the restore came back as a member with its entry, for the time of its lease and 30 s more, and the holder of a rate that sees fewer nodes than members grants its share only. Cause: an entry says nothing of when it was written.

--- a/persimmonlane/peers/commands.py
+++ b/persimmonlane/peers/commands.py
@@ -1,6 +1,7 @@
 """Messages for the `Gossip` actor from the other parts of the node."""
 
 from .messages import RateResponse
+from .peer import MEMBER_TIMEOUT_S
 
 
 class PeerStarted:
@@ -32,14 +33,17 @@
         name: Name of the node.
         address: Address for requests from other nodes.
         data_centre: Name of its data centre, empty if it is not registered.
+        member_s: Seconds for which it counts as a member of the fleet even if it is not
+            heard of.
     """
 
-    __slots__ = ("name", "address", "data_centre")
+    __slots__ = ("name", "address", "data_centre", "member_s")
 
-    def __init__(self, name, address, data_centre=""):
+    def __init__(self, name, address, data_centre="", member_s=MEMBER_TIMEOUT_S):
         self.name = name
         self.address = address
         self.data_centre = data_centre
+        self.member_s = member_s
 
 
 class NodesRegistered:
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -69,19 +69,22 @@
             self._store_listed_at = self._clock.now()
             for node in nodes:
                 try:
-                    self.add_registered(node.name, node.address, node.data_centre)
+                    self.add_registered(
+                        node.name, node.address, node.data_centre, node.member_s
+                    )
                 except ValueError:
                     log.warning(
                         "Peers: invalid address of node %s in the store.", node.name
                     )
 
-    def add_registered(self, name, address, data_centre=""):
+    def add_registered(self, name, address, data_centre="", member_s=MEMBER_TIMEOUT_S):
         """Add or refresh a node that is registered in the store.
 
         Args:
             name: Name of the node.
             address: Address for requests from other nodes.
             data_centre: Name of its data centre, empty if it is not known.
+            member_s: Seconds for which it counts as a member if it is not heard of.
 
         Raises:
             ValueError: If the address is new and invalid.
@@ -90,12 +93,13 @@
             return
         with self._lock:
             now = self._clock.now()
+            seen_at = now - MEMBER_TIMEOUT_S + member_s
             peer = self.peers.get(name)
             if peer is None or (peer.address != address and not peer.is_live(now)):
-                self.peers[name] = Peer(name, address, now, data_centre)
+                self.peers[name] = Peer(name, address, seen_at, data_centre)
                 self._index()
             else:
-                peer.last_seen_at = now
+                peer.last_seen_at = max(peer.last_seen_at, seen_at)
             self._members.invalidate()
 
     def apply_announcement(self, announcement):
--- a/persimmonlane/upkeep/registration.py
+++ b/persimmonlane/upkeep/registration.py
@@ -11,8 +11,9 @@
 import msgspec
 
 from ..peers.commands import NodesRegistered, RegisteredNode
+from ..peers.peer import MEMBER_TIMEOUT_S
 from ..platform.store import LeaseGone
-from .generations import SETTLE_S
+from .generations import SETTLE_S, UNKNOWN_GENERATION
 
 log = logging.getLogger("persimmonlane.upkeep")
 
@@ -196,11 +197,25 @@
                     parse_name(item),
                     entry.address,
                     entry.data_centre,
+                    self._choose_member_s(entry, listing.generation, now),
                 )
             )
         self._gossip.tell(NodesRegistered(nodes))
         self._list_at = now + LIST_INTERVAL_S * self._rng.uniform(0.8, 1.2)
 
+    def _choose_member_s(self, entry, generation, now):
+        """Return the seconds for which an entry makes its node a member of the fleet.
+
+        Args:
+            entry: The `NodeEntry`.
+            generation: Generation of the store that it was read from.
+            now: Clock seconds.
+        """
+        if entry.generation in (UNKNOWN_GENERATION, generation):
+            return MEMBER_TIMEOUT_S
+        # A node that lives has registered anew when the store has settled.
+        return 0.0 if self._generations.is_settled(generation, now) else SETTLE_S
+
 
 def build_entry_key(name):
     """Return the key of a node's entry."""
