Write a node's entry again that is gone or under another node's lease

A write that the store executes late, or that lands under a lease number which was given to another node after a restore, leaves the entry under a lease that its node does not renew: it vanishes for good, or stays when the node has left. The same happens without a restore when the answer to the first write is lost and the write is done later. Cause: nothing looked at the entry once it was written.

--- a/persimmonlane/platform/store.py
+++ b/persimmonlane/platform/store.py
@@ -65,12 +65,14 @@
         key: The key.
         value: The value in bytes; None for a tombstone.
         revision: Revision of the store at the key's last change.
+        lease: Number of its lease, 0 without one.
         tombstone: Whether the key was removed.
     """
 
     key: str
     value: bytes | None = None
     revision: int = 0
+    lease: int = 0
     tombstone: bool = False
 
 
--- a/persimmonlane/upkeep/registration.py
+++ b/persimmonlane/upkeep/registration.py
@@ -200,6 +200,7 @@
                     self._choose_member_s(entry, listing.generation, now),
                 )
             )
+        self._check_own_entry(listing)
         self._gossip.tell(NodesRegistered(nodes))
         self._list_at = now + LIST_INTERVAL_S * self._rng.uniform(0.8, 1.2)
 
@@ -216,6 +217,21 @@
         # A node that lives has registered anew when the store has settled.
         return 0.0 if self._generations.is_settled(generation, now) else SETTLE_S
 
+    def _check_own_entry(self, listing):
+        """Register anew if the entry is not there, or under another lease.
+
+        A write that was executed late may have put it under a lease that ends, or that
+        is another node's by now.
+        """
+        lease = self._lease
+        if lease is None or lease.generation != listing.generation:
+            return
+        leases = [item.lease for item in listing.items if item.key == self._key]
+        if leases != [lease.number]:
+            log.warning("Upkeep: the node's entry is gone, or under another lease.")
+            self._lease = None
+            self._renewal_due = True
+
 
 def build_entry_key(name):
     """Return the key of a node's entry."""
