Introduce nodes that start without the store to all nodes beside them

Now each started node is told for 8 s of the nodes beside it: by some neighbours, drawn anew in each round, and in the digests of other data centres, the silent ones included. The random numbers of a gossip actor are injected, so that its tests repeat.

--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -88,8 +88,10 @@
         document,
         generations,
         owner,
+        rng=None,
     ):
         super().__init__(application)
+        rng = rng or random.Random()
         self._settings = settings
         self._clock = clock
         self._transport = transport
@@ -97,7 +99,7 @@
         self._document = document
         self._generations = generations
         self._owner = owner
-        self._boot = random.randrange(BOOT_LIMIT)
+        self._boot = rng.randrange(BOOT_LIMIT)
         self._builder = AnnouncementBuilder(settings, clock, self._boot)
         self._pending = PendingQueries()
         self.table = PeerTable(settings.name, settings.data_centre, self._boot, clock)
@@ -111,7 +113,7 @@
             generations,
             self._pending,
             transport,
-            random.Random(),
+            rng,
         )
         self._rates = FleetRateLimiter(
             settings,
--- a/persimmonlane/peers/peer.py
+++ b/persimmonlane/peers/peer.py
@@ -23,6 +23,7 @@
         data_centre: Name of its data centre, empty if it is not known yet.
         accepts_digests: Whether it learns of other data centres from digests.
         announcement: Its newest `Announcement`, or None before the first one.
+        started_at: Clock seconds at which its present process was first heard of.
         heard_at: Clock seconds at which that was received, or None; in another data
             centre, a time at which the peer was alive for certain.
         live_until: Clock seconds until which the peer counts as live.
@@ -39,6 +40,7 @@
         "data_centre",
         "accepts_digests",
         "announcement",
+        "started_at",
         "heard_at",
         "live_until",
         "last_seen_at",
@@ -67,6 +69,7 @@
         self.data_centre = data_centre
         self.accepts_digests = bool(data_centre)
         self.announcement = None
+        self.started_at = float("-inf")
         self.heard_at = None
         self.live_until = float("-inf")
         self.last_seen_at = last_seen_at
@@ -86,10 +89,10 @@
         latest = self.announcement
         if latest is None or latest.boot != announcement.boot:
             self.mark_reachable()
+            self.started_at = heard_at
+            self.heard_at = None
         if latest is not None and latest.boot != announcement.boot:
             self.previous_boot = latest.boot
-        if latest is None or latest.boot != announcement.boot:
-            self.heard_at = None
         self.announcement = announcement
         self.data_centre = announcement.data_centre
         self.accepts_digests = announcement.accepts_digests
--- a/persimmonlane/peers/remotes.py
+++ b/persimmonlane/peers/remotes.py
@@ -2,7 +2,8 @@
 
 The nodes of one data centre announce themselves to each other. Between data centres,
 relays exchange digests of their own nodes, and pass what they learn on to the nodes
-beside them. A node that has not heard of a data centre for too long asks a node there.
+beside them. Nodes that start are introduced to those beside them. A node that has not
+heard of a data centre for too long asks a node there.
 """
 
 import logging
@@ -30,8 +31,11 @@
 DIGEST_INTERVAL_S = 0.85
 # Without news of a data centre for this long, a node asks there itself.
 ASK_AFTER_S = 4.0
-# Nodes of a silent data centre to which a relay introduces itself in each round.
+# Nodes of a silent data centre to which a relay introduces itself in each round, and
+# nodes that introduce a started one to those beside it.
 INTRODUCTIONS = 2
+# For this long a node that has started is told of the nodes beside it.
+INTRODUCTION_S = 8.0
 # A node that sent a digest within this time also gets one, even if it is no relay by
 # this node's knowledge.
 SENDER_TIMEOUT_S = 2.5
@@ -141,6 +145,8 @@
             self._send_to_relays(remotes, rank, now)
             self._send_to_local_nodes(remotes, now)
         self._ask_silent_data_centres(remotes, now)
+        if not own.leaving:
+            self._introduce_local_nodes(now)
 
     def handle_digest(self, digest, sender):
         """Apply a `Digest` in the receiving thread.
@@ -229,8 +235,12 @@
             partners = set()
             if ranked:
                 partners.add(self._table.peers[ranked[rank % len(ranked)]].host)
+            new = {peer.host for peer in live if self._is_new(peer, now)}
+            # Those that are silent may live: none may have told them of this node.
+            states_around = self._list_states(peers, now) if new else []
             for host in sorted(senders | partners):
-                self._send_digest(host, states, is_answer=host not in partners)
+                told = states + states_around if host in new else states
+                self._send_digest(host, told, is_answer=host not in partners)
 
     def _send_to_local_nodes(self, remotes, now):
         live = [
@@ -243,6 +253,27 @@
             if self._is_local(peer) and peer.accepts_digests:
                 self._send_digest(peer.host, states, peer)
 
+    def _introduce_local_nodes(self, now):
+        """Tell nodes that have just started of the others beside them.
+
+        Without the store, they can't know all of those. Some nodes, drawn anew in each
+        round, tell them: two relays that don't know each other would not.
+        """
+        local = [
+            peer
+            for peer in self._table.list_live()
+            if self._is_local(peer) and peer.accepts_digests
+        ]
+        for peer in local:
+            others = [other for other in local if other is not peer]
+            if not others or not self._is_new(peer, now):
+                continue
+            if self._rng.random() < INTRODUCTIONS / len(local):
+                self._send_digest(peer.host, self._list_states(others, now), peer)
+
+    def _is_new(self, peer, now):
+        return now - peer.started_at < INTRODUCTION_S
+
     def _ask_silent_data_centres(self, remotes, now):
         for peers in remotes.values():
             heard = [peer.heard_at for peer in peers if peer.heard_at is not None]
--- a/persimmonlane/peers/tests/simulation.py
+++ b/persimmonlane/peers/tests/simulation.py
@@ -137,7 +137,7 @@
         is_legacy: Whether it behaves as a release without digests.
     """
 
-    def __init__(self, network, clock, host, is_legacy=False, version=VERSION):
+    def __init__(self, network, clock, host, rng, is_legacy=False, version=VERSION):
         self.host = host
         self.name = f"vm-{host}"
         self.data_centre = network.get_data_centre(host)
@@ -155,6 +155,7 @@
             self.document,
             self.generations,
             None,
+            rng,
         )
         self.table = self.gossip.table
         network.hosts[host] = self
@@ -220,7 +221,7 @@
     def start(self, host, is_legacy=False, version=VERSION):
         """Start a process at a host; an earlier one there has ended."""
         self.nodes[host] = SimulatedNode(
-            self.network, self.clock, host, is_legacy, version
+            self.network, self.clock, host, self.rng, is_legacy, version
         )
         self._phases[host] = self.clock.now() + self.rng.random() * ROUND_S
         return self.nodes[host]
