Confirm the document sooner after a restore of the store

The store now counts as settled 2 s after a node has first seen the generation, the time that the users give for entries to be back, not 2.5 s, and the probing relay asks at once when that time is over.

--- a/persimmonlane/upkeep/generations.py
+++ b/persimmonlane/upkeep/generations.py
@@ -15,7 +15,7 @@
 # Number of a generation that is not known, as of a store that names none.
 UNKNOWN_GENERATION = 0
 # Time after a restore in which those who wrote to the store write again what it lost.
-SETTLE_S = 2.5
+SETTLE_S = 2.0
 # So many answers in a row must contradict the generation that is known, before they
 # are believed: a single one is more likely a fault.
 MIN_CONTRADICTIONS = 5
--- a/persimmonlane/upkeep/reading.py
+++ b/persimmonlane/upkeep/reading.py
@@ -93,8 +93,10 @@
             now: Clock seconds.
         """
         age_s = self._table.freshness.compute_age()
-        if self._documents.version == 0 or self._schedule.is_due(
-            now, age_s, self.is_probing_relay
+        if (
+            self._documents.version == 0
+            or self._schedule.is_due(now, age_s, self.is_probing_relay)
+            or (self._has_settled(now) and self.is_probing_relay())
         ):
             self.probe(now)
 
@@ -158,6 +160,13 @@
         else:
             self._confirm(Confirmation(item.position.generation, started_at))
 
+    def _has_settled(self, now):
+        """Return whether a read would confirm now what the last one could not."""
+        unsettled = self._unsettled
+        return unsettled is not None and self._generations.is_settled(
+            unsettled.generation, now
+        )
+
     def _confirm(self, confirmation):
         self._unsettled = confirmation
         self.confirm_settled()
--- a/persimmonlane/upkeep/tests/test_restored_store.py
+++ b/persimmonlane/upkeep/tests/test_restored_store.py
@@ -95,6 +95,14 @@
         for host, node in self.fleet.synced.items():
             self.assertGreater(node.confirmed_at, self.returned_at, host)
 
+    def test_nodes_confirm_again_though_nothing_was_lost(self):
+        self.start()
+        self.take_copy()
+        self.restore()
+        self.run_for(RETURN_S + 1.0)
+        for host, node in self.fleet.synced.items():
+            self.assertGreater(node.confirmed_at, self.returned_at, host)
+
     def test_confirmed_change_that_the_nodes_have_missed_is_not_passed_over(self):
         self.start()
         self.take_copy()
