--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -3,6 +3,8 @@
 Responds as the platform's backend servers do, and sends heartbeats to its node.
 """
 
+import contextlib
+import socket
 import threading
 import time
 
@@ -34,6 +36,11 @@
         execution = Execution(request_headers.get("x-request-id", ""), time.monotonic())
         self.standin.executions.append(execution)
         script = self.standin.script
+        self.standin.connections.add(req.conn.socket)
+        if script.crashes_on(req.uri.decode()):
+            self.standin.crash()
+            self._end_without_response()
+            return
         if script.hang:
             self.standin.released.wait(HANG_S)
         time.sleep(script.get_work_s(request_headers))
@@ -57,12 +64,16 @@
         req.ensure_headers_sent()
         req.write(payload)
 
-    def _send_flood(self, flood):
-        """Send bytes in place of a response until the peer closes."""
+    def _end_without_response(self):
         req = self.req
         req.close_connection = True
         req.chunked_write = False
         req.sent_headers = True
+
+    def _send_flood(self, flood):
+        """Send bytes in place of a response until the peer closes."""
+        req = self.req
+        self._end_without_response()
         req.conn.socket.settimeout(HANG_S)
         self.standin.floods.append(flood)
         try:
@@ -102,9 +113,19 @@
         work_s: Processing time of each request in seconds.
         flood: The `Flood` that it sends in place of a response, or None.
         headers: Further headers of the response, as pairs of name and value.
+        deadly: Targets of the requests at which its process ends.
     """
 
-    __slots__ = ("status", "body", "not_run", "hang", "work_s", "flood", "headers")
+    __slots__ = (
+        "status",
+        "body",
+        "not_run",
+        "hang",
+        "work_s",
+        "flood",
+        "headers",
+        "deadly",
+    )
 
     def __init__(
         self,
@@ -115,6 +136,7 @@
         work_s=0.0,
         flood=None,
         headers=(),
+        deadly=(),
     ):
         self.status = status
         self.body = body
@@ -123,6 +145,11 @@
         self.work_s = work_s
         self.flood = flood
         self.headers = headers
+        self.deadly = deadly
+
+    def crashes_on(self, target):
+        """Return whether the server's process ends as it begins to run a request."""
+        return target in self.deadly
 
     def get_work_s(self, headers):
         """Return the processing time of a request in seconds.
@@ -162,6 +189,8 @@
         floods: Each `Flood` that was started.
         closed_floods: Each `Flood` that ended because the peer closed the
             connection.
+        connections: Sockets on which requests were received.
+        has_crashed: Whether its process has ended without notice.
     """
 
     def __init__(self, address, service, server_id, born):
@@ -171,6 +200,8 @@
         self.executions = []
         self.floods = []
         self.closed_floods = []
+        self.connections = set()
+        self.has_crashed = False
         self.slots = SLOTS
         self.released = threading.Event()
         self._address = address
@@ -184,6 +215,8 @@
             minthreads=THREADS,
             maxthreads=THREADS,
         )
+        # The end of the listener is an error to it, which tests cause on purpose.
+        self._server.error_log = lambda *args, **kwargs: None
 
     def start(self):
         """Bind the address and serve in a thread."""
@@ -195,6 +228,14 @@
         self.released.set()
         self._server.stop()
 
+    def crash(self):
+        """End as a process does that crashes: nothing listens, connections break."""
+        self.has_crashed = True
+        for sock in (self._server.socket, *self.connections):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self.stop, daemon=True).start()
+
     def send_heartbeat(self, control, state="ready"):
         """Send a heartbeat to a node; return the HTTP status of the response.
 
--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -88,14 +88,16 @@
         for number, service in enumerate(("near", "far")):
             self.add(test, f"node-{service}", build_ip(number + 2), service)
 
-    def add(self, test, name, ip, service):
+    def add(self, test, name, ip, service, key=None, data_centre=None):
+        """Start a node and its backend server; they are found by the key."""
+
         def address():
             return f"{ip}:{find_port(ip)}"
 
         settings = FleetSettings(
             name=name,
             ip=ip,
-            data_centre=f"zone-of-{service}",
+            data_centre=data_centre or f"zone-of-{service}",
             caller_address=address(),
             peer_address=address(),
             readiness_address=address(),
@@ -111,12 +113,19 @@
         node = SiteNode(Application(), settings, lambda: settings)
         test.addCleanup(node.stop)
         node.start()
-        server = BackendStandin(settings.server, service, f"i-{service}", 100)
+        key = key or service
+        self.nodes[key] = (node, settings)
+        self.start_server(test, key, f"i-{key}", 100)
+
+    def start_server(self, test, key, server_id, born):
+        """Start a process of the backend server beside a node."""
+        _, settings = self.nodes[key]
+        server = BackendStandin(settings.server, settings.service, server_id, born)
         server.start()
         test.addCleanup(server.stop)
         server.send_heartbeat(settings.heartbeat_address)
-        self.nodes[service] = (node, settings)
-        self.servers[service] = server
+        self.servers[key] = server
+        return server
 
     def restart_node(self, test, service):
         """Start a stopped node again; its backend server has kept running."""
