Quarantine requests that crash the backend servers which run them

Cause: a missing capability. Nothing knew such a request when it came again, and a connection that broke said nothing of the server.

A nested call also names the requests that may have made it. What is a crash: a connection breaks, and nothing listens at the server's address any more or another process has started within 10 s; not if the server had said that it leaves. The owner tells, which knows all that ran. The server takes nothing until it is heard of, and the break is no evidence against it once it is back. Whose fault: all that ran are implicated, three crashed processes put a request into quarantine. A request that is served anywhere is cleared, one that was served within 10 s before is not implicated. Before that: it runs alone, on an idle server or when nothing runs any more, without a hedge, with one retry, and not on the last two sound servers. Who knows: the owner tells its data centre and the relays of the others; announcements carry a digest, and who sees another one asks for all. What the caller gets: 503, not-run, request-quarantined at once, with the time that the quarantine lasts (5 min, doubled by each further crash up to an hour).

--- a/persimmonlane/explaining/events.py
+++ b/persimmonlane/explaining/events.py
@@ -220,6 +220,26 @@
     text = "a request is unfinished as the node exits: {stage}"
 
 
+class RequestImplicated(Event):
+    """A backend server crashed while a request was running on it.
+
+    Attributes:
+        request: Identifier of the request.
+        route: Name of the request's route.
+        server: Identifier of the backend server.
+        fingerprint: Fingerprint of the request, by which it is known when it comes
+            again.
+        crashes: Number of crashes in which requests with that fingerprint ran.
+        running: Number of requests that ran on the backend server.
+    """
+
+    __slots__ = ("request", "route", "server", "fingerprint", "crashes", "running")
+
+    name = "request-implicated"
+    prefix = "Owner"
+    text = "{server} crashed while a request was running"
+
+
 def log_event(event):
     """Log an event, at level INFO if it is a success and WARNING otherwise."""
     fields = event.describe()
--- a/persimmonlane/explaining/reading.py
+++ b/persimmonlane/explaining/reading.py
@@ -31,6 +31,12 @@
     "answer-refused": "The answer was invalid, incomplete or not the backend server's.",
     "answers-too-long": "The answers that the node held were too long in total.",
     "unreachable": "No connection could be established.",
+    "server-crashed": "The backend server's process ended while the request was "
+    "running.",
+    "request-implicated": "A backend server crashed while such a request was running, "
+    "and no other could run it alone.",
+    "request-quarantined": "Several backend servers crashed while such a request was "
+    "running; search the logs for its fingerprint.",
 }
 UNKNOWN_CAUSE = "See the last line."
 
--- a/persimmonlane/owner/admission.py
+++ b/persimmonlane/owner/admission.py
@@ -32,6 +32,7 @@
         priority: Its priority; 0 is the most urgent.
         deadline: Clock time by which it must be answered, in seconds.
         max_wait_s: Longest estimated wait that it accepts.
+        alone: Whether nothing else may run on the server meanwhile.
         wait_deadline: Clock time at which its wait times out, in seconds.
         granted_at: Clock time at which it got its slot, in seconds, or None.
         refusal: The `Refusal` that ended its wait, or None.
@@ -43,17 +44,19 @@
         "priority",
         "deadline",
         "max_wait_s",
+        "alone",
         "wait_deadline",
         "granted_at",
         "refusal",
         "wake",
     )
 
-    def __init__(self, latency, priority, deadline, max_wait_s, wake):
+    def __init__(self, latency, priority, deadline, max_wait_s, wake, alone=False):
         self.latency = latency
         self.priority = priority
         self.deadline = deadline
         self.max_wait_s = max_wait_s
+        self.alone = alone
         self.wait_deadline = deadline
         self.granted_at = None
         self.refusal = None
@@ -118,7 +121,7 @@
         """
         if self.slots <= 0:
             raise build_refusal("server-leaving", 0.0)
-        free = self.slots - self.running - self._count_reserved(ticket.priority)
+        free = self._count_free(ticket)
         limit_wait_s = self.limit.get_wait_s(len(self._list_ahead(ticket.priority)))
         if free > 0 and not self._waiting and limit_wait_s <= 0.0:
             return True
@@ -126,6 +129,8 @@
         if free <= 0:
             self._last_contention[ticket.priority] = now
         slot_wait_s = self.estimate_wait(ticket.priority)
+        if ticket.alone or self._runs_alone():
+            slot_wait_s = max(slot_wait_s, self._estimate_drain())
         wait_s = max(slot_wait_s, limit_wait_s)
         processing_s = ticket.latency.estimate_mean() * MIN_PROCESSING_RATIO
         left_s = ticket.deadline - now
@@ -141,7 +146,6 @@
         if ticket.granted_at is None:
             self._waiting = [entry for entry in self._waiting if entry[2] is not ticket]
             heapq.heapify(self._waiting)
-            return
         self._running.discard(ticket)
         self.admit_waiting()
 
@@ -165,7 +169,7 @@
         Requests with too little time are refused.
         """
         while self._waiting and self.running < self.slots:
-            if self.limit.get_wait_s() > 0.0:
+            if self.limit.get_wait_s() > 0.0 or self._is_kept_apart():
                 return
             _, _, ticket = heapq.heappop(self._waiting)
             processing_s = ticket.latency.estimate_mean() * MIN_PROCESSING_RATIO
@@ -209,6 +213,34 @@
         """Return the `Ticket`s that hold a slot."""
         return list(self._running)
 
+    def _count_free(self, ticket):
+        """Return the number of free slots that a new request may take."""
+        if self._runs_alone():
+            return 0
+        if ticket.alone:
+            return 0 if self._running else 1
+        return self.slots - self.running - self._count_reserved(ticket.priority)
+
+    def _is_kept_apart(self):
+        """Return whether the head of the queue must not run beside what runs now."""
+        head = self._waiting[0][2]
+        return bool(self._running) and (head.alone or self._runs_alone())
+
+    def _runs_alone(self):
+        """Return whether a request runs that nothing else may run beside."""
+        return any(ticket.alone for ticket in self._running)
+
+    def _estimate_drain(self):
+        """Return the expected seconds until nothing runs any more."""
+        now = self._clock.now()
+        return max(
+            (
+                min(ticket.latency.estimate_mean(), ticket.deadline - now)
+                for ticket in self._running
+            ),
+            default=0.0,
+        )
+
     def _list_ahead(self, priority):
         """Return the waiting `Ticket`s that go before a new one of a priority."""
         return [entry[2] for entry in self._waiting if entry[0] <= priority]
--- a/persimmonlane/owner/backend.py
+++ b/persimmonlane/owner/backend.py
@@ -80,6 +80,7 @@
         "_heartbeat_timeout_s",
         "_departures",
         "_has_departed",
+        "_crashed",
     )
 
     def __init__(self, address, service, heartbeat_s, clock):
@@ -92,6 +93,7 @@
         self._heartbeat_timeout_s = heartbeat_s * LOST_AFTER_HEARTBEATS
         self._departures = {}
         self._has_departed = False
+        self._crashed = None
 
     def apply_heartbeat(self, heartbeat):
         """Apply a heartbeat; return whether the incarnation or its state changed.
@@ -106,6 +108,7 @@
         changed = not same or old.state is not heartbeat.state
         if not same:
             self._has_departed = False
+        self._crashed = None
         self.current = heartbeat
         self.received_at = now
         self.cold_until = now + heartbeat.cold_s
@@ -134,10 +137,33 @@
         return (
             self.current is not None
             and not self._has_departed
+            and self._crashed is not self.current
             and self.current.state is ServerState.READY
             and self._clock.now() - self.received_at < self._heartbeat_timeout_s
         )
 
+    def may_crash(self, heartbeat):
+        """Return whether the end of a process would be a crash, not a departure.
+
+        Args:
+            heartbeat: A `Heartbeat` of the process.
+        """
+        return (
+            self.is_incarnation(heartbeat)
+            and not self._has_departed
+            and self.current.state is ServerState.READY
+        )
+
+    def ended_without_notice(self, heartbeat):
+        """Return whether a process, by its last `Heartbeat`, has not said it leaves."""
+        departed_born = self._departures.get(heartbeat.server_id, -1)
+        return heartbeat.state is ServerState.READY and departed_born < heartbeat.born
+
+    def note_crash(self, heartbeat):
+        """Note that the process of a `Heartbeat` has ended, until it is heard of."""
+        if self.is_incarnation(heartbeat):
+            self._crashed = self.current
+
     def is_current(self, server_id):
         """Return whether an identifier is that of the current incarnation."""
         return self.current is not None and self.current.server_id == server_id
--- a/persimmonlane/owner/calls.py
+++ b/persimmonlane/owner/calls.py
@@ -1,7 +1,15 @@
 """Requests as the owner receives them, and its refusals of them."""
 
 from ..errors import Refusal
+from ..headers import find_first
+from ..outcomes import OutcomeKind
 from ..platform import headers as wire
+from ..quarantine.fingerprints import compute_fingerprint
+from ..serving.exchange import ExchangeError
+from ..verdicts import Verdict
+
+# Code of a request that was running as the backend server's process ended.
+SERVER_CRASHED = "server-crashed"
 
 
 class ForwardedCall:
@@ -27,12 +35,32 @@
         self.received_at = received_at
         self.on_wait = on_wait
 
+    def compute_fingerprint(self, order):
+        """Return the fingerprint of the request with an `Order`."""
+        return compute_fingerprint(
+            self.method,
+            find_first(self.headers, "host"),
+            self.target,
+            order.organisation,
+            self.body,
+        )
+
 
 def get_echoed_request_id(headers):
     """Return the request identifier that an answer echoes."""
     return wire.parse_response_headers(headers).request_id
 
 
+def build_crash_error():
+    """Return the `ExchangeError` of a request that ran as its server crashed."""
+    return ExchangeError(
+        OutcomeKind.ERROR,
+        Verdict.MAY_HAVE_RUN,
+        SERVER_CRASHED,
+        "the backend server's process has ended",
+    )
+
+
 def build_not_run_refusal(code, message):
     """Return the `Refusal` of a request that the backend server did not run."""
     return Refusal(503, code, message, retry_after=0.0)
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -11,13 +11,16 @@
 from ..headers import drop_hop_by_hop
 from ..outcomes import OutcomeKind
 from ..platform import headers as wire
+from ..quarantine.ledger import Standing
+from ..quarantine.refusals import check_quarantine
 from ..routing.metadata import OwnerReport
 from ..serving.exchange import Exchange, ExchangeError, OutgoingRequest
 from ..serving.shutdown import NodeShutdown
 from ..signals import PollableEvent
 from ..verdicts import Verdict
 from .admission import AdmissionQueue, Ticket
-from .calls import build_not_run_refusal, get_echoed_request_id
+from .calls import build_crash_error, build_not_run_refusal, get_echoed_request_id
+from .crashes import CrashObserver, is_listening
 from .dispatch import DispatchLog
 from .evidence import HealthEvidence
 from .health import FailureDetector, HealthState, estimate_prior
@@ -41,6 +44,7 @@
         hosted: The `HostedServer`.
         detector: The `FailureDetector`.
         admission_queue: The `AdmissionQueue`.
+        crashes: The `CrashObserver`.
         on_change: Callable that is called after the server's status has changed.
     """
 
@@ -48,10 +52,12 @@
         "hosted",
         "detector",
         "admission_queue",
+        "crashes",
         "on_change",
         "_settings",
         "_clock",
         "_pool",
+        "_ledger",
         "_lock",
         "_misdirected_id",
         "_latency_models",
@@ -62,8 +68,11 @@
         "_evidence",
     )
 
-    def __init__(self, settings, hosted, clock, pool):
+    def __init__(self, settings, hosted, clock, pool, ledger):
         self.hosted = hosted
+        self.crashes = CrashObserver(
+            clock, hosted, ledger, lambda: is_listening(settings.server)
+        )
         self._fleet = None
         self.detector = FailureDetector(clock, self._may_eject)
         self.admission_queue = AdmissionQueue(clock)
@@ -71,6 +80,7 @@
         self._settings = settings
         self._clock = clock
         self._pool = pool
+        self._ledger = ledger
         self._lock = threading.Lock()
         self._evidence = HealthEvidence(clock, self.detector, self.admission_queue)
         self._misdirected_id = None
@@ -115,6 +125,8 @@
             self._update_slots()
         if changed:
             log.info("Owner: %s is %s.", current.server_id, current.state.value)
+            if before is not None and before.born != current.born:
+                self.crashes.note_started(before)
             self.on_change()
 
     def handle_departure(self, server_id, born):
@@ -210,6 +222,7 @@
             ExchangeError: If it was sent, and no complete answer was received.
             CallerDisconnected: If the caller disconnected.
         """
+        order.fingerprint = order.fingerprint or call.compute_fingerprint(order)
         wakeup = PollableEvent()
         with self._lock:
             ticket = self._build_ticket(order, call.received_at, wakeup.set)
@@ -273,7 +286,11 @@
     def _build_ticket(self, order, received_at, wake):
         latency = self._latency_models.get_model(order.route, order.objective_s)
         deadline = received_at + order.time_left_s
-        return Ticket(latency, order.priority, deadline, order.max_wait_s, wake)
+        standing = self._ledger.get_standing(order.fingerprint)
+        is_alone = order.alone or standing is Standing.IMPLICATED
+        return Ticket(
+            latency, order.priority, deadline, order.max_wait_s, wake, is_alone
+        )
 
     def _admit(self, order, ticket):
         with self._lock:
@@ -286,6 +303,7 @@
             self.admission_queue.limit.adopt(order.limit)
         if not self.hosted.is_current(order.server_id):
             raise build_not_run_refusal("server-gone", "the backend server is gone")
+        check_quarantine(self._ledger, order.fingerprint)
         self._check_state(order)
 
     def _check_state(self, order):
@@ -346,6 +364,7 @@
         time_left_s = ticket.deadline - self._clock.now()
         headers = drop_hop_by_hop(call.headers)
         headers += wire.build_backend_headers(order, time_left_s, server_id)
+        running = self.crashes.enter(order, order.fingerprint, incarnation)
         exchange = Exchange(
             OutgoingRequest(
                 address=self._settings.server,
@@ -370,6 +389,9 @@
         except ExchangeError as error:
             if error.kind is OutcomeKind.TIMEOUT:
                 self._record(self._evidence.record_unanswered, error.kind, ticket)
+            elif self._has_crashed(error, running):
+                self._close_admission()
+                raise build_crash_error() from error
             else:
                 self._record(self._evidence.record_break, error.kind)
             raise
@@ -380,12 +402,36 @@
             cancelled = OutcomeKind.CANCELLED
             self._record(self._evidence.record_unanswered, cancelled, ticket)
             raise
+        finally:
+            self.crashes.leave(running)
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self._record(self._evidence.record_error, ticket)
         else:
             self._record(self._evidence.record_success, ticket)
+            self._note_served(order)
         return answer
 
+    def _has_crashed(self, error, running):
+        """Return whether an exchange broke since the server's process has ended.
+
+        Args:
+            error: The `ExchangeError`.
+            running: The `RunningRequest`.
+        """
+        if error.kind not in (OutcomeKind.ERROR, OutcomeKind.INVALID):
+            return False
+        return self.crashes.examine_break(running)
+
+    def _close_admission(self):
+        with self._lock:
+            self._update_slots()
+        self.on_change()
+
+    def _note_served(self, order):
+        clearance = self._ledger.note_served(order.fingerprint)
+        if clearance is not None:
+            self.crashes.on_crash([clearance])
+
     def _note_statements(self, answer, incarnation):
         """Apply what the backend server says of itself in an answer.
 
--- a/persimmonlane/owner/tests/test_owner.py
+++ b/persimmonlane/owner/tests/test_owner.py
@@ -2,6 +2,7 @@
 from testtools.matchers import GreaterThan
 
 from ...clocks import ManualClock
+from ...quarantine.ledger import CrashLedger
 from ...routing.metadata import Order
 from ..backend import Heartbeat, HostedServer, ServerState
 from ..health import FailureRisk, HealthState
@@ -35,7 +36,8 @@
         super().setUp()
         self.clock = ManualClock(50.0)
         hosted = HostedServer("10.0.0.1:80", "prices", 60.0, self.clock)
-        self.owner = Owner(None, hosted, self.clock, None)
+        self.ledger = CrashLedger(self.clock)
+        self.owner = Owner(None, hosted, self.clock, None, self.ledger)
         self.send_heartbeat("i-1")
 
     def send_heartbeat(self, server_id, state=ServerState.READY, born=5):
--- a/persimmonlane/peers/announcing.py
+++ b/persimmonlane/peers/announcing.py
@@ -69,7 +69,7 @@
         self.sequence += 1
         return self.sequence
 
-    def update(self, state, stamp, fresh_age_s, store_generation=0):
+    def update(self, state, stamp, fresh_age_s, store_generation=0, crash_digest=0):
         """Set the state to announce in this round.
 
         Args:
@@ -78,6 +78,7 @@
             fresh_age_s: Seconds since that document was last confirmed as the newest,
                 negative if unknown.
             store_generation: Latest generation of the store that the node has seen.
+            crash_digest: Digest of the node's `CrashLedger`.
         """
         fields = StaticFields(state)
         if self._static_fields is None or not fields.matches(self._static_fields):
@@ -102,6 +103,7 @@
             self._revision,
             stamp.generation,
             store_generation,
+            crash_digest,
         )
         self._delta = build_delta(self._full)
 
--- a/persimmonlane/peers/commands.py
+++ b/persimmonlane/peers/commands.py
@@ -217,6 +217,22 @@
         self.correlation_id = correlation_id
 
 
+class CrashesLearned:
+    """This node has learned of crashes, or that requests are harmless.
+
+    Attributes:
+        entries: The `LedgerEntry`s.
+        is_forwarded: Whether they come from another data centre, so that only the
+            nodes of this one are to be told.
+    """
+
+    __slots__ = ("entries", "is_forwarded")
+
+    def __init__(self, entries, is_forwarded=False):
+        self.entries = entries
+        self.is_forwarded = is_forwarded
+
+
 class RetryCheck:
     """Asks for a retry token of a service, or only reports the requests to it.
 
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -24,6 +24,7 @@
         build_load(announcement.server),
         announcement.document_generation,
         announcement.store_generation,
+        announcement.crash_digest,
     )
 
 
@@ -72,6 +73,7 @@
         known.revision,
         delta.document_generation,
         delta.store_generation,
+        delta.crash_digest,
     )
 
 
--- a/persimmonlane/peers/digests.py
+++ b/persimmonlane/peers/digests.py
@@ -72,6 +72,7 @@
         known.revision,
         known.document_generation,
         known.store_generation,
+        known.crash_digest,
     )
 
 
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -14,6 +14,7 @@
 from .commands import (
     CancellationCommand,
     CapacityCheck,
+    CrashesLearned,
     DigestReceived,
     FreshnessConfirmed,
     LocalRateCheck,
@@ -23,6 +24,7 @@
     RetryCheck,
     UnknownPeerHeard,
 )
+from .crashes import CrashSpread
 from .deltas import apply_delta
 from .messages import (
     Announcement,
@@ -30,6 +32,8 @@
     CancellationResponse,
     CapacityRequest,
     CapacityResponse,
+    CrashQuery,
+    CrashReport,
     Delta,
     Digest,
     DigestRequest,
@@ -75,6 +79,7 @@
         RetryCheck: "check_retry",
         CapacityCheck: "check_capacity",
         CancellationCommand: "request_cancellation",
+        CrashesLearned: "publish_crashes",
         Tick: "announce",
     }
 
@@ -87,6 +92,7 @@
         describe,
         document,
         generations,
+        ledger,
         owner,
         rng=None,
     ):
@@ -98,6 +104,7 @@
         self._describe = describe
         self._document = document
         self._generations = generations
+        self._ledger = ledger
         self._owner = owner
         self._boot = rng.randrange(BOOT_LIMIT)
         self._builder = AnnouncementBuilder(settings, clock, self._boot)
@@ -111,6 +118,7 @@
             self._get_own_announcement,
             document,
             generations,
+            ledger,
             self._pending,
             transport,
             rng,
@@ -127,10 +135,14 @@
         self._retries = FleetRetryBudget(
             settings, clock, self.table, self._boot, self._pending, transport
         )
+        self._crashes = CrashSpread(
+            settings, clock, self.table, self._boot, ledger, transport
+        )
         self._datagram_handlers = {
             Announcement: self._handle_announcement,
             Delta: self._handle_delta,
-            Digest: self._remotes.handle_digest,
+            Digest: self._handle_digest,
+            CrashReport: self._crashes.handle_report,
             MemberResponse: self._remotes.handle_response,
             RateRequest: self._rates.answer_request,
             RetryRequest: self._retries.answer_request,
@@ -143,6 +155,7 @@
         }
         self._query_handlers = {
             CapacityRequest: self._handle_capacity_request,
+            CrashQuery: self._crashes.answer_query,
             DigestRequest: self._remotes.answer_request,
             MemberQuery: self._remotes.answer_query,
             CancellationRequest: self._handle_cancellation_request,
@@ -209,6 +222,7 @@
         """Announce this node, and send the digests that are due."""
         self.table.freshness.apply_document_in_force(self._document.stamp)
         self.table.remove_expired()
+        self._ledger.forget_old()
         self._announce_to_local_nodes()
         self._remotes.send_round()
 
@@ -232,6 +246,10 @@
         host, _ = split_address(command.address)
         self._send(host, request)
 
+    def publish_crashes(self, message):
+        """Tell other nodes of crashes that this one has learned of."""
+        self._crashes.publish(message)
+
     def check_local_rate(self, command):
         """Check a request against this node's share of the rate."""
         command.reply.set(self._rates.decide_from_share(command.organisation))
@@ -258,7 +276,11 @@
         # between, the age holds for it as well.
         fresh_age_s = self.table.freshness.encode_age()
         self._builder.update(
-            state, self._document.stamp, fresh_age_s, self._generations.current
+            state,
+            self._document.stamp,
+            fresh_age_s,
+            self._generations.current,
+            self._ledger.digest,
         )
 
     def _handle_announcement(self, announcement, _):
@@ -270,6 +292,7 @@
         if peer is None:
             return None
         self._generations.report(announcement.store_generation)
+        self._crashes.compare(announcement.crash_digest, peer.host)
         if announcement.stamp > self._document.stamp:
             near = announcement.data_centre == self._settings.data_centre
             self._document.add_source(announcement.stamp, announcement.address, near)
@@ -281,6 +304,11 @@
             return None
         return PeerStarted(peer)
 
+    def _handle_digest(self, digest, sender):
+        if self.table.is_known_host(sender[0]):
+            self._crashes.compare(digest.crash_digest, sender[0])
+        return self._remotes.handle_digest(digest, sender)
+
     def _handle_delta(self, delta, sender):
         peer = self.table.find_by_boot(delta.boot)
         if peer is None:
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -9,11 +9,12 @@
 import msgspec
 
 from ..owner.health import HealthState
-from ..routing.metadata import Count, Order, OwnerReport, Percent, Rate
+from ..routing.metadata import Count, Fingerprint, Order, OwnerReport, Percent, Rate
 from ..routing.stamps import DocumentStamp
 
 STANDINGS = tuple(standing.value for standing in HealthState)
 # Longer lists are refused, so that no datagram can keep the receiver busy.
+MAX_CRASH_ENTRIES = 64
 MAX_DIGEST_MEMBERS = 64
 MAX_QUERIED_MEMBERS = 64
 
@@ -80,6 +81,8 @@
         document_generation: Latest generation of the store that is known to hold that
             version, 0 if that is not known.
         store_generation: Latest generation of the store that the node has seen.
+        crash_digest: Number that is the same on nodes which know of the same crashes;
+            None from releases that don't know of any.
     """
 
     node: str
@@ -98,6 +101,7 @@
     revision: Annotated[int, msgspec.Meta(ge=0)] = 0
     document_generation: Count = 0
     store_generation: Count = 0
+    crash_digest: Count | None = None
 
     @property
     def stamp(self):
@@ -147,6 +151,7 @@
         load: `ServerLoad` of the node's backend server, or None.
         document_generation: As in `Announcement`.
         store_generation: As in `Announcement`.
+        crash_digest: As in `Announcement`.
     """
 
     boot: int
@@ -158,6 +163,7 @@
     load: ServerLoad | None
     document_generation: Count = 0
     store_generation: Count = 0
+    crash_digest: Count | None = None
 
 
 class MemberState(msgspec.Struct, array_like=True):
@@ -198,6 +204,7 @@
         is_answer: Whether it is sent only because the addressee sends digests.
         document_generation: As in `Announcement`.
         store_generation: As in `Announcement`.
+        crash_digest: As in `Announcement`.
     """
 
     boot: int
@@ -210,6 +217,7 @@
     is_answer: bool = False
     document_generation: Count = 0
     store_generation: Count = 0
+    crash_digest: Count | None = None
 
     @property
     def stamp(self):
@@ -229,6 +237,43 @@
     sequence: Annotated[int, msgspec.Meta(ge=0)]
 
 
+class CrashEntry(msgspec.Struct, array_like=True):
+    """A crash in which a request was running, or the clearance of a request.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        process: Number of the backend server's process that crashed; 0 for a clearance.
+        age_ds: Tenths of a second since then; rounded up for crashes and down for
+            clearances, so that a clearance is never taken for older than it is.
+    """
+
+    fingerprint: Fingerprint
+    process: Fingerprint
+    age_ds: Count
+
+
+class CrashReport(msgspec.Struct, array_like=True, tag="c"):
+    """Crashes and clearances that the sender knows of.
+
+    Attributes:
+        entries: The `CrashEntry`s.
+        is_forwarded: Whether the addressee need not pass them on.
+    """
+
+    entries: Annotated[list[CrashEntry], msgspec.Meta(max_length=MAX_CRASH_ENTRIES)]
+    is_forwarded: bool = False
+
+
+class CrashQuery(msgspec.Struct, array_like=True, tag="e"):
+    """Asks a node for all crashes and clearances that it knows of.
+
+    Attributes:
+        boot: Boot number of the sender.
+    """
+
+    boot: int
+
+
 class MemberQuery(msgspec.Struct, array_like=True, tag="m"):
     """Asks the sender of a `Digest` for the announcements of some of its nodes.
 
@@ -425,6 +470,8 @@
     | Delta
     | Digest
     | DigestRequest
+    | CrashReport
+    | CrashQuery
     | MemberQuery
     | MemberResponse
     | RateRequest
--- a/persimmonlane/peers/remotes.py
+++ b/persimmonlane/peers/remotes.py
@@ -79,6 +79,7 @@
         "_get_own",
         "_document",
         "_generations",
+        "_ledger",
         "_pending",
         "_transport",
         "_rng",
@@ -97,6 +98,7 @@
         get_own,
         document,
         generations,
+        ledger,
         pending,
         transport,
         rng,
@@ -111,6 +113,7 @@
             get_own: Callable that returns this node's latest `Announcement`.
             document: The `DocumentHolder`.
             generations: The `GenerationTracker` of the store.
+            ledger: The `CrashLedger`.
             pending: The `PendingQueries`.
             transport: The `DatagramTransport`.
             rng: The `random.Random` to draw nodes with.
@@ -122,6 +125,7 @@
         self._get_own = get_own
         self._document = document
         self._generations = generations
+        self._ledger = ledger
         self._pending = pending
         self._transport = transport
         self._rng = rng
@@ -342,6 +346,7 @@
                     is_answer,
                     stamp.generation,
                     self._generations.current,
+                    self._ledger.digest,
                 ),
             )
 
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -219,6 +219,10 @@
         """Return the `Peer` whose current process has a boot number, or None."""
         return self._by_boot.get(boot)
 
+    def is_known_host(self, host):
+        """Return whether a host is that of a node which is known."""
+        return host in self._by_host
+
     def is_local_host(self, host):
         """Return whether a host is that of a known node in this data centre."""
         peer = self._by_host.get(host)
--- a/persimmonlane/peers/tests/simulation.py
+++ b/persimmonlane/peers/tests/simulation.py
@@ -5,10 +5,20 @@
 import msgspec
 
 from ...clocks import ManualClock
+from ...quarantine.ledger import CrashLedger
 from ...routing.stamps import DocumentStamp
 from ...upkeep.generations import GenerationTracker
 from ..gossip import Gossip
-from ..messages import Announcement, ServerStatus, decoder, encoder
+from ..messages import (
+    Announcement,
+    CrashQuery,
+    CrashReport,
+    Delta,
+    ServerLoad,
+    ServerStatus,
+    decoder,
+    encoder,
+)
 from .test_gossip import deliver
 
 PORT = 9
@@ -123,7 +133,9 @@
 
     def send(self, address, message):
         raw = encoder.encode(message)
-        if self._node.is_legacy and isinstance(message, Announcement):
+        if self._node.is_legacy and isinstance(message, (CrashQuery, CrashReport)):
+            return
+        if self._node.is_legacy and type(message) in LEGACY_CLASSES:
             raw = encoder.encode(to_legacy(message))
         self._network.send(self._node, address[0], raw)
 
@@ -134,6 +146,7 @@
     Attributes:
         data_centre: First three numbers of its host.
         generations: Its `GenerationTracker`.
+        ledger: Its `CrashLedger`.
         is_legacy: Whether it behaves as a release without digests.
     """
 
@@ -145,6 +158,7 @@
         self.state = NodeState(self.name)
         self.document = Document(version)
         self.generations = GenerationTracker(clock)
+        self.ledger = CrashLedger(clock)
         settings = Settings(self.name, host, self.data_centre)
         self.gossip = Gossip(
             None,
@@ -154,6 +168,7 @@
             lambda: self.state,
             self.document,
             self.generations,
+            self.ledger,
             None,
             rng,
         )
@@ -192,9 +207,25 @@
     accepts_deltas: bool = False
 
 
-def to_legacy(announcement):
-    fields = LegacyAnnouncement.__struct_fields__
-    return LegacyAnnouncement(*(getattr(announcement, name) for name in fields))
+class LegacyDelta(msgspec.Struct, array_like=True, tag="d"):
+    """A delta as those releases send it."""
+
+    boot: int
+    sequence: int
+    version: int
+    fresh_age_ms: int
+    echo: int
+    echo_boot: int
+    load: ServerLoad | None
+
+
+LEGACY_CLASSES = {Announcement: LegacyAnnouncement, Delta: LegacyDelta}
+
+
+def to_legacy(message):
+    legacy_class = LEGACY_CLASSES[type(message)]
+    fields = legacy_class.__struct_fields__
+    return legacy_class(*(getattr(message, name) for name in fields))
 
 
 class Fleet:
--- a/persimmonlane/peers/tests/test_cancellation.py
+++ b/persimmonlane/peers/tests/test_cancellation.py
@@ -33,6 +33,7 @@
             None,
             None,
             None,
+            None,
             self.owner,
         )
 
--- a/persimmonlane/peers/tests/test_generations.py
+++ b/persimmonlane/peers/tests/test_generations.py
@@ -5,25 +5,13 @@
 from ...routing.stamps import DocumentStamp
 from ..freshness import DocumentFreshness
 from ..messages import Announcement, Delta, Digest, decoder, encoder
-from .simulation import Fleet
+from .simulation import Fleet, LegacyDelta
 from .test_gossip import deliver
 
 DOCUMENT_GENERATION = 5
 STORE_GENERATION = 6
 
 
-class LegacyDelta(msgspec.Struct, array_like=True, tag="d"):
-    """A delta as releases without generations send and read it."""
-
-    boot: int
-    sequence: int
-    version: int
-    fresh_age_ms: int
-    echo: int
-    echo_boot: int
-    load: list | None
-
-
 class StampTests(testtools.TestCase):
     def test_newer_version_is_newer_in_any_generation(self):
         self.assertLess(DocumentStamp(7, 3), DocumentStamp(8, 2))
--- a/persimmonlane/peers/tests/test_gossip.py
+++ b/persimmonlane/peers/tests/test_gossip.py
@@ -3,6 +3,7 @@
 
 from ...clocks import ManualClock
 from ...owner.tests.test_owner import build_order
+from ...quarantine.ledger import CrashLedger
 from ...quotas.buckets import rank_holders
 from ...routing.metadata import OwnerReport
 from ...routing.rulebook import Organisation
@@ -52,7 +53,15 @@
         self.judged_orders = []
         self.report = OwnerReport("not-run", "server-busy", 4, 2, "sound", 0.3, True)
         self.gossip = Gossip(
-            None, Settings, ManualClock(1.0), self.transport, None, None, None, self
+            None,
+            Settings,
+            ManualClock(1.0),
+            self.transport,
+            None,
+            None,
+            None,
+            None,
+            self,
         )
 
     def check_admission(self, order):
@@ -116,7 +125,15 @@
         clock = ManualClock(1.0)
         generations = GenerationTracker(clock)
         self.gossip = Gossip(
-            None, settings, clock, self.transport, None, document, generations, None
+            None,
+            settings,
+            clock,
+            self.transport,
+            None,
+            document,
+            generations,
+            CrashLedger(clock),
+            None,
         )
 
     def add_peer(self, name, address="10.0.0.1:80"):
--- a/persimmonlane/peers/tests/test_restarts.py
+++ b/persimmonlane/peers/tests/test_restarts.py
@@ -1,6 +1,7 @@
 import testtools
 
 from ...clocks import ManualClock
+from ...quarantine.ledger import CrashLedger
 from ...routing.stamps import DocumentStamp
 from ...upkeep.generations import GenerationTracker
 from ..gossip import Gossip
@@ -78,9 +79,16 @@
     document = Document(version)
     settings = Settings(name, host)
     transport = FakeTransport(network, host)
-    generations = GenerationTracker(clock)
     gossip = Gossip(
-        None, settings, clock, transport, NodeState, document, generations, None
+        None,
+        settings,
+        clock,
+        transport,
+        NodeState,
+        document,
+        GenerationTracker(clock),
+        CrashLedger(clock),
+        None,
     )
     network.nodes[host] = gossip
     return gossip, document
--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -10,6 +10,9 @@
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
 Rate = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
+Fingerprint = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+# A backend server runs few requests at once, and any of them may have made a call.
+MAX_CAUSES = 16
 
 
 class CallerMetadata:
@@ -82,6 +85,10 @@
         force: Whether to admit it regardless of the backend server's health state.
         limit: Requests per second that the backend server takes, as it told the ingress
             node, or None.
+        fingerprint: Fingerprint of the request, 0 from nodes of older releases.
+        alone: Whether nothing else may run on the backend server meanwhile.
+        causes: Fingerprints of the requests that ran on the backend server which made
+            this one, if it is a nested call.
     """
 
     request_id: str
@@ -97,6 +104,9 @@
     objective_s: float
     force: bool = False
     limit: Rate | None = None
+    fingerprint: Fingerprint = 0
+    alone: bool = False
+    causes: Annotated[list[Fingerprint], msgspec.Meta(max_length=MAX_CAUSES)] = []
 
 
 class OwnerReport(msgspec.Struct, array_like=True):
--- a/persimmonlane/serving/attempts.py
+++ b/persimmonlane/serving/attempts.py
@@ -5,6 +5,7 @@
 from ..errors import Refusal
 from ..outcomes import OutcomeKind
 from ..platform import headers as wire
+from ..quarantine.fingerprints import NO_FINGERPRINT
 from ..verdicts import Verdict
 
 SERVER_ERROR_STATUS = 500
@@ -41,6 +42,10 @@
         body_read_at: Time at which the body had been read, or None.
         stage: The current `Stage`.
         server_id: Identifier of the backend server that was tried last.
+        fingerprint: Fingerprint by which it is known when it comes again, 0 before its
+            body was read.
+        causes: Fingerprints of the requests that may have made it as a nested call.
+        crashes: Number of its attempts in which the backend server crashed.
     """
 
     __slots__ = (
@@ -58,6 +63,9 @@
         "body_read_at",
         "stage",
         "server_id",
+        "fingerprint",
+        "causes",
+        "crashes",
     )
 
     def __init__(self, method, target, headers, caller, arrived_at):
@@ -75,6 +83,9 @@
         self.body_read_at = None
         self.stage = Stage.BODY
         self.server_id = ""
+        self.fingerprint = NO_FINGERPRINT
+        self.causes = []
+        self.crashes = 0
 
     def is_admitted(self):
         """Return whether the request passed admission."""
@@ -89,14 +100,16 @@
         max_wait_s: Longest estimated wait for a slot that is accepted, in seconds.
         last_resort: Whether the owner is to accept the request even if the server is
             not healthy.
+        alone: Whether nothing else may run on the server meanwhile.
     """
 
-    __slots__ = ("candidate", "max_wait_s", "last_resort")
+    __slots__ = ("candidate", "max_wait_s", "last_resort", "alone")
 
-    def __init__(self, candidate, max_wait_s, last_resort):
+    def __init__(self, candidate, max_wait_s, last_resort, alone=False):
         self.candidate = candidate
         self.max_wait_s = max_wait_s
         self.last_resort = last_resort
+        self.alone = alone
 
 
 class Attempt:
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -168,6 +168,7 @@
         request.body_read_at = node.clock.now()
         request.stage = Stage.ADMISSION
         node.shutdown.check(request.arrived_at, request.deadline)
+        node.isolation.identify(request)
         node.admit(get_priority(request))
         node.admission.check_rate(request)
         try:
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -14,8 +14,9 @@
 from ..errors import Refusal
 from ..headers import Header, drop_hop_by_hop
 from ..outcomes import OutcomeKind
-from ..owner.calls import ForwardedCall
+from ..owner.calls import SERVER_CRASHED, ForwardedCall
 from ..owner.latency import LatencyModels
+from ..quarantine.refusals import QUARANTINED, build_quarantine_refusal
 from ..routing.metadata import Order
 from ..routing.rulebook import choose_service
 from ..verdicts import Verdict
@@ -84,6 +85,7 @@
         "_shutdown",
         "_cancellations",
         "_traffic",
+        "_isolation",
         "_candidates",
         "_returns",
         "_capacity",
@@ -103,6 +105,7 @@
         shutdown,
         cancellations,
         traffic,
+        isolation,
     ):
         self._settings = settings
         self._clock = clock
@@ -117,6 +120,7 @@
         self._shutdown = shutdown
         self._cancellations = cancellations
         self._traffic = traffic
+        self._isolation = isolation
         self._candidates = CandidateFinder(settings, clock, describe, table)
         self._returns = ReturnSchedule(clock, self._rng)
         self._capacity = CapacityClient(settings, actor)
@@ -144,14 +148,23 @@
         dispatched = 0
         failure = None
         while True:
+            if failure is None:
+                self._isolation.check(request)
             choice = self._choose_next(request, service, tried, rejections)
             if choice is None:
-                raise failure or self._build_overload_refusal(service, rejections)
+                raise failure or self._build_refusal(request, service, rejections)
             if failure is not None and not self._budget.take(service):
                 raise failure
             attempt, hedge_count = self._run_hedged(request, choice, dispatched)
             server_id = choice.candidate.server.server_id
             tried.add(server_id)
+            if attempt.code == SERVER_CRASHED:
+                request.crashes += 1
+            if attempt.code == QUARANTINED:
+                # The owner knows what this node has not heard yet.
+                raise failure or build_quarantine_refusal(
+                    request.fingerprint, attempt.wait_s
+                )
             if attempt.verdict is Verdict.NOT_RUN:
                 attempt.last_resort = choice.last_resort
                 rejections[server_id] = attempt
@@ -180,7 +193,7 @@
         """
         candidate = choice.candidate
         route = request.route
-        if not route.idempotent or dispatched + 1 >= route.max_attempts:
+        if not route.idempotent or dispatched + 1 >= route.max_attempts or choice.alone:
             return self._attempt(request, choice), 0
         now = self._clock.now()
         with self._lock:
@@ -239,6 +252,7 @@
             request.route.idempotent
             and dispatched < request.route.max_attempts
             and left_s > MIN_TIME_LEFT_S
+            and self._isolation.may_retry(request)
         )
 
     def _choose_next(self, request, service, tried, rejections):
@@ -255,6 +269,8 @@
             return None
         candidates = self._candidates.find(service)
         untried = [item for item in candidates if item.server.server_id not in tried]
+        if self._isolation.is_isolated(request):
+            return self._choose_alone(request, untried, rejections)
         chosen = None
         if len(rejections) < MAX_PLACEMENTS and not any(
             map(Attempt.was_last_resort, rejections.values())
@@ -292,6 +308,27 @@
         )
         return PlacementChoice(chosen, self._shutdown.limit_wait(max_wait_s), True)
 
+    def _choose_alone(self, request, untried, rejections):
+        """Return the `PlacementChoice` of a request that must run alone, or None.
+
+        Args:
+            request: The `IngressRequest`.
+            untried: The `Candidate`s that were not tried yet.
+            rejections: Rejected `Attempt`s by identifier of the backend server.
+        """
+        if len(rejections) >= MAX_PLACEMENTS:
+            return None
+        chosen = self._placement.choose(
+            self._isolation.select(untried),
+            request.route.idempotent,
+            len(request.body),
+            self._estimate_mean_s(request.route),
+        )
+        if chosen is None:
+            return None
+        wait_s = self._shutdown.limit_wait(MAX_QUEUE_WAITS_S[min(len(rejections), 2)])
+        return PlacementChoice(chosen, wait_s, False, True)
+
     def _attempt(self, request, choice, hedge=None, watch=None):
         started_at = self._clock.now()
         request.stage = Stage.SERVER
@@ -300,6 +337,8 @@
         try:
             attempt = self._send(request, choice, hedge, watch)
             outcome = attempt.code or "answered"
+            if attempt.is_success():
+                self._isolation.note_served(request)
             if attempt.answer is not None:
                 self._candidates.notices.note_answer(
                     choice.candidate.server, attempt.answer
@@ -342,6 +381,9 @@
             request.route.objective_s,
             choice.last_resort,
             self._candidates.notices.find_limit(server.server_id),
+            request.fingerprint,
+            choice.alone,
+            request.causes,
         )
         if hedge is not None:
             watch = hedge.watch
@@ -421,6 +463,12 @@
         with self._lock:
             peer.in_flight += change
 
+    def _build_refusal(self, request, service, rejections):
+        """Return the `Refusal` of a request that no backend server has accepted."""
+        if self._shutdown.may_dispatch() and self._isolation.is_isolated(request):
+            return self._isolation.build_refusal(request)
+        return self._build_overload_refusal(service, rejections)
+
     def _build_overload_refusal(self, service, rejections):
         if not self._shutdown.may_dispatch():
             return self._shutdown.build_refusal()
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -18,11 +18,13 @@
 from .owner.backend import HostedServer
 from .owner.fleethealth import FleetHealth
 from .owner.owner import Owner
+from .peers.commands import CrashesLearned
 from .peers.gossip import ANNOUNCE_S, Gossip
 from .peers.messages import ServerStatus
 from .peers.transport import DatagramTransport
 from .platform.documents import decode_document
 from .platform.store import SiteStore, parse_generation
+from .quarantine.ledger import CrashLedger
 from .reporting.counter import RequestCounter, UnixClock
 from .reporting.reporter import Reporter
 from .routing.metadata import Order
@@ -40,6 +42,7 @@
     ReadinessGateway,
 )
 from .serving.ingress import Ingress
+from .serving.isolation import IsolationPolicy
 from .serving.nodeheaders import GENERATION_HEADER
 from .serving.servers import NodeHTTPServer
 from .serving.shutdown import Shutdown
@@ -94,6 +97,7 @@
         owner: The `Owner`.
         admission: The `Admission`.
         ingress: The `Ingress`.
+        isolation: The `IsolationPolicy`.
         events: The `RequestEvents`.
         running: The `RunningRequests`.
         shutdown: The `Shutdown`.
@@ -118,7 +122,8 @@
             settings.server, settings.service, settings.heartbeat_s, clock
         )
         pool = ConnectionPool(clock)
-        self.owner = Owner(settings, hosted, clock, pool)
+        ledger = CrashLedger(clock)
+        self.owner = Owner(settings, hosted, clock, pool, ledger)
         self._wire = DatagramTransport(settings.ip, settings.gossip_port)
         self._gossip = Gossip.start(
             application,
@@ -128,16 +133,18 @@
             self.describe,
             self.documents,
             generations,
+            ledger,
             self.owner,
         )
         self._table = table = self._gossip.proxy().table.get()
         self.owner.watch_fleet(FleetHealth(settings.service, table))
         self._wire.traffic.set_locator(table.is_local_host)
-        ledger = RequestCounter(UnixClock(), settings.name)
+        counter = RequestCounter(UnixClock(), settings.name)
         self.events = RequestEvents(
-            clock, ledger, self.documents, table, settings.name, self.shutdown
+            clock, counter, self.documents, table, settings.name, self.shutdown
         )
-        self._reporter = Reporter(ledger, self._wire.traffic)
+        self._reporter = Reporter(counter, self._wire.traffic)
+        self.isolation = IsolationPolicy(ledger, self.owner.crashes.list_running)
         self.admission = Admission(settings, self.documents, table, self._gossip)
         self.ingress = Ingress(
             settings,
@@ -152,6 +159,7 @@
             self.shutdown,
             CancellationClient(self._gossip),
             self._wire.traffic,
+            self.isolation,
         )
         self._upkeep = StoreSync(
             settings,
@@ -166,6 +174,7 @@
         )
         self._announcer = Announcer(self._gossip, random.random)
         self.owner.on_change = self._announcer.wake
+        self.owner.crashes.on_crash = self._publish_crashes
         self.documents.add_listener(self._apply_rulebook)
         generations.add_listener(lambda event: self._announcer.wake())
         self._servers = [
@@ -325,6 +334,9 @@
         generation = parse_generation(answer.headers.get(GENERATION_HEADER))
         self.documents.apply(answer.data, address, generation)
 
+    def _publish_crashes(self, entries):
+        self._gossip.tell(CrashesLearned(entries))
+
     def _bind(self, gateway):
         return lambda request: gateway(request, self)
 
--- a/persimmonlane/tests/test_crashes.py
+++ b/persimmonlane/tests/test_crashes.py
@@ -4,6 +4,9 @@
 import testtools
 from testtools.matchers import LessThan
 
+from ..explaining.reading import CAUSES
+from ..explaining.tests.test_events import capture_records
+from ..owner.health import HealthState
 from ..platform.documents import DOCUMENT_KEY
 from ..standins.backend import Script
 from ..standins.store import StoreStandin
@@ -103,6 +106,39 @@
             future.result()
         self.assertEqual(200, self.call("1", SOUND, "sound-last").status)
 
+    def test_crash_is_no_evidence_against_the_server_that_comes_back(self):
+        self.call("0", request_id="one")
+        (key,) = [
+            key
+            for key, server in self.site.servers.items()
+            if server.has_crashed and any(r[0] == DEADLY for r in server.requests)
+        ][:1]
+        node, _ = self.site.nodes[key]
+        self.assertTrue(wait_until(lambda: not node.owner.is_ready()))
+        self.site.start_server(self, key, "i-again", 200)
+        self.assertTrue(wait_until(node.owner.is_ready))
+        self.assertEqual(HealthState.HEALTHY, node.owner.detector.state)
+        self.assertThat(node.owner.detector.risk.total, LessThan(0.1))
+
+    def test_log_explains_what_became_of_the_request(self):
+        records = capture_records(self)
+        self.call("0", request_id="one")
+        for number in range(3):
+            self.call("5", request_id=f"id-{number}")
+        events = [record for record in records if hasattr(record, "event")]
+        implicated = [r for r in events if r.event == "request-implicated"]
+        ends = {
+            record.request: record
+            for record in events
+            if record.event == "request-ended"
+        }
+        self.assertIn("one", {record.request for record in implicated})
+        self.assertEqual("server-crashed", ends["one"].code)
+        self.assertEqual("request-quarantined", ends["id-2"].code)
+        self.assertIn(implicated[0].fingerprint, ends["id-2"].reason)
+        for code in ("server-crashed", "request-implicated", "request-quarantined"):
+            self.assertIn(code, CAUSES)
+
     def test_sound_request_is_not_refused_after_servers_have_ended(self):
         for key in ("0", "1", "2"):
             self.site.servers[key].crash()
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -29,6 +29,7 @@
 from persimmonlane.peers.queries import PendingQueries
 from persimmonlane.peers.rates import FleetRateLimiter
 from persimmonlane.peers.transport import DatagramTransport
+from persimmonlane.quarantine.ledger import CrashLedger
 from persimmonlane.routing.rulebook import Organisation
 from persimmonlane.routing.stamps import DocumentStamp
 from persimmonlane.serving.ingress import Ingress
@@ -199,6 +200,7 @@
             self.describe,
             Document(),
             GenerationTracker(self.clock),
+            CrashLedger(self.clock),
             None,
         )
         self.table = self.actor.proxy().table.get()
@@ -294,6 +296,7 @@
         shutdown=None,
         cancellations=None,
         traffic=None,
+        isolation=None,
     )
     fleet = FleetHealth(settings.service, table)
     rates = FleetRateLimiter(
