Send a request again on another connection than the one that answered it

Report of other operators: a backend server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of a request that ran. Cause: the identifier tells requests apart, not two sends of one.

A connection now keeps the last 64 identifiers that were answered on it, and is left to other requests.

--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -1,5 +1,6 @@
 """Persistent connections to backend servers and other nodes, and their pool."""
 
+import collections
 import http.client
 import io
 import socket
@@ -14,6 +15,8 @@
 
 MAX_IDLE_PER_ADDRESS = 64
 IDLE_TIMEOUT_S = 4.0
+# Answered requests of which a connection may still deliver another copy of the answer.
+MAX_ANSWERED = 64
 # The kernel drops a connection whose sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 1500
 
@@ -41,6 +44,7 @@
         opened_at: Clock time, in seconds, at which it was opened.
         last_used_at: Clock time, in seconds, of its last use, or None.
         idle_timeout_s: Seconds for which it may be idle and still be reused.
+        answered_ids: Identifiers of the requests that were answered on it last.
         raw_input: The `ExchangeInput`, or None before `connect`.
         buffered_input: Buffered reader on `raw_input`, shared by all responses, or
             None before `connect`.
@@ -53,6 +57,7 @@
         self.opened_at = opened_at
         self.last_used_at = None
         self.idle_timeout_s = IDLE_TIMEOUT_S
+        self.answered_ids = collections.deque(maxlen=MAX_ANSWERED)
         self.raw_input = None
         self.buffered_input = None
 
@@ -119,10 +124,18 @@
         self._idle = {}
         self._lock = threading.Lock()
 
-    def take(self, address):
-        """Remove and return the last used connection to an address, or None."""
+    def take(self, address, request_id):
+        """Remove and return the last used connection to an address, or None.
+
+        A connection on which the same request was answered before is left: a late copy
+        of that answer could be taken for the answer to this one.
+
+        Args:
+            address: The address.
+            request_id: Identifier of the request that is to be sent.
+        """
         while True:
-            connection = self._pop(address)
+            connection = self._pop(address, request_id)
             if connection is None or self._is_usable(connection):
                 return connection
             connection.close()
@@ -142,10 +155,14 @@
         if surplus is not None:
             surplus.close()
 
-    def _pop(self, address):
+    def _pop(self, address, request_id):
         with self._lock:
-            connections = self._idle.get(address)
-            return connections.pop() if connections else None
+            connections = self._idle.get(address, ())
+            for connection in reversed(connections):
+                if request_id not in connection.answered_ids:
+                    connections.remove(connection)
+                    return connection
+        return None
 
     def _is_usable(self, connection):
         idle_s = self._clock.now() - connection.last_used_at
--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -127,7 +127,7 @@
         return response
 
     def _take_idle(self):
-        return self._pool.take(self.request.address)
+        return self._pool.take(self.request.address, self.request.request_id)
 
     def _connect(self):
         timeout_s = min(self.request.connect_timeout_s, self._compute_remaining_s())
@@ -273,6 +273,7 @@
         if not reusable or connection.has_unread_input():
             connection.close()
             return
+        connection.answered_ids.append(self.request.request_id)
         connection.idle_timeout_s = compute_idle_timeout(response.headers)
         self._pool.put(connection)
 
--- a/persimmonlane/serving/tests/scripted.py
+++ b/persimmonlane/serving/tests/scripted.py
@@ -1,5 +1,6 @@
 """Scripted servers for tests, which send given bytes in response to each request."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -52,6 +53,11 @@
         for connection in self._open:
             connection.sendall(data)
 
+    def send_on(self, number, data):
+        """Send bytes on the nth connection, if it is still open."""
+        with contextlib.suppress(OSError):
+            self._open[number].sendall(data)
+
     def wait_for_request(self):
         return self._received.acquire(timeout=10)
 
