Test answers whose head ends early, at each place

Report of other operators: a backend server that stopped within its answer's head made a 200 with an empty or short body. It can't happen here: heads with a length, without one, of an empty answer and in chunks, cut at each byte, on new and on kept connections, are all refused as cut, and callers of two nodes get 502.

--- a/persimmonlane/serving/tests/test_exchange.py
+++ b/persimmonlane/serving/tests/test_exchange.py
@@ -22,7 +22,7 @@
     return "".join(find_values(headers, "x-request-id"))
 
 
-class ExchangeTests(testtools.TestCase):
+class ExchangeTestCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.clock = SystemClock()
@@ -53,6 +53,8 @@
         fields.update(changes)
         return Exchange(OutgoingRequest(**fields), self.pool, self.clock, self.watch)
 
+
+class ExchangeTests(ExchangeTestCase):
     def assert_fails(self, exchange, kind, verdict):
         error = self.assertRaises(ExchangeError, exchange.run)
         self.assertEqual((kind, verdict), (error.kind, error.verdict))
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -78,6 +78,8 @@
         self.standin.floods.append(flood)
         try:
             req.conn.socket.sendall(flood.start)
+            if flood.piece is None:
+                return
             while not self.standin.released.wait(flood.pause_s):
                 req.conn.socket.sendall(flood.piece)
         except ConnectionError:
@@ -89,7 +91,7 @@
 
     Attributes:
         start: Bytes that are sent once, at the beginning.
-        piece: Bytes that are then sent repeatedly.
+        piece: Bytes that are then sent repeatedly; None closes the connection.
         pause_s: Pause before each piece, in seconds.
     """
 
