Test late requests to slow servers while their node stops

Report of other operators: in a planned stop, requests that came late in the grace time were passed on and cut at its end without an answer. Not seen here: requests that arrive from 45 to 80 % of the grace time, with deadlines before and after its end, at a server slower than all of it, each get 503 not-run or 504 by their own deadline. A late request is passed on only if its deadline lies before the end, so that the stop takes nothing from it.

--- a/persimmonlane/tests/test_stopping.py
+++ b/persimmonlane/tests/test_stopping.py
@@ -4,6 +4,7 @@
 import testtools
 import urllib3
 
+from ..serving.shutdown import ANSWER_SHARE
 from ..standins.backend import Script
 from .test_sitenode import PATIENCE_S, Site, wait_until
 
@@ -94,6 +95,25 @@
         stop.join()
         self.assertEqual([], self.server.requests)
 
+    def test_late_request_to_a_slow_server_gets_an_answer(self):
+        self.server.slots = 1000
+        _, settings = self.site.nodes["far"]
+        self.server.send_heartbeat(settings.heartbeat_address)
+        self.server.script = Script(work_s=2 * GRACE_S)
+        stop = self.begin_stop()
+        requests = []
+        for fraction in (0.45, 0.52, 0.56, 0.6, 0.64, 0.68, 0.72, 0.8):
+            self.wait_for_grace_fraction(fraction)
+            left_s = GRACE_S * (ANSWER_SHARE - fraction)
+            for share in (0.5, 0.9, 1.1):
+                timeout = {"X-Timeout-Ms": str(int(left_s * share * 1000))}
+                headers = {"X-Request-Id": uuid.uuid4().hex, **timeout}
+                requests.append(BackgroundRequest(self.site, headers=headers))
+        stop.join()
+        results = {request.wait_for_result() for request in requests}
+        self.assertNotIn(NO_RESPONSE, results)
+        self.assertTrue(results <= {(503, "not-run"), (504, "may-have-run")}, results)
+
     def test_refusal_of_a_late_upload_is_delivered_without_a_reset(self):
         stop = self.begin_stop()
         self.wait_for_grace_fraction(0.6)
