--- a/persimmonlane/peers/announcing.py
+++ b/persimmonlane/peers/announcing.py
@@ -8,7 +8,7 @@
 import copy
 
 from .deltas import build_delta
-from .messages import Announcement
+from .statuses import Announcement
 
 
 class StaticFields:
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -2,7 +2,7 @@
 
 import math
 
-from .messages import STANDINGS, Announcement, Delta, ServerLoad, ServerStatus
+from .statuses import STANDINGS, Announcement, Delta, ServerLoad, ServerStatus
 
 MS_PER_S = 1000
 
--- a/persimmonlane/peers/digests.py
+++ b/persimmonlane/peers/digests.py
@@ -3,7 +3,7 @@
 import math
 
 from .deltas import apply_load, build_load
-from .messages import Announcement, Member, MemberState
+from .statuses import Announcement, Member, MemberState
 
 DS_PER_S = 10
 # Members in one datagram: their states, or whole announcements, which are longer.
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -27,20 +27,14 @@
 from .crashes import CrashSpread
 from .deltas import apply_delta
 from .messages import (
-    Announcement,
     CancellationRequest,
     CancellationResponse,
     CapacityRequest,
     CapacityResponse,
     CrashQuery,
     CrashReport,
-    Delta,
-    Digest,
-    DigestRequest,
     LoanRequest,
     LoanResponse,
-    MemberQuery,
-    MemberResponse,
     RateRequest,
     RateResponse,
     RetryRequest,
@@ -50,6 +44,14 @@
 from .rates import FleetRateLimiter
 from .remotes import RemoteMembership
 from .retries import FleetRetryBudget
+from .statuses import (
+    Announcement,
+    Delta,
+    Digest,
+    DigestRequest,
+    MemberQuery,
+    MemberResponse,
+)
 from .table import PeerTable
 from .transport import ReceivedDatagram
 
--- a/persimmonlane/peers/remotes.py
+++ b/persimmonlane/peers/remotes.py
@@ -17,7 +17,7 @@
     build_member_state,
     split,
 )
-from .messages import (
+from .statuses import (
     MAX_QUERIED_MEMBERS,
     Digest,
     DigestRequest,
--- a/persimmonlane/peers/tests/simulation.py
+++ b/persimmonlane/peers/tests/simulation.py
@@ -9,16 +9,8 @@
 from ...routing.stamps import DocumentStamp
 from ...upkeep.generations import GenerationTracker
 from ..gossip import Gossip
-from ..messages import (
-    Announcement,
-    CrashQuery,
-    CrashReport,
-    Delta,
-    ServerLoad,
-    ServerStatus,
-    decoder,
-    encoder,
-)
+from ..messages import CrashQuery, CrashReport, decoder, encoder
+from ..statuses import Announcement, Delta, ServerLoad, ServerStatus
 from .test_gossip import deliver
 
 PORT = 9
--- a/persimmonlane/peers/tests/test_crashes.py
+++ b/persimmonlane/peers/tests/test_crashes.py
@@ -5,13 +5,7 @@
 
 from ...quarantine.ledger import LedgerEntry, Standing
 from ..commands import CrashesLearned
-from ..messages import (
-    MAX_CRASH_ENTRIES,
-    CrashEntry,
-    CrashReport,
-    decoder,
-    encoder,
-)
+from ..messages import MAX_CRASH_ENTRIES, CrashEntry, CrashReport, decoder, encoder
 from .simulation import PORT, Fleet
 from .test_gossip import deliver
 
--- a/persimmonlane/peers/tests/test_deltas.py
+++ b/persimmonlane/peers/tests/test_deltas.py
@@ -6,8 +6,9 @@
 from ...routing.stamps import DocumentStamp
 from ..announcing import AnnouncementBuilder
 from ..deltas import apply_delta, build_delta
-from ..messages import Announcement, Delta, ServerLoad, ServerStatus, decoder, encoder
+from ..messages import decoder, encoder
 from ..peer import LIVE_TIMEOUT_S, MEMBER_TIMEOUT_S
+from ..statuses import Announcement, Delta, ServerLoad, ServerStatus
 from .test_restarts import Network, NodeState, build_gossip
 
 ROUND_INTERVAL_S = 1.0
--- a/persimmonlane/peers/tests/test_generations.py
+++ b/persimmonlane/peers/tests/test_generations.py
@@ -4,7 +4,8 @@
 from ...clocks import ManualClock
 from ...routing.stamps import DocumentStamp
 from ..freshness import DocumentFreshness
-from ..messages import Announcement, Delta, Digest, decoder, encoder
+from ..messages import decoder, encoder
+from ..statuses import Announcement, Delta, Digest
 from .simulation import Fleet, LegacyDelta
 from .test_gossip import deliver
 
--- a/persimmonlane/peers/tests/test_gossip.py
+++ b/persimmonlane/peers/tests/test_gossip.py
@@ -12,7 +12,6 @@
 from ..commands import CapacityCheck
 from ..gossip import Gossip
 from ..messages import (
-    Announcement,
     CapacityRequest,
     CapacityResponse,
     RateRequest,
@@ -20,6 +19,7 @@
     decoder,
     encoder,
 )
+from ..statuses import Announcement
 
 
 class FakeTransport:
--- a/persimmonlane/peers/tests/test_rates.py
+++ b/persimmonlane/peers/tests/test_rates.py
@@ -5,9 +5,9 @@
 from ...clocks import ManualClock
 from ...quotas.buckets import rank_holders
 from ...routing.rulebook import Organisation
-from ..messages import Announcement
 from ..queries import PendingQueries
 from ..rates import FleetRateLimiter
+from ..statuses import Announcement
 from ..table import PeerTable
 
 BURST = 40
--- a/persimmonlane/peers/tests/test_relays.py
+++ b/persimmonlane/peers/tests/test_relays.py
@@ -1,5 +1,5 @@
-from ..messages import Digest
 from ..relays import RELAY_COUNT
+from ..statuses import Digest
 from .test_remotes import FleetTestCase
 
 
--- a/persimmonlane/peers/tests/test_remotes.py
+++ b/persimmonlane/peers/tests/test_remotes.py
@@ -5,7 +5,10 @@
 from testtools.matchers import GreaterThan, LessThan
 
 from ..commands import PendingMemberQuery
-from ..messages import (
+from ..messages import decoder, encoder
+from ..peer import REMOTE_LIVE_TIMEOUT_S
+from ..remotes import ASK_AFTER_S
+from ..statuses import (
     MAX_DIGEST_MEMBERS,
     Announcement,
     Delta,
@@ -15,11 +18,7 @@
     MemberState,
     ServerLoad,
     ServerStatus,
-    decoder,
-    encoder,
 )
-from ..peer import REMOTE_LIVE_TIMEOUT_S
-from ..remotes import ASK_AFTER_S
 from .simulation import PORT, VERSION, Fleet
 from .test_gossip import deliver
 
--- a/persimmonlane/peers/tests/test_restarts.py
+++ b/persimmonlane/peers/tests/test_restarts.py
@@ -5,7 +5,8 @@
 from ...routing.stamps import DocumentStamp
 from ...upkeep.generations import GenerationTracker
 from ..gossip import Gossip
-from ..messages import Announcement, ServerStatus, decoder, encoder
+from ..messages import decoder, encoder
+from ..statuses import Announcement, ServerStatus
 from .test_gossip import deliver
 
 PORT = 9
--- a/persimmonlane/peers/tests/test_table.py
+++ b/persimmonlane/peers/tests/test_table.py
@@ -4,9 +4,10 @@
 
 from ...clocks import ManualClock
 from ..commands import RegisteredNode
-from ..messages import Announcement, decoder, encoder
+from ..messages import decoder, encoder
 from ..peer import LIVE_TIMEOUT_S, MEMBER_TIMEOUT_S
 from ..relays import rank_relays
+from ..statuses import Announcement
 from ..table import PeerTable
 
 
--- a/persimmonlane/serving/tests/test_hedge.py
+++ b/persimmonlane/serving/tests/test_hedge.py
@@ -2,7 +2,7 @@
 from testtools.matchers import GreaterThan, LessThan
 
 from ...owner.latency import LatencyFigures, LatencyModel
-from ...peers.messages import ServerStatus
+from ...peers.statuses import ServerStatus
 from ..hedge import Hedge
 from ..placement import Candidate
 
--- a/persimmonlane/serving/tests/test_isolation.py
+++ b/persimmonlane/serving/tests/test_isolation.py
@@ -3,7 +3,7 @@
 from ...clocks import ManualClock
 from ...errors import Refusal
 from ...headers import Header
-from ...peers.messages import ServerStatus
+from ...peers.statuses import ServerStatus
 from ...quarantine.ledger import CrashLedger, LedgerEntry
 from ...routing.metadata import MAX_CAUSES
 from ...routing.rulebook import Organisation
--- a/persimmonlane/serving/tests/test_notices.py
+++ b/persimmonlane/serving/tests/test_notices.py
@@ -1,7 +1,7 @@
 import testtools
 
 from ...headers import Header
-from ...peers.messages import ServerStatus
+from ...peers.statuses import ServerStatus
 from ..notices import MAX_SERVERS, ServerNotices
 from ..responses import CompleteResponse
 
--- a/persimmonlane/serving/tests/test_placement.py
+++ b/persimmonlane/serving/tests/test_placement.py
@@ -4,7 +4,7 @@
 
 from ...clocks import ManualClock
 from ...owner.health import HealthState
-from ...peers.messages import Announcement, ServerStatus
+from ...peers.statuses import Announcement, ServerStatus
 from ...peers.table import PeerTable
 from ...routing.metadata import OwnerReport
 from ..placement import Candidate, Placement
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -20,7 +20,7 @@
 from .owner.owner import Owner
 from .peers.commands import CrashesLearned
 from .peers.gossip import ANNOUNCE_S, Gossip
-from .peers.messages import ServerStatus
+from .peers.statuses import ServerStatus
 from .peers.transport import DatagramTransport
 from .platform.documents import decode_document
 from .platform.store import SiteStore, parse_generation
--- a/tools/detection.py
+++ b/tools/detection.py
@@ -13,7 +13,7 @@
 from persimmonlane.owner import health
 from persimmonlane.owner.health import FailureDetector, HealthState
 from persimmonlane.owner.latency import LatencyModel
-from persimmonlane.peers.messages import ServerStatus
+from persimmonlane.peers.statuses import ServerStatus
 from persimmonlane.serving.placement import Candidate, Placement
 
 RATES = (1.0, 3.0, 10.0)
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -18,16 +18,10 @@
 from persimmonlane.owner.fleethealth import FleetHealth
 from persimmonlane.peers.deltas import build_delta
 from persimmonlane.peers.gossip import ANNOUNCE_S, Gossip
-from persimmonlane.peers.messages import (
-    Announcement,
-    Delta,
-    RateRequest,
-    ServerStatus,
-    decoder,
-    encoder,
-)
+from persimmonlane.peers.messages import RateRequest, decoder, encoder
 from persimmonlane.peers.queries import PendingQueries
 from persimmonlane.peers.rates import FleetRateLimiter
+from persimmonlane.peers.statuses import Announcement, Delta, ServerStatus
 from persimmonlane.peers.transport import DatagramTransport
 from persimmonlane.quarantine.ledger import CrashLedger
 from persimmonlane.routing.rulebook import Organisation
