--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -4,20 +4,14 @@
 where this is allowed.
 """
 
-import functools
 import logging
 import random
 import threading
 
-import msgspec
-
 from ..errors import Refusal
-from ..headers import Header, drop_hop_by_hop
-from ..outcomes import OutcomeKind
-from ..owner.calls import SERVER_CRASHED, ForwardedCall
+from ..owner.calls import SERVER_CRASHED
 from ..owner.latency import LatencyModels
 from ..quarantine.refusals import QUARANTINED, build_quarantine_refusal
-from ..routing.metadata import Order
 from ..routing.rulebook import choose_service
 from ..verdicts import Verdict
 from .attempts import (
@@ -27,29 +21,15 @@
     PlacementChoice,
     Stage,
     build_failure_refusal,
-    get_priority,
 )
-from .cancellation import CancelOnShutdown
 from .candidates import CandidateFinder
-from .capacity import CapacityClient
-from .exchange import Exchange, ExchangeError, OutgoingRequest
 from .hedge import Hedge, Superseded
-from .nodeheaders import (
-    ORDER_HEADER,
-    filter_request_headers,
-    get_default_poll_s,
-    get_reported_request_id,
-    parse_report,
-)
 from .placement import Placement
 from .returns import ReturnSchedule
+from .sending import AttemptSender
 
 log = logging.getLogger("persimmonlane.serving")
 
-CONNECT_TIMEOUT_S = 0.4
-# Added to the request's deadline so that a timeout reported by the owner still arrives.
-OWNER_DEADLINE_MARGIN_S = 0.05
-CONNECT_TIME_SHARE = 0.25
 # Longest accepted wait for a slot, by the number of rejections so far.
 MAX_QUEUE_WAITS_S = (0.05, 0.15, 0.5)
 HEDGE_MAX_WAIT_S = 0.02
@@ -72,10 +52,7 @@
     """Forwards callers' requests to backend servers; thread-safe."""
 
     __slots__ = (
-        "_settings",
         "_clock",
-        "_owner",
-        "_pool",
         "_budget",
         "_lock",
         "_rng",
@@ -83,12 +60,10 @@
         "_latency_models",
         "_events",
         "_shutdown",
-        "_cancellations",
-        "_traffic",
         "_isolation",
         "_candidates",
         "_returns",
-        "_capacity",
+        "_sender",
     )
 
     def __init__(
@@ -107,10 +82,7 @@
         traffic,
         isolation,
     ):
-        self._settings = settings
         self._clock = clock
-        self._owner = owner
-        self._pool = pool
         self._budget = budget
         self._lock = threading.Lock()
         self._rng = random.Random()
@@ -118,12 +90,20 @@
         self._latency_models = LatencyModels()
         self._events = events
         self._shutdown = shutdown
-        self._cancellations = cancellations
-        self._traffic = traffic
         self._isolation = isolation
         self._candidates = CandidateFinder(settings, clock, describe, table)
         self._returns = ReturnSchedule(clock, self._rng)
-        self._capacity = CapacityClient(settings, actor)
+        self._sender = AttemptSender(
+            settings,
+            clock,
+            owner,
+            actor,
+            pool,
+            self._candidates.notices,
+            shutdown,
+            cancellations,
+            traffic,
+        )
 
     def forward(self, request):
         """Return the `CompleteResponse` for an admitted request whose body was read.
@@ -335,7 +315,7 @@
         request.server_id = choice.candidate.server.server_id
         attempt, outcome = None, "given-up"
         try:
-            attempt = self._send(request, choice, hedge, watch)
+            attempt = self._sender.send(request, choice, hedge, watch)
             outcome = attempt.code or "answered"
             if attempt.is_success():
                 self._isolation.note_served(request)
@@ -364,105 +344,6 @@
     def _get_latency_model(self, route):
         return self._latency_models.get_model(route.name, route.objective_s)
 
-    def _send(self, request, choice, hedge, watch):
-        candidate = choice.candidate
-        server = candidate.server
-        order = Order(
-            request.metadata.request_id,
-            server.server_id,
-            server.service,
-            self._settings.service,
-            request.organisation.name if request.organisation else "",
-            request.route.idempotent,
-            get_priority(request),
-            request.route.name,
-            request.deadline - self._clock.now(),
-            choice.max_wait_s,
-            request.route.objective_s,
-            choice.last_resort,
-            self._candidates.notices.find_limit(server.server_id),
-            request.fingerprint,
-            choice.alone,
-            request.causes,
-        )
-        if hedge is not None:
-            watch = hedge.watch
-            on_wait = functools.partial(hedge.poll, self._clock)
-        else:
-            watch = watch or request.caller
-            on_wait = get_default_poll_s
-        if candidate.peer is None:
-            return self._attempt_local(request, order, watch, on_wait)
-        return self._attempt_remote(request, order, candidate.peer, watch, on_wait)
-
-    def _attempt_local(self, request, order, watch, on_wait):
-        call = ForwardedCall(
-            request.method,
-            request.target,
-            filter_request_headers(request.headers),
-            request.body,
-            self._clock.now(),
-            on_wait,
-        )
-        try:
-            answer = self._owner.serve(order, call, watch)
-        except Refusal as refusal:
-            return Attempt(
-                None, Verdict.NOT_RUN, refusal.code, refusal.retry_after or 0.0
-            )
-        except ExchangeError as error:
-            return Attempt(None, error.verdict, error.code, kind=error.kind)
-        return Attempt(answer, Verdict.RAN)
-
-    def _attempt_remote(self, request, order, peer, watch, on_wait):
-        rejected = self._capacity.check(request, order, peer)
-        if rejected is not None:
-            return rejected
-        text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
-        left_s = request.deadline - self._clock.now()
-        cancel = functools.partial(
-            self._cancellations.cancel, order, peer, peer.announcement.boot
-        )
-        headers = drop_hop_by_hop(filter_request_headers(request.headers))
-        call = OutgoingRequest(
-            address=peer.address,
-            method=request.method,
-            target=request.target,
-            headers=[*headers, Header(ORDER_HEADER, text)],
-            body=request.body,
-            request_id=order.request_id,
-            deadline=request.deadline + OWNER_DEADLINE_MARGIN_S,
-            connect_timeout_s=min(CONNECT_TIMEOUT_S, left_s * CONNECT_TIME_SHARE),
-            extract_request_id=get_reported_request_id,
-            on_wait=CancelOnShutdown(self._shutdown, cancel, on_wait),
-        )
-        self._change_in_flight(peer, 1)
-        answer = None
-        try:
-            answer = Exchange(call, self._pool, self._clock, watch).run()
-        except ExchangeError as error:
-            if error.kind in (OutcomeKind.CONNECT, OutcomeKind.ERROR):
-                peer.mark_unreachable(self._clock.now())
-            verdict = error.verdict
-            if self._may_cancel(request, error) and cancel():
-                verdict = Verdict.NOT_RUN
-            return Attempt(None, verdict, error.code, kind=error.kind)
-        finally:
-            self._change_in_flight(peer, -1)
-            self._traffic.count_exchange(peer.host, call, answer)
-        peer.mark_reachable()
-        return parse_report(answer, peer, order.server_id)
-
-    def _may_cancel(self, request, error):
-        left_s = request.deadline - self._clock.now()
-        if not request.metadata.request_id or left_s <= MIN_TIME_LEFT_S:
-            return False
-        return error.verdict is Verdict.MAY_HAVE_RUN
-
-    def _change_in_flight(self, peer, change):
-        with self._lock:
-            peer.in_flight += change
-
     def _build_refusal(self, request, service, rejections):
         """Return the `Refusal` of a request that no backend server has accepted."""
         if self._shutdown.may_dispatch() and self._isolation.is_isolated(request):
--- /dev/null
+++ b/persimmonlane/serving/sending.py
@@ -0,0 +1,191 @@
+"""Sending of a request to the owner of a backend server."""
+
+import functools
+import threading
+
+import msgspec
+
+from ..errors import Refusal
+from ..headers import Header, drop_hop_by_hop
+from ..outcomes import OutcomeKind
+from ..owner.calls import ForwardedCall
+from ..routing.metadata import Order
+from ..verdicts import Verdict
+from .attempts import Attempt, get_priority
+from .cancellation import CancelOnShutdown
+from .capacity import CapacityClient
+from .exchange import Exchange, ExchangeError, OutgoingRequest
+from .nodeheaders import (
+    ORDER_HEADER,
+    filter_request_headers,
+    get_default_poll_s,
+    get_reported_request_id,
+    parse_report,
+)
+
+CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIME_SHARE = 0.25
+# Added to the request's deadline so that a timeout reported by the owner still arrives.
+OWNER_DEADLINE_MARGIN_S = 0.05
+# With less time left, no owner is asked to cancel a request.
+MIN_TIME_LEFT_S = 0.03
+
+
+class AttemptSender:
+    """Sends requests to this node's backend server or to other owners; thread-safe."""
+
+    __slots__ = (
+        "_settings",
+        "_clock",
+        "_owner",
+        "_pool",
+        "_lock",
+        "_notices",
+        "_shutdown",
+        "_cancellations",
+        "_traffic",
+        "_capacity",
+    )
+
+    def __init__(
+        self,
+        settings,
+        clock,
+        owner,
+        actor,
+        pool,
+        notices,
+        shutdown,
+        cancellations,
+        traffic,
+    ):
+        """Create the sender.
+
+        Args:
+            settings: The `FleetSettings`.
+            clock: Clock in seconds.
+            owner: The `Owner` of the local backend server.
+            actor: Reference to the `Gossip` actor.
+            pool: The `ConnectionPool`.
+            notices: The `ServerNotices` of this node.
+            shutdown: The `Shutdown`.
+            cancellations: The `CancellationClient`.
+            traffic: The `TrafficCounter`.
+        """
+        self._settings = settings
+        self._clock = clock
+        self._owner = owner
+        self._pool = pool
+        self._lock = threading.Lock()
+        self._notices = notices
+        self._shutdown = shutdown
+        self._cancellations = cancellations
+        self._traffic = traffic
+        self._capacity = CapacityClient(settings, actor)
+
+    def send(self, request, choice, hedge, watch):
+        """Send a request to a backend server and return the `Attempt`.
+
+        Args:
+            request: The `IngressRequest`.
+            choice: The `PlacementChoice`.
+            hedge: The `Hedge` that may start meanwhile, or None.
+            watch: The `AttemptWatch` that ends the attempt early, or None.
+        """
+        candidate = choice.candidate
+        server = candidate.server
+        order = Order(
+            request.metadata.request_id,
+            server.server_id,
+            server.service,
+            self._settings.service,
+            request.organisation.name if request.organisation else "",
+            request.route.idempotent,
+            get_priority(request),
+            request.route.name,
+            request.deadline - self._clock.now(),
+            choice.max_wait_s,
+            request.route.objective_s,
+            choice.last_resort,
+            self._notices.find_limit(server.server_id),
+            request.fingerprint,
+            choice.alone,
+            request.causes,
+        )
+        if hedge is not None:
+            watch = hedge.watch
+            on_wait = functools.partial(hedge.poll, self._clock)
+        else:
+            watch = watch or request.caller
+            on_wait = get_default_poll_s
+        if candidate.peer is None:
+            return self._attempt_local(request, order, watch, on_wait)
+        return self._attempt_remote(request, order, candidate.peer, watch, on_wait)
+
+    def _attempt_local(self, request, order, watch, on_wait):
+        call = ForwardedCall(
+            request.method,
+            request.target,
+            filter_request_headers(request.headers),
+            request.body,
+            self._clock.now(),
+            on_wait,
+        )
+        try:
+            answer = self._owner.serve(order, call, watch)
+        except Refusal as refusal:
+            return Attempt(
+                None, Verdict.NOT_RUN, refusal.code, refusal.retry_after or 0.0
+            )
+        except ExchangeError as error:
+            return Attempt(None, error.verdict, error.code, kind=error.kind)
+        return Attempt(answer, Verdict.RAN)
+
+    def _attempt_remote(self, request, order, peer, watch, on_wait):
+        rejected = self._capacity.check(request, order, peer)
+        if rejected is not None:
+            return rejected
+        text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
+        left_s = request.deadline - self._clock.now()
+        cancel = functools.partial(
+            self._cancellations.cancel, order, peer, peer.announcement.boot
+        )
+        headers = drop_hop_by_hop(filter_request_headers(request.headers))
+        call = OutgoingRequest(
+            address=peer.address,
+            method=request.method,
+            target=request.target,
+            headers=[*headers, Header(ORDER_HEADER, text)],
+            body=request.body,
+            request_id=order.request_id,
+            deadline=request.deadline + OWNER_DEADLINE_MARGIN_S,
+            connect_timeout_s=min(CONNECT_TIMEOUT_S, left_s * CONNECT_TIME_SHARE),
+            extract_request_id=get_reported_request_id,
+            on_wait=CancelOnShutdown(self._shutdown, cancel, on_wait),
+        )
+        self._change_in_flight(peer, 1)
+        answer = None
+        try:
+            answer = Exchange(call, self._pool, self._clock, watch).run()
+        except ExchangeError as error:
+            if error.kind in (OutcomeKind.CONNECT, OutcomeKind.ERROR):
+                peer.mark_unreachable(self._clock.now())
+            verdict = error.verdict
+            if self._may_cancel(request, error) and cancel():
+                verdict = Verdict.NOT_RUN
+            return Attempt(None, verdict, error.code, kind=error.kind)
+        finally:
+            self._change_in_flight(peer, -1)
+            self._traffic.count_exchange(peer.host, call, answer)
+        peer.mark_reachable()
+        return parse_report(answer, peer, order.server_id)
+
+    def _may_cancel(self, request, error):
+        left_s = request.deadline - self._clock.now()
+        if not request.metadata.request_id or left_s <= MIN_TIME_LEFT_S:
+            return False
+        return error.verdict is Verdict.MAY_HAVE_RUN
+
+    def _change_in_flight(self, peer, change):
+        with self._lock:
+            peer.in_flight += change
