--- a/persimmonlane/owner/evidence.py
+++ b/persimmonlane/owner/evidence.py
@@ -7,6 +7,7 @@
 import logging
 
 from ..outcomes import OutcomeKind
+from .calls import build_not_run_refusal
 from .health import (
     HEALTHY_BREAK_RATIO,
     HEALTHY_ERROR_RATIO,
@@ -18,6 +19,8 @@
 
 # Longer than a request lasts whose nested call has failed.
 NESTED_MEMORY_S = 30.0
+# Requests that probe a half-open server at a time.
+HALF_OPEN_SLOTS = 1
 
 
 class HealthEvidence:
@@ -53,6 +56,32 @@
         self._nested_failures = []
         self._was_suspect = False
 
+    def check(self, order):
+        """Refuse a request that the health of the server does not admit.
+
+        Args:
+            order: The `Order`.
+
+        Raises:
+            Refusal: Not run, with code `server-ejected`, `server-on-trial` or
+                `server-suspect`.
+        """
+        detector = self._detector
+        if order.force:
+            return
+        if detector.state is HealthState.EJECTED:
+            raise build_not_run_refusal(
+                "server-ejected", "the backend server is ejected"
+            )
+        if detector.state is HealthState.HALF_OPEN:
+            self._check_half_open(order)
+            return
+        self.evaluate_running()
+        if not order.idempotent and detector.is_suspect():
+            raise build_not_run_refusal(
+                "server-suspect", "the backend server may be failing"
+            )
+
     def note_nested_failure(self):
         """Note that a call which the backend server made of its own has failed.
 
@@ -118,6 +147,18 @@
         self._detector.record_unanswered(ticket.granted_at, survival)
         return self._apply_change(before, kind.value)
 
+    def _check_half_open(self, order):
+        since = self._detector.since
+        probes = sum(
+            1
+            for item in self._admission_queue.list_running()
+            if item.granted_at >= since
+        )
+        if not order.idempotent or probes >= HALF_OPEN_SLOTS:
+            raise build_not_run_refusal(
+                "server-on-trial", "the backend server is on trial"
+            )
+
     def _compute_survival(self, ticket):
         return ticket.latency.compute_survival(self._clock.now() - ticket.granted_at)
 
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -8,32 +8,30 @@
 
 from ..errors import Refusal
 from ..explaining.events import OwnerEnded, log_event
-from ..headers import drop_hop_by_hop
 from ..outcomes import OutcomeKind
 from ..platform import headers as wire
 from ..quarantine.ledger import Standing
 from ..quarantine.refusals import check_quarantine
 from ..routing.metadata import OwnerReport
-from ..serving.exchange import Exchange, ExchangeError, OutgoingRequest
+from ..serving.exchange import ExchangeError
 from ..serving.shutdown import NodeShutdown
 from ..signals import PollableEvent
 from ..verdicts import Verdict
 from .admission import AdmissionQueue, Ticket
-from .calls import build_crash_error, build_not_run_refusal, get_echoed_request_id
+from .calls import build_crash_error, build_not_run_refusal
+from .client import ServerClient
 from .crashes import CrashObserver, is_listening
 from .dispatch import DispatchLog
 from .evidence import HealthEvidence
-from .health import FailureDetector, HealthState, estimate_prior
+from .health import FailureDetector, estimate_prior
 from .latency import LatencyModels
 
 log = logging.getLogger("persimmonlane.owner")
 
-CONNECT_TIMEOUT_S = 0.5
 MIN_TIME_LEFT_S = 0.02
 POLL_INTERVAL_S = 0.25
 MIN_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
-HALF_OPEN_SLOTS = 1
 PRIOR_INTERVAL_S = 1.0
 
 
@@ -54,9 +52,8 @@
         "admission_queue",
         "crashes",
         "on_change",
-        "_settings",
         "_clock",
-        "_pool",
+        "_client",
         "_ledger",
         "_lock",
         "_misdirected_id",
@@ -77,9 +74,8 @@
         self.detector = FailureDetector(clock, self._may_eject)
         self.admission_queue = AdmissionQueue(clock)
         self.on_change = lambda: None
-        self._settings = settings
         self._clock = clock
-        self._pool = pool
+        self._client = ServerClient(settings, clock, pool)
         self._ledger = ledger
         self._lock = threading.Lock()
         self._evidence = HealthEvidence(clock, self.detector, self.admission_queue)
@@ -304,36 +300,7 @@
         if not self.hosted.is_current(order.server_id):
             raise build_not_run_refusal("server-gone", "the backend server is gone")
         check_quarantine(self._ledger, order.fingerprint)
-        self._check_state(order)
-
-    def _check_state(self, order):
-        detector = self.detector
-        if order.force:
-            return
-        if detector.state is HealthState.EJECTED:
-            raise build_not_run_refusal(
-                "server-ejected", "the backend server is ejected"
-            )
-        if detector.state is HealthState.HALF_OPEN:
-            self._check_half_open(order)
-            return
-        self._evidence.evaluate_running()
-        if not order.idempotent and self.is_suspect():
-            raise build_not_run_refusal(
-                "server-suspect", "the backend server may be failing"
-            )
-
-    def _check_half_open(self, order):
-        since = self.detector.since
-        probes = sum(
-            1
-            for item in self.admission_queue.list_running()
-            if item.granted_at >= since
-        )
-        if not order.idempotent or probes >= HALF_OPEN_SLOTS:
-            raise build_not_run_refusal(
-                "server-on-trial", "the backend server is on trial"
-            )
+        self._evidence.check(order)
 
     def _await_slot(self, ticket, wakeup, caller):
         while ticket.granted_at is None:
@@ -359,33 +326,12 @@
             raise build_not_run_refusal("deadline-passed", "no time is left")
 
     def _exchange(self, order, call, ticket, caller):
-        server_id = order.server_id
         incarnation = self.hosted.current
-        time_left_s = ticket.deadline - self._clock.now()
-        headers = drop_hop_by_hop(call.headers)
-        headers += wire.build_backend_headers(order, time_left_s, server_id)
         running = self.crashes.enter(order, order.fingerprint, incarnation)
-        exchange = Exchange(
-            OutgoingRequest(
-                address=self._settings.server,
-                method=call.method,
-                target=call.target,
-                headers=headers,
-                body=call.body,
-                request_id=order.request_id,
-                deadline=ticket.deadline,
-                connect_timeout_s=CONNECT_TIMEOUT_S,
-                extract_request_id=get_echoed_request_id,
-                on_wait=call.on_wait,
-            ),
-            self._pool,
-            self._clock,
-            caller,
-        )
         try:
-            answer = exchange.run()
+            answer = self._client.run(order, call, ticket.deadline, caller)
             self._note_statements(answer, incarnation)
-            self._check_answer(answer, server_id)
+            self._check_answer(answer, order.server_id)
         except ExchangeError as error:
             if error.kind is OutcomeKind.TIMEOUT:
                 self._record(self._evidence.record_unanswered, error.kind, ticket)
