--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -238,6 +238,7 @@
         self._admit(order, ticket)
         try:
             self._await_slot(ticket, wakeup, caller)
+            check_quarantine(self._ledger, order.fingerprint)
             self._mark_dispatched(order)
             return self._exchange(order, call, ticket, caller)
         finally:
--- a/persimmonlane/owner/tests/test_isolation.py
+++ b/persimmonlane/owner/tests/test_isolation.py
@@ -1,9 +1,12 @@
+from unittest import mock
+
 import testtools
 
 from ...clocks import ManualClock
 from ...errors import Refusal
 from ...quarantine.ledger import LedgerEntry
 from ..admission import AdmissionQueue, Ticket
+from ..calls import ForwardedCall
 from ..latency import LatencyModel
 from .test_owner import OwnerTestCase, build_order
 
@@ -87,6 +90,24 @@
             self.assertEqual("not-run", report.verdict)
             self.assertEqual(300.0, report.wait_s)
 
+    def test_request_that_waits_when_it_is_quarantined_does_not_run(self):
+        for _ in range(2):
+            order = build_order()
+            ticket = self.owner._build_ticket(order, self.clock.now(), lambda: None)
+            self.owner._admit(order, ticket)
+        order = build_order(fingerprint=7, max_wait_s=9.0)
+
+        def quarantine_and_free(*args):
+            self.implicate(7, 3)
+            self.owner.admission_queue.release(ticket)
+
+        caller = mock.Mock()
+        caller.wait = quarantine_and_free
+        call = ForwardedCall("GET", "/", [], b"", self.clock.now(), None)
+        refusal = self.assertRaises(Refusal, self.owner.serve, order, call, caller)
+        self.assertEqual("request-quarantined", refusal.code)
+        self.assertEqual([], self.owner.crashes.list_running())
+
     def test_requests_of_older_releases_are_admitted(self):
         self.implicate(7, 3)
         self.assertEqual("", self.owner.check_admission(build_order()).code)
