Let requests run beside others that were at one of many crashes

A request is hardly to blame for its only crash if two other servers crashed within 3 s without it: it now runs as others do. Crashes count for the quarantine as before.

--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -10,7 +10,6 @@
 from ..explaining.events import OwnerEnded, log_event
 from ..outcomes import OutcomeKind
 from ..platform import headers as wire
-from ..quarantine.ledger import Standing
 from ..quarantine.refusals import check_quarantine
 from ..routing.metadata import OwnerReport
 from ..serving.exchange import ExchangeError
@@ -283,8 +282,7 @@
     def _build_ticket(self, order, received_at, wake):
         latency = self._latency_models.get_model(order.route, order.objective_s)
         deadline = received_at + order.time_left_s
-        standing = self._ledger.get_standing(order.fingerprint)
-        is_alone = order.alone or standing is Standing.IMPLICATED
+        is_alone = order.alone or self._ledger.must_run_alone(order.fingerprint)
         return Ticket(
             latency, order.priority, deadline, order.max_wait_s, wake, is_alone
         )
--- a/persimmonlane/quarantine/fingerprints.py
+++ b/persimmonlane/quarantine/fingerprints.py
@@ -38,8 +38,8 @@
 
 def hash_parts(*parts):
     """Return a number from 1 to 2**63 for a sequence of bytes objects."""
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest = hashlib.sha256()
     for part in parts:
         digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
         digest.update(part)
-    return (int.from_bytes(digest.digest(), "big") >> 1) or 1
+    return (int.from_bytes(digest.digest()[:DIGEST_BYTES], "big") >> 1) or 1
--- a/persimmonlane/quarantine/ledger.py
+++ b/persimmonlane/quarantine/ledger.py
@@ -22,11 +22,16 @@
 QUARANTINE_S = 300.0
 MAX_QUARANTINE_S = 3600.0
 MEMORY_S = 3600.0
+# A request is hardly to blame for its only crash if so many other backend servers
+# crashed around that time without it.
+MANY_CRASHES = 2
+AROUND_S = 3.0
 # A request that was served this shortly before a crash is too common to have caused it.
 SERVED_BEFORE_S = 10.0
 MAX_CASES = 512
 MAX_CRASHES_OF_CASE = 8
 MAX_SERVED = 4096
+MAX_PROCESSES = 256
 
 
 class Standing(enum.Enum):
@@ -92,7 +97,7 @@
             there are none.
     """
 
-    __slots__ = ("digest", "_clock", "_lock", "_cases", "_served")
+    __slots__ = ("digest", "_clock", "_lock", "_cases", "_served", "_processes")
 
     def __init__(self, clock):
         self.digest = 0
@@ -101,6 +106,8 @@
         self._cases = {}
         # Clock seconds at which requests were served, by fingerprint, oldest first.
         self._served = {}
+        # Clock seconds at which processes crashed, oldest first.
+        self._processes = {}
 
     def apply(self, entry):
         """Apply a `LedgerEntry` of this node or another one.
@@ -142,6 +149,19 @@
         with self._lock:
             return self._judge(case)
 
+    def must_run_alone(self, fingerprint):
+        """Return whether nothing else may run on a server beside a request.
+
+        It need not if servers crash in numbers, and it was at one of them only.
+        """
+        case = self._cases.get(fingerprint)
+        if case is None:
+            return False
+        with self._lock:
+            if self._judge(case) is not Standing.IMPLICATED:
+                return False
+            return len(case.crashes) > 1 or not self._is_one_of_many(case)
+
     def count_crashes(self, fingerprint):
         """Return the number of crashes in which a request was running."""
         with self._lock:
@@ -188,6 +208,7 @@
         if case is None:
             case = self._cases[fingerprint] = Case()
         case.crashes[entry.process] = entry.at
+        self._note_process(entry)
         self._toggle(fingerprint, entry.process)
         self._limit_crashes(fingerprint, case)
         self._log_standing(fingerprint, case)
@@ -218,6 +239,20 @@
             return Standing.QUARANTINED
         return Standing.IMPLICATED
 
+    def _is_one_of_many(self, case):
+        (at,) = case.crashes.values()
+        others = [
+            time
+            for process, time in self._processes.items()
+            if process not in case.crashes and abs(time - at) < AROUND_S
+        ]
+        return len(others) >= MANY_CRASHES
+
+    def _note_process(self, entry):
+        self._processes.setdefault(entry.process, entry.at)
+        while len(self._processes) > MAX_PROCESSES:
+            del self._processes[next(iter(self._processes))]
+
     def _was_served_before(self, fingerprint, at):
         served_at = self._served.get(fingerprint)
         return served_at is not None and served_at >= at - SERVED_BEFORE_S
--- a/persimmonlane/quarantine/tests/test_ledger.py
+++ b/persimmonlane/quarantine/tests/test_ledger.py
@@ -3,6 +3,7 @@
 
 from ...clocks import ManualClock
 from ..ledger import (
+    AROUND_S,
     CLEARANCE,
     MAX_CASES,
     MAX_QUARANTINE_S,
@@ -55,6 +56,29 @@
         )
         self.assertEqual(Standing.CLEAR, self.get_standing(OTHER))
 
+    def test_request_runs_alone_after_a_crash(self):
+        self.crash(1)
+        self.assertTrue(self.ledger.must_run_alone(REQUEST))
+        self.assertFalse(self.ledger.must_run_alone(OTHER))
+
+    def test_request_need_not_run_alone_after_one_of_many_crashes(self):
+        for process in (1, 2, 3):
+            self.crash(process, 100 + process)
+            self.crash(process, 200)
+        self.assertFalse(self.ledger.must_run_alone(101))
+        # This one ran at each of them.
+        self.assertEqual(Standing.QUARANTINED, self.get_standing(200))
+        self.clock.advance(60.0)
+        self.crash(9, 101)
+        self.assertTrue(self.ledger.must_run_alone(101))
+
+    def test_crashes_at_other_times_don_t_excuse_a_request(self):
+        for process in (1, 2):
+            self.crash(process, 100 + process)
+        self.clock.advance(AROUND_S + 1.0)
+        self.crash(3)
+        self.assertTrue(self.ledger.must_run_alone(REQUEST))
+
     def test_crash_that_is_told_again_counts_once(self):
         for _ in range(5):
             self.crash(1)
--- a/persimmonlane/serving/isolation.py
+++ b/persimmonlane/serving/isolation.py
@@ -7,7 +7,6 @@
 
 from ..headers import find_first
 from ..quarantine.fingerprints import compute_fingerprint
-from ..quarantine.ledger import Standing
 from ..quarantine.refusals import build_implicated_refusal, check_quarantine
 from ..routing.metadata import MAX_CAUSES
 from .attempts import NESTED_CALL_PRIORITY, get_priority
@@ -66,9 +65,10 @@
 
     def is_isolated(self, request):
         """Return whether a request must run alone, and at one server at a time."""
-        if request.crashes > 0:
+        if request.crashes > self._ledger.count_crashes(request.fingerprint):
+            # The report of the last crash has not arrived yet.
             return True
-        return self._ledger.get_standing(request.fingerprint) is Standing.IMPLICATED
+        return self._ledger.must_run_alone(request.fingerprint)
 
     def may_retry(self, request):
         """Return whether a request may be sent again to another server."""
