Let the other nodes remember that a backend server leaves

A server's status now says that it leaves; nodes remember the process, choose it no more, and tell a restarted owner that announces it again. Older releases are not told, and don't say it.

--- a/persimmonlane/owner/backend.py
+++ b/persimmonlane/owner/backend.py
@@ -142,17 +142,19 @@
             and self._clock.now() - self.received_at < self._heartbeat_timeout_s
         )
 
+    def is_leaving(self):
+        """Return whether the current incarnation has said that it leaves."""
+        return self.current is not None and (
+            self._has_departed or self.current.state is ServerState.DRAINING
+        )
+
     def may_crash(self, heartbeat):
         """Return whether the end of a process would be a crash, not a departure.
 
         Args:
             heartbeat: A `Heartbeat` of the process.
         """
-        return (
-            self.is_incarnation(heartbeat)
-            and not self._has_departed
-            and self.current.state is ServerState.READY
-        )
+        return self.is_incarnation(heartbeat) and not self.is_leaving()
 
     def ended_without_notice(self, heartbeat):
         """Return whether a process, by its last `Heartbeat`, has not said it leaves."""
--- a/persimmonlane/peers/announcing.py
+++ b/persimmonlane/peers/announcing.py
@@ -14,7 +14,7 @@
 class StaticFields:
     """The rarely changing fields of an announcement that a `Delta` leaves out."""
 
-    __slots__ = ("leaving", "server_id", "service", "born")
+    __slots__ = ("leaving", "server_id", "service", "born", "is_server_leaving")
 
     def __init__(self, state):
         server = state.server
@@ -22,6 +22,7 @@
         self.server_id = server.server_id if server is not None else None
         self.service = server.service if server is not None else None
         self.born = server.born if server is not None else None
+        self.is_server_leaving = server is not None and server.leaving
 
     def matches(self, other):
         """Return whether all fields are equal to those of another instance."""
@@ -29,8 +30,10 @@
 
     def has_server_of(self, other):
         """Return whether the backend server is that of another instance."""
-        own = (self.server_id, self.service, self.born)
-        return own == (other.server_id, other.service, other.born)
+        return self._identify_server() == other._identify_server()
+
+    def _identify_server(self):
+        return self.server_id, self.service, self.born, self.is_server_leaving
 
 
 class AnnouncementBuilder:
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -107,4 +107,5 @@
         load.hang_risk,
         load.limit,
         known.born,
+        known.leaving,
     )
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -24,7 +24,7 @@
     RetryCheck,
     UnknownPeerHeard,
 )
-from .crashes import CrashSpread
+from .crashes import CrashSpread, accepts_reports
 from .deltas import apply_delta
 from .messages import (
     CancellationRequest,
@@ -33,6 +33,7 @@
     CapacityResponse,
     CrashQuery,
     CrashReport,
+    DepartureNotice,
     LoanRequest,
     LoanResponse,
     RateRequest,
@@ -145,7 +146,8 @@
             Delta: self._handle_delta,
             Digest: self._handle_digest,
             CrashReport: self._crashes.handle_report,
-            MemberResponse: self._remotes.handle_response,
+            DepartureNotice: self._handle_departure_notice,
+            MemberResponse: self._handle_member_response,
             RateRequest: self._rates.answer_request,
             RetryRequest: self._retries.answer_request,
             RetryResponse: self._retries.apply_response,
@@ -295,6 +297,7 @@
             return None
         self._generations.report(announcement.store_generation)
         self._crashes.compare(announcement.crash_digest, peer.host)
+        self._remind_of_departure(peer)
         if announcement.stamp > self._document.stamp:
             near = announcement.data_centre == self._settings.data_centre
             self._document.add_source(announcement.stamp, announcement.address, near)
@@ -306,6 +309,25 @@
             return None
         return PeerStarted(peer)
 
+    def _handle_member_response(self, response, sender):
+        self._remotes.handle_response(response, sender)
+        for member in response.members:
+            peer = self.table.find_by_boot(member.announcement.boot)
+            if peer is not None:
+                self._remind_of_departure(peer)
+
+    def _remind_of_departure(self, peer):
+        """Tell a restarted node if its backend server had said that it leaves."""
+        server = peer.announcement.server
+        if server is None or server.leaving or not accepts_reports(peer):
+            return
+        if self.table.departed.has(server):
+            self._send(peer.host, DepartureNotice(server.server_id, server.born))
+
+    def _handle_departure_notice(self, notice, sender):
+        if self.table.is_known_host(sender[0]):
+            self._owner.handle_departure(notice.server_id, notice.born)
+
     def _handle_digest(self, digest, sender):
         if self.table.is_known_host(sender[0]):
             self._crashes.compare(digest.crash_digest, sender[0])
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -59,6 +59,18 @@
     boot: int
 
 
+class DepartureNotice(msgspec.Struct, array_like=True, tag="f"):
+    """Tells a restarted node that its backend server had said that it leaves.
+
+    Attributes:
+        server_id: Identifier of the backend server.
+        born: Unix milliseconds of the start of its process.
+    """
+
+    server_id: str
+    born: Annotated[int, msgspec.Meta(ge=1)]
+
+
 class RateRequest(msgspec.Struct, array_like=True, tag="q"):
     """Asks the holder of an organisation's rate whether to admit a request.
 
@@ -221,6 +233,7 @@
     | DigestRequest
     | CrashReport
     | CrashQuery
+    | DepartureNotice
     | MemberQuery
     | MemberResponse
     | RateRequest
--- a/persimmonlane/peers/statuses.py
+++ b/persimmonlane/peers/statuses.py
@@ -35,6 +35,7 @@
         hang_risk: Probability that it hangs, in percent.
         limit: Requests per second that it takes, or None without a limit.
         born: Unix milliseconds of its start; 0 if it is not known.
+        leaving: Whether it has said that it leaves, which its process does for good.
     """
 
     server_id: str
@@ -50,6 +51,7 @@
     hang_risk: Percent = 0
     limit: Rate | None = None
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    leaving: bool = False
 
     @property
     def risk(self):
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -9,6 +9,7 @@
 import threading
 
 from .cache import RecentPeers
+from .departures import DepartedServers
 from .digests import DS_PER_S, apply_member_state, matches_state
 from .freshness import DocumentFreshness, SendTimes
 from .peer import MEMBER_TIMEOUT_S, REMOTE_LIVE_TIMEOUT_S, Peer, create_moved_peer
@@ -24,12 +25,14 @@
         peers: Dict of `Peer`s by name. Copy it before iterating.
         freshness: The `DocumentFreshness` of the document in force.
         send_times: The `SendTimes` of this node's announcements.
+        departed: The `DepartedServers` of the other nodes.
     """
 
     __slots__ = (
         "peers",
         "freshness",
         "send_times",
+        "departed",
         "_clock",
         "_lock",
         "_own_name",
@@ -46,6 +49,7 @@
         self.peers = {}
         self.freshness = DocumentFreshness(clock)
         self.send_times = SendTimes(boot, clock)
+        self.departed = DepartedServers()
         self._clock = clock
         self._lock = threading.RLock()
         self._own_name = own_name
@@ -203,6 +207,7 @@
 
     def _store(self, peer):
         self.peers[peer.name] = peer
+        self.departed.note(peer.announcement.server)
         if self._by_boot.get(peer.announcement.boot) is not peer:
             self._index()
 
--- a/persimmonlane/serving/candidates.py
+++ b/persimmonlane/serving/candidates.py
@@ -52,4 +52,4 @@
     def _takes_requests(self, server, service):
         if server.service != service or not server.ready:
             return False
-        return not self.notices.is_leaving(server)
+        return not (self.notices.is_leaving(server) or self._table.departed.has(server))
--- a/persimmonlane/serving/notices.py
+++ b/persimmonlane/serving/notices.py
@@ -3,6 +3,7 @@
 The owner of a server knows it as well, but not after a restart.
 """
 
+from ..peers.departures import build_key
 from ..platform import headers as wire
 
 MAX_SERVERS = 4096
@@ -48,11 +49,6 @@
         return build_key(server) in self._leaving
 
 
-def build_key(server):
-    """Return what identifies the process of a server: its identifier may come back."""
-    return server.server_id, server.born
-
-
 def record(notices, key, notice):
     """Add a notice to a dict of them; the oldest ones are forgotten."""
     notices[key] = notice
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -294,6 +294,7 @@
             owner.detector.risk.hang_percent,
             admission_queue.limit.rate,
             current.born,
+            owner.hosted.is_leaving(),
         )
         return NodeState(self.shutdown.is_shutting_down(), server)
 
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -252,8 +252,15 @@
             "Status": {"State": state, "Sequence": self._sequence},
             "born": self._born,
         }
+        return self._call("PUT", control, body)
+
+    def send_departure(self, control):
+        """Tell a node that this process leaves; return the HTTP status."""
+        return self._call("DELETE", control, {"born": self._born})
+
+    def _call(self, method, control, body):
         response = urllib3.request(
-            "PUT",
+            method,
             f"http://{control}/persimmonlane/instances/{self._id}",
             body=msgspec.json.encode(body),
             retries=False,
