Turn every failure to decode foreign bytes into the product's error

What operators saw elsewhere: an odd entry among those of the backend servers ended the machines that read the list, or kept them from following it.

Cause: each reader caught the errors of msgspec that its author knew. A value nested 100,000 deep raises RecursionError, which is none of them; one such entry left _list_nodes and was read again after 0.7 s on each node, so that no node listed the others. Numbers went through unchecked until they could not be encoded: 10^30 slots raised OverflowError in the actor, 20 in a row end the process.

Change: decoding.py alone decodes JSON, MessagePack and YAML from outside, and raises InputError for all of it. Numbers and addresses are checked where they are decoded: slots, times, sequences, versions, standings; addresses of nodes must be IP addresses with a port. A departure whose body can't be read is refused like such a heartbeat; before, it took the real server out of use.

Evidence: test_odd_bytes feeds eleven readers nested, huge, edited and random bytes.

Tests: hosts in test_table and test_rates are IP addresses now, as names are refused. Two cases of test_backend (no slots, negative cold time) moved to test_odd_bytes with the check.

--- a/persimmonlane/explaining/reading.py
+++ b/persimmonlane/explaining/reading.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..decoding import decode_json
 from ..errors import InputError
 
 # Explanations, for on-call engineers, of the codes with which requests end.
@@ -116,9 +117,9 @@
         return
     _, brace, text = raw.partition(b"{")
     try:
-        line = msgspec.json.decode(brace + text, type=LogLine)
-        fields = msgspec.json.decode(brace + text)
-    except msgspec.DecodeError:
+        line = decode_json(brace + text, LogLine)
+        fields = decode_json(brace + text)
+    except InputError:
         request_log.skipped += 1
         return
     if line.request == request_id:
--- a/persimmonlane/owner/crashes.py
+++ b/persimmonlane/owner/crashes.py
@@ -10,10 +10,10 @@
 import threading
 import time
 
+from ..addresses import split_address
 from ..explaining.events import RequestImplicated, log_event
 from ..quarantine.fingerprints import identify_process
 from ..quarantine.ledger import LedgerEntry
-from ..settings import split_address
 
 log = logging.getLogger("persimmonlane.owner")
 
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -9,7 +9,7 @@
 import random
 
 from ..actors import Actor, Tick
-from ..settings import split_address
+from ..addresses import split_address
 from .announcing import AnnouncementBuilder
 from .commands import (
     CancellationCommand,
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..routing.metadata import Count, Fingerprint, Order, OwnerReport
+from ..routing.metadata import Count, Fingerprint, Order, OwnerReport, Seconds
 from .statuses import (
     Announcement,
     Delta,
@@ -103,7 +103,7 @@
 
     correlation_id: int
     granted: bool
-    wait_s: float
+    wait_s: Annotated[float, msgspec.Meta(ge=-1e9)]
 
 
 class LoanRequest(msgspec.Struct, array_like=True, tag="l"):
@@ -144,7 +144,7 @@
 
     correlation_id: int
     tokens: Count
-    wait_s: Annotated[float, msgspec.Meta(ge=0.0)]
+    wait_s: Seconds
 
 
 class RetryRequest(msgspec.Struct, array_like=True, tag="u"):
--- a/persimmonlane/peers/peer.py
+++ b/persimmonlane/peers/peer.py
@@ -1,6 +1,6 @@
 """State that this node keeps about another node."""
 
-from ..settings import split_address
+from ..addresses import split_node_address
 
 # A peer without an announcement for this long gets no requests.
 LIVE_TIMEOUT_S = 2.6
@@ -65,7 +65,7 @@
         """
         self.name = name
         self.address = address
-        self.host, _ = split_address(address)
+        self.host, _ = split_node_address(address)
         self.data_centre = data_centre
         self.accepts_digests = bool(data_centre)
         self.announcement = None
--- a/persimmonlane/peers/statuses.py
+++ b/persimmonlane/peers/statuses.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..owner.health import HealthState
-from ..routing.metadata import Count, Percent, Rate
+from ..routing.metadata import Count, Percent, Rate, Seconds, Standing
 from ..routing.stamps import DocumentStamp
 
 STANDINGS = tuple(standing.value for standing in HealthState)
@@ -41,11 +41,11 @@
     server_id: str
     service: str
     ready: bool
-    slots: int
-    running: int
-    waiting: int
-    standing: str
-    cold_s: float
+    slots: Count
+    running: Count
+    waiting: Count
+    standing: Standing
+    cold_s: Seconds
     suspect: bool = False
     error_risk: Percent = 0
     hang_risk: Percent = 0
@@ -88,12 +88,12 @@
 
     node: str
     boot: int
-    sequence: int
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
     address: str
     data_centre: str
     leaving: bool
     version: int
-    fresh_age_s: float
+    fresh_age_s: Annotated[float, msgspec.Meta(ge=-1.0, le=1e9)]
     echo: int
     echo_boot: int
     server: ServerStatus | None
@@ -127,11 +127,11 @@
     """
 
     ready: bool
-    slots: int
-    running: int
-    waiting: int
+    slots: Count
+    running: Count
+    waiting: Count
     standing: Annotated[int, msgspec.Meta(ge=0, lt=len(STANDINGS))]
-    cold_ms: int
+    cold_ms: Count
     suspect: bool
     error_risk: Percent = 0
     hang_risk: Percent = 0
@@ -156,7 +156,7 @@
     """
 
     boot: int
-    sequence: int
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
     version: int
     fresh_age_ms: int
     echo: int
--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -78,7 +78,9 @@
                     )
                 except ValueError:
                     log.warning(
-                        "Peers: invalid address of node %s in the store.", node.name
+                        "Peers: invalid address of node %s in the store.",
+                        node.name,
+                        extra={"event": "store-entry-invalid"},
                     )
 
     def add_registered(self, name, address, data_centre="", member_s=MEMBER_TIMEOUT_S):
--- a/persimmonlane/peers/tests/test_rates.py
+++ b/persimmonlane/peers/tests/test_rates.py
@@ -48,7 +48,7 @@
 
     def add_peer(self, name, sequence=1):
         announcement = Announcement(
-            name, 1, sequence, "a:1", "south", False, 1, 0, 0, 0, None
+            name, 1, sequence, "10.0.0.1:1", "south", False, 1, 0, 0, 0, None
         )
         self.table.apply_announcement(announcement)
 
--- a/persimmonlane/peers/tests/test_table.py
+++ b/persimmonlane/peers/tests/test_table.py
@@ -147,11 +147,11 @@
             self.clock.advance(rng.choice((0.0, 0.01, 0.4, 3.0, 40.0)))
             name = rng.choice("bcdef")
             if rng.random() < 0.2:
-                self.table.add_registered(name, f"{name}:80")
+                self.table.add_registered(name, f"10.0.0.{ord(name)}:80")
             elif rng.random() < 0.1:
                 self.table.remove_expired()
             else:
-                address = f"{name}:{rng.choice((80, 81))}"
+                address = f"10.0.0.{ord(name)}:{rng.choice((80, 81))}"
                 self.table.apply_announcement(
                     build_announcement(node=name, sequence=sequence, address=address)
                 )
--- a/persimmonlane/peers/transport.py
+++ b/persimmonlane/peers/transport.py
@@ -5,8 +5,8 @@
 import socket
 import threading
 
-import msgspec
-
+from ..decoding import decode_msgpack
+from ..errors import InputError
 from .messages import decoder, encoder
 from .traffic import TrafficCounter
 
@@ -92,7 +92,7 @@
                 return
             try:
                 self._dispatch(raw, sender, actor)
-            except (msgspec.MsgspecError, ValueError) as error:
+            except (InputError, ValueError) as error:
                 # As an event the line is limited in rate, whatever is sent here.
                 fields = {"event": "datagram-invalid"}
                 log.warning("Peers: invalid datagram: %s.", error, extra=fields)
@@ -100,6 +100,6 @@
                 log.exception("Peers: handling a datagram failed.")
 
     def _dispatch(self, raw, sender, actor):
-        message = self._handle(decoder.decode(raw), sender)
+        message = self._handle(decode_msgpack(raw, decoder), sender)
         if message is not None:
             actor.tell(message)
--- a/persimmonlane/platform/documents.py
+++ b/persimmonlane/platform/documents.py
@@ -4,8 +4,11 @@
 documents.
 """
 
+from typing import Annotated
+
 import msgspec
 
+from ..decoding import decode_json
 from ..errors import InputError
 from ..routing.rulebook import (
     CallerLimits,
@@ -16,17 +19,19 @@
     WeightedService,
     normalise_host,
 )
-from ..settings import build_input_error
 
 # Key of the document in the store, and the prefix under which it is watched.
 DOCUMENT_KEY = "op/config"
 DOCUMENT_PREFIX = "op/"
 VERSION_RADIX = 16
+# Wider ones than the operators' eight digits; nodes exchange them as 64-bit integers.
+VERSION_PATTERN = r"^[0-9A-Fa-f]{1,15}\Z"
 DEFAULT_TIMEOUT_S = 30.0
 # Values of `Resource.kind`; resources of other kinds are ignored.
 ROUTES = "Routes"
 ORGANISATIONS = "Tenants"
 LIMITS = "Limits"
+DOCUMENT_INVALID = "document-invalid"
 
 
 class TrafficSplitEntry(msgspec.Struct):
@@ -99,7 +104,9 @@
 class ConfigDocument(msgspec.Struct):
     """The document in the platform's format; the version is a hexadecimal number."""
 
-    version: str = msgspec.field(name="Version")
+    version: Annotated[str, msgspec.Meta(pattern=VERSION_PATTERN)] = msgspec.field(
+        name="Version"
+    )
     resources: list[Resource] = msgspec.field(name="Resources")
 
 
@@ -113,17 +120,8 @@
         InputError: If the document is invalid, with code `document-invalid` and the
             path of the invalid field as `place`.
     """
-    try:
-        document = msgspec.json.decode(raw, type=ConfigDocument)
-        return build_rulebook(document, bytes(raw))
-    except msgspec.MsgspecError as error:
-        raise build_input_error(error, "document-invalid") from error
-    except ValueError as error:
-        raise InputError(
-            "the version is not a hexadecimal number",
-            code="document-invalid",
-            place="$.Version",
-        ) from error
+    document = decode_json(raw, ConfigDocument, DOCUMENT_INVALID)
+    return build_rulebook(document, bytes(raw))
 
 
 def build_rulebook(document, raw):
@@ -135,7 +133,6 @@
 
     Raises:
         InputError: If the `spec` of a resource is invalid.
-        ValueError: If the version is not a hexadecimal number.
     """
     routes, organisations, names_by_api_key = [], {}, {}
     limits = LimitsSpec()
@@ -199,11 +196,11 @@
             name of the resource in `place`.
     """
     try:
-        return msgspec.json.decode(resource.spec, type=spec_type)
-    except msgspec.MsgspecError as error:
+        return decode_json(resource.spec, spec_type)
+    except InputError as error:
         raise InputError(
             str(error),
-            code="document-invalid",
+            code=DOCUMENT_INVALID,
             place=f"$.Resources[{resource.kind} {resource.metadata.name}]",
         ) from error
 
--- a/persimmonlane/platform/heartbeats.py
+++ b/persimmonlane/platform/heartbeats.py
@@ -4,16 +4,25 @@
 """
 
 import urllib.parse
+from typing import Annotated
 
 import msgspec
 
-from ..errors import InputError
+from ..decoding import decode_json
 from ..owner.backend import Heartbeat, ServerState
-from ..settings import build_input_error
 
 INSTANCES_PATH = "/persimmonlane/instances/"
 READY_PATH = "/persimmonlane/readyz"
-MS_PER_S = 1000.0
+# Bounds of numbers that nodes pass on to each other or count with.
+MAX_SLOTS = 1 << 16
+MAX_COLD_S = 3600.0
+MAX_SEQUENCE = (1 << 53) - 1
+MAX_BORN_MS = (1 << 53) - 1
+
+BornMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)]
+Sequence = Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+ColdSeconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_COLD_S)]
 
 
 class HeartbeatInfo(msgspec.Struct):
@@ -21,7 +30,7 @@
 
     service: str = msgspec.field(name="Service")
     # Number of requests that the backend server can run concurrently.
-    slots: int = msgspec.field(name="Slots")
+    slots: Slots = msgspec.field(name="Slots")
 
 
 class HeartbeatStatus(msgspec.Struct):
@@ -31,9 +40,9 @@
     """
 
     state: ServerState = msgspec.field(name="State")
-    sequence: int = msgspec.field(name="Sequence")
+    sequence: Sequence = msgspec.field(name="Sequence")
     # Seconds until the backend server has warmed up after its start.
-    cold_s: float = msgspec.field(name="ColdRemainingS", default=0.0)
+    cold_s: ColdSeconds = msgspec.field(name="ColdRemainingS", default=0.0)
 
 
 class HeartbeatBody(msgspec.Struct):
@@ -43,14 +52,14 @@
     info: HeartbeatInfo = msgspec.field(name="Info")
     status: HeartbeatStatus = msgspec.field(name="Status")
     # Start time of the backend server, in Unix milliseconds.
-    born: int
+    born: BornMs
 
 
 class DepartureBody(msgspec.Struct):
     """The body of a departure, which may be empty."""
 
     # Start time of the backend server, in Unix milliseconds.
-    born: int | None = None
+    born: BornMs | None = None
 
 
 def parse_server_id(target):
@@ -72,12 +81,7 @@
         InputError: If the body is invalid, with code `heartbeat-invalid`; `place` names
             the invalid field if it is known.
     """
-    try:
-        body = msgspec.json.decode(raw, type=HeartbeatBody)
-    except msgspec.MsgspecError as error:
-        raise build_input_error(error, "heartbeat-invalid") from error
-    except UnicodeDecodeError as error:
-        raise InputError("the body is not UTF-8", code="heartbeat-invalid") from error
+    body = decode_json(raw, HeartbeatBody, "heartbeat-invalid")
     return Heartbeat(
         server_id,
         body.info.service,
@@ -91,11 +95,13 @@
 
 
 def decode_departure(raw):
-    """Return the start time in Unix milliseconds from a departure's body.
+    """Return the start time in Unix milliseconds from a departure's body, or None.
+
+    The body may be empty.
 
-    An empty or invalid body gives None.
+    Raises:
+        InputError: If the body is invalid, with code `departure-invalid`.
     """
-    try:
-        return msgspec.json.decode(raw, type=DepartureBody).born if raw else None
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    if not raw:
         return None
+    return decode_json(raw, DepartureBody, "departure-invalid").born
--- a/persimmonlane/platform/settings.py
+++ b/persimmonlane/platform/settings.py
@@ -8,9 +8,9 @@
 import msgspec
 import yaml
 
+from ..decoding import decode_yaml
 from ..errors import InputError
 from ..fleetsettings import FleetSettings
-from ..settings import build_input_error
 
 PATH_ENV_VARIABLE = "PERSIMMONLANE_CONFIG"
 DEFAULT_PATH = "/etc/persimmonlane/node.yaml"
@@ -74,23 +74,17 @@
         path: Path of the file.
 
     Raises:
-        InputError: If the file can't be read, with code `settings-unreadable`, or a
-            field is invalid, with code `settings-invalid`.
+        InputError: If the file can't be read, with code `settings-unreadable`, or
+            is invalid, with code `settings-invalid`.
     """
     try:
         with open(path, "rb") as file:
-            raw = yaml.safe_load(file)
-    except (OSError, yaml.YAMLError) as error:
+            raw = file.read()
+    except OSError as error:
         raise InputError(
-            "the settings file can't be read or is not valid YAML",
-            code="settings-unreadable",
-            place=path,
+            "the settings file can't be read", code="settings-unreadable", place=path
         ) from error
-    try:
-        settings_file = msgspec.convert(raw, SettingsFile)
-    except msgspec.MsgspecError as error:
-        raise build_input_error(error, "settings-invalid") from error
-    return build_settings(settings_file)
+    return build_settings(decode_yaml(raw, SettingsFile, "settings-invalid"))
 
 
 def build_settings(settings_file):
--- a/persimmonlane/platform/store.py
+++ b/persimmonlane/platform/store.py
@@ -14,8 +14,9 @@
 import urllib3
 import urllib3.exceptions
 
-from ..errors import StoreError
-from ..settings import split_address
+from ..addresses import split_address
+from ..decoding import decode_json
+from ..errors import InputError, StoreError
 from ..upkeep.generations import UNKNOWN_GENERATION
 
 log = logging.getLogger("persimmonlane.upkeep")
@@ -324,6 +325,6 @@
         StoreError: If the body is invalid, with code `store-answer-invalid`.
     """
     try:
-        return msgspec.json.decode(raw, type=response_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode_json(raw, response_type)
+    except InputError as error:
         raise StoreError(str(error), code="store-answer-invalid") from error
--- a/persimmonlane/reporting/records.py
+++ b/persimmonlane/reporting/records.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..decoding import decode_json
 from ..errors import InputError
 
 FORMAT_VERSION = 1
@@ -121,8 +122,8 @@
             place.
     """
     try:
-        record = msgspec.json.decode(line, type=LogLine).record
-    except msgspec.DecodeError as error:
+        record = decode_json(line, LogLine).record
+    except InputError as error:
         raise InputError(str(error), code="record-invalid", place=place) from error
     if record is not None and record.format != FORMAT_VERSION:
         raise InputError(
--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -3,13 +3,18 @@
 The structs are sent as arrays: the order of their fields is part of the protocol.
 """
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
+from ..owner.health import HealthState
+
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
 Rate = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+# Value of a `HealthState`.
+Standing = Literal[tuple(state.value for state in HealthState)]
 Fingerprint = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 # A backend server runs few requests at once, and any of them may have made a call.
 MAX_CAUSES = 16
@@ -131,10 +136,10 @@
 
     verdict: str
     code: str
-    running: int
-    waiting: int
-    standing: str
-    wait_s: float = 0.0
+    running: Count
+    waiting: Count
+    standing: Standing
+    wait_s: Seconds = 0.0
     suspect: bool = False
     error_risk: Percent = 0
     hang_risk: Percent = 0
--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -9,7 +9,7 @@
 import urllib3.connection
 import urllib3.util
 
-from ..settings import split_address
+from ..addresses import split_address
 from .memory import ResponseMemory
 from .socketinput import ExchangeInput
 
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -6,6 +6,7 @@
 import cheroot.server
 import msgspec
 
+from ..decoding import decode_json
 from ..errors import InputError, Refusal
 from ..headers import Header, drop_hop_by_hop, find_first, find_values
 from ..owner.calls import ForwardedCall
@@ -239,8 +240,8 @@
         arrived_at = self.node.clock.now()
         text = find_first(self.req.inheaders.header_list, ORDER_HEADER)
         try:
-            order = msgspec.json.decode(text, type=Order)
-        except msgspec.MsgspecError as error:
+            order = decode_json(text, Order)
+        except InputError as error:
             log.warning("Serving: a forwarded request has an invalid order: %s.", error)
             self.req.close_connection = True
             self.write_json(400)
@@ -333,17 +334,17 @@
 
     def _handle(self, server_id, body):
         owner = self.node.owner
-        if self.req.method == b"DELETE":
-            owner.handle_departure(server_id, heartbeats.decode_departure(body))
-            self.write_json(200, b"{}")
-            return
         try:
-            owner.handle_heartbeat(heartbeats.decode_heartbeat(server_id, body))
+            if self.req.method == b"DELETE":
+                owner.handle_departure(server_id, heartbeats.decode_departure(body))
+            else:
+                owner.handle_heartbeat(heartbeats.decode_heartbeat(server_id, body))
         except InputError as error:
             log.warning(
-                "Owner: backend server %s sent an invalid heartbeat: %s.",
+                "Owner: ignored what is said of backend server %s: %s.",
                 server_id,
                 error,
+                extra={"event": error.code},
             )
             self.write_json(400)
             return
--- a/persimmonlane/serving/nodeheaders.py
+++ b/persimmonlane/serving/nodeheaders.py
@@ -2,8 +2,8 @@
 
 import logging
 
-import msgspec
-
+from ..decoding import decode_json
+from ..errors import InputError
 from ..headers import find_first
 from ..outcomes import OutcomeKind
 from ..owner.latency import LatencyFigures
@@ -54,9 +54,9 @@
     """
     text = find_first(answer.headers, REPORT_HEADER)
     try:
-        report = msgspec.json.decode(text, type=OwnerReport)
+        report = decode_json(text, OwnerReport)
         verdict = Verdict(report.verdict)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (InputError, ValueError) as error:
         log.error(
             "Serving: the answer of %s has no valid report: %s.", peer.name, error
         )
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -10,8 +10,8 @@
 
 import cheroot.server
 
+from ..addresses import split_address
 from ..errors import Refusal
-from ..settings import split_address
 from ..verdicts import Verdict
 from .answers import encode_refusal
 from .inbound import InboundConnections
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -12,6 +12,7 @@
 import urllib3.exceptions
 
 from .actors import Tick
+from .addresses import split_address
 from .application import Application, Part
 from .clocks import BootClock
 from .errors import InputError, Refusal
@@ -47,7 +48,6 @@
 from .serving.servers import NodeHTTPServer
 from .serving.shutdown import Shutdown
 from .serving.tracker import RunningRequests
-from .settings import split_address
 from .upkeep.documents import DocumentHolder
 from .upkeep.generations import GenerationTracker
 from .upkeep.storesync import StoreSync
--- a/persimmonlane/tests/test_settings.py
+++ b/persimmonlane/tests/test_decoding.py
@@ -1,14 +1,11 @@
 import msgspec
 import testtools
 
+from ..decoding import build_input_error
 from ..errors import InputError
-from ..settings import build_input_error, split_address
 
 
-class SettingsTests(testtools.TestCase):
-    def test_address_is_split(self):
-        self.assertEqual(("::1", 80), split_address("[::1]:80"))
-
+class DecodingTests(testtools.TestCase):
     def test_input_error_has_code_and_place(self):
         error = self.assertRaises(
             msgspec.ValidationError,
--- a/persimmonlane/upkeep/registration.py
+++ b/persimmonlane/upkeep/registration.py
@@ -10,9 +10,12 @@
 
 import msgspec
 
+from ..decoding import decode_json
+from ..errors import InputError
 from ..peers.commands import NodesRegistered, RegisteredNode
 from ..peers.peer import MEMBER_TIMEOUT_S
 from ..platform.store import LeaseGone
+from ..routing.metadata import Count
 from .generations import SETTLE_S, UNKNOWN_GENERATION
 
 log = logging.getLogger("persimmonlane.upkeep")
@@ -40,7 +43,7 @@
 
     address: str
     data_centre: str = ""
-    generation: int = 0
+    generation: Count = 0
     is_settled: bool = False
 
 
@@ -246,11 +249,12 @@
 def decode_entry(item):
     """Return the `NodeEntry` in a `StoreItem`, or None if it is invalid."""
     try:
-        return msgspec.json.decode(item.value or b"", type=NodeEntry)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode_json(item.value or b"", NodeEntry)
+    except InputError as error:
         log.warning(
             "Upkeep: the store's entry of node %s is invalid: %s.",
             parse_name(item),
             error,
+            extra={"event": "store-entry-invalid"},
         )
         return None
