--- a/persimmonlane/clocks.py
+++ b/persimmonlane/clocks.py
@@ -1,6 +1,6 @@
 """Clocks.
 
-Monotonic clocks in seconds, passed to the classes whose decisions depend on time.
+Clocks in seconds, passed to the classes whose decisions depend on time.
 """
 
 import time
@@ -45,3 +45,13 @@
     def now(self):
         """Return the seconds since boot."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class WallClock:
+    """The time of day of the VM, which may be wrong by seconds, and may jump."""
+
+    __slots__ = ()
+
+    def now(self):
+        """Return the Unix time in seconds."""
+        return time.time()
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -14,7 +14,7 @@
 from .actors import Tick
 from .addresses import split_address
 from .application import Application, Part
-from .clocks import BootClock
+from .clocks import BootClock, WallClock
 from .errors import InputError, Refusal
 from .owner.backend import HostedServer
 from .owner.fleethealth import FleetHealth
@@ -119,7 +119,7 @@
         self.documents = DocumentHolder(decode_document)
         self._generations = generations = GenerationTracker(clock)
         hosted = HostedServer(
-            settings.server, settings.service, settings.heartbeat_s, clock
+            settings.server, settings.service, settings.heartbeat_s, clock, WallClock()
         )
         pool = ConnectionPool(clock)
         ledger = CrashLedger(clock)
