Let no periodic task starve the ones after it

A node's tasks at the store (probe, renewal, listing, confirmation) ran in one order inside one guard, so that a listing which failed each time kept what came after it from ever running. The round now begins after the task that failed last. The thread that ticks the owner had no guard at all: one unexpected error ended health checks and reloads for good.

--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -357,12 +357,18 @@
     def _tick(self):
         reload_at = self.clock.now() + RELOAD_INTERVAL_S
         while not self._stopping.wait(CONTROL_INTERVAL_S):
-            self.owner.tick()
+            self._tick_owner()
             if self._reload_requested or self.clock.now() >= reload_at:
                 self._reload_requested = False
                 self._reload_settings()
                 reload_at = self.clock.now() + RELOAD_INTERVAL_S
 
+    def _tick_owner(self):
+        try:
+            self.owner.tick()
+        except Exception:
+            log.exception("Node: the periodic work of the owner failed.")
+
     def _reload_settings(self):
         try:
             unapplied = self._settings.apply_reloadable(self._read_settings())
--- a/persimmonlane/upkeep/registration.py
+++ b/persimmonlane/upkeep/registration.py
@@ -103,8 +103,8 @@
         """Return whether the lease is to be renewed as soon as the store serves."""
         return self._renewal_due
 
-    def run_due_tasks(self, now):
-        """Renew the lease and list the nodes, if it is time to.
+    def run_due_renewal(self, now):
+        """Renew the lease, or register the node, if it is time to.
 
         Args:
             now: Clock seconds.
@@ -115,6 +115,13 @@
                 self._register(now)
         elif now >= self._renew_at or self._renewal_due:
             self._renew(now)
+
+    def run_due_listing(self, now):
+        """List the registered nodes, if it is time to.
+
+        Args:
+            now: Clock seconds.
+        """
         if now >= self._list_at:
             self._list_nodes(now)
 
--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -4,6 +4,7 @@
 confirm that the document is the newest version.
 """
 
+import collections
 import logging
 import math
 import threading
@@ -80,6 +81,14 @@
         )
         self.watch = DocumentWatch(settings, store, documents, self._reader, table)
         documents.add_listener(self._log_unconfirmed_time)
+        # A task that fails ends the round, and the next one begins after it.
+        self._tasks = collections.deque(
+            [
+                self._reader.run_due_probe,
+                self.registration.run_due_renewal,
+                self.registration.run_due_listing,
+            ]
+        )
         self._threads = [
             threading.Thread(target=self._run_periodic_tasks, daemon=True),
             threading.Thread(target=self._run_document_watch, daemon=True),
@@ -102,11 +111,10 @@
         if now < self._retry_at and not must_ask:
             return
         try:
+            self._reader.confirm_settled()
             if must_ask:
                 self._ask_for_generation(now)
-            self._reader.run_due_probe(now)
-            self.registration.run_due_tasks(now)
-            self._reader.confirm_settled()
+            self._run_tasks(now)
         except StoreError as error:
             log.warning("Upkeep: %s.", error)
             self._retry_at = now + RETRY_DELAY_S * self._rng.uniform(0.8, 1.2)
@@ -115,6 +123,11 @@
             log.exception("Upkeep: a periodic task failed.")
             self._retry_at = now + RETRY_DELAY_S
 
+    def _run_tasks(self, now):
+        for _ in range(len(self._tasks)):
+            self._tasks.rotate(-1)
+            self._tasks[-1](now)
+
     def _must_ask(self, now):
         """Return whether to call the store since other nodes say it was restored."""
         if not self._generations.is_behind():
