--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -9,6 +9,7 @@
 from ..errors import Refusal
 from ..explaining.events import OwnerEnded, log_event
 from ..outcomes import OutcomeKind
+from ..peers.statuses import ServerStatus
 from ..platform import headers as wire
 from ..quarantine.refusals import check_quarantine
 from ..routing.metadata import OwnerReport
@@ -161,6 +162,33 @@
         """Return whether non-idempotent requests are refused for now."""
         return self.detector.is_suspect()
 
+    def describe(self, is_leaving):
+        """Return the `ServerStatus` of the backend server, or None if there is none.
+
+        Args:
+            is_leaving: Whether the node takes no more requests for it.
+        """
+        current = self.hosted.current
+        if current is None:
+            return None
+        queue = self.admission_queue
+        return ServerStatus(
+            current.server_id,
+            current.service,
+            queue.slots > 0 and not is_leaving,
+            queue.slots,
+            queue.running,
+            queue.waiting,
+            self.detector.state.value,
+            max(0.0, self.hosted.cold_until - self._clock.now()),
+            self.is_suspect(),
+            self.detector.risk.error_percent,
+            self.detector.risk.hang_percent,
+            queue.limit.rate,
+            current.born,
+            self.hosted.is_leaving(),
+        )
+
     def report(self, verdict, code="", wait_s=0.0, route=""):
         """Return the `OwnerReport` that accompanies an answer.
 
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -21,7 +21,6 @@
 from .owner.owner import Owner
 from .peers.commands import CrashesLearned
 from .peers.gossip import ANNOUNCE_S, Gossip
-from .peers.statuses import ServerStatus
 from .peers.transport import DatagramTransport
 from .platform.documents import decode_document
 from .platform.store import SiteStore, parse_generation
@@ -275,28 +274,8 @@
 
     def describe(self):
         """Return the current `NodeState`."""
-        owner = self.owner
-        current = owner.hosted.current
-        if current is None:
-            return NodeState(self.shutdown.is_shutting_down(), None)
-        admission_queue = owner.admission_queue
-        server = ServerStatus(
-            current.server_id,
-            current.service,
-            admission_queue.slots > 0 and not self.shutdown.is_shutting_down(),
-            admission_queue.slots,
-            admission_queue.running,
-            admission_queue.waiting,
-            owner.detector.state.value,
-            max(0.0, owner.hosted.cold_until - self.clock.now()),
-            owner.is_suspect(),
-            owner.detector.risk.error_percent,
-            owner.detector.risk.hang_percent,
-            admission_queue.limit.rate,
-            current.born,
-            owner.hosted.is_leaving(),
-        )
-        return NodeState(self.shutdown.is_shutting_down(), server)
+        is_leaving = self.shutdown.is_shutting_down()
+        return NodeState(is_leaving, self.owner.describe(is_leaving))
 
     def is_ready(self):
         """Return whether the node accepts requests from callers."""
