Probe half-open servers beside requests that they left unanswered

Cause: a node sends a probe to a half-open server only if nothing runs there, as it took what runs for the probe. A server that has hung still holds the requests that can't be repeated, until they time out after eight seconds. The owner itself counted only requests since the ejection as probes, and would have admitted one. Class of fault: one figure with two meanings, read differently at both ends.

Change: the owner says whether a probe is running, in announcements, deltas, digests and reports; placement goes by that. Nodes of older releases don't say it, and are judged by what runs, as before.

--- a/persimmonlane/owner/evidence.py
+++ b/persimmonlane/owner/evidence.py
@@ -82,6 +82,22 @@
                 "server-suspect", "the backend server may be failing"
             )
 
+    def is_probing(self):
+        """Return whether a half-open server runs as many probes as it may.
+
+        Requests that were granted before do not count: a server that has hung may
+        have left some of them unanswered.
+        """
+        detector = self._detector
+        if detector.state is not HealthState.HALF_OPEN:
+            return False
+        probes = sum(
+            1
+            for item in self._admission_queue.list_running()
+            if item.granted_at >= detector.since
+        )
+        return probes >= HALF_OPEN_SLOTS
+
     def note_nested_failure(self):
         """Note that a call which the backend server made of its own has failed.
 
@@ -148,13 +164,7 @@
         return self._apply_change(before, kind.value)
 
     def _check_half_open(self, order):
-        since = self._detector.since
-        probes = sum(
-            1
-            for item in self._admission_queue.list_running()
-            if item.granted_at >= since
-        )
-        if not order.idempotent or probes >= HALF_OPEN_SLOTS:
+        if not order.idempotent or self.is_probing():
             raise build_not_run_refusal(
                 "server-on-trial", "the backend server is on trial"
             )
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -187,6 +187,7 @@
             queue.limit.rate,
             current.born,
             self.hosted.is_leaving(),
+            self._evidence.is_probing(),
         )
 
     def report(self, verdict, code="", wait_s=0.0, route=""):
@@ -213,6 +214,7 @@
             figures.deviation_percent,
             figures.answers,
             self.admission_queue.limit.rate,
+            self._evidence.is_probing(),
         )
 
     def check_admission(self, order):
--- a/persimmonlane/owner/tests/test_owner.py
+++ b/persimmonlane/owner/tests/test_owner.py
@@ -4,6 +4,7 @@
 from ...clocks import ManualClock
 from ...quarantine.ledger import CrashLedger
 from ...routing.metadata import Order
+from ...verdicts import Verdict
 from ..backend import Heartbeat, HostedServer, ServerState
 from ..health import FailureRisk, HealthState
 from ..owner import Owner
@@ -86,6 +87,23 @@
         self.assertEqual("", self.owner.check_admission(build_order(force=True)).code)
 
 
+class ProbeTests(OwnerAdmissionTests):
+    """A half-open server beside what it has left unanswered."""
+
+    def test_only_requests_since_the_ejection_are_probes(self):
+        self.owner._admit(build_order(), self.build_ticket())
+        self.clock.advance(1.0)
+        self.owner.detector._set_state(HealthState.HALF_OPEN)
+        self.assertIs(False, self.owner.describe(False).probing)
+        self.assertIs(False, self.owner.report(Verdict.NOT_RUN).probing)
+        self.owner._admit(build_order(), self.build_ticket())
+        self.assertIs(True, self.owner.describe(False).probing)
+        self.assertIs(True, self.owner.report(Verdict.NOT_RUN).probing)
+
+    def build_ticket(self):
+        return self.owner._build_ticket(build_order(), self.clock.now(), lambda: None)
+
+
 class FailureEvidenceTests(OwnerAdmissionTests):
     """What an error answer of the backend server says about it."""
 
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -43,6 +43,7 @@
         server.error_risk,
         server.hang_risk,
         server.limit,
+        server.probing,
     )
 
 
@@ -108,4 +109,5 @@
         load.limit,
         known.born,
         known.leaving,
+        load.probing,
     )
--- a/persimmonlane/peers/peer.py
+++ b/persimmonlane/peers/peer.py
@@ -140,6 +140,7 @@
         server.error_risk = report.error_risk
         server.hang_risk = report.hang_risk
         server.limit = report.limit
+        server.probing = report.probing
 
     def is_stale(self, announcement, now):
         """Return whether an `Announcement` is no newer than the latest one.
--- a/persimmonlane/peers/statuses.py
+++ b/persimmonlane/peers/statuses.py
@@ -36,6 +36,8 @@
         limit: Requests per second that it takes, or None without a limit.
         born: Unix milliseconds of its start; 0 if it is not known.
         leaving: Whether it has said that it leaves, which its process does for good.
+        probing: Whether it is half-open and takes no further probe now; None from
+            nodes of older releases.
     """
 
     server_id: str
@@ -52,12 +54,20 @@
     limit: Rate | None = None
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
     leaving: bool = False
+    probing: bool | None = None
 
     @property
     def risk(self):
         """Probability that it fails, 0 to 1."""
         return min(1.0, (self.error_risk + self.hang_risk) / 100)
 
+    @property
+    def may_probe(self):
+        """Whether it takes a probe now, if it is half-open."""
+        if self.probing is None:
+            return self.running == 0
+        return not self.probing
+
 
 class Announcement(msgspec.Struct, array_like=True, tag="a"):
     """Full announcement of a node's state.
@@ -124,6 +134,7 @@
         error_risk: As in `ServerStatus`.
         hang_risk: As in `ServerStatus`.
         limit: As in `ServerStatus`.
+        probing: As in `ServerStatus`.
     """
 
     ready: bool
@@ -136,6 +147,7 @@
     error_risk: Percent = 0
     hang_risk: Percent = 0
     limit: Rate | None = None
+    probing: bool | None = None
 
 
 class Delta(msgspec.Struct, array_like=True, tag="d"):
--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -132,6 +132,8 @@
         deviation_percent: Standard deviation of the times' logarithms, in percent.
         answers: Number of answers that these figures are learned from.
         limit: Requests per second that the backend server takes, or None.
+        probing: Whether it is half-open and takes no further probe now; None from
+            nodes of older releases.
     """
 
     verdict: str
@@ -147,3 +149,4 @@
     deviation_percent: Count = 0
     answers: Count = 0
     limit: Rate | None = None
+    probing: bool | None = None
--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -148,7 +148,7 @@
         weight *= COLD_START_WEIGHT
     if server.standing == HealthState.HALF_OPEN.value:
         weight = HALF_OPEN_WEIGHT if idempotent else HALF_OPEN_WEIGHT_NOT_IDEMPOTENT
-        weight = weight if server.running == 0 else HALF_OPEN_BUSY_WEIGHT
+        weight = weight if server.may_probe else HALF_OPEN_BUSY_WEIGHT
     else:
         weight *= calculate_risk_factor(server.risk, idempotent)
         if server.suspect and not idempotent:
--- a/persimmonlane/serving/tests/test_placement.py
+++ b/persimmonlane/serving/tests/test_placement.py
@@ -33,6 +33,9 @@
 class PlacementTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
+        self.start()
+
+    def start(self):
         self.table = PeerTable("self", "south", 1, ManualClock(5.0))
         self.placement = Placement(random.Random(11))
 
@@ -73,6 +76,24 @@
         near, far = self.count_choices([self.add_candidate(1), trial])
         self.assertThat(far, testtools.matchers.LessThan(PLACEMENT_COUNT * 0.05))
 
+    def test_half_open_server_gets_a_probe_beside_unanswered_requests(self):
+        for probing, running, is_probed in (
+            (False, 2, True),
+            (True, 3, False),
+            # Older releases tell only how many requests run.
+            (None, 0, True),
+            (None, 2, False),
+        ):
+            half_open = self.add_candidate(
+                1,
+                standing=HealthState.HALF_OPEN.value,
+                running=running,
+                probing=probing,
+            )
+            chosen, _ = self.count_choices([half_open, self.add_candidate(2)])
+            self.assertEqual(is_probed, chosen > PLACEMENT_COUNT * 0.3, probing)
+            self.start()
+
     def test_suspect_server_gets_few_requests_that_are_not_idempotent(self):
         candidates = [self.add_candidate(1, suspect=True), self.add_candidate(2)]
         suspect, healthy = self.count_choices(candidates, idempotent=False)
