--- a/tools/detection.py
+++ b/tools/detection.py
@@ -132,11 +132,15 @@
         if state is HealthState.EJECTED:
             return False
         if state is HealthState.HALF_OPEN:
-            since = self.detector.since
-            probes = sum(1 for r in self.running if r.started_at >= since)
-            return probes == 0 and (idempotent or self.admits_unsafe_probes())
+            return not self.is_probing() and (idempotent or self.admits_unsafe_probes())
         return idempotent or not self.is_suspect()
 
+    def is_probing(self):
+        """Return whether a half-open server runs its probe."""
+        if self.detector.state is not HealthState.HALF_OPEN:
+            return False
+        return any(r.started_at >= self.detector.since for r in self.running)
+
     def is_suspect(self):
         """Return whether requests that are not idempotent are refused."""
         if hasattr(self.detector, "is_suspect"):
@@ -192,6 +196,8 @@
         status.running = len(self.running)
         status.standing = self.detector.state.value
         status.suspect = self.is_suspect()
+        if hasattr(status, "probing"):
+            status.probing = self.is_probing()
         if hasattr(status, "error_risk"):
             status.error_risk = self.detector.risk.error_percent
             status.hang_risk = self.detector.risk.hang_percent
