--- a/persimmonlane/owner/evidence.py
+++ b/persimmonlane/owner/evidence.py
@@ -82,6 +82,17 @@
                 "server-suspect", "the backend server may be failing"
             )
 
+    def end_ejection(self):
+        """Let an ejected server become half-open when its time is over."""
+        if not self._detector.tick():
+            return
+        log.info(
+            "Owner: the backend server is %s beside %d unanswered requests.",
+            self._detector.state.value,
+            self._admission_queue.running,
+        )
+        self.has_changed = True
+
     def is_probing(self):
         """Return whether a half-open server runs as many probes as it may.
 
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -139,8 +139,7 @@
         self._update_prior()
         with self._lock:
             slots = self.admission_queue.slots
-            if self.detector.tick():
-                self._evidence.has_changed = True
+            self._evidence.end_ejection()
             self._evidence.evaluate_running()
             self._update_slots()
             self.admission_queue.admit_waiting()
