--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -9,10 +9,8 @@
 from ..errors import Refusal
 from ..explaining.events import OwnerEnded, log_event
 from ..outcomes import OutcomeKind
-from ..peers.statuses import ServerStatus
 from ..platform import headers as wire
 from ..quarantine.refusals import check_quarantine
-from ..routing.metadata import OwnerReport
 from ..serving.exchange import ExchangeError
 from ..serving.shutdown import NodeShutdown
 from ..signals import PollableEvent
@@ -25,6 +23,7 @@
 from .evidence import HealthEvidence
 from .health import FailureDetector, estimate_prior
 from .latency import LatencyModels
+from .status import OwnerStatus
 
 log = logging.getLogger("persimmonlane.owner")
 
@@ -43,6 +42,7 @@
         detector: The `FailureDetector`.
         admission_queue: The `AdmissionQueue`.
         crashes: The `CrashObserver`.
+        status: The `OwnerStatus`.
         on_change: Callable that is called after the server's status has changed.
     """
 
@@ -51,6 +51,7 @@
         "detector",
         "admission_queue",
         "crashes",
+        "status",
         "on_change",
         "_clock",
         "_client",
@@ -81,6 +82,14 @@
         self._evidence = HealthEvidence(clock, self.detector, self.admission_queue)
         self._misdirected_id = None
         self._latency_models = LatencyModels()
+        self.status = OwnerStatus(
+            clock,
+            hosted,
+            self.admission_queue,
+            self.detector,
+            self._evidence,
+            self._latency_models,
+        )
         self._admission_stopped = False
         self._dispatch_log = DispatchLog(clock)
         self._prior_at = float("-inf")
@@ -157,65 +166,6 @@
         """Return whether the backend server takes new requests."""
         return self.admission_queue.slots > 0
 
-    def is_suspect(self):
-        """Return whether non-idempotent requests are refused for now."""
-        return self.detector.is_suspect()
-
-    def describe(self, is_leaving):
-        """Return the `ServerStatus` of the backend server, or None if there is none.
-
-        Args:
-            is_leaving: Whether the node takes no more requests for it.
-        """
-        current = self.hosted.current
-        if current is None:
-            return None
-        queue = self.admission_queue
-        return ServerStatus(
-            current.server_id,
-            current.service,
-            queue.slots > 0 and not is_leaving,
-            queue.slots,
-            queue.running,
-            queue.waiting,
-            self.detector.state.value,
-            max(0.0, self.hosted.cold_until - self._clock.now()),
-            self.is_suspect(),
-            self.detector.risk.error_percent,
-            self.detector.risk.hang_percent,
-            queue.limit.rate,
-            current.born,
-            self.hosted.is_leaving(),
-            self._evidence.is_probing(),
-        )
-
-    def report(self, verdict, code="", wait_s=0.0, route=""):
-        """Return the `OwnerReport` that accompanies an answer.
-
-        Args:
-            verdict: The `Verdict`.
-            code: Code of the failure; empty if the backend server answered.
-            wait_s: Expected seconds until a slot is free.
-            route: Name of the request's route, to report what is known of it.
-        """
-        figures = self._latency_models.describe(route)
-        return OwnerReport(
-            verdict.value,
-            code,
-            self.admission_queue.running,
-            self.admission_queue.waiting,
-            self.detector.state.value,
-            wait_s,
-            self.is_suspect(),
-            self.detector.risk.error_percent,
-            self.detector.risk.hang_percent,
-            figures.median_ms,
-            figures.deviation_percent,
-            figures.answers,
-            self.admission_queue.limit.rate,
-            self._evidence.is_probing(),
-        )
-
     def check_admission(self, order):
         """Return the `OwnerReport` on whether a request would be admitted now.
 
@@ -230,8 +180,8 @@
                 )
             except Refusal as refusal:
                 wait_s = refusal.retry_after or 0.0
-                return self.report(Verdict.NOT_RUN, refusal.code, wait_s)
-        return self.report(Verdict.NOT_RUN)
+                return self.status.report(Verdict.NOT_RUN, refusal.code, wait_s)
+        return self.status.report(Verdict.NOT_RUN)
 
     def serve(self, order, call, caller):
         """Forward a request and return the backend server's complete answer.
--- a/persimmonlane/owner/tests/test_limits.py
+++ b/persimmonlane/owner/tests/test_limits.py
@@ -159,4 +159,4 @@
         self.name_limit("1")
         self.run_load(12.0)
         self.assertEqual("sound", self.owner.detector.state.value)
-        self.assertFalse(self.owner.is_suspect())
+        self.assertFalse(self.owner.detector.is_suspect())
--- a/persimmonlane/owner/tests/test_owner.py
+++ b/persimmonlane/owner/tests/test_owner.py
@@ -94,11 +94,11 @@
         self.owner._admit(build_order(), self.build_ticket())
         self.clock.advance(1.0)
         self.owner.detector._set_state(HealthState.HALF_OPEN)
-        self.assertIs(False, self.owner.describe(False).probing)
-        self.assertIs(False, self.owner.report(Verdict.NOT_RUN).probing)
+        self.assertIs(False, self.owner.status.describe(False).probing)
+        self.assertIs(False, self.owner.status.report(Verdict.NOT_RUN).probing)
         self.owner._admit(build_order(), self.build_ticket())
-        self.assertIs(True, self.owner.describe(False).probing)
-        self.assertIs(True, self.owner.report(Verdict.NOT_RUN).probing)
+        self.assertIs(True, self.owner.status.describe(False).probing)
+        self.assertIs(True, self.owner.status.report(Verdict.NOT_RUN).probing)
 
     def build_ticket(self):
         return self.owner._build_ticket(build_order(), self.clock.now(), lambda: None)
@@ -141,7 +141,9 @@
 
     def test_change_of_suspicion_is_announced(self):
         announced = []
-        self.owner.on_change = lambda: announced.append(self.owner.is_suspect())
+        self.owner.on_change = lambda: announced.append(
+            self.owner.detector.is_suspect()
+        )
         self.owner.detector.prior = FailureRisk(0.2, 0.01)
         self.owner.detector.reset()
         self.answer_with_error()
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -254,22 +254,22 @@
         try:
             answer = self._run(order, arrived_at)
         except Refusal as refusal:
-            report = owner.report(
+            report = owner.status.report(
                 Verdict.NOT_RUN, refusal.code, refusal.retry_after or 0.0, order.route
             )
             self._write(order, report, refusal.status, [], b"")
         except ExchangeError as error:
             status = 504 if error.code == "deadline-passed" else 502
-            report = owner.report(error.verdict, error.code)
+            report = owner.status.report(error.verdict, error.code)
             self._write(order, report, status, [], b"")
         except NodeShutdown:
             refusal = build_shutdown_refusal(True)
-            report = owner.report(refusal.verdict, refusal.code)
+            report = owner.status.report(refusal.verdict, refusal.code)
             self._write(order, report, refusal.status, [], b"")
         except CallerDisconnected:
             self.abort()
         else:
-            report = owner.report(Verdict.RAN, route=order.route)
+            report = owner.status.report(Verdict.RAN, route=order.route)
             headers = drop_hop_by_hop(answer.headers)
             headers = [h for h in headers if h.name.lower() != "content-length"]
             self._write(order, report, answer.status, headers, answer.body)
--- a/persimmonlane/serving/tests/test_recovered_servers.py
+++ b/persimmonlane/serving/tests/test_recovered_servers.py
@@ -76,7 +76,7 @@
 
     def announce(self, table):
         self._sequence += 1
-        status = self.owner.describe(False)
+        status = self.owner.status.describe(False)
         table.apply_announcement(
             Announcement(
                 f"n-{self.id}",
@@ -176,7 +176,7 @@
                 code = ""
             except Refusal as refusal:
                 code = refusal.code
-            report = server.owner.report(Verdict.NOT_RUN, code)
+            report = server.owner.status.report(Verdict.NOT_RUN, code)
             chosen.peer.apply_report(order.server_id, report)
             if not code:
                 return
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -275,7 +275,7 @@
     def describe(self):
         """Return the current `NodeState`."""
         is_leaving = self.shutdown.is_shutting_down()
-        return NodeState(is_leaving, self.owner.describe(is_leaving))
+        return NodeState(is_leaving, self.owner.status.describe(is_leaving))
 
     def is_ready(self):
         """Return whether the node accepts requests from callers."""
