--- a/persimmonlane/platform/documents.py
+++ b/persimmonlane/platform/documents.py
@@ -24,7 +24,7 @@
 DOCUMENT_KEY = "op/config"
 DOCUMENT_PREFIX = "op/"
 VERSION_RADIX = 16
-# Wider ones than the operators' eight digits; nodes exchange them as 64-bit integers.
+# Nodes exchange versions as 64-bit integers.
 VERSION_PATTERN = r"^[0-9A-Fa-f]{1,15}\Z"
 DEFAULT_TIMEOUT_S = 30.0
 # Values of `Resource.kind`; resources of other kinds are ignored.
