Let isolated requests see past half-open servers that refuse them

It was refused as implicated. The selection now begins with the servers that admit the request; the servers that are spared are counted as before.

The new test fails with the former selection.

--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -301,7 +301,7 @@
         if len(rejections) >= MAX_PLACEMENTS:
             return None
         chosen = self._placement.choose(
-            self._isolation.select(untried),
+            self._isolation.select(untried, request.route.idempotent),
             request.route.idempotent,
             len(request.body),
             self._estimate_mean_s(request.route),
--- a/persimmonlane/serving/isolation.py
+++ b/persimmonlane/serving/isolation.py
@@ -10,7 +10,7 @@
 from ..quarantine.refusals import build_implicated_refusal, check_quarantine
 from ..routing.metadata import MAX_CAUSES
 from .attempts import NESTED_CALL_PRIORITY, get_priority
-from .placement import is_usable
+from .placement import admits, is_usable
 
 # So many servers of a service are kept from requests that may crash them.
 SPARED_SERVERS = 2
@@ -75,19 +75,21 @@
         crashes = max(request.crashes, self._ledger.count_crashes(request.fingerprint))
         return crashes <= MAX_CRASHES_TO_RETRY
 
-    def select(self, candidates):
+    def select(self, candidates, idempotent):
         """Return the `Candidate`s that a request may run alone at, the idle ones first.
 
         Args:
             candidates: All `Candidate`s of the service that were not tried.
+            idempotent: Whether the request may run more than once.
         """
         usable = [item for item in candidates if is_usable(item)]
         if len(usable) <= SPARED_SERVERS:
             return []
+        admitting = [item for item in usable if admits(item, idempotent)]
         idle = [
-            item for item in usable if item.server.running + item.server.waiting == 0
+            item for item in admitting if item.server.running + item.server.waiting == 0
         ]
-        return idle or usable
+        return idle or admitting
 
     def build_refusal(self, request):
         """Return the `Refusal` of a request that no server can run alone."""
--- a/persimmonlane/serving/tests/test_isolation.py
+++ b/persimmonlane/serving/tests/test_isolation.py
@@ -52,6 +52,12 @@
                 LedgerEntry(request.fingerprint, process, self.clock.now())
             )
 
+    def test_idle_half_open_server_does_not_hide_those_that_admit_the_request(self):
+        busy = [build_candidate(number, running=1) for number in (1, 2, 3)]
+        half_open = build_candidate(4, standing="trial")
+        self.assertEqual(busy, self.policy.select([*busy, half_open], False))
+        self.assertEqual([half_open], self.policy.select([*busy, half_open], True))
+
     def test_request_is_known_again_by_another_identifier_and_key(self):
         first = self.identify(build_request("one", key="k"))
         again = self.identify(build_request("two", key="another of the same"))
@@ -97,11 +103,11 @@
 
     def test_idle_servers_come_first(self):
         candidates = [build_candidate(1, 2), build_candidate(2), build_candidate(3, 1)]
-        self.assertEqual([candidates[1]], self.policy.select(candidates))
+        self.assertEqual([candidates[1]], self.policy.select(candidates, True))
         candidates[1].server.waiting = 1
-        self.assertEqual(candidates, self.policy.select(candidates))
+        self.assertEqual(candidates, self.policy.select(candidates, True))
 
     def test_last_sound_servers_are_spared(self):
         candidates = [build_candidate(number) for number in range(SPARED_SERVERS)]
         ejected = build_candidate(9, standing="ejected")
-        self.assertEqual([], self.policy.select([*candidates, ejected]))
+        self.assertEqual([], self.policy.select([*candidates, ejected], True))
