--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,117 +1,86 @@
-"""A tenant gets its burst twice as the holder of its rate is stopped again."""
+"""A backend server that has left gets requests again after all nodes were killed."""
 
 import threading
 import time
 
-from persimmonlane.quotas.buckets import rank_holders
 from review.harness.cases import is_troubled, run_case
 from review.harness.client import Channel
-from review.harness.site import (
-    Site,
-    build_limits,
-    build_route,
-    build_service,
-    build_tenant,
-)
-
-SERVICE = "dossier"
-TENANT = "pulo780"
-KEY = "6wsjnbanfqasnmgkcuyj"
-RATE_PER_S = 40
-BURST = 200
-WORK_S = 0.005
-TIMEOUT_S = 2.5
-# Bounds of the site.
-QUOTA_WINDOW_S = 5.0
-QUOTA_OVER = 0.1
-QUOTA_SLACK = 20
-# What the tenant sends: a little, and then 7.5 times its rate for a while.
-CALM_PER_S = 6
-HOT_PER_S = 300
-HOT_S = 4.0
-SENDERS = 24
-# From the return of the node until the tenant sends more: its holder's bucket is full.
-CALM_AFTER_RESTART_S = 9.0
-# From the moment at which the tenant sends more until the node is stopped again.
-STOP_AFTER_S = 1.0
-
-
-class Requester:
-    """Sends a tenant's requests to some machines at a rate, on kept channels."""
-
-    def __init__(self, site, machines, rate_per_s):
-        self._site = site
-        self._machines = machines
-        self._rate_per_s = rate_per_s
-        self._lock = threading.Lock()
-        self._sent = 0
-        self._stopped = threading.Event()
-        self._threads = []
-        self.answers = []
-
-    def start(self):
-        """Start to send."""
-        self._started = time.monotonic()
-        count = min(SENDERS, self._rate_per_s)
-        for number in range(count):
-            machine = self._machines[number % len(self._machines)]
-            thread = threading.Thread(target=self._run, args=(machine,))
-            thread.start()
-            self._threads.append(thread)
-
-    def stop(self):
-        """Stop to send, and wait for the answers."""
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
+from review.harness.site import Site, build_limits, build_route, build_service
 
-    def _run(self, machine):
-        channel = Channel(machine.get_address("outbound"), self._site.record)
-        path = f"/{SERVICE}/safe/status"
-        while not self._stopped.wait(max(0.0, self._claim() - time.monotonic())):
-            self.answers.append(channel.send("GET", path, TIMEOUT_S, key=KEY))
-        channel.close()
-
-    def _claim(self):
-        """Return the monotonic seconds at which the next request is due."""
-        with self._lock:
-            self._sent += 1
-            return self._started + self._sent / self._rate_per_s
+SERVICE = "aangifte"
+WORK_S = 0.05
+TIMEOUT_S = 4.0
+# Bounds of the site.
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+# Times after the acknowledgement of the leaving, in seconds.
+KILL_AFTER_S = 0.5
+LATE_CHECKIN_AFTER_S = 3.0
+# The backend server goes on serving until then.
+SERVES_FOR_S = 10.0
+# Time before the acknowledgement at which the late check-in was sent.
+SENT_BEFORE_S = 0.4
+REQUEST_INTERVAL_S = 0.1
 
 
 def build_resources():
     """Return the entries of the configuration."""
     return [
-        build_route(SERVICE, "safe", TIMEOUT_S, anonymous=False),
+        build_route(SERVICE, "unsafe", TIMEOUT_S),
         build_service(SERVICE),
-        build_tenant(TENANT, [KEY], RATE_PER_S, BURST),
         build_limits(),
     ]
 
 
-def send_for(site, machines, rate_per_s, duration_s):
-    """Send requests for a time; return the answers."""
-    requester = Requester(site, machines, rate_per_s)
-    requester.start()
-    time.sleep(duration_s)
-    requester.stop()
-    return requester.answers
+def send_requests(site, machine, until_s, answers):
+    """Send requests to the node of a machine until a time of the record."""
+    channel = Channel(machine.get_address("outbound"), site.record)
+    while site.record.now_s() < until_s:
+        path = f"/{SERVICE}/unsafe/filing"
+        answers.append(channel.send("POST", path, TIMEOUT_S, b"declaration"))
+        time.sleep(REQUEST_INTERVAL_S)
+    channel.close()
+
+
+def sleep_until(record, at_s):
+    """Sleep until a time of the record."""
+    time.sleep(max(0.0, at_s - record.now_s()))
+
+
+def leave(machine, record):
+    """Let a backend server leave: it sends DELETE first, and serves on.
+
+    Returns:
+        Its last check-in, which is still on its way, and the seconds of the record at
+        which the leaving was acknowledged.
+    """
+    machine.sends_checkins = False
+    late_checkin = machine.backend.build_checkin()
+    record.note("checkin-sent", server=machine.backend.server_id)
+    time.sleep(SENT_BEFORE_S)
+    status = machine.backend.send_leave(machine.get_address("control"))
+    machine.backend.state = "draining"
+    at_s = record.note(
+        "leaving-acknowledged", server=machine.backend.server_id, status=status
+    )
+    return late_checkin, at_s
 
 
-def count_busiest_window(machines, answers):
-    """Return the most requests that were sent and have run in one window."""
+def find_violations(machine, answers, left_at_s, in_touch_at_s):
+    """Return the `Run`s that break the rule: too late, by machines in touch."""
     sent_at_s = {answer.request_id: answer.sent_at_s for answer in answers}
-    runs = sorted(
-        (run.at_s, sent_at_s.get(run.request_id, run.at_s))
-        for machine in machines
+    return [
+        run
         for run in machine.backend.runs
-        if run.tenant == TENANT
-    )
-    most = 0
-    for start_s in sorted(sent for _, sent in runs):
-        end_s = start_s + QUOTA_WINDOW_S
-        most = max(most, sum(sent >= start_s and at < end_s for at, sent in runs))
-    return most
+        if run.at_s > left_at_s + DRAIN_S
+        and sent_at_s.get(run.request_id, 0.0) > in_touch_at_s
+    ]
+
+
+def kill_all_nodes(site):
+    """Kill all nodes at the same moment."""
+    for machine in site.machines:
+        machine.kill_node()
 
 
 def play(record):
@@ -119,32 +88,46 @@
     site = Site(record, [("be-central-a", SERVICE)] * 3, lambda target: WORK_S)
     try:
         site.start(build_resources())
-        names = [machine.name for machine in site.machines]
-        holder_name = rank_holders(TENANT, names)[0]
-        record.note("holder", node=holder_name)
-        holder = next(item for item in site.machines if item.name == holder_name)
-        others = [item for item in site.machines if item is not holder]
-        # Requesters send no new work to a machine that is being stopped.
-        calm = Requester(site, others, CALM_PER_S)
-        calm.start()
+        leaving = site.machines[0]
+        late_checkin, left_at_s = leave(leaving, record)
+        sleep_until(record, left_at_s + KILL_AFTER_S)
+        started_at_s = record.now_s()
         if is_troubled():
-            holder.restart_node()
-            time.sleep(1.5)
+            kill_all_nodes(site)
+            time.sleep(1.0)
             site.wait_ready()
-            record.note("node-ready-again", node=holder_name)
-        time.sleep(CALM_AFTER_RESTART_S)
-        calm.stop()
-        record.note("hot")
-        stopper = threading.Timer(
-            STOP_AFTER_S, holder.restart_node if is_troubled() else lambda: None
+            started_at_s = record.note("nodes-ready-again")
+        sleep_until(record, left_at_s + LATE_CHECKIN_AFTER_S)
+        status = leaving.backend.send_checkin(
+            leaving.get_address("control"), late_checkin
+        )
+        record.note("late-checkin-arrived", status=status)
+        in_touch_at_s = started_at_s + CONTACT_S
+        sleep_until(record, in_touch_at_s)
+        answers = []
+        until_s = left_at_s + SERVES_FOR_S
+        threads = [
+            threading.Thread(
+                target=send_requests, args=(site, machine, until_s, answers)
+            )
+            for machine in site.machines
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        violations = find_violations(leaving, answers, left_at_s, in_touch_at_s)
+        served = sum(answer.status == 200 for answer in answers)
+        record.note(
+            "result",
+            too_late=len(violations),
+            first_s_after_leaving=round(violations[0].at_s - left_at_s, 3)
+            if violations
+            else None,
+            sent=len(answers),
+            served=served,
         )
-        stopper.start()
-        hot_answers = send_for(site, others, HOT_PER_S, HOT_S)
-        stopper.join()
-        most = count_busiest_window(site.machines, calm.answers + hot_answers)
-        limit = (RATE_PER_S * QUOTA_WINDOW_S + BURST) * (1 + QUOTA_OVER) + QUOTA_SLACK
-        record.note("result", most_in_a_window=most, limit=round(limit, 1))
-        return most <= limit
+        return not violations
     finally:
         site.stop()
 
--- a/review/harness/backend.py
+++ b/review/harness/backend.py
@@ -149,9 +149,15 @@
         """Send a check-in to a node; return its status, 0 without an answer."""
         return self._call(control, "PUT", body or self.build_checkin())
 
-    def send_leave(self, control):
-        """Tell a node that this process leaves; return the status of its answer."""
-        return self._call(control, "DELETE", json.dumps({"born": self._born_ms}))
+    def send_leave(self, control, with_birth=True):
+        """Tell a node that this process leaves; return the status of its answer.
+
+        Args:
+            control: Address of the node for check-ins.
+            with_birth: Whether the call has a body, which holds `born`.
+        """
+        body = json.dumps({"born": self._born_ms}) if with_birth else None
+        return self._call(control, "DELETE", body)
 
     def _call(self, control, method, body):
         connection = http.client.HTTPConnection(control, timeout=HEARTBEAT_TIMEOUT_S)
