--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -158,12 +158,12 @@
                 )
             self._end(RESTART_DELAY_S)
             return
-        used_bytes = read_resident_bytes(process.pid)
-        self.peak_bytes = max(self.peak_bytes, used_bytes)
-        if used_bytes > MEMORY_MB * BYTES_PER_MB:
+        peak_bytes = read_peak_bytes(process.pid)
+        self.peak_bytes = max(self.peak_bytes, peak_bytes)
+        if peak_bytes > MEMORY_MB * BYTES_PER_MB:
             self.own_ends.append(
                 self._site.record.note(
-                    "node-over-its-memory", node=self.name, bytes=used_bytes
+                    "node-over-its-memory", node=self.name, bytes=peak_bytes
                 )
             )
             self._end(RESTART_DELAY_S, signal.SIGKILL)
@@ -410,11 +410,11 @@
     return True
 
 
-def read_resident_bytes(pid):
-    """Return the memory that a process uses, 0 if it has ended."""
+def read_peak_bytes(pid):
+    """Return the most memory that a process has used, 0 if it has ended."""
     try:
         for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
+            if line.startswith("VmHWM:"):
                 return int(line.split()[1]) * 1024
     except OSError:
         return 0
