--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -142,6 +142,18 @@
         if changed:
             log.info("Owner: %s has departed.", server_id)
             self.on_change()
+        elif not self.hosted.is_leaving():
+            log.info(
+                "Owner: %s, born %s, says that it leaves; in use is %s.",
+                server_id,
+                born,
+                self._describe_current(),
+                extra={"event": "departure-of-another"},
+            )
+
+    def _describe_current(self):
+        current = self.hosted.current
+        return "none" if current is None else f"{current.server_id}, {current.born}"
 
     def tick(self):
         """Update the health state, and close admission when heartbeats are overdue."""
