Bind the process that left by a DELETE without born, also at a node that knows none

Cause: HostedServer.apply_departure kept a departure without a start time as 'born 0' while the node knew no heartbeat, so that it bound no process, and yet was acknowledged. The first late heartbeat counted. A node that has just started is such a node. Ruled out: the order of heartbeats (with the node not restarted the same heartbeat is passed over).

A departure is now a record of its own (owner/departures.py): it names the process, or says when the word of it came. What started before that is bound; its successor under the same identifier starts after it. A departure of an older process is kept too; it was dropped.

test_departure_without_a_start_time_binds_the_process_that_ran and test_departure_of_an_older_process_is_remembered failed before.

--- a/persimmonlane/owner/backend.py
+++ b/persimmonlane/owner/backend.py
@@ -6,7 +6,8 @@
 import enum
 import logging
 
-from .incarnations import IncarnationOrder, is_same_incarnation
+from .departures import Departure, Departures
+from .incarnations import MS_PER_S, IncarnationOrder, is_same_incarnation
 
 log = logging.getLogger("persimmonlane.owner")
 
@@ -14,7 +15,6 @@
 # Heartbeats may be several seconds late. A crashed server is noticed sooner, because it
 # refuses connections.
 LOST_AFTER_HEARTBEATS = 6.0
-MAX_DEPARTURES = 64
 
 
 class ServerState(enum.Enum):
@@ -70,17 +70,19 @@
         received_at: Clock time at which it was received, in seconds.
         cold_until: Clock time until which the server is slow after its start, in
             seconds.
+        departures: The `Departures` of its processes.
     """
 
     __slots__ = (
         "current",
         "received_at",
         "cold_until",
+        "departures",
         "_address",
         "_service",
         "_clock",
+        "_wall_clock",
         "_heartbeat_timeout_s",
-        "_departures",
         "_has_departed",
         "_crashed",
         "_order",
@@ -99,11 +101,12 @@
         self.current = None
         self.received_at = None
         self.cold_until = 0.0
+        self.departures = Departures()
         self._address = address
         self._service = service
         self._clock = clock
+        self._wall_clock = wall_clock
         self._heartbeat_timeout_s = heartbeat_s * LOST_AFTER_HEARTBEATS
-        self._departures = {}
         self._has_departed = False
         self._crashed = None
         self._order = IncarnationOrder(heartbeat_s, clock, wall_clock)
@@ -137,13 +140,13 @@
         if born is not None and self._order.is_in_future(born):
             log.warning("Owner: ignored a departure of %s in the future.", server_id)
             return False
-        current = self.current
-        if current is None or current.server_id != server_id:
-            self._record_departure(server_id, born or 0)
+        if not self.is_current(server_id):
+            self._add_departure(server_id, born)
             return False
-        if born is not None and born < current.born:
+        if born is not None and born < self.current.born:
+            self._add_departure(server_id, born)
             return False
-        self._record_departure(server_id, max(born or 0, current.born))
+        self._add_departure(server_id, max(born or 0, self.current.born))
         changed = not self._has_departed
         self._has_departed = True
         return changed
@@ -174,8 +177,10 @@
 
     def ended_without_notice(self, heartbeat):
         """Return whether a process, by its last `Heartbeat`, has not said it leaves."""
-        departed_born = self._departures.get(heartbeat.server_id, -1)
-        return heartbeat.state is ServerState.READY and departed_born < heartbeat.born
+        return (
+            heartbeat.state is ServerState.READY
+            and self.departures.find(heartbeat) is None
+        )
 
     def note_crash(self, heartbeat):
         """Note that the process of a `Heartbeat` has ended, until it is heard of."""
@@ -197,11 +202,10 @@
                 heartbeat.server_id,
             )
             return False
-        if heartbeat.born <= self._departures.get(heartbeat.server_id, -1):
+        if self.departures.find(heartbeat) is not None:
             return False
         return self._order.supersedes(self.current, heartbeat)
 
-    def _record_departure(self, server_id, born):
-        self._departures[server_id] = max(born, self._departures.get(server_id, -1))
-        while len(self._departures) > MAX_DEPARTURES:
-            self._departures.pop(next(iter(self._departures)))
+    def _add_departure(self, server_id, born):
+        heard_ms = round(self._wall_clock.now() * MS_PER_S)
+        self.departures.add(Departure(server_id, born, heard_ms))
--- /dev/null
+++ b/persimmonlane/owner/departures.py
@@ -0,0 +1,95 @@
+"""What processes of backend servers have said of leaving.
+
+A check-in may reach the node after the departure that followed it, also once the node
+has been restarted, so departures outlive the heartbeats of their processes.
+"""
+
+import threading
+
+# Each process of a backend server departs once.
+MAX_DEPARTURES = 64
+
+
+class Departure:
+    """A process of a backend server that has said that it leaves.
+
+    Attributes:
+        server_id: Identifier of the backend server.
+        born: Unix milliseconds of the start of its process, or None if that is not
+            known.
+        heard_ms: Unix milliseconds at which it said so.
+    """
+
+    __slots__ = ("server_id", "born", "heard_ms")
+
+    def __init__(self, server_id, born, heard_ms):
+        self.server_id = server_id
+        self.born = born
+        self.heard_ms = heard_ms
+
+    @property
+    def is_exact(self):
+        """Whether it is known which process it was, not only that it ran then."""
+        return self.born is not None
+
+    def binds(self, heartbeat):
+        """Return whether the process that sent a `Heartbeat` is to get no requests.
+
+        A process that departed had started before; its successor under the same
+        identifier starts later.
+        """
+        last_born = self.born if self.is_exact else self.heard_ms
+        return heartbeat.server_id == self.server_id and heartbeat.born <= last_born
+
+    def covers(self, other):
+        """Return whether nothing is bound by another `Departure` that this one spares.
+
+        Args:
+            other: The other `Departure`.
+        """
+        if self.server_id != other.server_id or self.is_exact != other.is_exact:
+            return False
+        if self.is_exact:
+            return self.born >= other.born
+        return self.heard_ms >= other.heard_ms
+
+
+class Departures:
+    """The `Departure`s that this node knows of; thread-safe.
+
+    When there are more than `MAX_DEPARTURES`, the oldest is forgotten.
+    """
+
+    __slots__ = ("_lock", "_departures")
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._departures = ()
+
+    def add(self, departure):
+        """Add a `Departure`; return whether it binds a process that was not bound."""
+        with self._lock:
+            if any(known.covers(departure) for known in self._departures):
+                return False
+            kept = [item for item in self._departures if not departure.covers(item)]
+            self._departures = (*kept, departure)[-MAX_DEPARTURES:]
+            return True
+
+    def find(self, heartbeat):
+        """Return a `Departure` that binds the sender of a `Heartbeat`, or None.
+
+        One that names the process goes before one that does not.
+        """
+        found = [item for item in self._departures if item.binds(heartbeat)]
+        return max(found, key=lambda item: item.is_exact, default=None)
+
+    def discard(self, departure):
+        """Forget a `Departure`, as another process than thought was meant."""
+        with self._lock:
+            self._departures = tuple(
+                item for item in self._departures if item is not departure
+            )
+
+    def list(self):
+        """Return the `Departure`s in a tuple, the oldest first."""
+        return self._departures
--- a/persimmonlane/owner/tests/test_backend.py
+++ b/persimmonlane/owner/tests/test_backend.py
@@ -98,6 +98,39 @@
         self.assertFalse(self.hosted.is_ready())
 
 
+class UnseenDepartureTests(HostedServerCase):
+    """A node that has just started hears of a departure before any heartbeat."""
+
+    def test_departure_without_a_start_time_binds_the_process_that_ran(self):
+        # A late heartbeat made the departed server ready again.
+        self.hosted.apply_departure("i-1", None)
+        for sequence in (1, 2, 3):
+            self.hosted.apply_heartbeat(
+                build_heartbeat(born=BORN_MS, sequence=sequence)
+            )
+            self.clock.advance(HEARTBEAT_S)
+        self.assertFalse(self.hosted.is_ready())
+
+    def test_departure_without_a_start_time_spares_the_successor(self):
+        self.hosted.apply_departure("i-1", None)
+        self.assertTrue(self.send(1, born=int(WALL_S * 1000) + 2000))
+
+    def test_departure_without_a_start_time_spares_other_servers(self):
+        self.hosted.apply_departure("i-1", None)
+        self.assertTrue(self.send(1, server_id="i-2", born=BORN_MS))
+
+    def test_departure_with_a_start_time_binds_that_process_and_no_later_one(self):
+        self.hosted.apply_departure("i-1", BORN_MS)
+        self.assertFalse(self.send(3, born=BORN_MS))
+        self.assertTrue(self.send(1, born=BORN_MS + 4000))
+
+    def test_departure_of_an_older_process_is_remembered(self):
+        self.hosted.apply_heartbeat(build_heartbeat(born=200))
+        self.hosted.apply_departure("i-1", 100)
+        self.assertTrue(self.hosted.is_ready())
+        self.assertIsNotNone(self.hosted.departures.find(build_heartbeat(born=100)))
+
+
 class OddHeartbeatTests(HostedServerCase):
     """A heartbeat from another writer bears the real server's name and address."""
 
