Let a departure bind its own process only

A departure bound all processes with the identifier and an earlier start.

A departure names one process now, as among the peers. What started before a departed process is still not believed at once by a node that knows no other (IncarnationOrder): it must go on over three heartbeats.

--- a/persimmonlane/owner/incarnations.py
+++ b/persimmonlane/owner/incarnations.py
@@ -42,14 +42,16 @@
         self._count = 0
         self._since = 0.0
 
-    def supersedes(self, current, heartbeat):
+    def supersedes(self, current, heartbeat, departed_born=None):
         """Return whether a heartbeat takes the place of the current one.
 
         Args:
             current: The current `Heartbeat`, or None.
             heartbeat: The `Heartbeat` that was received.
+            departed_born: Unix milliseconds of the start of the newest process that
+                has departed, or None.
         """
-        if self._is_next(current, heartbeat):
+        if self._is_next(current, heartbeat, departed_born):
             self._rival = None
             return True
         if current is not None and is_repetition(current, heartbeat):
@@ -60,12 +62,13 @@
         """Return whether a start time in Unix milliseconds can't be true yet."""
         return born / MS_PER_S > self._wall_clock.now() + MAX_CLOCK_ERROR_S
 
-    def _is_next(self, current, heartbeat):
+    def _is_next(self, current, heartbeat, departed_born):
         if current is not None and is_same_incarnation(current, heartbeat):
             return is_next_sequence(current, heartbeat)
         if self.is_in_future(heartbeat.born):
             return False
-        return current is None or heartbeat.born > current.born
+        last_born = departed_born if current is None else current.born
+        return last_born is None or heartbeat.born > last_born
 
     def _has_gone_on(self, heartbeat):
         """Return whether a process has gone on while the current one was silent."""
--- a/persimmonlane/owner/tests/test_backend.py
+++ b/persimmonlane/owner/tests/test_backend.py
@@ -124,6 +124,20 @@
         self.assertFalse(self.send(3, born=BORN_MS))
         self.assertTrue(self.send(1, born=BORN_MS + 4000))
 
+    def test_process_older_than_the_departed_one_is_used_when_it_goes_on(self):
+        self.hosted.apply_departure("i-1", BORN_MS)
+        self.hosted.apply_heartbeat(build_heartbeat(born=BORN_MS - 1000))
+        self.assertFalse(self.hosted.is_ready())
+        self.send(3, born=BORN_MS - 1000, sequence=2)
+        self.assertTrue(self.hosted.is_ready())
+
+    def test_departure_of_a_later_process_ends_the_current_one(self):
+        self.send(1, born=BORN_MS)
+        self.assertTrue(self.hosted.apply_departure("i-1", BORN_MS + 1000))
+        self.assertFalse(self.send(2, born=BORN_MS, sequence=2))
+        self.assertFalse(self.send(2, born=BORN_MS + 1000))
+        self.assertTrue(self.send(1, born=BORN_MS + 2000))
+
     def test_departure_of_an_older_process_is_remembered(self):
         self.hosted.apply_heartbeat(build_heartbeat(born=200))
         self.hosted.apply_departure("i-1", 100)
