Keep what a backend server said of leaving in the node's entry before the 2xx

Cause: the acknowledgement is a promise, and what it promised was kept in the memory of processes alone: the owner's and its peers'. So the first heartbeat counted for a node whose processes had all ended. Ruled out: the order of heartbeats and the peers' memory, which hold in every play in which one node lives on (nothing too late with the node beside it killed alone).

- The departures of the backend server stand in the node's entry in the store, written before the answer: 2xx only once the store has said so, else 503.
The node sends the server nothing more in either case.
- A node that starts takes over the entry of its last process before it uses a process of the backend server; for that the entry is written under a condition, which also keeps a write that is executed late from replacing a newer one.
While the store gives no answer, it waits for a second.
- 'draining' counts as a departure, and what an answer says of leaving too.
- A restore of the store, or a lease that ended, has the entry written again.

One call more of the store for a departure, and for a start within 30 s of the last process.

--- a/persimmonlane/owner/backend.py
+++ b/persimmonlane/owner/backend.py
@@ -8,6 +8,7 @@
 
 from .departures import Departure, Departures
 from .incarnations import MS_PER_S, IncarnationOrder, is_same_incarnation
+from .newcomers import Newcomers
 
 log = logging.getLogger("persimmonlane.owner")
 
@@ -15,6 +16,8 @@
 # Heartbeats may be several seconds late. A crashed server is noticed sooner, because it
 # refuses connections.
 LOST_AFTER_HEARTBEATS = 6.0
+# No heartbeat is as late as this.
+MAX_DEPARTURE_AGE_S = 3600.0
 
 
 class ServerState(enum.Enum):
@@ -71,6 +74,7 @@
         cold_until: Clock time until which the server is slow after its start, in
             seconds.
         departures: The `Departures` of its processes.
+        newcomers: The `Newcomers` among them.
     """
 
     __slots__ = (
@@ -78,6 +82,7 @@
         "received_at",
         "cold_until",
         "departures",
+        "newcomers",
         "_address",
         "_service",
         "_clock",
@@ -102,6 +107,7 @@
         self.received_at = None
         self.cold_until = 0.0
         self.departures = Departures()
+        self.newcomers = Newcomers(clock)
         self._address = address
         self._service = service
         self._clock = clock
@@ -114,21 +120,59 @@
     def apply_heartbeat(self, heartbeat):
         """Apply a heartbeat; return whether the incarnation or its state changed.
 
-        Outdated heartbeats, those of other servers and odd ones are ignored.
+        Outdated heartbeats, those of other servers and odd ones are ignored. Those of
+        a process that the node does not know yet may be held back.
         """
         if not self._supersedes_current(heartbeat):
             return False
+        if heartbeat.state is ServerState.DRAINING:
+            self._add_departure(heartbeat.server_id, heartbeat.born)
+        elif not self.is_incarnation(heartbeat):
+            self.newcomers.hold(heartbeat)
+            return self.use_newcomer()
+        return self._use(heartbeat)
+
+    def use_newcomer(self):
+        """Use the process that is held back if it may be; return whether it is used."""
+        heartbeat = self.newcomers.release()
+        if heartbeat is None:
+            return False
+        if self.departures.find(heartbeat) is not None:
+            return False
+        return self._use(heartbeat)
+
+    def learn_departures(self, departures):
+        """Learn of departures that the node's last process has acknowledged.
+
+        Args:
+            departures: The `Departure`s.
+
+        Returns:
+            Whether the current incarnation has departed by them.
+        """
+        oldest_ms = (self._wall_clock.now() - MAX_DEPARTURE_AGE_S) * MS_PER_S
+        changed = False
+        for departure in departures:
+            if departure.heard_ms < oldest_ms:
+                continue
+            self.departures.add(departure)
+            if self.current is not None and departure.binds(self.current):
+                changed = changed or not self._has_departed
+                self._has_departed = True
+        return changed
+
+    def _use(self, heartbeat):
         old = self.current
         now = self._clock.now()
-        same = old is not None and is_same_incarnation(old, heartbeat)
-        changed = not same or old.state is not heartbeat.state
+        same = self.is_incarnation(heartbeat)
         if not same:
+            self.newcomers.drop()
             self._has_departed = False
         self._crashed = None
         self.current = heartbeat
         self.received_at = now
         self.cold_until = now + heartbeat.cold_s
-        return changed
+        return not same or old.state is not heartbeat.state
 
     def apply_departure(self, server_id, born):
         """Apply a departure; return whether the current incarnation departs by it.
@@ -141,6 +185,9 @@
             log.warning("Owner: ignored a departure of %s in the future.", server_id)
             return False
         if not self.is_current(server_id):
+            held = self.newcomers.held
+            if born is None and held is not None and held.server_id == server_id:
+                born = held.born
             self._add_departure(server_id, born)
             return False
         if born is not None and born < self.current.born:
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -119,20 +119,44 @@
 
     def handle_heartbeat(self, heartbeat):
         """Handle a heartbeat of the backend server."""
+        self._change_server(self.hosted.apply_heartbeat, heartbeat)
+
+    def learn_departures(self, departures):
+        """Learn what the store holds of departures.
+
+        Args:
+            departures: The `Departure`s.
+        """
+        self.hosted.newcomers.note_departures_read()
+        self._change_server(self.hosted.learn_departures, departures)
+        self._change_server(self.hosted.use_newcomer)
+
+    def _change_server(self, change, *arguments):
+        """Change what is known of the backend server.
+
+        Args:
+            change: Method of the `HostedServer` that returns whether it has changed.
+            arguments: Its arguments.
+        """
         with self._lock:
             before = self.hosted.current
-            changed = self.hosted.apply_heartbeat(heartbeat)
+            changed = change(*arguments)
             current = self.hosted.current
-            if changed and (before is None or before.born != current.born):
+            is_new = changed and (before is None or before.born != current.born)
+            if is_new:
                 self.detector.reset()
                 self.admission_queue.limit.reset()
                 self._misdirected_id = None
             self._update_slots()
-        if changed:
-            log.info("Owner: %s is %s.", current.server_id, current.state.value)
-            if before is not None and before.born != current.born:
-                self.crashes.note_started(before)
-            self.on_change()
+        if not changed:
+            return
+        log.info("Owner: %s is %s.", current.server_id, self._describe_state())
+        if is_new and before is not None:
+            self.crashes.note_started(before)
+        self.on_change()
+
+    def _describe_state(self):
+        return "leaving" if self.hosted.is_leaving() else "ready"
 
     def handle_departure(self, server_id, born):
         """Handle the departure of the backend server."""
@@ -158,6 +182,7 @@
     def tick(self):
         """Update the health state, and close admission when heartbeats are overdue."""
         self._update_prior()
+        self._change_server(self.hosted.use_newcomer)
         with self._lock:
             slots = self.admission_queue.slots
             self._evidence.end_ejection()
--- a/persimmonlane/owner/tests/test_backend.py
+++ b/persimmonlane/owner/tests/test_backend.py
@@ -35,6 +35,7 @@
         self.hosted = HostedServer(
             "10.0.0.1:80", "prices", HEARTBEAT_S, self.clock, ManualClock(WALL_S)
         )
+        self.hosted.newcomers.note_departures_read()
 
     def send(self, count, **changes):
         """Send heartbeats at their interval; return whether the server was ready."""
--- a/persimmonlane/owner/tests/test_crashes.py
+++ b/persimmonlane/owner/tests/test_crashes.py
@@ -19,6 +19,7 @@
         self.hosted = HostedServer(
             ADDRESS, "prices", 60.0, self.clock, ManualClock(1e9)
         )
+        self.hosted.newcomers.note_departures_read()
         self.ledger = CrashLedger(self.clock)
         self.listens = True
         self.probes = 0
--- a/persimmonlane/owner/tests/test_owner.py
+++ b/persimmonlane/owner/tests/test_owner.py
@@ -39,6 +39,7 @@
         hosted = HostedServer(
             "10.0.0.1:80", "prices", 60.0, self.clock, ManualClock(1e9)
         )
+        hosted.newcomers.note_departures_read()
         self.ledger = CrashLedger(self.clock)
         self.owner = Owner(None, hosted, self.clock, None, self.ledger)
         self.send_heartbeat("i-1")
--- a/persimmonlane/platform/store.py
+++ b/persimmonlane/platform/store.py
@@ -131,6 +131,18 @@
     has_more: bool = msgspec.field(name="HasMore", default=False)
 
 
+class ConflictBody(msgspec.Struct):
+    """Body of the answer to a write of a key that is at another revision."""
+
+    items: list[StoreItem] = []
+
+
+class WriteBody(msgspec.Struct):
+    """Body of the answer to a write; `revision` is that of the written keys."""
+
+    revision: int = msgspec.field(name="Revision", default=0)
+
+
 class WatchBody(msgspec.Struct):
     """Body of the answer to a watch; `as_of` is the revision of the store."""
 
@@ -164,6 +176,20 @@
     code = "lease-lapsed"
 
 
+class RevisionConflict(StoreError):
+    """The key is at another revision than the write was to replace.
+
+    Attributes:
+        item: The `StoreItem` that is there, or None if there is none.
+    """
+
+    code = "store-revision-conflict"
+
+    def __init__(self, item):
+        super().__init__("the key was written by another call")
+        self.item = item
+
+
 class SiteStore:
     """Thread-safe client of the platform's key-value store.
 
@@ -225,7 +251,9 @@
         after = position.revision
         query = {"Prefix": prefix, "after": after, "WaitMs": int(wait_s * MS_PER_S)}
         path = "/persimmonlane/kv-watch?" + urllib.parse.urlencode(query)
-        answer = self._call("GET", path, (HTTP_OK, HTTP_GONE), wait_s=wait_s)
+        answer = self._call(
+            "GET", path, (HTTP_OK, HTTP_GONE), timeout_s=READ_TIMEOUT_S + wait_s
+        )
         if answer.status == HTTP_GONE or answer.generation != position.generation:
             raise HistoryGone(
                 "the store doesn't have the changes that the watch asked for"
@@ -235,29 +263,41 @@
             body.events, StorePosition(answer.generation, body.as_of or after)
         )
 
-    def write(self, key, value, lease):
-        """Write a key under a lease, regardless of its current value.
+    def write(self, key, value, lease, revision=None, timeout_s=READ_TIMEOUT_S):
+        """Write a key under a lease; return the revision of the key.
 
         Args:
             key: The key.
             value: The value in bytes.
             lease: The `StoreLease`.
+            revision: Revision that the key must have, 0 if it must not exist; None to
+                write it in any case.
+            timeout_s: Longest time in seconds to wait for the answer.
 
         Raises:
             LeaseGone: If the lease has ended. If the store was restored, the key may
                 have been written under another lease of the same number.
+            RevisionConflict: If the key has another revision.
         """
         text = base64.b64encode(value).decode("ascii")
         entry = {"Key": key, "Value": text, "Lease": lease.number}
-        body = {"Expected": [], "SetKeys": [entry], "Remove": []}
+        expected = [] if revision is None else [{"Key": key, "Revision": revision}]
+        body = {"Expected": expected, "SetKeys": [entry], "Remove": []}
         answer = self._call(
             "POST",
             "/persimmonlane/kv-txn",
             (HTTP_OK, HTTP_NOT_FOUND, HTTP_PRECONDITION_FAILED),
             body,
+            timeout_s=timeout_s,
         )
-        if answer.status != HTTP_OK or answer.generation != lease.generation:
+        if answer.generation != lease.generation:
+            raise LeaseGone("the lease has ended")
+        if answer.status == HTTP_PRECONDITION_FAILED and expected:
+            items = decode_response(answer.data, ConflictBody).items
+            raise RevisionConflict(find_item(items, key))
+        if answer.status != HTTP_OK:
             raise LeaseGone("the lease has ended")
+        return decode_response(answer.data, WriteBody).revision
 
     def grant_lease(self, duration_s):
         """Request a lease of a duration in seconds; return the `StoreLease`."""
@@ -278,9 +318,16 @@
         if answer.status == HTTP_NOT_FOUND or answer.generation != lease.generation:
             raise LeaseGone("the lease has ended")
 
-    def _call(self, method, path, accepted_statuses=(HTTP_OK,), body=None, wait_s=0.0):
+    def _call(
+        self,
+        method,
+        path,
+        accepted_statuses=(HTTP_OK,),
+        body=None,
+        timeout_s=READ_TIMEOUT_S,
+    ):
         timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S + wait_s
+            connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
         )
         data = None if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": "application/json"} if data is not None else {}
@@ -314,6 +361,14 @@
     return UNKNOWN_GENERATION
 
 
+def find_item(items, key):
+    """Return the `StoreItem` of a key that exists, or None."""
+    for item in items:
+        if item.key == key and item.revision > 0 and not item.tombstone:
+            return item
+    return None
+
+
 def decode_response(raw, response_type):
     """Decode the JSON body of a response.
 
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -9,6 +9,7 @@
 from ..decoding import decode_json
 from ..errors import InputError, Refusal
 from ..headers import Header, drop_hop_by_hop, find_first, find_values
+from ..owner.backend import ServerState
 from ..owner.calls import ForwardedCall
 from ..platform import headers as wire
 from ..platform import heartbeats
@@ -317,7 +318,11 @@
 
 
 class HeartbeatGateway(Gateway):
-    """Receives heartbeats of the local backend server."""
+    """Receives heartbeats of the local backend server.
+
+    That it leaves is acknowledged only once this will be known after the end of the
+    node's process. The node has stopped sending requests to it by then.
+    """
 
     def respond(self):
         """Process one heartbeat, or one departure (DELETE)."""
@@ -336,9 +341,13 @@
         owner = self.node.owner
         try:
             if self.req.method == b"DELETE":
-                owner.handle_departure(server_id, heartbeats.decode_departure(body))
+                born = heartbeats.decode_departure(body)
+                owner.handle_departure(server_id, born)
+                is_leaving = True
             else:
-                owner.handle_heartbeat(heartbeats.decode_heartbeat(server_id, body))
+                heartbeat = heartbeats.decode_heartbeat(server_id, body)
+                owner.handle_heartbeat(heartbeat)
+                is_leaving = heartbeat.state is ServerState.DRAINING
         except InputError as error:
             log.warning(
                 "Owner: ignored what is said of backend server %s: %s.",
@@ -348,6 +357,14 @@
             )
             self.write_json(400)
             return
+        if is_leaving and not self.node.keep_departures():
+            log.warning(
+                "Owner: that %s leaves is not acknowledged: it might be forgotten.",
+                server_id,
+                extra={"event": "departure-unacknowledged"},
+            )
+            self.write_json(503)
+            return
         self.write_json(200, b"{}")
 
 
--- a/persimmonlane/serving/tests/test_recovered_servers.py
+++ b/persimmonlane/serving/tests/test_recovered_servers.py
@@ -64,6 +64,7 @@
         self._running = []
         address = f"10.0.0.{number + 2}:80"
         hosted = HostedServer(address, "prices", 60.0, clock, ManualClock(1e9))
+        hosted.newcomers.note_departures_read()
         self.owner = Owner(None, hosted, clock, None, CrashLedger(clock))
         self.owner.watch_fleet(fleet)
         self.id = f"i-{number}"
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -70,6 +70,8 @@
 # Fraction of the grace time that is reserved for sending the final answers.
 FINAL_ANSWERS_FRACTION = 1 / 30
 RELOAD_INTERVAL_S = 3.0
+# A heartbeat has to be answered within a second.
+KEEP_TIMEOUT_S = 0.45
 
 
 class NodeState:
@@ -170,6 +172,8 @@
             table,
             self.fetch_document,
             random.Random(),
+            hosted.departures,
+            self.owner.learn_departures,
         )
         self._announcer = Announcer(self._gossip, random.random)
         self.owner.on_change = self._announcer.wake
@@ -297,6 +301,10 @@
                 503, "node-busy", "the node is busy", retry_after=RETRY_AFTER_S
             )
 
+    def keep_departures(self):
+        """Return whether what was said of leaving will outlive this process."""
+        return self._upkeep.keep_departures(KEEP_TIMEOUT_S)
+
     def fetch_document(self, address):
         """Fetch the document from another node, which replaces an older one."""
         host, port = split_address(address)
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -254,15 +254,21 @@
         }
         return self._call("PUT", control, body)
 
-    def send_departure(self, control):
-        """Tell a node that this process leaves; return the HTTP status."""
-        return self._call("DELETE", control, {"born": self._born})
+    def send_departure(self, control, names_process=True):
+        """Tell a node that this process leaves; return the HTTP status.
+
+        Args:
+            control: Address to which the node's heartbeats are sent.
+            names_process: Whether the call says when the process started.
+        """
+        body = {"born": self._born} if names_process else None
+        return self._call("DELETE", control, body)
 
     def _call(self, method, control, body):
         response = urllib3.request(
             method,
             f"http://{control}/persimmonlane/instances/{self._id}",
-            body=msgspec.json.encode(body),
+            body=None if body is None else msgspec.json.encode(body),
             retries=False,
             timeout=HEARTBEAT_TIMEOUT_S,
         )
--- a/persimmonlane/tests/test_odd_bytes.py
+++ b/persimmonlane/tests/test_odd_bytes.py
@@ -26,7 +26,7 @@
 from ..reporting.records import decode_record
 from ..routing.metadata import Order, OwnerReport
 from ..serving.nodeheaders import REPORT_HEADER, parse_report
-from ..upkeep.registration import decode_entry
+from ..upkeep.entries import decode_entry
 
 DEPTH = 100_000
 DEEP = b"[" * DEPTH + b"]" * DEPTH
--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -130,11 +130,16 @@
 
     def restart_node(self, test, service):
         """Start a stopped node again; its backend server has kept running."""
+        self.start_node(test, service)
+        _, settings = self.nodes[service]
+        self.servers[service].send_heartbeat(settings.heartbeat_address)
+
+    def start_node(self, test, service):
+        """Start a stopped node again; its backend server is silent."""
         _, settings = self.nodes[service]
         node = SiteNode(Application(), settings, lambda: settings)
         test.addCleanup(node.stop)
         node.start()
-        self.servers[service].send_heartbeat(settings.heartbeat_address)
         self.nodes[service] = (node, settings)
 
     def set_key_revocation(self, seconds):
--- a/persimmonlane/upkeep/reading.py
+++ b/persimmonlane/upkeep/reading.py
@@ -4,8 +4,8 @@
 
 from ..peers.commands import FreshnessConfirmed
 from ..platform.documents import DOCUMENT_KEY
+from .entries import build_entry_key
 from .probing import ProbeSchedule
-from .registration import build_entry_key
 
 log = logging.getLogger("persimmonlane.upkeep")
 
--- a/persimmonlane/upkeep/registration.py
+++ b/persimmonlane/upkeep/registration.py
@@ -6,45 +6,47 @@
 """
 
 import logging
-import urllib.parse
+import threading
 
 import msgspec
 
-from ..decoding import decode_json
-from ..errors import InputError
+from ..errors import StoreError
 from ..peers.commands import NodesRegistered, RegisteredNode
 from ..peers.peer import MEMBER_TIMEOUT_S
-from ..platform.store import LeaseGone
-from ..routing.metadata import Count
+from ..platform.store import LeaseGone, RevisionConflict
+from .entries import (
+    NODE_PREFIX,
+    NodeEntry,
+    build_departures,
+    build_entry_key,
+    decode_entry,
+    encode_departures,
+    parse_name,
+)
 from .generations import SETTLE_S, UNKNOWN_GENERATION
 
 log = logging.getLogger("persimmonlane.upkeep")
 
-NODE_PREFIX = "nodes/"
 ENTRY_LEASE_S = 30.0
 LEASE_RENEWAL_INTERVAL_S = 10.0
 LIST_INTERVAL_S = 20.0
 LIST_SPREAD_S = 2.0
 # Keeps the nodes from registering at the same moment after a restore.
 RESTORE_SPREAD_S = 0.25
+# Calls to write the entry once: the first one may meet the entry of the last process,
+# and the second one a write of that process which is executed late.
+MAX_WRITES = 4
+ENTRY_TIMEOUT_S = 1.5
 
 
-class NodeEntry(msgspec.Struct):
-    """A node's registration in the store.
+class KeptDepartures:
+    """The `Departure`s that a generation of the store holds in the node's entry."""
 
-    Attributes:
-        address: Address for requests from other nodes.
-        data_centre: Name of its data centre; empty in entries of older releases.
-        generation: Generation of the store in which it was written, 0 if that is not
-            known.
-        is_settled: Whether the node knew then that the store lacked nothing that was
-            lost in a restore.
-    """
+    __slots__ = ("generation", "departures")
 
-    address: str
-    data_centre: str = ""
-    generation: Count = 0
-    is_settled: bool = False
+    def __init__(self, generation, departures):
+        self.generation = generation
+        self.departures = departures
 
 
 class Registration:
@@ -67,9 +69,16 @@
         "_renewal_due",
         "_list_at",
         "_spread_s",
+        "_departures",
+        "_on_read",
+        "_write_lock",
+        "_revision",
+        "_kept",
     )
 
-    def __init__(self, settings, store, generations, gossip, is_relay, rng):
+    def __init__(
+        self, settings, store, generations, gossip, is_relay, rng, departures, on_read
+    ):
         """Create the registration of a node that has no entry yet.
 
         Args:
@@ -80,12 +89,22 @@
             is_relay: Callable that tells whether the node does for others what one
                 node of the data centre has to do.
             rng: The `random.Random` that spreads the nodes' calls.
+            departures: The `Departures` that the entry keeps.
+            on_read: Callable that is called with the `Departure`s which the entry was
+                found to hold, when it is first written and whenever another call has
+                written it.
         """
         self._settings = settings
         self._store = store
         self._generations = generations
         self._gossip = gossip
         self._rng = rng
+        self._departures = departures
+        self._on_read = on_read
+        # Held during a write, so that no older contents replace newer ones.
+        self._write_lock = threading.Lock()
+        self._revision = 0
+        self._kept = None
         self._is_relay = is_relay
         self._key = build_entry_key(settings.name)
         self._entry = None
@@ -115,6 +134,36 @@
                 self._register(now)
         elif now >= self._renew_at or self._renewal_due:
             self._renew(now)
+        elif self._lease is not None and not self.keeps_departures():
+            self._write_entry(self._lease, now)
+
+    def keeps_departures(self):
+        """Return whether the store holds all departures, as far as is known."""
+        kept = self._kept
+        return (
+            kept is not None
+            and kept.generation == self._generations.current
+            and set(self._departures.list()) <= set(kept.departures)
+        )
+
+    def keep_departures(self, now, timeout_s):
+        """Write the departures to the store; return whether it holds all of them.
+
+        Args:
+            now: Clock seconds.
+            timeout_s: Longest time in seconds to wait for an answer.
+        """
+        lease = self._lease
+        if self.keeps_departures():
+            return True
+        if lease is None or self._has_lost_lease():
+            return False
+        try:
+            self._write_entry(lease, now, timeout_s)
+        except LeaseGone:
+            self._renewal_due = True
+            return False
+        return self.keeps_departures()
 
     def run_due_listing(self, now):
         """List the registered nodes, if it is time to.
@@ -178,16 +227,51 @@
             # By then the other nodes have registered anew as well.
             self._list_at = now + SETTLE_S + LIST_SPREAD_S * self._rng.random()
 
-    def _write_entry(self, lease, now):
+    def _write_entry(self, lease, now, timeout_s=ENTRY_TIMEOUT_S):
+        if not self._write_lock.acquire(timeout=timeout_s):
+            raise StoreError("the node's entry is being written")
+        try:
+            for _ in range(MAX_WRITES):
+                try:
+                    self._replace_entry(lease, now, timeout_s)
+                except RevisionConflict as conflict:
+                    self._read_entry(conflict.item)
+                else:
+                    return
+        finally:
+            self._write_lock.release()
+        raise StoreError("the node's entry is written by others all the time")
+
+    def _replace_entry(self, lease, now, timeout_s):
         settings = self._settings
+        departures = self._departures.list()
         entry = NodeEntry(
             settings.peer_address,
             settings.data_centre,
             lease.generation,
             self._is_settled(now),
+            encode_departures(departures),
         )
-        self._store.write(self._key, msgspec.json.encode(entry), lease)
+        raw = msgspec.json.encode(entry)
+        self._revision = self._store.write(
+            self._key, raw, lease, self._revision, timeout_s
+        )
+        is_first = self._kept is None
         self._entry = entry
+        self._kept = KeptDepartures(lease.generation, departures)
+        if is_first:
+            self._on_read([])
+
+    def _read_entry(self, item):
+        """Take over what an entry holds that this process has not written.
+
+        Args:
+            item: The `StoreItem`, or None if there is no entry.
+        """
+        self._revision = item.revision if item is not None else 0
+        entry = decode_entry(item) if item is not None else None
+        if entry is not None and entry.departures:
+            self._on_read(build_departures(entry))
 
     def _is_settled(self, now):
         generations = self._generations
@@ -241,27 +325,3 @@
             log.warning("Upkeep: the node's entry is gone, or under another lease.")
             self._lease = None
             self._renewal_due = True
-
-
-def build_entry_key(name):
-    """Return the key of a node's entry."""
-    return NODE_PREFIX + urllib.parse.quote(name, safe="")
-
-
-def parse_name(item):
-    """Return the name of the node whose entry a `StoreItem` holds."""
-    return urllib.parse.unquote(item.key[len(NODE_PREFIX) :])
-
-
-def decode_entry(item):
-    """Return the `NodeEntry` in a `StoreItem`, or None if it is invalid."""
-    try:
-        return decode_json(item.value or b"", NodeEntry)
-    except InputError as error:
-        log.warning(
-            "Upkeep: the store's entry of node %s is invalid: %s.",
-            parse_name(item),
-            error,
-            extra={"event": "store-entry-invalid"},
-        )
-        return None
--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -36,6 +36,9 @@
         fetch_document: Function that fetches the document from the node at an address
             and puts it into force if it is newer.
         rng: The `random.Random` that spreads the nodes' calls.
+        departures: The `Departures` that the node's entry keeps.
+        on_departures_read: Callable that is called with the `Departure`s that the entry
+            of the node's last process held; the list may be empty.
 
     Attributes:
         registration: The `Registration`.
@@ -55,6 +58,8 @@
         table,
         fetch_document,
         rng,
+        departures,
+        on_departures_read,
     ):
         self._clock = clock
         self._generations = generations
@@ -77,7 +82,14 @@
             rng,
         )
         self.registration = Registration(
-            settings, store, generations, gossip, self._reader.is_probing_relay, rng
+            settings,
+            store,
+            generations,
+            gossip,
+            self._reader.is_probing_relay,
+            rng,
+            departures,
+            on_departures_read,
         )
         self.watch = DocumentWatch(settings, store, documents, self._reader, table)
         documents.add_listener(self._log_unconfirmed_time)
@@ -123,6 +135,20 @@
             log.exception("Upkeep: a periodic task failed.")
             self._retry_at = now + RETRY_DELAY_S
 
+    def keep_departures(self, timeout_s):
+        """Return whether the store holds what backend servers have said of leaving.
+
+        What it lacks is written.
+
+        Args:
+            timeout_s: Longest time in seconds to wait for an answer.
+        """
+        try:
+            return self.registration.keep_departures(self._clock.now(), timeout_s)
+        except StoreError as error:
+            log.warning("Upkeep: a departure was not written: %s.", error)
+            return False
+
     def _run_tasks(self, now):
         for _ in range(len(self._tasks)):
             self._tasks.rotate(-1)
--- a/persimmonlane/upkeep/tests/simulation.py
+++ b/persimmonlane/upkeep/tests/simulation.py
@@ -6,12 +6,13 @@
 import msgspec
 import urllib3.exceptions
 
+from ...owner.departures import Departures
 from ...peers.tests.simulation import STEP_S, Fleet
 from ...platform.documents import DOCUMENT_KEY
 from ...platform.store import SiteStore
 from ...standins.store import StoreState
 from ..documents import REMOTE_FETCH_DELAY_S, DocumentHolder
-from ..registration import NODE_PREFIX
+from ..entries import NODE_PREFIX
 from ..storesync import StoreSync
 from ..watching import RETRY_DELAY_S
 
@@ -52,6 +53,7 @@
         read_count: Calls that read an item.
         call_count: All calls; a watch counts once, however long it waits.
         late_answers: Response that the next call of a host gets, by the host.
+        transactions: Bodies of the calls that write.
     """
 
     def __init__(self, clock):
@@ -64,6 +66,7 @@
         self.read_count = 0
         self.call_count = 0
         self.late_answers = {}
+        self.transactions = []
         self._clock = clock
         self.change()
 
@@ -132,6 +135,8 @@
             return self._store.late_answers.pop(self._host)
         self._store.call_count += 1
         self._store.read_count += "/kv-key?" in target
+        if target.endswith("/kv-txn"):
+            self._store.transactions.append(msgspec.json.decode(body))
         state = self._store.state
         status, answer = state.handle(method, target, body or b"")
         return StoreResponse(
@@ -171,9 +176,13 @@
         applied_at: Clock seconds at which each version came into force.
         history: The versions that came into force, in order.
         table: Its `PeerTable`.
+        departures: Its `Departures`.
+        read_departures: The lists of `Departure`s that it has read from the store.
     """
 
     def __init__(self, fleet, node):
+        self.departures = Departures()
+        self.read_departures = []
         self.documents = DocumentHolder(Rulebook)
         self.applied_at = {}
         self.history = []
@@ -199,6 +208,8 @@
             node.table,
             self._fetch,
             fleet.rng,
+            self.departures,
+            self.read_departures.append,
         )
         self._tasks_at = 0.0
         self._watch_at = 0.0
@@ -222,6 +233,10 @@
         """Clock seconds at which its document was confirmed as the newest, or None."""
         return self.table.freshness.confirmed_at
 
+    def keep_departures(self):
+        """Return whether the store holds all departures; it is called if not."""
+        return self._sync.keep_departures(STORE_TIMEOUT_S)
+
     def stop_watching(self):
         """Let its watch hear nothing any more."""
         self._watch_at = float("inf")
--- a/persimmonlane/upkeep/tests/test_fetching.py
+++ b/persimmonlane/upkeep/tests/test_fetching.py
@@ -29,6 +29,8 @@
             None,
             self.fetch_document,
             random.Random(1),
+            None,
+            None,
         )
         self.addCleanup(self.sync.stop)
         self.fetched_good = threading.Event()
--- a/persimmonlane/upkeep/tests/test_logging.py
+++ b/persimmonlane/upkeep/tests/test_logging.py
@@ -32,6 +32,8 @@
             self.table,
             None,
             random.Random(1),
+            None,
+            None,
         )
 
     def test_log_tells_how_long_the_old_version_was_not_confirmed(self):
--- a/persimmonlane/upkeep/tests/test_odd_entries.py
+++ b/persimmonlane/upkeep/tests/test_odd_entries.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from ..registration import NODE_PREFIX
+from ..entries import NODE_PREFIX
 from .simulation import SyncedFleet
 
 ODD_VALUES = (
--- a/persimmonlane/upkeep/tests/test_restored_store.py
+++ b/persimmonlane/upkeep/tests/test_restored_store.py
@@ -4,7 +4,7 @@
 import testtools
 
 from ...platform.documents import DOCUMENT_KEY
-from ..registration import NODE_PREFIX
+from ..entries import NODE_PREFIX
 from .simulation import APPLY_S, STEP_S, StoreResponse, SyncedFleet
 
 SETTLE_S = 9.0
