Acknowledge no departure that is not believed

A departure whose start time can't be true yet, and 'draining' in a heartbeat that can't follow the current one, were passed over and yet answered 200. A real backend server's clock may have jumped: it then got requests later than the bound after that answer.

They are answered 503 now. A departure of the very process that is in use is believed whatever its start time is.

test_departure_that_is_not_believed_is_not_acknowledged failed before (200).

--- a/persimmonlane/owner/backend.py
+++ b/persimmonlane/owner/backend.py
@@ -174,6 +174,17 @@
         self.cold_until = now + heartbeat.cold_s
         return not same or old.state is not heartbeat.state
 
+    def may_depart(self, server_id, born):
+        """Return whether a departure can be true.
+
+        Args:
+            server_id: Identifier of the backend server that departs.
+            born: Unix milliseconds of its start, or None if not given.
+        """
+        if born is None or not self._order.is_in_future(born):
+            return True
+        return self.is_current(server_id) and self.current.born == born
+
     def apply_departure(self, server_id, born):
         """Apply a departure; return whether the current incarnation departs by it.
 
@@ -181,7 +192,7 @@
             server_id: Identifier of the backend server that departs.
             born: Unix milliseconds of its start, or None if not given.
         """
-        if born is not None and self._order.is_in_future(born):
+        if not self.may_depart(server_id, born):
             log.warning("Owner: ignored a departure of %s in the future.", server_id)
             return False
         if not self.is_current(server_id):
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -16,6 +16,7 @@
 from ..signals import PollableEvent
 from ..verdicts import Verdict
 from .admission import AdmissionQueue, Ticket
+from .backend import ServerState
 from .calls import build_crash_error, build_not_run_refusal
 from .client import ServerClient
 from .crashes import CrashObserver, is_listening
@@ -118,8 +119,14 @@
             return self._dispatch_log.cancel(request_id)
 
     def handle_heartbeat(self, heartbeat):
-        """Handle a heartbeat of the backend server."""
+        """Handle a heartbeat of the backend server.
+
+        Returns:
+            Whether it was believed, if it says that the server leaves.
+        """
         self._change_server(self.hosted.apply_heartbeat, heartbeat)
+        is_leaving = heartbeat.state is ServerState.DRAINING
+        return not is_leaving or self.hosted.departures.find(heartbeat) is not None
 
     def learn_departures(self, departures):
         """Learn what the store holds of departures.
@@ -159,8 +166,14 @@
         return "leaving" if self.hosted.is_leaving() else "ready"
 
     def handle_departure(self, server_id, born):
-        """Handle the departure of the backend server."""
+        """Handle the departure of the backend server; return whether it was believed.
+
+        Args:
+            server_id: Identifier of the backend server that departs.
+            born: Unix milliseconds of its start, or None if not given.
+        """
         with self._lock:
+            is_believed = self.hosted.may_depart(server_id, born)
             changed = self.hosted.apply_departure(server_id, born)
             self._update_slots()
         if changed:
@@ -174,6 +187,7 @@
                 self._describe_current(),
                 extra={"event": "departure-of-another"},
             )
+        return is_believed
 
     def _describe_current(self):
         current = self.hosted.current
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -342,11 +342,11 @@
         try:
             if self.req.method == b"DELETE":
                 born = heartbeats.decode_departure(body)
-                owner.handle_departure(server_id, born)
+                is_believed = owner.handle_departure(server_id, born)
                 is_leaving = True
             else:
                 heartbeat = heartbeats.decode_heartbeat(server_id, body)
-                owner.handle_heartbeat(heartbeat)
+                is_believed = owner.handle_heartbeat(heartbeat)
                 is_leaving = heartbeat.state is ServerState.DRAINING
         except InputError as error:
             log.warning(
@@ -357,10 +357,11 @@
             )
             self.write_json(400)
             return
-        if is_leaving and not self.node.keep_departures():
+        if is_leaving and not (is_believed and self.node.keep_departures()):
             log.warning(
-                "Owner: that %s leaves is not acknowledged: it might be forgotten.",
+                "Owner: that %s leaves is not acknowledged: %s.",
                 server_id,
+                "it might be forgotten" if is_believed else "it is not believed",
                 extra={"event": "departure-unacknowledged"},
             )
             self.write_json(503)
--- a/persimmonlane/tests/test_departures.py
+++ b/persimmonlane/tests/test_departures.py
@@ -139,3 +139,9 @@
         registration = self.get_node()._upkeep.registration
         self.assertTrue(wait_until(registration.keeps_departures))
         self.assertEqual(200, self.server.send_departure(self.control))
+
+    def test_departure_that_is_not_believed_is_not_acknowledged(self):
+        self.server._born = 10**14
+        self.assertEqual(503, self.server.send_departure(self.control))
+        self.assertEqual(503, self.server.send_heartbeat(self.control, "draining"))
+        self.assertTrue(self.get_node().owner.is_ready())
