Remind a restarted node of another data centre until it knows that its server leaves

Cause: a node beside it is reminded with each of its announcements, but one of another data centre only as its announcement is fetched, once. That datagram may be lost; here the restarted node did not know its sender yet and dropped it. Ruled out by the state printed at the end of a failed run: the peer's memory (it held the process), older announcements, an exception in the receiver.

--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -331,7 +331,12 @@
     def _handle_digest(self, digest, sender):
         if self.table.is_known_host(sender[0]):
             self._crashes.compare(digest.crash_digest, sender[0])
-        return self._remotes.handle_digest(digest, sender)
+        answer = self._remotes.handle_digest(digest, sender)
+        for state in digest.members:
+            peer = self.table.find_by_boot(state.boot)
+            if peer is not None:
+                self._remind_of_departure(peer)
+        return answer
 
     def _handle_delta(self, delta, sender):
         peer = self.table.find_by_boot(delta.boot)
--- a/persimmonlane/peers/tests/test_departures.py
+++ b/persimmonlane/peers/tests/test_departures.py
@@ -4,10 +4,11 @@
 from ...clocks import ManualClock
 from ...quarantine.ledger import CrashLedger
 from ...upkeep.generations import GenerationTracker
+from ..deltas import build_load
 from ..departures import MAX_SERVERS, DepartedServers
 from ..gossip import Gossip
 from ..messages import DepartureNotice, decoder, encoder
-from ..statuses import Announcement, ServerStatus
+from ..statuses import Announcement, Digest, MemberState, ServerStatus
 from .simulation import PORT, Document, Settings
 from .test_gossip import FakeTransport, deliver
 
@@ -66,13 +67,18 @@
     def handle_departure(self, server_id, born):
         self.departures.append((server_id, born))
 
-    def hear(self, boot, server, crash_digest=0):
+    def hear(self, boot, server, crash_digest=0, data_centre="10.0.1"):
         announcement = Announcement(
-            "vm-10.0.1.2", boot, 1, "10.0.1.2:80", "10.0.1", False, 7, -1.0, 0, 0,
+            "vm-10.0.1.2", boot, 1, "10.0.1.2:80", data_centre, False, 7, -1.0, 0, 0,
             server, True, True, crash_digest=crash_digest,
         )  # fmt: skip
         deliver(self.gossip, announcement, PEER)
 
+    def hear_digest(self, boot, sequence, server):
+        state = MemberState(boot, 0, sequence, 0, False, build_load(server))
+        digest = Digest(boot, sequence, 7, -1, 0, 0, [state], crash_digest=0)
+        deliver(self.gossip, digest, PEER)
+
     def list_notices(self):
         return [
             (address, message)
@@ -85,6 +91,15 @@
         self.hear(2, build_server())
         self.assertEqual([(PEER, DepartureNotice("i-1", 5))], self.list_notices())
 
+    def test_node_of_another_data_centre_is_told_again_with_each_digest(self):
+        # The only reminder was lost, or came before the node knew its sender.
+        self.hear(1, build_server(leaving=True), data_centre="10.0.9")
+        self.hear(2, build_server(), data_centre="10.0.9")
+        self.transport.sent.clear()
+        for sequence in (2, 3):
+            self.hear_digest(2, sequence, build_server())
+        self.assertEqual(2 * [(PEER, DepartureNotice("i-1", 5))], self.list_notices())
+
     def test_node_with_another_process_is_not_told(self):
         self.hear(1, build_server(leaving=True))
         self.hear(2, build_server(born=9))
