Have other nodes remember a departure while the store can't be told of it

A departure was acknowledged by 2xx only if the store had taken it, so that while the store is away, slow or turns the node away no backend server's leaving was acknowledged. Now a node asks up to four nodes of its data centre and four of the others (DepartureReport), and acknowledges once two have answered, one of them in another data centre where one lives. The loss of any one VM, or of the node's data centre, is outlived then, and the entry is written as soon as the store serves again.

Older nodes are not asked (keeps_departures in the announcement). A process that is held back is announced as not ready, so that nodes which know of its departure say so before it is used.

--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -146,9 +146,9 @@
             arguments: Its arguments.
         """
         with self._lock:
-            before = self.hosted.current
+            before, held_before = self.hosted.current, self.hosted.newcomers.held
             changed = change(*arguments)
-            current = self.hosted.current
+            current, held = self.hosted.current, self.hosted.newcomers.held
             is_new = changed and (before is None or before.born != current.born)
             if is_new:
                 self.detector.reset()
@@ -156,6 +156,9 @@
                 self._misdirected_id = None
             self._update_slots()
         if not changed:
+            if held is not None and held_before is None:
+                log.info("Owner: %s waits for what is known of it.", held.server_id)
+                self.on_change()
             return
         log.info("Owner: %s is %s.", current.server_id, self._describe_state())
         if is_new and before is not None:
@@ -173,13 +176,14 @@
             born: Unix milliseconds of its start, or None if not given.
         """
         with self._lock:
+            known = self.hosted.departures.list()
             is_believed = self.hosted.may_depart(server_id, born)
             changed = self.hosted.apply_departure(server_id, born)
             self._update_slots()
         if changed:
             log.info("Owner: %s has departed.", server_id)
             self.on_change()
-        elif not self.hosted.is_leaving():
+        elif known != self.hosted.departures.list():
             log.info(
                 "Owner: %s, born %s, says that it leaves; in use is %s.",
                 server_id,
--- a/persimmonlane/owner/status.py
+++ b/persimmonlane/owner/status.py
@@ -45,7 +45,8 @@
         Args:
             is_leaving: Whether the node takes no more requests for it.
         """
-        current = self._hosted.current
+        # Of a process that is held back the other nodes may know that it has departed.
+        current = self._hosted.current or self._hosted.newcomers.held
         if current is None:
             return None
         queue, detector = self._admission_queue, self._detector
--- a/persimmonlane/peers/announcing.py
+++ b/persimmonlane/peers/announcing.py
@@ -107,6 +107,7 @@
             stamp.generation,
             store_generation,
             crash_digest,
+            True,
         )
         self._delta = build_delta(self._full)
 
--- a/persimmonlane/peers/commands.py
+++ b/persimmonlane/peers/commands.py
@@ -3,6 +3,9 @@
 from .messages import RateResponse
 from .peer import MEMBER_TIMEOUT_S
 
+# Other nodes that have to remember a departure.
+MIN_RECEIPTS = 2
+
 
 class PeerStarted:
     """The first announcement from a process of a `Peer` was received."""
@@ -233,6 +236,51 @@
         self.is_forwarded = is_forwarded
 
 
+class DepartureCheck:
+    """Asks other nodes to remember departures of backend servers.
+
+    Attributes:
+        departures: The `Departure`s, which name their processes.
+        reply: Future for whether enough nodes remember them.
+    """
+
+    __slots__ = ("departures", "reply")
+
+    def __init__(self, departures, reply):
+        self.departures = departures
+        self.reply = reply
+
+
+class PendingDepartureReport:
+    """A `DepartureReport` that waits for receipts.
+
+    Attributes:
+        near: Hosts in this data centre that were asked.
+        far: Hosts in other data centres that were asked.
+        receipts: Hosts that have answered.
+        reply: Future for whether enough nodes remember the departures.
+    """
+
+    __slots__ = ("near", "far", "receipts", "reply")
+
+    def __init__(self, near, far, reply):
+        self.near = near
+        self.far = far
+        self.receipts = set()
+        self.reply = reply
+
+    def has_enough(self):
+        """Return whether the departures outlive the loss of one more node.
+
+        Where there are other data centres, they outlive the loss of this one, too.
+        """
+        asked = self.near | self.far
+        enough = min(MIN_RECEIPTS, len(asked))
+        return len(self.receipts) >= enough and (
+            not self.far or bool(self.receipts & self.far)
+        )
+
+
 class RetryCheck:
     """Asks for a retry token of a service, or only reports the requests to it.
 
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -76,6 +76,7 @@
         delta.document_generation,
         delta.store_generation,
         delta.crash_digest,
+        known.keeps_departures,
     )
 
 
--- a/persimmonlane/peers/digests.py
+++ b/persimmonlane/peers/digests.py
@@ -73,6 +73,7 @@
         known.document_generation,
         known.store_generation,
         known.crash_digest,
+        known.keeps_departures,
     )
 
 
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -15,6 +15,7 @@
     CancellationCommand,
     CapacityCheck,
     CrashesLearned,
+    DepartureCheck,
     DigestReceived,
     FreshnessConfirmed,
     LocalRateCheck,
@@ -26,6 +27,7 @@
 )
 from .crashes import CrashSpread, accepts_reports
 from .deltas import apply_delta
+from .departures import DepartureSpread
 from .messages import (
     CancellationRequest,
     CancellationResponse,
@@ -34,6 +36,8 @@
     CrashQuery,
     CrashReport,
     DepartureNotice,
+    DepartureReceipt,
+    DepartureReport,
     LoanRequest,
     LoanResponse,
     RateRequest,
@@ -83,6 +87,7 @@
         CapacityCheck: "check_capacity",
         CancellationCommand: "request_cancellation",
         CrashesLearned: "publish_crashes",
+        DepartureCheck: "report_departures",
         Tick: "announce",
     }
 
@@ -141,12 +146,17 @@
         self._crashes = CrashSpread(
             settings, clock, self.table, self._boot, ledger, transport
         )
+        self._departures = DepartureSpread(
+            settings, self.table, self._pending, transport, rng
+        )
         self._datagram_handlers = {
             Announcement: self._handle_announcement,
             Delta: self._handle_delta,
             Digest: self._handle_digest,
             CrashReport: self._crashes.handle_report,
             DepartureNotice: self._handle_departure_notice,
+            DepartureReport: self._departures.handle_report,
+            DepartureReceipt: self._departures.handle_receipt,
             MemberResponse: self._handle_member_response,
             RateRequest: self._rates.answer_request,
             RetryRequest: self._retries.answer_request,
@@ -254,6 +264,10 @@
         """Tell other nodes of crashes that this one has learned of."""
         self._crashes.publish(message)
 
+    def report_departures(self, command):
+        """Ask other nodes to remember departures of backend servers."""
+        self._departures.report(command)
+
     def check_local_rate(self, command):
         """Check a request against this node's share of the rate."""
         command.reply.set(self._rates.decide_from_share(command.organisation))
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -20,6 +20,7 @@
 
 # Longer lists are refused, so that no datagram can keep the receiver busy.
 MAX_CRASH_ENTRIES = 64
+MAX_DEPARTED_PROCESSES = 16
 
 
 class CrashEntry(msgspec.Struct, array_like=True):
@@ -71,6 +72,42 @@
     born: Annotated[int, msgspec.Meta(ge=1)]
 
 
+class DepartedProcess(msgspec.Struct, array_like=True, frozen=True):
+    """A process of a backend server that has said that it leaves.
+
+    Attributes:
+        server_id: Identifier of the backend server.
+        born: Unix milliseconds of the start of its process.
+    """
+
+    server_id: str
+    born: Annotated[int, msgspec.Meta(ge=1)]
+
+
+class DepartureReport(msgspec.Struct, array_like=True, tag="y"):
+    """Asks a node to remember departures which the store does not hold yet.
+
+    Attributes:
+        correlation_id: Number that matches the receipt to this message.
+        processes: The `DepartedProcess`es.
+    """
+
+    correlation_id: int
+    processes: Annotated[
+        list[DepartedProcess], msgspec.Meta(max_length=MAX_DEPARTED_PROCESSES)
+    ]
+
+
+class DepartureReceipt(msgspec.Struct, array_like=True, tag="z"):
+    """Says that the sender remembers the departures of a `DepartureReport`.
+
+    Attributes:
+        correlation_id: Number from the `DepartureReport`.
+    """
+
+    correlation_id: int
+
+
 class RateRequest(msgspec.Struct, array_like=True, tag="q"):
     """Asks the holder of an organisation's rate whether to admit a request.
 
@@ -234,6 +271,8 @@
     | CrashReport
     | CrashQuery
     | DepartureNotice
+    | DepartureReport
+    | DepartureReceipt
     | MemberQuery
     | MemberResponse
     | RateRequest
--- a/persimmonlane/peers/statuses.py
+++ b/persimmonlane/peers/statuses.py
@@ -96,6 +96,7 @@
         store_generation: Latest generation of the store that the node has seen.
         crash_digest: Number that is the same on nodes which know of the same crashes;
             None from releases that don't know of any.
+        keeps_departures: Whether the node answers a `DepartureReport`.
     """
 
     node: str
@@ -115,6 +116,7 @@
     document_generation: Count = 0
     store_generation: Count = 0
     crash_digest: Count | None = None
+    keeps_departures: bool = False
 
     @property
     def stamp(self):
--- a/persimmonlane/peers/tests/test_departures.py
+++ b/persimmonlane/peers/tests/test_departures.py
@@ -1,15 +1,24 @@
 import msgspec
+import pykka
 import testtools
 
 from ...clocks import ManualClock
+from ...owner.departures import Departure
 from ...quarantine.ledger import CrashLedger
 from ...upkeep.generations import GenerationTracker
+from ..commands import DepartureCheck
 from ..deltas import build_load
 from ..departures import MAX_SERVERS, DepartedServers
 from ..gossip import Gossip
-from ..messages import DepartureNotice, decoder, encoder
+from ..messages import (
+    DepartedProcess,
+    DepartureNotice,
+    DepartureReport,
+    decoder,
+    encoder,
+)
 from ..statuses import Announcement, Digest, MemberState, ServerStatus
-from .simulation import PORT, Document, Settings
+from .simulation import PORT, Document, Fleet, Settings
 from .test_gossip import FakeTransport, deliver
 
 PEER = ("10.0.1.2", PORT)
@@ -121,3 +130,78 @@
         for fields in (("i-1", 0), ("i-1", -1), (5, 5), ("i-1", "x"), ("i-1", None)):
             raw = encoder.encode(["f", *fields])
             self.assertRaises(msgspec.ValidationError, decoder.decode, raw)
+
+
+class DepartureSpreadTests(testtools.TestCase):
+    """Nodes remember a departure that the store could not be told of."""
+
+    def start(self, sizes=(3, 3, 3), legacy=()):
+        self.fleet = Fleet(sizes, legacy=legacy)
+        self.fleet.run(8.0)
+        self.owner = self.fleet.nodes["10.0.1.1"]
+
+    def report(self):
+        """Report a departure; return whether enough nodes keep it."""
+        reply = pykka.ThreadingFuture()
+        departure = Departure("i-1", 5, 500)
+        self.owner.gossip.report_departures(DepartureCheck([departure], reply))
+        for _ in range(2):
+            self.fleet.network.deliver()
+        try:
+            return reply.get(timeout=0)
+        except pykka.Timeout:
+            return False
+
+    def list_keepers(self):
+        return [
+            node
+            for node in self.fleet.nodes.values()
+            if node.table.departed.has(build_server())
+        ]
+
+    def test_departure_outlives_any_two_nodes_and_the_data_centre(self):
+        self.start()
+        self.assertTrue(self.report())
+        keepers = self.list_keepers()
+        self.assertGreater(len(keepers), 2)
+        self.assertGreater(len({node.data_centre for node in keepers}), 1)
+
+    def test_departure_that_only_one_data_centre_keeps_is_not_kept(self):
+        self.start()
+        self.fleet.network.cuts.update({("10.0.1", "10.0.2"), ("10.0.1", "10.0.3")})
+        self.assertFalse(self.report())
+
+    def test_departure_whose_receipts_are_lost_is_not_kept(self):
+        self.start()
+        self.fleet.network.loss = 1.0
+        self.assertFalse(self.report())
+
+    def test_one_other_node_is_enough_where_there_is_no_more(self):
+        self.start((2,))
+        self.assertTrue(self.report())
+
+    def test_node_alone_keeps_nothing(self):
+        self.start((1,))
+        self.assertFalse(self.report())
+
+    def test_older_release_is_not_asked(self):
+        self.start((2,), legacy=("10.0.1.2",))
+        self.assertFalse(self.report())
+        self.assertEqual([], self.list_keepers())
+
+    def test_report_of_an_unknown_host_is_not_taken(self):
+        self.start((1,))
+        report = DepartureReport(1, [DepartedProcess("i-1", 5)])
+        deliver(self.owner.gossip, report, ("10.9.9.9", PORT))
+        self.assertEqual([], self.list_keepers())
+
+    def test_malformed_report_is_invalid(self):
+        for fields in (
+            (1, [["i-1", 0]]),
+            (1, [["i-1", "x"]]),
+            (1, [["i-1"]]),
+            (1, 5),
+            (1, 17 * [["i-1", 5]]),
+        ):
+            raw = encoder.encode(["y", *fields])
+            self.assertRaises(msgspec.ValidationError, decoder.decode, raw)
--- a/persimmonlane/upkeep/registration.py
+++ b/persimmonlane/upkeep/registration.py
@@ -139,12 +139,14 @@
 
     def keeps_departures(self):
         """Return whether the store holds all departures, as far as is known."""
+        return self._kept is not None and not self.list_unkept_departures()
+
+    def list_unkept_departures(self):
+        """Return the `Departure`s that the store does not hold, as far as is known."""
         kept = self._kept
-        return (
-            kept is not None
-            and kept.generation == self._generations.current
-            and set(self._departures.list()) <= set(kept.departures)
-        )
+        if kept is None or kept.generation != self._generations.current:
+            return list(self._departures.list())
+        return [item for item in self._departures.list() if item not in kept.departures]
 
     def keep_departures(self, now, timeout_s):
         """Write the departures to the store; return whether it holds all of them.
--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -149,6 +149,10 @@
             log.warning("Upkeep: a departure was not written: %s.", error)
             return False
 
+    def list_unkept_departures(self):
+        """Return the `Departure`s that the store does not hold, as far as is known."""
+        return self.registration.list_unkept_departures()
+
     def _run_tasks(self, now):
         for _ in range(len(self._tasks)):
             self._tasks.rotate(-1)
