Ask a backend server how it is before its first heartbeat counts

What was acknowledged with the word of other nodes alone, as the store was away, was forgotten if all nodes ended before the store could be told: a late heartbeat brought the backend server back.

The same check lets a successor in whose clock has gone back behind the moment of a departure that named no process: it needs to be well and to go on.

test_departure_acknowledged_without_the_store_outlives_all_nodes and the one of draining failed before.

--- a/persimmonlane/owner/backend.py
+++ b/persimmonlane/owner/backend.py
@@ -16,6 +16,8 @@
 # Heartbeats may be several seconds late. A crashed server is noticed sooner, because it
 # refuses connections.
 LOST_AFTER_HEARTBEATS = 6.0
+# The time of day may jump by seconds.
+MAX_CLOCK_STEP_S = 10.0
 # No heartbeat is as late as this.
 MAX_DEPARTURE_AGE_S = 3600.0
 
@@ -87,6 +89,7 @@
         "_service",
         "_clock",
         "_wall_clock",
+        "_unseen_until_ms",
         "_heartbeat_timeout_s",
         "_has_departed",
         "_crashed",
@@ -107,11 +110,13 @@
         self.received_at = None
         self.cold_until = 0.0
         self.departures = Departures()
-        self.newcomers = Newcomers(clock)
+        self.newcomers = Newcomers(heartbeat_s, clock)
         self._address = address
         self._service = service
         self._clock = clock
         self._wall_clock = wall_clock
+        # Processes that start later say all that they say to this process.
+        self._unseen_until_ms = (wall_clock.now() + MAX_CLOCK_STEP_S) * MS_PER_S
         self._heartbeat_timeout_s = heartbeat_s * LOST_AFTER_HEARTBEATS
         self._has_departed = False
         self._crashed = None
@@ -127,8 +132,9 @@
             return False
         if heartbeat.state is ServerState.DRAINING:
             self._add_departure(heartbeat.server_id, heartbeat.born)
-        elif not self.is_incarnation(heartbeat):
-            self.newcomers.hold(heartbeat)
+        elif self._may_have_departed(heartbeat):
+            is_doubted = self.departures.find(heartbeat) is not None
+            self.newcomers.hold(heartbeat, is_doubted)
             return self.use_newcomer()
         return self._use(heartbeat)
 
@@ -234,10 +240,8 @@
 
     def ended_without_notice(self, heartbeat):
         """Return whether a process, by its last `Heartbeat`, has not said it leaves."""
-        return (
-            heartbeat.state is ServerState.READY
-            and self.departures.find(heartbeat) is None
-        )
+        is_ready = heartbeat.state is ServerState.READY
+        return is_ready and not self.departures.names(heartbeat)
 
     def note_crash(self, heartbeat):
         """Note that the process of a `Heartbeat` has ended, until it is heard of."""
@@ -259,11 +263,19 @@
                 heartbeat.server_id,
             )
             return False
-        if self.departures.find(heartbeat) is not None:
+        if self.departures.names(heartbeat):
             return False
         departed_born = self.departures.find_last_born()
         return self._order.supersedes(self.current, heartbeat, departed_born)
 
+    def _may_have_departed(self, heartbeat):
+        """Return whether what this process knows is not enough to use a process."""
+        if self.is_incarnation(heartbeat):
+            return False
+        if self.departures.find(heartbeat) is not None:
+            return True
+        return heartbeat.born <= self._unseen_until_ms
+
     def _add_departure(self, server_id, born):
         heard_ms = round(self._wall_clock.now() * MS_PER_S)
         self.departures.add(Departure(server_id, born, heard_ms))
@@ -271,5 +283,5 @@
 
     def _drop_departed_newcomer(self):
         held = self.newcomers.held
-        if held is not None and self.departures.find(held) is not None:
+        if held is not None and self.departures.names(held):
             self.newcomers.drop()
--- a/persimmonlane/owner/departures.py
+++ b/persimmonlane/owner/departures.py
@@ -82,6 +82,11 @@
         found = [item for item in self._departures if item.binds(heartbeat)]
         return max(found, key=lambda item: item.is_exact, default=None)
 
+    def names(self, heartbeat):
+        """Return whether a departure names the process that sent a `Heartbeat`."""
+        found = self.find(heartbeat)
+        return found is not None and found.is_exact
+
     def find_last_born(self):
         """Return the start of the newest process that is known to depart, or None."""
         born = [item.born for item in self._departures if item.is_exact]
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -24,7 +24,9 @@
 from .evidence import HealthEvidence
 from .health import FailureDetector, estimate_prior
 from .latency import LatencyModels
+from .newcomers import Condition, ServerStatement
 from .status import OwnerStatus
+from .statuscheck import StatusCheck
 
 log = logging.getLogger("persimmonlane.owner")
 
@@ -45,9 +47,13 @@
         crashes: The `CrashObserver`.
         status: The `OwnerStatus`.
         on_change: Callable that is called after the server's status has changed.
+        find_status_path: Callable that returns the path of the server's status check;
+            empty if it has none, None if that is not known yet.
     """
 
     __slots__ = (
+        "find_status_path",
+        "_status_check",
         "hosted",
         "detector",
         "admission_queue",
@@ -76,6 +82,8 @@
         self.detector = FailureDetector(clock, self._may_eject)
         self.admission_queue = AdmissionQueue(clock)
         self.on_change = lambda: None
+        self.find_status_path = lambda: None
+        self._status_check = StatusCheck(settings, clock, pool)
         self._clock = clock
         self._client = ServerClient(settings, clock, pool)
         self._ledger = ledger
@@ -125,6 +133,7 @@
             Whether it was believed, if it says that the server leaves.
         """
         self._change_server(self.hosted.apply_heartbeat, heartbeat)
+        self._check_newcomer()
         is_leaving = heartbeat.state is ServerState.DRAINING
         return not is_leaving or self.hosted.departures.find(heartbeat) is not None
 
@@ -138,6 +147,30 @@
         self._change_server(self.hosted.learn_departures, departures)
         self._change_server(self.hosted.use_newcomer)
 
+    def _check_newcomer(self):
+        """Ask a process that is held back for its status, if it is time to."""
+        path = self.find_status_path()
+        if path is None:
+            return
+        with self._lock:
+            heartbeat = self.hosted.newcomers.begin_check()
+        if heartbeat is None:
+            return
+        if not path:
+            absent = ServerStatement("", Condition.ABSENT)
+            self._note_statement(heartbeat, absent)
+            return
+        self._status_check.begin(
+            path, lambda statement: self._note_statement(heartbeat, statement)
+        )
+
+    def _note_statement(self, heartbeat, statement):
+        with self._lock:
+            self.hosted.newcomers.note_statement(heartbeat, statement)
+        if statement.condition is Condition.ILL:
+            log.info("Owner: %s says that it leaves or fails.", heartbeat.server_id)
+        self._change_server(self.hosted.use_newcomer)
+
     def _change_server(self, change, *arguments):
         """Change what is known of the backend server.
 
@@ -200,6 +233,7 @@
     def tick(self):
         """Update the health state, and close admission when heartbeats are overdue."""
         self._update_prior()
+        self._check_newcomer()
         self._change_server(self.hosted.use_newcomer)
         with self._lock:
             slots = self.admission_queue.slots
--- a/persimmonlane/owner/tests/test_backend.py
+++ b/persimmonlane/owner/tests/test_backend.py
@@ -1,11 +1,11 @@
 import testtools
 
 from ...clocks import ManualClock
-from ..backend import Heartbeat, HostedServer, ServerState
+from ..backend import Heartbeat, ServerState
+from .hosting import WALL_S, build_hosted
 
 HEARTBEAT_S = 1.5
-# Unix time, and start times in milliseconds.
-WALL_S = 1e9
+# Start times in Unix milliseconds.
 BORN_MS = 10**12 - 5000
 YEAR_MS = 365 * 24 * 3600 * 1000
 
@@ -32,10 +32,7 @@
 
     def start(self):
         self.clock = ManualClock(50.0)
-        self.hosted = HostedServer(
-            "10.0.0.1:80", "prices", HEARTBEAT_S, self.clock, ManualClock(WALL_S)
-        )
-        self.hosted.newcomers.note_departures_read()
+        self.hosted = build_hosted(self.clock, heartbeat_s=HEARTBEAT_S)
 
     def send(self, count, **changes):
         """Send heartbeats at their interval; return whether the server was ready."""
--- a/persimmonlane/owner/tests/test_crashes.py
+++ b/persimmonlane/owner/tests/test_crashes.py
@@ -5,8 +5,9 @@
 from ...clocks import ManualClock
 from ...explaining.tests.test_events import capture_records
 from ...quarantine.ledger import CrashLedger, Standing
-from ..backend import Heartbeat, HostedServer, ServerState
+from ..backend import Heartbeat, ServerState
 from ..crashes import BREAK_MEMORY_S, PROBE_INTERVAL_S, CrashObserver
+from .hosting import build_hosted
 from .test_owner import build_order
 
 ADDRESS = "10.0.0.1:80"
@@ -16,10 +17,7 @@
     def setUp(self):
         super().setUp()
         self.clock = ManualClock(100.0)
-        self.hosted = HostedServer(
-            ADDRESS, "prices", 60.0, self.clock, ManualClock(1e9)
-        )
-        self.hosted.newcomers.note_departures_read()
+        self.hosted = build_hosted(self.clock, ADDRESS)
         self.ledger = CrashLedger(self.clock)
         self.listens = True
         self.probes = 0
--- a/persimmonlane/owner/tests/test_owner.py
+++ b/persimmonlane/owner/tests/test_owner.py
@@ -5,9 +5,10 @@
 from ...quarantine.ledger import CrashLedger
 from ...routing.metadata import Order
 from ...verdicts import Verdict
-from ..backend import Heartbeat, HostedServer, ServerState
+from ..backend import Heartbeat, ServerState
 from ..health import FailureRisk, HealthState
 from ..owner import Owner
+from .hosting import build_hosted
 
 SLOTS = 2
 
@@ -36,10 +37,7 @@
     def setUp(self):
         super().setUp()
         self.clock = ManualClock(50.0)
-        hosted = HostedServer(
-            "10.0.0.1:80", "prices", 60.0, self.clock, ManualClock(1e9)
-        )
-        hosted.newcomers.note_departures_read()
+        hosted = build_hosted(self.clock)
         self.ledger = CrashLedger(self.clock)
         self.owner = Owner(None, hosted, self.clock, None, self.ledger)
         self.send_heartbeat("i-1")
--- a/persimmonlane/platform/documents.py
+++ b/persimmonlane/platform/documents.py
@@ -29,6 +29,7 @@
 DEFAULT_TIMEOUT_S = 30.0
 # Values of `Resource.kind`; resources of other kinds are ignored.
 ROUTES = "Routes"
+SERVICES = "Services"
 ORGANISATIONS = "Tenants"
 LIMITS = "Limits"
 DOCUMENT_INVALID = "document-invalid"
@@ -64,6 +65,13 @@
     allow_anonymous: bool = False
 
 
+class ServiceSpec(msgspec.Struct):
+    """The `spec` of a service."""
+
+    # Path of the status check.
+    status_path: str = msgspec.field(name="HealthPath", default="")
+
+
 class OrganisationSpec(msgspec.Struct, rename="pascal"):
     """The `spec` of an organisation."""
 
@@ -135,6 +143,7 @@
         InputError: If the `spec` of a resource is invalid.
     """
     routes, organisations, names_by_api_key = [], {}, {}
+    status_paths = {}
     limits = LimitsSpec()
     for resource in document.resources:
         name = resource.metadata.name
@@ -144,6 +153,8 @@
             spec = decode_spec(resource, OrganisationSpec)
             organisations[name] = build_organisation(name, spec)
             names_by_api_key.update(dict.fromkeys(spec.api_keys, name))
+        elif resource.kind == SERVICES:
+            status_paths[name] = decode_spec(resource, ServiceSpec).status_path
         elif resource.kind == LIMITS:
             limits = decode_spec(resource, LimitsSpec)
     return Rulebook(
@@ -158,6 +169,7 @@
             limits.idle_timeout_s,
         ),
         raw,
+        status_paths,
     )
 
 
--- a/persimmonlane/platform/headers.py
+++ b/persimmonlane/platform/headers.py
@@ -6,6 +6,7 @@
 import re
 
 from ..headers import Header, find_first, find_values
+from ..owner.newcomers import Condition, ServerStatement
 from ..routing.metadata import AnswerMetadata, CallerMetadata
 
 REQUEST_ID = "X-Request-Id"
@@ -19,6 +20,8 @@
 CALLER_SERVICE = "X-Caller-Service"
 # Identifier of the only backend server that may run the request.
 TARGET_INSTANCE = "X-Target-Instance"
+# Identifier of the backend server that answers a status check.
+INSTANCE = "X-Instance-Id"
 # Set by a backend server that answers without having run the request.
 NOT_EXECUTED = "X-Not-Executed"
 # Requests per second that a backend server takes from all nodes together.
@@ -33,6 +36,9 @@
     name.lower()
     for name in (TIMEOUT, CREDENTIAL, ORGANISATION, CALLER_SERVICE, TARGET_INSTANCE)
 )
+HTTP_OK = 200
+# A backend server that fails or leaves answers its status check so.
+HTTP_UNAVAILABLE = 503
 MS_PER_S = 1000.0
 MAX_TIMEOUT_DIGITS = 9
 LIMIT_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}", re.ASCII)
@@ -91,6 +97,23 @@
     )
 
 
+def parse_status_answer(status, headers):
+    """Return the `ServerStatement` in the answer to a status check.
+
+    Args:
+        status: HTTP status.
+        headers: List of `Header`s.
+    """
+    server_id = find_first(headers, INSTANCE)
+    if find_first(headers, NOT_EXECUTED) or not server_id:
+        return ServerStatement("", Condition.UNKNOWN)
+    if status == HTTP_OK:
+        return ServerStatement(server_id, Condition.WELL)
+    if status == HTTP_UNAVAILABLE:
+        return ServerStatement(server_id, Condition.ILL)
+    return ServerStatement(server_id, Condition.UNKNOWN)
+
+
 def parse_limit(text):
     """Return a limit header's value in requests per second, or None if malformed."""
     text = text.strip()
--- a/persimmonlane/routing/rulebook.py
+++ b/persimmonlane/routing/rulebook.py
@@ -114,6 +114,7 @@
         organisations: The `Organisation`s by name.
         limits: The `CallerLimits`.
         raw: The encoded document in bytes, as nodes pass it on.
+        status_paths: Paths of the services' status checks, by service.
     """
 
     __slots__ = (
@@ -121,15 +122,19 @@
         "organisations",
         "limits",
         "raw",
+        "status_paths",
         "_routes_by_host",
         "_organisations_by_key",
     )
 
-    def __init__(self, version, routes, organisations, keys, limits, raw=b""):
+    def __init__(
+        self, version, routes, organisations, keys, limits, raw=b"", status_paths=None
+    ):
         self.version = version
         self.organisations = organisations
         self.limits = limits
         self.raw = raw
+        self.status_paths = status_paths or {}
         self._organisations_by_key = keys
         self._routes_by_host = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
--- a/persimmonlane/serving/tests/test_recovered_servers.py
+++ b/persimmonlane/serving/tests/test_recovered_servers.py
@@ -7,10 +7,11 @@
 from ...clocks import ManualClock
 from ...errors import Refusal
 from ...outcomes import OutcomeKind
-from ...owner.backend import Heartbeat, HostedServer, ServerState
+from ...owner.backend import Heartbeat, ServerState
 from ...owner.fleethealth import MAX_UNHEALTHY_FRACTION
 from ...owner.health import FailureRisk, HealthState
 from ...owner.owner import Owner
+from ...owner.tests.hosting import build_hosted
 from ...owner.tests.test_owner import build_order
 from ...peers.statuses import Announcement
 from ...peers.table import PeerTable
@@ -63,8 +64,7 @@
         self._hangs = hangs
         self._running = []
         address = f"10.0.0.{number + 2}:80"
-        hosted = HostedServer(address, "prices", 60.0, clock, ManualClock(1e9))
-        hosted.newcomers.note_departures_read()
+        hosted = build_hosted(clock, address)
         self.owner = Owner(None, hosted, clock, None, CrashLedger(clock))
         self.owner.watch_fleet(fleet)
         self.id = f"i-{number}"
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -177,6 +177,7 @@
         self._keeper = DepartureKeeper(self._upkeep, self._gossip)
         self._announcer = Announcer(self._gossip, random.random)
         self.owner.on_change = self._announcer.wake
+        self.owner.find_status_path = self._find_status_path
         self.owner.crashes.on_crash = self._publish_crashes
         self.documents.add_listener(self._apply_rulebook)
         generations.add_listener(lambda event: self._announcer.wake())
@@ -322,6 +323,12 @@
         generation = parse_generation(answer.headers.get(GENERATION_HEADER))
         self.documents.apply(answer.data, address, generation)
 
+    def _find_status_path(self):
+        rulebook = self.documents.rulebook
+        if rulebook is None:
+            return None
+        return rulebook.status_paths.get(self._settings.service, "")
+
     def _publish_crashes(self, entries):
         self._gossip.tell(CrashesLearned(entries))
 
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -16,6 +16,7 @@
 SLOTS = 4
 HANG_S = 30.0
 HEARTBEAT_TIMEOUT_S = 1.0
+STATUS_PATH = "/healthz"
 
 
 class BackendGateway(cheroot.server.Gateway):
@@ -26,7 +27,22 @@
         self.standin = standin
 
     def respond(self):
-        """Record one request and send the scripted response."""
+        """Answer a status check, or record a request and send the scripted response."""
+        if self.req.uri == STATUS_PATH.encode():
+            self._answer_status_check()
+        else:
+            self._run()
+
+    def _answer_status_check(self):
+        standin = self.standin
+        self.req.status = b"503 Status" if standin.is_leaving else b"200 Status"
+        self.req.outheaders = [
+            (b"X-Instance-Id", standin.server_id.encode()),
+            (b"Content-Length", b"0"),
+        ]
+        self.req.ensure_headers_sent()
+
+    def _run(self):
         req = self.req
         request_headers = {
             k.decode().lower(): v.decode() for k, v in req.inheaders.items()
@@ -193,6 +209,8 @@
             connection.
         connections: Sockets on which requests were received.
         has_crashed: Whether its process has ended without notice.
+        is_leaving: Whether its process has said that it leaves.
+        server_id: Its identifier.
     """
 
     def __init__(self, address, service, server_id, born):
@@ -204,11 +222,12 @@
         self.closed_floods = []
         self.connections = set()
         self.has_crashed = False
+        self.is_leaving = False
+        self.server_id = server_id
         self.slots = SLOTS
         self.released = threading.Event()
         self._address = address
         self._service = service
-        self._id = server_id
         self._born = born
         self._sequence = 0
         self._server = cheroot.server.HTTPServer(
@@ -246,6 +265,7 @@
             state: `ready` or `draining`.
         """
         self._sequence += 1
+        self.is_leaving = self.is_leaving or state == "draining"
         body = {
             "Address": self._address,
             "Info": {"Service": self._service, "Slots": self.slots},
@@ -261,13 +281,14 @@
             control: Address to which the node's heartbeats are sent.
             names_process: Whether the call says when the process started.
         """
+        self.is_leaving = True
         body = {"born": self._born} if names_process else None
         return self._call("DELETE", control, body)
 
     def _call(self, method, control, body):
         response = urllib3.request(
             method,
-            f"http://{control}/persimmonlane/instances/{self._id}",
+            f"http://{control}/persimmonlane/instances/{self.server_id}",
             body=None if body is None else msgspec.json.encode(body),
             retries=False,
             timeout=HEARTBEAT_TIMEOUT_S,
--- a/persimmonlane/tests/test_departures.py
+++ b/persimmonlane/tests/test_departures.py
@@ -137,6 +137,27 @@
         self.assertEqual(200, self.server.send_departure(self.control, False))
         self.check_not_used()
 
+    def test_departure_acknowledged_without_the_store_outlives_all_nodes(self):
+        self.check_not_used_without_the_store(
+            lambda: self.server.send_departure(self.control, False)
+        )
+
+    def test_draining_acknowledged_without_the_store_outlives_all_nodes(self):
+        self.check_not_used_without_the_store(
+            lambda: self.server.send_heartbeat(self.control, "draining")
+        )
+
+    def check_not_used_without_the_store(self, tell):
+        state = self.site.store.state
+        state.error_status = 503
+        self.assertEqual(200, tell())
+        for node, _ in self.site.nodes.values():
+            node.stop()
+        # What the store was not told, it will never know.
+        state.expire_leases()
+        state.error_status = 0
+        self.check_not_used()
+
     def test_successor_under_the_same_identifier_is_used(self):
         self.assertEqual(200, self.server.send_departure(self.control))
         self.restart_all_nodes()
--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -13,7 +13,7 @@
 from ..fleetsettings import FleetSettings
 from ..platform.documents import DOCUMENT_KEY
 from ..sitenode import SiteNode
-from ..standins.backend import BackendStandin, Script
+from ..standins.backend import STATUS_PATH, BackendStandin, Script
 from ..standins.store import StoreStandin
 
 PATIENCE_S = 30.0
@@ -65,10 +65,16 @@
         }
         return {"Type": "Routes", "Metadata": {"Name": name}, "Spec": spec}
 
+    def service(name):
+        spec = {"HealthPath": STATUS_PATH}
+        return {"Type": "Services", "Metadata": {"Name": name}, "Spec": spec}
+
     tenant = {"ApiKeys": list(keys), "RatePerS": 1000, "Burst": 1000}
     rows = [
         route("r-far", "/far/", "far", "unsafe", 2),
         route("r-near", "/near/", "near", "safe", 2),
+        service("far"),
+        service("near"),
         {"Type": "Tenants", "Metadata": {"Name": "census"}, "Spec": tenant},
     ]
     return json.dumps({"Version": f"{version:08x}", "Resources": rows}).encode()
