Read regions, evacuations, cold starts and limits of the VM from settings and document

Cause: routes and organisations may name the regions that may serve them, services how their servers start, and settings name regions, memory, descriptors and link of the VM. None of it was read, so no part could decide by it.

Change: the settings have regions, the two parts of the operators' rules that need decisions of their own, and the limits of the VM; the rulebook has the allowed regions and the cold starts. RegionMap tells how far a data centre is.

Result: nothing uses them yet; deployments without them are decoded as before.

--- a/persimmonlane/fleetsettings.py
+++ b/persimmonlane/fleetsettings.py
@@ -3,6 +3,10 @@
 The settings of a node and of the site that it belongs to.
 """
 
+from .localities import RegionMap
+
+BYTES_PER_MIB = 1024 * 1024
+
 
 class FleetSettings:
     """Settings of a node beside a backend server.
@@ -28,6 +32,17 @@
         retry_ratio: Retries allowed, as a fraction of the requests.
         retry_slack: Retries allowed in addition, over the whole fleet.
         retry_window_s: Time window in which both count, in seconds.
+        evacuation_s: Seconds within which an evacuation of a data centre applies.
+        cold_ratio: Requests that a cold backend server may get in one second, as a
+            multiple of what it names.
+        cold_slack: Requests that it may get in one second in addition.
+        regions: Dict of the names of the regions by data centre; empty if the site
+            has no regions.
+        has_evacuations: Whether operators may evacuate data centres.
+        has_overload: Whether callers may send more for longer than there is room for.
+        memory_bytes: Memory that the process may use, in bytes.
+        max_descriptors: Number of descriptors that the process may have open.
+        link_bytes_per_s: Width of the VM's link, in bytes per second.
     """
 
     DEFAULTS = {
@@ -37,6 +52,18 @@
         "retry_ratio": 0.1,
         "retry_slack": 10.0,
         "retry_window_s": 10.0,
+        "evacuation_s": 5.0,
+        "cold_ratio": 1.0,
+        "cold_slack": 0.0,
+    }
+    # Fields that need not be given, and whose change needs a restart.
+    SITE_DEFAULTS = {
+        "regions": {},
+        "has_evacuations": False,
+        "has_overload": False,
+        "memory_bytes": 300 * BYTES_PER_MIB,
+        "max_descriptors": 4096,
+        "link_bytes_per_s": 125_000_000.0,
     }
 
     __slots__ = (
@@ -59,12 +86,26 @@
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
+        "evacuation_s",
+        "cold_ratio",
+        "cold_slack",
+        "regions",
+        "has_evacuations",
+        "has_overload",
+        "memory_bytes",
+        "max_descriptors",
+        "link_bytes_per_s",
     )
 
     def __init__(self, **fields):
+        fields = {**self.SITE_DEFAULTS, **fields}
         for name in self.__slots__:
             setattr(self, name, fields[name])
 
+    def build_region_map(self):
+        """Return the `RegionMap` as seen from this node's data centre."""
+        return RegionMap(self.data_centre, self.regions)
+
     def apply_reloadable(self, other):
         """Apply the fields in `DEFAULTS`, which can change without a restart.
 
--- a/persimmonlane/platform/documents.py
+++ b/persimmonlane/platform/documents.py
@@ -12,6 +12,7 @@
 from ..errors import InputError
 from ..routing.rulebook import (
     CallerLimits,
+    ColdStart,
     Organisation,
     Route,
     RouteKind,
@@ -34,6 +35,8 @@
 LIMITS = "Limits"
 DOCUMENT_INVALID = "document-invalid"
 
+NotNegative = Annotated[float, msgspec.Meta(ge=0.0)]
+
 
 class TrafficSplitEntry(msgspec.Struct):
     """A service and its weight in a route's traffic split."""
@@ -63,6 +66,8 @@
     max_attempts: int = 1
     # Whether requests need no API key.
     allow_anonymous: bool = False
+    # The only regions that may serve it; None or an empty list allows all.
+    allowed_regions: list[str] | None = None
 
 
 class ServiceSpec(msgspec.Struct):
@@ -70,6 +75,10 @@
 
     # Path of the status check.
     status_path: str = msgspec.field(name="HealthPath", default="")
+    # Seconds for which a backend server is cold after its start.
+    cold_s: NotNegative = msgspec.field(name="ColdStartS", default=0.0)
+    # Requests per second that a cold backend server takes; 0 means no limit.
+    cold_per_s: NotNegative = msgspec.field(name="ColdPerS", default=0.0)
 
 
 class OrganisationSpec(msgspec.Struct, rename="pascal"):
@@ -82,6 +91,8 @@
     rate_per_s: float | None = msgspec.field(name="RatePerS", default=None)
     # Requests allowed at once in excess of the rate.
     burst: float | None = None
+    # The only regions that may serve its requests; None or an empty list allows all.
+    allowed_regions: list[str] | None = None
 
 
 class LimitsSpec(msgspec.Struct):
@@ -143,7 +154,7 @@
         InputError: If the `spec` of a resource is invalid.
     """
     routes, organisations, names_by_api_key = [], {}, {}
-    status_paths = {}
+    status_paths, cold_starts = {}, {}
     limits = LimitsSpec()
     for resource in document.resources:
         name = resource.metadata.name
@@ -154,7 +165,9 @@
             organisations[name] = build_organisation(name, spec)
             names_by_api_key.update(dict.fromkeys(spec.api_keys, name))
         elif resource.kind == SERVICES:
-            status_paths[name] = decode_spec(resource, ServiceSpec).status_path
+            spec = decode_spec(resource, ServiceSpec)
+            status_paths[name] = spec.status_path
+            cold_starts[name] = ColdStart(spec.cold_s, spec.cold_per_s or None)
         elif resource.kind == LIMITS:
             limits = decode_spec(resource, LimitsSpec)
     return Rulebook(
@@ -170,6 +183,7 @@
         ),
         raw,
         status_paths,
+        cold_starts,
     )
 
 
@@ -236,9 +250,21 @@
         max_attempts=spec.max_attempts,
         priority=spec.priority,
         allow_anonymous=spec.allow_anonymous,
+        allowed_regions=build_regions(spec.allowed_regions),
     )
 
 
 def build_organisation(name, spec):
     """Build an `Organisation` from its name and `OrganisationSpec`."""
-    return Organisation(name, spec.rate_per_s or 0.0, spec.burst or 0.0, spec.priority)
+    return Organisation(
+        name,
+        spec.rate_per_s or 0.0,
+        spec.burst or 0.0,
+        spec.priority,
+        build_regions(spec.allowed_regions),
+    )
+
+
+def build_regions(names):
+    """Return a set of the names of regions, or None if there is no restriction."""
+    return frozenset(names) if names else None
--- a/persimmonlane/platform/settings.py
+++ b/persimmonlane/platform/settings.py
@@ -4,16 +4,24 @@
 """
 
 import os
+from typing import Annotated
 
 import msgspec
 import yaml
 
 from ..decoding import decode_yaml
 from ..errors import InputError
-from ..fleetsettings import FleetSettings
+from ..fleetsettings import BYTES_PER_MIB, FleetSettings
 
 PATH_ENV_VARIABLE = "PERSIMMONLANE_CONFIG"
 DEFAULT_PATH = "/etc/persimmonlane/node.yaml"
+# Names in `SettingsFile.contracts`: parts of the operators' rules that are in force.
+EVACUATIONS = "places"
+OVERLOAD = "pressure"
+BYTES_PER_MBIT = 125_000.0
+
+
+Positive = Annotated[float, msgspec.Meta(gt=0.0)]
 
 
 class ListenSettings(msgspec.Struct, rename="pascal"):
@@ -37,6 +45,16 @@
     ttl_min_s: float = msgspec.field(name="TtlMinS", default=1.0)
 
 
+class LimitSettings(msgspec.Struct, rename="pascal"):
+    """What the process may use of its VM."""
+
+    # Memory in MiB.
+    memory_mb: Positive = 300
+    max_fds: Positive = 4096
+    # Width of the VM's link in Mbit/s.
+    link_mbps: Positive = 1000.0
+
+
 class SettingsFile(msgspec.Struct, rename="pascal"):
     """The settings file; unknown fields are ignored."""
 
@@ -55,6 +73,10 @@
     heartbeat_s: float = msgspec.field(name="HeartbeatS", default=1.5)
     # Texts such as `GraceS=6`; see `parse_bounds`.
     bounds: list[str] = []
+    # Names of the regions by data centre.
+    zones: dict[str, str] = {}
+    limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
+    contracts: list[str] = []
 
 
 def render_settings(settings_file):
@@ -115,6 +137,15 @@
         retry_ratio=bounds.get("BudgetRatio", defaults["retry_ratio"]),
         retry_slack=bounds.get("BudgetSlack", defaults["retry_slack"]),
         retry_window_s=bounds.get("BudgetWindowS", defaults["retry_window_s"]),
+        evacuation_s=bounds.get("EvacS", defaults["evacuation_s"]),
+        cold_ratio=bounds.get("ColdOver", defaults["cold_ratio"]),
+        cold_slack=bounds.get("ColdSlack", defaults["cold_slack"]),
+        regions=settings_file.zones,
+        has_evacuations=EVACUATIONS in settings_file.contracts,
+        has_overload=OVERLOAD in settings_file.contracts,
+        memory_bytes=int(settings_file.limits.memory_mb * BYTES_PER_MIB),
+        max_descriptors=int(settings_file.limits.max_fds),
+        link_bytes_per_s=settings_file.limits.link_mbps * BYTES_PER_MBIT,
     )
 
 
--- a/persimmonlane/routing/rulebook.py
+++ b/persimmonlane/routing/rulebook.py
@@ -43,6 +43,8 @@
         max_attempts: Maximum number of backend servers that one request is sent to.
         priority: Priority of its requests; 0 is the most urgent.
         allow_anonymous: Whether requests need no API key.
+        allowed_regions: Names of the only regions that may serve it, or None if all
+            may.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "max_attempts",
         "priority",
         "allow_anonymous",
+        "allowed_regions",
     )
 
     def __init__(self, **fields):
@@ -76,15 +79,37 @@
         rate: Requests per second; 0 means no limit.
         burst: Number of requests allowed at once beyond the rate.
         priority: Priority that takes precedence over the route's, or None.
+        allowed_regions: Names of the only regions that may serve its requests, or None
+            if all may.
     """
 
-    __slots__ = ("name", "rate", "burst", "priority")
+    __slots__ = ("name", "rate", "burst", "priority", "allowed_regions")
 
-    def __init__(self, name, rate, burst, priority):
+    def __init__(self, name, rate, burst, priority, allowed_regions=None):
         self.name = name
         self.rate = rate
         self.burst = burst
         self.priority = priority
+        self.allowed_regions = allowed_regions
+
+
+class ColdStart:
+    """How the backend servers of a service start.
+
+    Attributes:
+        duration_s: Seconds for which a server is cold after its start.
+        rate: Requests per second that a cold server takes, or None if it takes as many
+            as a warm one.
+    """
+
+    __slots__ = ("duration_s", "rate")
+
+    def __init__(self, duration_s=0.0, rate=None):
+        self.duration_s = duration_s
+        self.rate = rate
+
+
+NO_COLD_START = ColdStart()
 
 
 class CallerLimits:
@@ -115,6 +140,7 @@
         limits: The `CallerLimits`.
         raw: The encoded document in bytes, as nodes pass it on.
         status_paths: Paths of the services' status checks, by service.
+        cold_starts: The `ColdStart`s by service.
     """
 
     __slots__ = (
@@ -123,18 +149,28 @@
         "limits",
         "raw",
         "status_paths",
+        "cold_starts",
         "_routes_by_host",
         "_organisations_by_key",
     )
 
     def __init__(
-        self, version, routes, organisations, keys, limits, raw=b"", status_paths=None
+        self,
+        version,
+        routes,
+        organisations,
+        keys,
+        limits,
+        raw=b"",
+        status_paths=None,
+        cold_starts=None,
     ):
         self.version = version
         self.organisations = organisations
         self.limits = limits
         self.raw = raw
         self.status_paths = status_paths or {}
+        self.cold_starts = cold_starts or {}
         self._organisations_by_key = keys
         self._routes_by_host = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
@@ -147,6 +183,10 @@
                 return route
         return None
 
+    def find_cold_start(self, service):
+        """Return the `ColdStart` of a service."""
+        return self.cold_starts.get(service, NO_COLD_START)
+
     def find_organisation(self, key):
         """Return the organisation that an API key belongs to, or None."""
         return self.organisations.get(self._organisations_by_key.get(key))
