Bring a long document to all nodes over narrow links, and refuse by a superseded one

Cause: a node whose document was not confirmed lately read the whole document from the store again as soon as any key of the store had changed, also if it had just fetched it from a node beside it. With 1,840 routes that is half a megabyte for each of some 37 nodes over 30 Mbit/s that carry all traffic between two regions. Fetches from other nodes were not compressed, all asked the node that was first to have it, and had 0.6 s.

Change: the store is asked for changes since the position at which the document was the newest; that position goes along when a node passes the document on. Nodes fetch it compressed, from a random one of the nearest nodes, within one deadline and a bound on its length. A node that knows of a newer document, and could not have its own confirmed within the time that a new version has, refuses requests as not run.

--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -313,8 +313,9 @@
         self._crashes.compare(announcement.crash_digest, peer.host)
         self._remind_of_departure(peer)
         if announcement.stamp > self._document.stamp:
-            near = announcement.data_centre == self._settings.data_centre
-            self._document.add_source(announcement.stamp, announcement.address, near)
+            self._document.add_source(
+                announcement.stamp, announcement.address, announcement.data_centre
+            )
         fresh_at = self.table.compute_fresh_at(announcement)
         if fresh_at is not None:
             in_force = self._document.stamp
--- a/persimmonlane/peers/remotes.py
+++ b/persimmonlane/peers/remotes.py
@@ -374,7 +374,7 @@
     def _apply_version(self, digest, peer, sent_at):
         self._generations.report(digest.store_generation)
         if peer is not None and digest.stamp > self._document.stamp:
-            self._document.add_source(digest.stamp, peer.address, self._is_local(peer))
+            self._document.add_source(digest.stamp, peer.address, peer.data_centre)
         if sent_at is None or digest.fresh_age_ms < 0:
             return
         self._table.freshness.mark_document(
--- a/persimmonlane/peers/tests/simulation.py
+++ b/persimmonlane/peers/tests/simulation.py
@@ -42,8 +42,8 @@
     def stamp(self):
         return DocumentStamp(self.version, self.generation)
 
-    def add_source(self, stamp, address, near):
-        self.sources.append((stamp.version, address, near))
+    def add_source(self, stamp, address, data_centre):
+        self.sources.append((stamp.version, address, data_centre))
 
 
 class NodeState:
--- a/persimmonlane/peers/tests/test_generations.py
+++ b/persimmonlane/peers/tests/test_generations.py
@@ -102,5 +102,6 @@
         )  # fmt: skip
         deliver(receiver.gossip, announcement, (sender.host, 9))
         self.assertEqual(
-            [(version, f"{sender.host}:80", True)], receiver.document.sources
+            [(version, f"{sender.host}:80", sender.data_centre)],
+            receiver.document.sources,
         )
--- a/persimmonlane/serving/admission.py
+++ b/persimmonlane/serving/admission.py
@@ -57,6 +57,7 @@
             raise Refusal(
                 503, "no-document", "no document is in force", retry_after=RETRY_AFTER_S
             )
+        self._check_superseded()
         path = request.target.partition("?")[0]
         request.route = rulebook.find_route(find_first(request.headers, "host"), path)
         if request.route is None:
@@ -131,6 +132,21 @@
                 retry_after=RETRY_AFTER_S,
             )
 
+    def _check_superseded(self):
+        """Refuse requests that only an outdated document would allow or route.
+
+        Another node holds a newer document, and this one had to be out of force by now.
+        """
+        if not self._holder.is_superseded():
+            return
+        if self._table.freshness.compute_age() > self._settings.document_apply_s:
+            raise Refusal(
+                503,
+                "document-stale",
+                "a newer document is in force elsewhere",
+                retry_after=RETRY_AFTER_S,
+            )
+
     def _build_denial(self, status, code, message):
         # An older document may lack routes and keys that must be in force by now.
         if self._table.freshness.compute_age() > self._settings.document_apply_s:
--- a/persimmonlane/serving/fetching.py
+++ b/persimmonlane/serving/fetching.py
@@ -48,7 +48,7 @@
         """Do nothing, as there is no caller that could have left."""
 
 
-def fetch(address, target, timeout_s, clock, memory):
+def fetch(address, target, timeout_s, clock, memory, headers=()):
     """Send a GET request and return the `CompleteResponse`.
 
     Args:
@@ -57,6 +57,7 @@
         timeout_s: Seconds after which the exchange fails.
         clock: Clock in seconds.
         memory: The `ResponseMemory` for the answer.
+        headers: Further `Header`s of the request.
 
     Raises:
         ExchangeError: If no complete and valid answer arrived.
@@ -66,7 +67,7 @@
         address=address,
         method="GET",
         target=target,
-        headers=[Header("Host", address), Header("Connection", "close")],
+        headers=[Header("Host", address), Header("Connection", "close"), *headers],
         body=b"",
         request_id=request_id,
         deadline=clock.now() + timeout_s,
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -26,19 +26,20 @@
 )
 from .bodies import BodyError, create_body
 from .callers import CallerDisconnected, CallerWatch
+from .documentfetch import DOCUMENT_ENCODING, DOCUMENT_PATH
 from .exchange import ExchangeError
 from .nodeheaders import (
     GENERATION_HEADER,
     ORDER_HEADER,
     REPORT_HEADER,
     REQUEST_ID_HEADER,
+    REVISION_HEADER,
     get_default_poll_s,
 )
 from .shutdown import NodeShutdown, build_shutdown_refusal
 
 log = logging.getLogger("persimmonlane.serving")
 
-DOCUMENT_PATH = "/persimmon/document"
 HEARTBEAT_LIMIT_BYTES = 64 * 1024
 # Limits of a lingering close, after an answer that was sent before the body was read.
 LINGER_BYTES = 1024 * 1024
@@ -234,8 +235,16 @@
         if held.rulebook is None:
             self.write_json(404)
             return
-        generation = Header(GENERATION_HEADER, str(held.stamp.generation))
-        self.write_json(200, held.rulebook.raw, [generation])
+        headers = [
+            Header(GENERATION_HEADER, str(held.stamp.generation)),
+            Header(REVISION_HEADER, str(held.revision)),
+        ]
+        body = held.rulebook.raw
+        accepted = find_first(self.req.inheaders.header_list, "accept-encoding")
+        if accepted == DOCUMENT_ENCODING:
+            body = held.compress()
+            headers.append(Header("Content-Encoding", DOCUMENT_ENCODING))
+        self.write_json(200, body, headers)
 
     def _serve(self):
         arrived_at = self.node.clock.now()
--- a/persimmonlane/serving/nodeheaders.py
+++ b/persimmonlane/serving/nodeheaders.py
@@ -18,6 +18,8 @@
 REPORT_HEADER = "Persimmon-Report"
 REQUEST_ID_HEADER = "Persimmon-Request"
 # Latest generation of the store that is known to hold the document in the answer.
+# Revision of the store, in that generation, at which the document was the newest.
+REVISION_HEADER = "Persimmon-Revision"
 GENERATION_HEADER = "Persimmon-Generation"
 GATEWAY_TIMEOUT_STATUS = 504
 
--- a/persimmonlane/serving/tests/test_admission.py
+++ b/persimmonlane/serving/tests/test_admission.py
@@ -32,6 +32,10 @@
 
 class Holder:
     rulebook = None
+    newer_is_known = False
+
+    def is_superseded(self):
+        return self.newer_is_known
 
 
 class AdmissionTests(testtools.TestCase):
@@ -69,6 +73,14 @@
         self.assertEqual((503, "document-stale"), self.get_refusal(key="unknown"))
         self.assertIsNotNone(self.identify().organisation)
 
+    def test_document_that_others_have_replaced_is_not_applied_beyond_its_time(self):
+        # Guards against routes of an older version while the newer one can't be had.
+        self.holder.newer_is_known = True
+        self.clock.advance(APPLY_S)
+        self.assertIsNotNone(self.identify().organisation)
+        self.clock.advance(0.1)
+        self.assertEqual((503, "document-stale"), self.get_refusal())
+
     def test_missing_document_gives_only_retryable_refusals(self):
         self.holder.rulebook = None
         self.assertEqual((503, "no-document"), self.get_refusal())
--- /dev/null
+++ b/persimmonlane/serving/tests/test_documentfetch.py
@@ -0,0 +1,42 @@
+import zlib
+
+import testtools
+
+from ...clocks import BootClock
+from ...headers import Header
+from ...platform.documents import DOCUMENT_KEY
+from ...tests.test_sitenode import Site, build_document, wait_until
+from ..documentfetch import MAX_DOCUMENT_BYTES, decode_body, fetch_document
+from ..memory import ResponseMemory
+
+VERSION = 8
+
+
+class Answer:
+    def __init__(self, body, encoding):
+        self.body = body
+        self.headers = [Header("Content-Encoding", encoding)] if encoding else []
+
+
+class DecodingTests(testtools.TestCase):
+    def test_documents_of_older_nodes_are_taken_as_they_are(self):
+        self.assertEqual(b"{}", decode_body(Answer(b"{}", "")))
+
+    def test_malformed_or_endless_documents_are_refused(self):
+        endless = zlib.compress(bytes(MAX_DOCUMENT_BYTES + 1))
+        for body in (b"{}", zlib.compress(b"{}")[:-1], endless):
+            self.assertIsNone(decode_body(Answer(body, "deflate")))
+
+
+class FetchTests(testtools.TestCase):
+    def test_document_is_fetched_compressed_with_its_position_in_the_store(self):
+        site = Site(self, store_era=1)
+        raw = build_document(VERSION) + b" " * 100_000
+        site.store.state.put(DOCUMENT_KEY, raw)
+        node, settings = site.nodes["near"]
+        self.assertTrue(wait_until(lambda: node.documents.version == VERSION))
+        fetched = fetch_document(settings.peer_address, BootClock(), ResponseMemory())
+        self.assertEqual(raw, fetched.raw)
+        self.assertEqual(1, fetched.generation)
+        self.assertTrue(fetched.revision > 0)
+        self.assertTrue(len(node.documents.held.compress()) < len(raw) / 10)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -8,11 +8,7 @@
 import signal
 import threading
 
-import urllib3
-import urllib3.exceptions
-
 from .actors import Tick
-from .addresses import split_address
 from .application import Application, Part
 from .clocks import BootClock, WallClock
 from .errors import InputError, Refusal
@@ -24,7 +20,7 @@
 from .peers.gossip import ANNOUNCE_S, Gossip
 from .peers.transport import DatagramTransport
 from .platform.documents import decode_document
-from .platform.store import SiteStore, parse_generation
+from .platform.store import SiteStore
 from .quarantine.ledger import CrashLedger
 from .reporting.counter import RequestCounter, UnixClock
 from .reporting.reporter import Reporter
@@ -34,9 +30,9 @@
 from .serving.budget import RetryBudget
 from .serving.cancellation import CancellationClient
 from .serving.connections import ConnectionPool
+from .serving.documentfetch import fetch_document
 from .serving.events import RequestEvents
 from .serving.gateways import (
-    DOCUMENT_PATH,
     CallerGateway,
     HeartbeatGateway,
     PeerGateway,
@@ -44,7 +40,6 @@
 )
 from .serving.ingress import Ingress
 from .serving.isolation import IsolationPolicy
-from .serving.nodeheaders import GENERATION_HEADER
 from .serving.servers import NodeHTTPServer
 from .serving.shutdown import Shutdown
 from .serving.tracker import RunningRequests
@@ -60,7 +55,6 @@
 # Leaves enough of the `CALLER_THREADS` for the nested calls of running requests.
 MAX_RUNNING_REQUESTS = 52
 CONTROL_INTERVAL_S = 0.1
-FETCH_TIMEOUT_S = 0.6
 RETRY_AFTER_S = 0.5
 IDLE_TIMEOUT_MARGIN_S = 2.0
 # Callers need two readiness probes, one second apart, to notice the shutdown.
@@ -116,12 +110,13 @@
         self.running = RunningRequests()
         self.shutdown = Shutdown(clock)
         self._stopping = threading.Event()
-        self.documents = DocumentHolder(decode_document)
+        regions = settings.build_region_map()
+        self.documents = DocumentHolder(decode_document, regions.locate)
         self._generations = generations = GenerationTracker(clock)
         hosted = HostedServer(
             settings.server, settings.service, settings.heartbeat_s, clock, WallClock()
         )
-        pool = ConnectionPool(clock)
+        self._pool = pool = ConnectionPool(clock)
         ledger = CrashLedger(clock)
         self.owner = Owner(settings, hosted, clock, pool, ledger)
         self._wire = DatagramTransport(settings.ip, settings.gossip_port)
@@ -308,20 +303,11 @@
 
     def fetch_document(self, address):
         """Fetch the document from another node, which replaces an older one."""
-        host, port = split_address(address)
-        try:
-            with urllib3.HTTPConnectionPool(host, port, retries=False) as pool:
-                answer = pool.request("GET", DOCUMENT_PATH, timeout=FETCH_TIMEOUT_S)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            log.warning(
-                "Node: failed to fetch the document from %s: %s.", address, error
+        fetched = fetch_document(address, self.clock, self._pool.memory)
+        if fetched is not None:
+            self.documents.apply(
+                fetched.raw, address, fetched.generation, fetched.revision
             )
-            return
-        if answer.status != 200:
-            log.warning("Node: %s has no document: %d.", address, answer.status)
-            return
-        generation = parse_generation(answer.headers.get(GENERATION_HEADER))
-        self.documents.apply(answer.data, address, generation)
 
     def _find_status_path(self):
         rulebook = self.documents.rulebook
--- a/persimmonlane/upkeep/documents.py
+++ b/persimmonlane/upkeep/documents.py
@@ -5,14 +5,19 @@
 """
 
 import logging
+import random
 import threading
+import zlib
 
 from ..errors import PersimmonError
+from ..localities import Locality
 from ..routing.stamps import DocumentStamp
 
 # Time for a node of this data centre to get a new version, before it is fetched from
 # another data centre.
 REMOTE_FETCH_DELAY_S = 0.15
+# The fastest level: nodes wait for the document, and routes repeat each other's words.
+COMPRESSION_LEVEL = 1
 
 log = logging.getLogger("persimmonlane.upkeep")
 
@@ -23,13 +28,23 @@
     Attributes:
         rulebook: The `Rulebook`, or None before the first document.
         stamp: Its `DocumentStamp`.
+        revision: Latest revision of the store in the stamp's generation at which it is
+            known to have been the newest, 0 if none is known.
     """
 
-    __slots__ = ("rulebook", "stamp")
+    __slots__ = ("rulebook", "stamp", "revision", "_compressed")
 
-    def __init__(self, rulebook, stamp):
+    def __init__(self, rulebook, stamp, revision=0):
         self.rulebook = rulebook
         self.stamp = stamp
+        self.revision = revision
+        self._compressed = None
+
+    def compress(self):
+        """Return the encoded document, compressed with zlib."""
+        if self._compressed is None:
+            self._compressed = zlib.compress(self.rulebook.raw, COMPRESSION_LEVEL)
+        return self._compressed
 
 
 class DocumentSource:
@@ -38,15 +53,15 @@
     Attributes:
         stamp: The `DocumentStamp` of its document.
         address: Address of the node.
-        is_local: Whether the node is in this one's data centre.
+        locality: The `Locality` of the node's data centre.
     """
 
-    __slots__ = ("stamp", "address", "is_local")
+    __slots__ = ("stamp", "address", "locality")
 
-    def __init__(self, stamp, address, is_local):
+    def __init__(self, stamp, address, locality):
         self.stamp = stamp
         self.address = address
-        self.is_local = is_local
+        self.locality = locality
 
 
 class DocumentHolder:
@@ -55,6 +70,8 @@
     Args:
         decode: Function that decodes a document in bytes into a `Rulebook` and raises
             `PersimmonError` if it is invalid.
+        locate: Function that returns the `Locality` of a data centre.
+        rng: The `random.Random` that spreads the nodes over those they fetch from.
 
     Attributes:
         held: The `HeldDocument` in force.
@@ -63,6 +80,9 @@
     __slots__ = (
         "held",
         "_decode",
+        "_locate",
+        "_rng",
+        "_newest_stamp",
         "_lock",
         "_sources",
         "_source_added",
@@ -70,9 +90,13 @@
         "_listeners",
     )
 
-    def __init__(self, decode):
+    def __init__(self, decode, locate=lambda _: Locality.DATA_CENTRE, rng=None):
         self.held = HeldDocument(None, DocumentStamp())
         self._decode = decode
+        self._locate = locate
+        self._rng = rng or random.Random()
+        # The greatest stamp that another node has named.
+        self._newest_stamp = DocumentStamp()
         self._lock = threading.Lock()
         self._sources = []
         self._source_added = threading.Event()
@@ -103,7 +127,11 @@
         rulebook = self.held.rulebook
         return rulebook is not None and rulebook.raw == raw
 
-    def apply(self, raw, source, generation=0):
+    def is_superseded(self):
+        """Return whether another node holds a newer document than the one in force."""
+        return self._newest_stamp > self.stamp
+
+    def apply(self, raw, source, generation=0, revision=0):
         """Put a document into force if it is newer; return whether it was valid.
 
         Args:
@@ -111,8 +139,10 @@
             source: Origin of the document, for the log.
             generation: Generation of the store that is known to hold it, 0 if that is
                 not known.
+            revision: Revision of the store in that generation at which it was the
+                newest, 0 if that is not known.
         """
-        if self._note_held(raw, generation):
+        if self._note_held(raw, generation, revision):
             return True
         try:
             rulebook = self._decode(raw)
@@ -124,7 +154,7 @@
             before = self.held.stamp
             if stamp <= before:
                 return True
-            self.held = HeldDocument(rulebook, stamp)
+            self.held = HeldDocument(rulebook, stamp, revision)
         log.info("Upkeep: version %08x is in force, from %s.", rulebook.version, source)
         if rulebook.version == before.version:
             log.warning(
@@ -136,35 +166,55 @@
             listener(rulebook)
         return True
 
-    def _note_held(self, raw, generation):
+    def note_unchanged(self, held, generation, revision):
+        """Note that a `HeldDocument` was still the newest at a revision of the store.
+
+        Args:
+            held: The `HeldDocument` that was in force when the store was asked.
+            generation: Generation of the store.
+            revision: The revision.
+        """
+        with self._lock:
+            if held is self.held:
+                self._raise_position(generation, revision)
+
+    def _note_held(self, raw, generation, revision):
         """Note that a generation holds a document; return whether it is in force."""
         with self._lock:
             if not self.holds(raw):
                 return False
-            held = self.held
-            if generation > held.stamp.generation:
-                stamp = DocumentStamp(held.stamp.version, generation)
-                self.held = HeldDocument(held.rulebook, stamp)
+            self._raise_position(generation, revision)
             return True
 
-    def add_source(self, stamp, address, is_local):
+    def _raise_position(self, generation, revision):
+        held = self.held
+        if generation > held.stamp.generation:
+            stamp = DocumentStamp(held.stamp.version, generation)
+            self.held = HeldDocument(held.rulebook, stamp, revision)
+        elif generation == held.stamp.generation:
+            held.revision = max(held.revision, revision)
+
+    def add_source(self, stamp, address, data_centre):
         """Record that a node has a newer document.
 
         Args:
             stamp: The `DocumentStamp` of its document.
             address: Address of the node.
-            is_local: Whether the node is in this one's data centre.
+            data_centre: Name of its data centre.
         """
-        source = DocumentSource(stamp, address, is_local)
+        source = DocumentSource(stamp, address, self._locate(data_centre))
         with self._lock:
             self._sources.append(source)
+            self._newest_stamp = max(self._newest_stamp, stamp)
         self._source_added.set()
 
     def wait_for_sources(self, timeout_s):
         """Wait for nodes with a newer version and return their `DocumentSource`s.
 
-        Nodes of this data centre come first: links to other data centres are costly,
-        and a node of this data centre is likely to have the version shortly.
+        The nearest nodes come first: links to other data centres are costly, and a
+        node of this data centre is likely to have the version shortly. Among equally
+        near ones the order is random, so that no node has to send the document to all
+        others.
 
         Args:
             timeout_s: Longest time in seconds to wait for a first node.
@@ -176,8 +226,11 @@
         with self._lock:
             sources, self._sources = self._sources, []
         sources = [source for source in sources if source.stamp > self.stamp]
-        return sorted(sources, key=lambda source: not source.is_local)
+        self._rng.shuffle(sources)
+        return sorted(sources, key=lambda source: source.locality)
 
     def _has_local_source(self):
         with self._lock:
-            return any(source.is_local for source in self._sources)
+            return any(
+                source.locality is Locality.DATA_CENTRE for source in self._sources
+            )
--- a/persimmonlane/upkeep/reading.py
+++ b/persimmonlane/upkeep/reading.py
@@ -4,7 +4,7 @@
 
 from ..peers.commands import FreshnessConfirmed
 from ..platform.documents import DOCUMENT_KEY
-from .entries import build_entry_key
+from ..platform.store import HistoryGone, StorePosition
 from .probing import ProbeSchedule
 
 log = logging.getLogger("persimmonlane.upkeep")
@@ -41,10 +41,7 @@
         "_documents",
         "_gossip",
         "_table",
-        "_probed_key",
         "_schedule",
-        "_held_version",
-        "_held_at",
         "_unsettled",
     )
 
@@ -79,11 +76,7 @@
         self._documents = documents
         self._gossip = gossip
         self._table = table
-        self._probed_key = build_entry_key(settings.name)
         self._schedule = ProbeSchedule(settings, rng)
-        # Version that the store held at the last read, and position of that read.
-        self._held_version = None
-        self._held_at = None
         self._unsettled = None
 
     def run_due_probe(self, now):
@@ -103,17 +96,18 @@
     def probe(self, now):
         """Check that the document is still the newest, at the lowest cost.
 
-        The store's revision increases with every change. While it is the same as at the
-        last read of the document, the document has not changed, and reading the node's
-        own small entry is enough to learn the revision.
+        A document may be long, and many nodes may ask at once over a narrow link. So
+        the store is only asked for changes since it is known to have held the one in
+        force, by this node or by the one that passed it on.
 
         Args:
             now: Clock seconds.
         """
-        if self._held_at is None or self._held_version != self._documents.version:
-            self.read()
+        held = self._documents.held
+        if held.revision and held.stamp.generation == self._generations.current:
+            self._ask_for_changes(held)
         else:
-            self._compare_position()
+            self.read()
         self._schedule.note_probe(now)
 
     def is_probing_relay(self):
@@ -137,28 +131,43 @@
             if self._documents.version > 0:
                 log.warning("Upkeep: the store holds no document.")
             return
-        generation = item.position.generation
-        if not self._documents.apply(item.value, "the store", generation):
+        generation, revision = item.position.generation, item.position.revision
+        if not self._documents.apply(item.value, "the store", generation, revision):
             return
         self.position = item.position
         if not self._documents.holds(item.value):
-            self._held_at = None
             log.warning(
                 "Upkeep: the store holds an older document than version %08x.",
                 self._documents.version,
             )
             return
-        self._held_version = self._documents.version
-        self._held_at = item.position
         self._confirm(Confirmation(generation, started_at))
 
-    def _compare_position(self):
+    def _ask_for_changes(self, held):
+        """Ask the store what has changed since it held a `HeldDocument`."""
         started_at = self._clock.now()
-        item = self._store.read(self._probed_key)
-        if item.position != self._held_at:
+        generation = held.stamp.generation
+        try:
+            changes = self._store.watch(
+                DOCUMENT_KEY, StorePosition(generation, held.revision), 0.0
+            )
+        except HistoryGone:
             self.read()
-        else:
-            self._confirm(Confirmation(item.position.generation, started_at))
+            return
+        values = [item.value for item in changes.events if item.key == DOCUMENT_KEY]
+        revision = changes.position.revision
+        if not values:
+            self._documents.note_unchanged(held, generation, revision)
+        elif values[-1] is None:
+            log.warning("Upkeep: the store holds no document.")
+            return
+        elif not self._documents.apply(values[-1], "the store", generation, revision):
+            return
+        elif not self._documents.holds(values[-1]):
+            self.read()
+            return
+        self.position = changes.position
+        self._confirm(Confirmation(generation, started_at))
 
     def _has_settled(self, now):
         """Return whether a read would confirm now what the last one could not."""
--- a/persimmonlane/upkeep/tests/simulation.py
+++ b/persimmonlane/upkeep/tests/simulation.py
@@ -6,6 +6,7 @@
 import msgspec
 import urllib3.exceptions
 
+from ...localities import Locality, RegionMap
 from ...owner.departures import Departures
 from ...peers.tests.simulation import STEP_S, Fleet
 from ...platform.documents import DOCUMENT_KEY
@@ -24,6 +25,8 @@
 # Rounds of datagrams that follow each other without a noticeable delay.
 EXCHANGES = 3
 WATCH_PATH = "/persimmonlane/kv-watch"
+# A watch that does not wait asks for the changes so far.
+PROBE_END = "WaitMs=0"
 
 
 class Rulebook:
@@ -50,7 +53,7 @@
         written: The `WrittenDocument`s that the operator has first written, in order.
         cut: Hosts that it does not answer.
         is_away: Whether it refuses all calls.
-        read_count: Calls that read an item.
+        read_count: Calls that read an item, or ask for changes without waiting.
         call_count: All calls; a watch counts once, however long it waits.
         late_answers: Response that the next call of a host gets, by the host.
         transactions: Bodies of the calls that write.
@@ -119,9 +122,12 @@
         self._watch_until = 0.0
 
     def urlopen(self, method, target, body=None, headers=None, timeout=None):
-        if target.startswith(WATCH_PATH):
-            return self._wait(method, target)
-        return self._call(method, target, body)
+        if not target.startswith(WATCH_PATH):
+            return self._call(method, target, body)
+        if target.endswith(PROBE_END):
+            self._store.read_count += 1
+            return self._call(method, target, body)
+        return self._wait(method, target)
 
     def _call(self, method, target, body=None):
         if self._host in self._store.cut:
@@ -183,7 +189,8 @@
     def __init__(self, fleet, node):
         self.departures = Departures()
         self.read_departures = []
-        self.documents = DocumentHolder(Rulebook)
+        regions = RegionMap(node.data_centre, {})
+        self.documents = DocumentHolder(Rulebook, regions.locate, fleet.rng)
         self.applied_at = {}
         self.history = []
         self.table = node.table
@@ -270,7 +277,9 @@
                 return
             self.documents._stopped.set()
             self._to_ask = self.documents.wait_for_sources(0.0)
-            if not any(source.is_local for source in self._to_ask):
+            if not any(
+                source.locality is Locality.DATA_CENTRE for source in self._to_ask
+            ):
                 self._fetch_at = now + REMOTE_FETCH_DELAY_S
                 return
         while self._to_ask and now >= self._fetch_at:
@@ -284,7 +293,9 @@
             self._fetch_at = self._clock.now() + FETCH_TIMEOUT_S
         elif source.documents.rulebook is not None:
             held = source.documents.held
-            self.documents.apply(held.rulebook.raw, address, held.stamp.generation)
+            self.documents.apply(
+                held.rulebook.raw, address, held.stamp.generation, held.revision
+            )
 
 
 class SyncedFleet:
--- a/persimmonlane/upkeep/tests/test_documents.py
+++ b/persimmonlane/upkeep/tests/test_documents.py
@@ -27,7 +27,7 @@
 
         self.patch(documents, "DocumentSource", build_slowly)
         adder = threading.Thread(
-            target=holder.add_source, args=(DocumentStamp(2), "new:80", True)
+            target=holder.add_source, args=(DocumentStamp(2), "new:80", "south")
         )
         taker = threading.Thread(target=take)
         adder.start()
--- a/persimmonlane/upkeep/tests/test_fetching.py
+++ b/persimmonlane/upkeep/tests/test_fetching.py
@@ -44,13 +44,13 @@
 
     def test_thread_goes_on_after_an_unexpected_error(self):
         thread = threading.Thread(target=self.sync._fetch_from_peers, daemon=True)
-        self.documents.add_source(DocumentStamp(2), "bad:80", True)
-        self.documents.add_source(DocumentStamp(2), "good:80", True)
+        self.documents.add_source(DocumentStamp(2), "bad:80", "south")
+        self.documents.add_source(DocumentStamp(2), "good:80", "south")
         thread.start()
         self.assertTrue(self.fetched_good.wait(TIMEOUT_S))
 
     def test_next_source_is_asked_if_the_first_has_no_newer_version_any_more(self):
         for address in ("restarted:80", "restarted:80", "good:80"):
-            self.documents.add_source(DocumentStamp(2), address, True)
+            self.documents.add_source(DocumentStamp(2), address, "south")
         self.sync.fetch_newer_document()
         self.assertEqual(["restarted:80", "good:80"], self.fetched)
--- a/persimmonlane/upkeep/watching.py
+++ b/persimmonlane/upkeep/watching.py
@@ -74,8 +74,10 @@
         changes = self._store.watch(DOCUMENT_PREFIX, after, WATCH_TIMEOUT_S)
         for event in changes.events:
             if event.key == DOCUMENT_KEY and event.value is not None:
-                generation = changes.position.generation
-                self._documents.apply(event.value, "a watch", generation)
+                position = changes.position
+                self._documents.apply(
+                    event.value, "a watch", position.generation, event.revision
+                )
         self._after = changes.position
 
     def _read_document(self):
