Bound what a process holds for its clients, and close those that stall

Cause: nothing bounded chunk-size lines, trailers, the bodies that a process holds together, its socket buffers and connections; a body was held twice and an answer three times; callers that send or read slowly counted as running requests and kept workers. Change: bodies are read piece by piece into one mapped buffer, whose bytes are reserved in one account derived from `memory_bytes`; what finds no room waits up to 2 s, then is refused as not-run. Lines of a chunked body are bounded by the limit of a head; the count of headers by its bytes alone. Under pressure (no room, no worker) the transfer without progress for longest is closed. Connections and idle outgoing ones are bounded by `max_descriptors`.

--- a/persimmonlane/serving/attempts.py
+++ b/persimmonlane/serving/attempts.py
@@ -20,6 +20,7 @@
     ADMISSION = "admission"
     PLACEMENT = "placement"
     SERVER = "server"
+    ANSWER = "answer"
 
 
 class IngressRequest:
@@ -89,7 +90,11 @@
 
     def is_admitted(self):
         """Return whether the request passed admission."""
-        return self.stage in (Stage.PLACEMENT, Stage.SERVER)
+        return self.stage in (Stage.PLACEMENT, Stage.SERVER, Stage.ANSWER)
+
+    def is_in_progress(self):
+        """Return whether its body was read and its answer is not there yet."""
+        return self.stage not in (Stage.BODY, Stage.ANSWER)
 
 
 class PlacementChoice:
--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -10,10 +10,13 @@
 import urllib3.util
 
 from ..addresses import split_address
-from .memory import ResponseMemory
+from .memory import MemoryAccount
 from .socketinput import ExchangeInput
 
 MAX_IDLE_PER_ADDRESS = 64
+MAX_IDLE = 1024
+# As for inbound connections; the kernel would let it grow to tens of megabytes.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 IDLE_TIMEOUT_S = 4.0
 # Answered requests of which a connection may still deliver another copy of the answer.
 MAX_ANSWERED = 64
@@ -21,6 +24,12 @@
 TCP_USER_TIMEOUT_MS = 1500
 
 
+SOCKET_OPTIONS = [
+    *urllib3.connection.HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+]
+
+
 class KeepAliveResponse(http.client.HTTPResponse):
     """A response that leaves its connection's buffered input open for the next one."""
 
@@ -52,7 +61,7 @@
 
     def __init__(self, address, timeout_s, opened_at):
         host, port = split_address(address)
-        super().__init__(host, port, timeout=timeout_s)
+        super().__init__(host, port, timeout=timeout_s, socket_options=SOCKET_OPTIONS)
         self.address = address
         self.opened_at = opened_at
         self.last_used_at = None
@@ -113,13 +122,23 @@
     """Thread-safe pool of idle connections, by address.
 
     Attributes:
-        memory: The `ResponseMemory` shared by the responses on all connections.
+        memory: The `MemoryAccount` shared by the responses on all connections.
     """
 
-    __slots__ = ("memory", "_clock", "_idle", "_lock")
+    __slots__ = ("memory", "_clock", "_idle", "_idle_order", "_max_idle", "_lock")
+
+    def __init__(self, clock, memory=None, max_idle=MAX_IDLE):
+        """Create a pool.
 
-    def __init__(self, clock, memory=None):
-        self.memory = memory or ResponseMemory()
+        Args:
+            clock: Clock in seconds.
+            memory: The `MemoryAccount`, or None for one of its own.
+            max_idle: Number of idle connections that are kept.
+        """
+        self.memory = memory or MemoryAccount()
+        # The idle connections, in the order in which they became idle.
+        self._idle_order = {}
+        self._max_idle = max_idle
         self._clock = clock
         self._idle = {}
         self._lock = threading.Lock()
@@ -143,24 +162,38 @@
     def put(self, connection):
         """Add a connection whose last exchange is complete.
 
-        Closes the oldest connection to the same address if there are too many.
+        Closes the oldest connection, to the same address or to any, if there are too
+        many.
         """
         connection.last_used_at = self._clock.now()
         with self._lock:
             connections = self._idle.setdefault(connection.address, [])
             connections.append(connection)
-            surplus = (
-                connections.pop(0) if len(connections) > MAX_IDLE_PER_ADDRESS else None
-            )
+            self._idle_order[connection] = None
+            surplus = None
+            if len(connections) > MAX_IDLE_PER_ADDRESS:
+                surplus = connections[0]
+            elif len(self._idle_order) > self._max_idle:
+                surplus = next(iter(self._idle_order))
+            if surplus is not None:
+                self._remove(surplus)
         if surplus is not None:
             surplus.close()
 
+    def _remove(self, connection):
+        """Remove an idle connection; the caller holds the lock."""
+        del self._idle_order[connection]
+        connections = self._idle[connection.address]
+        connections.remove(connection)
+        if not connections:
+            del self._idle[connection.address]
+
     def _pop(self, address, request_id):
         with self._lock:
             connections = self._idle.get(address, ())
             for connection in reversed(connections):
                 if request_id not in connection.answered_ids:
-                    connections.remove(connection)
+                    self._remove(connection)
                     return connection
         return None
 
--- a/persimmonlane/serving/documentfetch.py
+++ b/persimmonlane/serving/documentfetch.py
@@ -47,7 +47,7 @@
     Args:
         address: Address of the node, as `host:port`.
         clock: Clock in seconds.
-        memory: The `ResponseMemory` for the answer.
+        memory: The `MemoryAccount` for the answer.
     """
     accept = Header("Accept-Encoding", DOCUMENT_ENCODING)
     try:
--- a/persimmonlane/serving/fetching.py
+++ b/persimmonlane/serving/fetching.py
@@ -19,7 +19,7 @@
     """Takes the place of a `ConnectionPool`; no connection is used again.
 
     Attributes:
-        memory: The `ResponseMemory` for the answers.
+        memory: The `MemoryAccount` for the answers.
     """
 
     __slots__ = ("memory",)
@@ -56,7 +56,7 @@
         target: Request target.
         timeout_s: Seconds after which the exchange fails.
         clock: Clock in seconds.
-        memory: The `ResponseMemory` for the answer.
+        memory: The `MemoryAccount` for the answer.
         headers: Further `Header`s of the request.
 
     Raises:
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -25,9 +25,11 @@
     get_priority,
 )
 from .bodies import BodyError, create_body
+from .buffers import MemoryLimitError
 from .callers import CallerDisconnected, CallerWatch
 from .documentfetch import DOCUMENT_ENCODING, DOCUMENT_PATH
 from .exchange import ExchangeError
+from .memory import MemoryReservation
 from .nodeheaders import (
     GENERATION_HEADER,
     ORDER_HEADER,
@@ -41,9 +43,14 @@
 log = logging.getLogger("persimmonlane.serving")
 
 HEARTBEAT_LIMIT_BYTES = 64 * 1024
+# A rest of a body up to this size is read and dropped after an early answer, so that
+# the connection can be used again; cheroot holds it in memory.
+MAX_DROPPED_BYTES = 64 * 1024
 # Limits of a lingering close, after an answer that was sent before the body was read.
 LINGER_BYTES = 1024 * 1024
 LINGER_S = 1.0
+# Longer than a request waits for room; a stalled connection is closed meanwhile.
+ROOM_RETRY_AFTER_S = 2.5
 MIN_BODY_READ_S = 0.05
 
 
@@ -57,6 +64,7 @@
     def __init__(self, http_request, node):
         super().__init__(http_request)
         self.node = node
+        self._body = None
 
     def write(self, status, headers, body):
         """Write a complete answer; the body of an answer to HEAD is left out."""
@@ -68,9 +76,14 @@
             (header.name.encode("latin-1"), header.value.encode("latin-1"))
             for header in headers
         ]
+        self.req.conn.begin_answer(len(body))
         req.ensure_headers_sent()
-        if body and req.method != b"HEAD":
-            req.write(body)
+        if not body or req.method == b"HEAD":
+            return
+        if req.chunked_write:
+            req.write(bytes(body))
+        else:
+            req.conn.write_body(body)
 
     def write_json(self, status, body=b"", headers=()):
         """Write an answer with a JSON body that the node made itself."""
@@ -88,22 +101,46 @@
             limit_bytes: Size above which the body is refused.
 
         Raises:
-            Refusal: If the body is malformed, ends early, times out or is too large.
+            Refusal: If the body is malformed, ends early, times out or is too large, or
+                if there is no room for it.
         """
-        body = create_body(self.req)
-        blocks, size = [], 0
+        body = self._body = create_body(self.req)
+        transfer = self.req.conn.transfer
+        if body.length:
+            transfer.held_bytes = min(body.length, limit_bytes)
+        elif body.length is None:
+            transfer.held_bytes = limit_bytes
+        reservation = MemoryReservation(self.node.memory, is_request=True)
         try:
-            for block in body.iter_blocks():
-                blocks.append(block)
-                size += len(block)
-                if size > limit_bytes:
-                    raise Refusal(413, "body-too-large", "the body is too large")
+            whole = body.read_into_buffer(reservation, limit_bytes)
         except BodyError as error:
             self.req.close_connection = True
-            if isinstance(error.__cause__, TimeoutError):
-                raise Refusal(408, "body-late", "the body came too late") from error
-            raise Refusal(400, error.code, error.message) from error
-        return b"".join(blocks)
+            raise self._build_body_refusal(error) from error
+        except MemoryLimitError as error:
+            self.req.close_connection = True
+            raise Refusal(
+                503,
+                "memory-full",
+                "there is no room for the body",
+                retry_after=ROOM_RETRY_AFTER_S,
+            ) from error
+        if whole is None:
+            self.req.close_connection = True
+            raise Refusal(413, "body-too-large", "the body is too large")
+        transfer.end()
+        return whole
+
+    def _build_body_refusal(self, error):
+        if self.req.conn.transfer.is_closed:
+            return Refusal(
+                503,
+                "transfer-stalled",
+                "the body made no progress while others waited",
+                retry_after=ROOM_RETRY_AFTER_S,
+            )
+        if isinstance(error.__cause__, TimeoutError):
+            return Refusal(408, "body-late", "the body came too late")
+        return Refusal(400, error.code, error.message)
 
     @contextlib.contextmanager
     def limit_read_time(self, limit_s):
@@ -168,6 +205,14 @@
         left_s = max(MIN_BODY_READ_S, request.deadline - node.clock.now())
         with self.limit_read_time(left_s):
             request.body = self.read_body(limits.body_bytes)
+        try:
+            self._forward(request)
+        finally:
+            # A traceback may keep the request alive; its memory is returned at once.
+            request.body = b""
+
+    def _forward(self, request):
+        node = self.node
         request.body_read_at = node.clock.now()
         request.stage = Stage.ADMISSION
         node.shutdown.check(request.arrived_at, request.deadline)
@@ -178,6 +223,8 @@
             answer = node.ingress.forward(request)
         except BackendErrorResponse as error:
             answer = error.answer
+        request.body = b""
+        request.stage = Stage.ANSWER
         node.events.note_answered(request, answer.status)
         if answer.status >= SERVER_ERROR_STATUS:
             self._note_nested_failure(request)
@@ -195,7 +242,7 @@
         if request.metadata.request_id:
             headers.append(wire.build_request_id_header(request.metadata.request_id))
         rfile = self.req.rfile
-        if getattr(rfile, "remaining", 0) > LINGER_BYTES or self.req.chunked_read:
+        if getattr(rfile, "remaining", 0) > MAX_DROPPED_BYTES or self.req.chunked_read:
             self.req.close_connection = True
         self.write(refusal.status, headers, body)
         if request.body_read_at is None and self.req.close_connection:
@@ -213,11 +260,11 @@
         """
         with self.limit_read_time(LINGER_S):
             try:
-                self.read_body(LINGER_BYTES)
-            except Refusal as refusal:
+                (self._body or create_body(self.req)).discard(LINGER_BYTES)
+            except BodyError as error:
                 log.debug(
                     "Serving: the rest of a refused request's body was not read: %s.",
-                    refusal,
+                    error,
                 )
 
 
--- a/persimmonlane/serving/inbound.py
+++ b/persimmonlane/serving/inbound.py
@@ -36,6 +36,10 @@
     END = "end"
 
 
+class ConnectionLimitError(OSError):
+    """As many connections are open as the process may have."""
+
+
 class InboundConnections:
     """The connections of a server; replaces cheroot's `ConnectionManager`.
 
@@ -96,6 +100,7 @@
             if time.monotonic() >= self._next_expiry_at:
                 self._close_expired()
                 self._server.requests.grow()
+                self._relieve_workers()
                 self._next_expiry_at = time.monotonic() + interval_s
         self._close_selector()
 
@@ -201,7 +206,11 @@
         for conn in ready:
             self._server.requests.put(conn)
         if error is not None:
-            log.error("Serving: accepting a connection failed: %s.", error)
+            log.error(
+                "Serving: accepting a connection failed: %s.",
+                error,
+                extra={"event": "accept-failed"},
+            )
             time.sleep(ACCEPT_PAUSE_S)
 
     def _accept_backlog(self):
@@ -213,6 +222,8 @@
         """
         ready = []
         while True:
+            if not self._make_room():
+                return ready, ConnectionLimitError("too many connections are open")
             try:
                 sock, address = self._listener.accept()
             except BlockingIOError:
@@ -226,6 +237,25 @@
             if conn := self._add(sock, address):
                 ready.append(conn)
 
+    def _make_room(self):
+        """Return whether one more connection may be open; close an idle one if need be.
+
+        Others stay in the backlog meanwhile.
+        """
+        count = len(self._active) + len(self._unused) + len(self._keep_alive)
+        if count < self._server.max_connections:
+            return True
+        return self._close_oldest()
+
+    def _relieve_workers(self):
+        """Close stalled connections while requests wait for a worker in vain."""
+        requests = self._server.requests
+        if requests.size < requests.max:
+            return
+        for _ in range(requests.qsize):
+            if not self._server.stalls.close_longest(group=self._server):
+                return
+
     def _add(self, sock, address):
         """Add a new connection; return it if a request has begun to arrive."""
         sock.setblocking(False)
--- a/persimmonlane/serving/parsing.py
+++ b/persimmonlane/serving/parsing.py
@@ -11,9 +11,6 @@
 from ..errors import Refusal
 from ..headers import Header, find_values
 
-MAX_CHUNK_BYTES = 1024 * 1024
-MAX_HEADER_COUNT = 100
-
 HEADER_NAME_RE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 CONTENT_LENGTH_RE = re.compile(r"[0-9]{1,15}")
 CONTROL_CHARACTER_RE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
@@ -57,8 +54,7 @@
         """Return the next line.
 
         Raises:
-            ValueError: If the line is not a valid header on one line, or if there are
-                too many headers.
+            ValueError: If the line is not a valid header on one line.
         """
         line = self._file.readline()
         if line.strip():
@@ -71,8 +67,6 @@
             raise ValueError("a header line is malformed")
         if CONTROL_CHARACTER_RE.search(value):
             raise ValueError("a header holds a control character")
-        if len(self._headers) == MAX_HEADER_COUNT:
-            raise ValueError("there are too many headers")
         text = value.strip().decode("latin-1")
         self._headers.append(Header(name.decode("ascii"), text))
 
@@ -86,33 +80,6 @@
         return super().__call__(HeaderLineReader(rfile, table.header_list), table)
 
 
-class ChunkLimiter:
-    """An input file that refuses chunks that are too large to hold in memory."""
-
-    __slots__ = ("_file",)
-
-    def __init__(self, file):
-        self._file = file
-
-    def read(self, size):
-        """Read bytes.
-
-        Raises:
-            ValueError: If more than `MAX_CHUNK_BYTES` are requested.
-        """
-        if size > MAX_CHUNK_BYTES:
-            raise ValueError("a chunk is too large")
-        return self._file.read(size)
-
-    def readline(self, size=-1):
-        """Read one line."""
-        return self._file.readline(size)
-
-    def close(self):
-        """Close the input."""
-        self._file.close()
-
-
 def check_framing(headers, protocol):
     """Refuse a request whose message framing is ambiguous.
 
--- a/persimmonlane/serving/responses.py
+++ b/persimmonlane/serving/responses.py
@@ -1,7 +1,7 @@
 """Reading of complete HTTP responses, with bounds on their length."""
 
-from ..errors import PersimmonError
 from ..headers import Header
+from .buffers import BodyBuffer, MemoryLimitError
 from .memory import MemoryReservation
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -29,12 +29,6 @@
         self.reservation = reservation
 
 
-class MemoryLimitError(PersimmonError):
-    """The responses of this process would exceed their common memory limit."""
-
-    code = "answers-too-long"
-
-
 class ResponseReader:
     """Reads the responses that arrive for one request.
 
@@ -75,26 +69,27 @@
     def _read_body(self, response, reservation):
         if response.length is not None and response.length > MAX_BODY_BYTES:
             raise ValueError("the response body is too long")
-        body = bytearray()
+        buffer = None
         try:
-            self._fill(body, response, reservation)
+            expected_size = None if self._method == "HEAD" else response.length
+            buffer = BodyBuffer(reservation, expected_size)
+            self._fill(buffer, response)
+            return buffer.finish()
         except BaseException:
             # The traceback keeps these objects alive; free what they hold.
-            body.clear()
+            if buffer is not None:
+                buffer.clear()
             reservation.release()
             raise
-        return bytes(body)
 
-    def _fill(self, body, response, reservation):
+    def _fill(self, buffer, response):
         declared_length = response.length
         while data := response.read1(READ_SIZE_BYTES):
-            body += data
-            if len(body) > MAX_BODY_BYTES:
+            if buffer.size + len(data) > MAX_BODY_BYTES:
                 raise ValueError("the response body is too long")
-            if not reservation.extend_to(len(body)):
-                raise MemoryLimitError("the memory for responses is exhausted")
+            buffer.append(data)
             self._connection.raw_input.remaining_bytes += len(data)
-        if declared_length is not None and len(body) != declared_length:
+        if declared_length is not None and buffer.size != declared_length:
             raise ValueError("the response is truncated")
         if response.chunked:
             self._check_not_truncated()
@@ -117,3 +112,6 @@
         raise ValueError("the response has more than one body length")
     if response.status < 200:
         raise ValueError("the response is not final")
+
+
+__all__ = ["CompleteResponse", "MemoryLimitError", "ResponseReader", "check_framing"]
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -4,7 +4,9 @@
 parsing: a request that two HTTP parsers could read differently is refused.
 """
 
+import contextlib
 import logging
+import socket
 import threading
 import time
 
@@ -21,6 +23,7 @@
     StrictHeaderReader,
     check_framing,
 )
+from .stalls import StallTracker, Transfer
 from .streams import open_stream
 from .workers import WorkerPool
 
@@ -29,8 +32,13 @@
 LISTEN_BACKLOG = 1024
 MAX_HEAD_BYTES = 64 * 1024
 MAX_KEEP_ALIVE_CONNECTIONS = 2000
+MAX_CONNECTIONS = 2 * MAX_KEEP_ALIVE_CONNECTIONS
 MIN_WORKERS = 1
 STOP_WAIT_S = 0.1
+# Of each connection; the kernel would let a buffer grow to tens of megabytes. This one
+# carries 100 Mbit/s over a round trip of 5 ms.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+SEND_SIZE_BYTES = 64 * 1024
 SERVER_NAME = "persimmonlane"
 
 
@@ -84,17 +92,59 @@
 
 
 class NodeHTTPConnection(cheroot.server.HTTPConnection):
-    """A connection that a server of the node accepted."""
+    """A connection that a server of the node accepted.
+
+    Attributes:
+        transfer: The `Transfer` of the request that is read, or of the answer that is
+            written.
+    """
 
     RequestHandlerClass = NodeHTTPRequest
 
     def __init__(self, server, sock, makefile=open_stream):
         super().__init__(server, sock, open_stream)
+        self.transfer = Transfer(server.stalls, server, self._interrupt)
+        self.rfile.report_to(self.transfer)
+        self._is_writing = False
 
     def communicate(self):
         """Serve one request; return whether the connection is kept alive."""
         self.limit_read_time(self.server.header_timeout_s)
-        return super().communicate()
+        self._is_writing = False
+        self.transfer.begin()
+        try:
+            return super().communicate()
+        finally:
+            self.transfer.end()
+
+    def begin_answer(self, size):
+        """Note that an answer is written, of which a number of bytes is held."""
+        self._is_writing = True
+        self.transfer.begin(size)
+
+    def write_body(self, body):
+        """Write the body of an answer without copying it.
+
+        The server's timeout applies to each block, not to the whole body.
+
+        Args:
+            body: Bytes-like object.
+
+        Raises:
+            OSError: If the caller takes nothing for too long, or has disconnected.
+        """
+        with memoryview(body) as view:
+            start = 0
+            while start < len(view):
+                sent = self.socket.send(view[start : start + SEND_SIZE_BYTES])
+                self.transfer.note(sent)
+                start += sent
+
+    def _interrupt(self):
+        """End the read or write that waits; after a read an answer can be written."""
+        how = socket.SHUT_RDWR if self._is_writing else socket.SHUT_RD
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(how)
 
     def limit_read_time(self, limit_s):
         """Limit the total time of all reads until `clear_read_limit` is called.
@@ -117,17 +167,33 @@
         header_timeout_s: Time limit in seconds for reading the request line and all
             headers, from the moment at which a worker takes the connection.
         requests: The `WorkerPool`.
+        stalls: The `StallTracker`, which servers may share.
+        max_connections: Number of connections that may be open.
     """
 
     ConnectionClass = NodeHTTPConnection
 
-    def __init__(self, address, gateway, max_workers):
+    def __init__(
+        self, address, gateway, max_workers, stalls=None, max_connections=None
+    ):
+        """Create a server.
+
+        Args:
+            address: Address to listen on, as `host:port`.
+            gateway: Callable that returns the gateway of a request.
+            max_workers: Most requests that are served at once.
+            stalls: The `StallTracker`, or None for one of its own.
+            max_connections: Number of connections that may be open, or None for the
+                default.
+        """
         super().__init__(
             split_address(address),
             gateway=gateway,
             server_name=SERVER_NAME,
         )
         self.requests = WorkerPool(self._serve_conn, MIN_WORKERS, max_workers)
+        self.stalls = stalls or StallTracker()
+        self.max_connections = max_connections or MAX_CONNECTIONS
         self.header_timeout_s = 3.0
         self.max_request_header_size = MAX_HEAD_BYTES
         self.timeout = 17.0
@@ -146,6 +212,10 @@
     def prepare(self):
         """Bind, and replace cheroot's `ConnectionManager` by `InboundConnections`."""
         super().prepare()
+        # Accepted connections inherit it.
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self._connections.close()
         self._connections = InboundConnections(self)
 
--- a/persimmonlane/serving/streams.py
+++ b/persimmonlane/serving/streams.py
@@ -16,11 +16,13 @@
     Attributes:
         deadline: Monotonic time, in seconds, at which reads stop waiting, or None to
             apply the socket's own timeout to each read.
+        transfer: The `Transfer` that is told of what was read.
     """
 
     def __init__(self, sock, mode):
         super().__init__(sock, mode)
         self.deadline = None
+        self.transfer = None
         self._socket = sock
 
     def readinto(self, buffer):
@@ -29,6 +31,12 @@
         Raises:
             TimeoutError: If no data has arrived by then.
         """
+        count = self._receive(buffer)
+        if self.transfer is not None and count:
+            self.transfer.note(count)
+        return count
+
+    def _receive(self, buffer):
         if self.deadline is None:
             return super().readinto(buffer)
         self._socket.settimeout(max(0.0, self.deadline - time.monotonic()))
@@ -51,6 +59,10 @@
         self.bytes_read = 0
         self._socket = sock
 
+    def report_to(self, transfer):
+        """Set the `Transfer` that is told of what is read."""
+        self.raw.transfer = transfer
+
     def set_deadline(self, deadline):
         """Set the monotonic time at which reads stop waiting; None for no deadline."""
         self.raw.deadline = deadline
--- a/persimmonlane/serving/tests/test_documentfetch.py
+++ b/persimmonlane/serving/tests/test_documentfetch.py
@@ -7,7 +7,7 @@
 from ...platform.documents import DOCUMENT_KEY
 from ...tests.test_sitenode import Site, build_document, wait_until
 from ..documentfetch import MAX_DOCUMENT_BYTES, decode_body, fetch_document
-from ..memory import ResponseMemory
+from ..memory import MemoryAccount
 
 VERSION = 8
 
@@ -35,7 +35,7 @@
         site.store.state.put(DOCUMENT_KEY, raw)
         node, settings = site.nodes["near"]
         self.assertTrue(wait_until(lambda: node.documents.version == VERSION))
-        fetched = fetch_document(settings.peer_address, BootClock(), ResponseMemory())
+        fetched = fetch_document(settings.peer_address, BootClock(), MemoryAccount())
         self.assertEqual(raw, fetched.raw)
         self.assertEqual(1, fetched.generation)
         self.assertTrue(fetched.revision > 0)
--- a/persimmonlane/serving/tests/test_endless.py
+++ b/persimmonlane/serving/tests/test_endless.py
@@ -16,7 +16,7 @@
 from ..connections import ConnectionPool
 from ..exchange import Exchange, ExchangeError, OutgoingRequest
 from ..hedge import AttemptWatch, PollableEvent, Superseded
-from ..memory import UNRESERVED_BYTES, ResponseMemory
+from ..memory import UNRESERVED_BYTES, MemoryAccount
 from ..shutdown import Shutdown
 from .scripted import ScriptedServer
 
@@ -393,7 +393,7 @@
 
     def setUp(self):
         super().setUp()
-        self.memory = ResponseMemory(MEMORY_LIMIT_BYTES)
+        self.memory = MemoryAccount(MEMORY_LIMIT_BYTES)
         self.pool = ConnectionPool(self.clock, self.memory)
 
     def send_endlessly(self, start):
--- a/persimmonlane/serving/tests/test_memory.py
+++ b/persimmonlane/serving/tests/test_memory.py
@@ -1,14 +1,14 @@
 import testtools
 
-from ..memory import UNRESERVED_BYTES, MemoryReservation, ResponseMemory
+from ..memory import UNRESERVED_BYTES, MemoryAccount, MemoryReservation
 
 LIMIT_BYTES = 1000
 
 
-class ResponseMemoryTests(testtools.TestCase):
+class MemoryAccountTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.memory = ResponseMemory(LIMIT_BYTES)
+        self.memory = MemoryAccount(LIMIT_BYTES)
 
     def test_first_bytes_of_a_response_need_no_reservation(self):
         long = MemoryReservation(self.memory)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -40,8 +40,11 @@
 )
 from .serving.ingress import Ingress
 from .serving.isolation import IsolationPolicy
+from .serving.memory import MemoryAccount, create_memory_account
+from .serving.room import RoomWaiter
 from .serving.servers import NodeHTTPServer
 from .serving.shutdown import Shutdown
+from .serving.stalls import StallTracker
 from .serving.tracker import RunningRequests
 from .upkeep.documents import DocumentHolder
 from .upkeep.generations import GenerationTracker
@@ -65,6 +68,16 @@
 # Fraction of the grace time that is reserved for sending the final answers.
 FINAL_ANSWERS_FRACTION = 1 / 30
 RELOAD_INTERVAL_S = 3.0
+# For the answers of the store and for fetched documents, which callers' requests must
+# not keep out.
+CONTROL_MEMORY_BYTES = 16 * 1024 * 1024
+# Shares of the descriptors that the process may have open. The rest, 18 in 100, is for
+# listeners, for connections in use to other nodes and backend servers, and for the two
+# descriptors that each running request takes beside them.
+CALLER_DESCRIPTORS_SHARE = 0.4
+PEER_DESCRIPTORS_SHARE = 0.25
+CONTROL_DESCRIPTORS_SHARE = 0.035
+POOL_DESCRIPTORS_SHARE = 0.1
 
 
 class NodeState:
@@ -94,6 +107,7 @@
         isolation: The `IsolationPolicy`.
         events: The `RequestEvents`.
         running: The `RunningRequests`.
+        memory: The `MemoryAccount` of requests and responses.
         shutdown: The `Shutdown`.
         closes_connections: Whether answers carry `Connection: close`.
     """
@@ -116,7 +130,13 @@
         hosted = HostedServer(
             settings.server, settings.service, settings.heartbeat_s, clock, WallClock()
         )
-        self._pool = pool = ConnectionPool(clock)
+        self._stalls = stalls = StallTracker()
+        self.memory = create_memory_account(settings.memory_bytes)
+        self.memory.room = RoomWaiter(stalls)
+        self._control_memory = MemoryAccount(CONTROL_MEMORY_BYTES)
+        pool = ConnectionPool(
+            clock, self.memory, self._count_descriptors(POOL_DESCRIPTORS_SHARE)
+        )
         ledger = CrashLedger(clock)
         self.owner = Owner(settings, hosted, clock, pool, ledger)
         self._wire = DatagramTransport(settings.ip, settings.gossip_port)
@@ -181,17 +201,29 @@
                 settings.readiness_address,
                 self._bind(ReadinessGateway),
                 CONTROL_THREADS,
+                stalls,
+                self._count_descriptors(CONTROL_DESCRIPTORS_SHARE),
             ),
             NodeHTTPServer(
                 settings.heartbeat_address,
                 self._bind(HeartbeatGateway),
                 CONTROL_THREADS,
+                stalls,
+                self._count_descriptors(CONTROL_DESCRIPTORS_SHARE),
             ),
             NodeHTTPServer(
-                settings.peer_address, self._bind(PeerGateway), PEER_THREADS
+                settings.peer_address,
+                self._bind(PeerGateway),
+                PEER_THREADS,
+                stalls,
+                self._count_descriptors(PEER_DESCRIPTORS_SHARE),
             ),
             NodeHTTPServer(
-                settings.caller_address, self._bind(CallerGateway), CALLER_THREADS
+                settings.caller_address,
+                self._bind(CallerGateway),
+                CALLER_THREADS,
+                stalls,
+                self._count_descriptors(CALLER_DESCRIPTORS_SHARE),
             ),
         ]
         self._request_servers = self._servers[2:]
@@ -292,18 +324,30 @@
         Raises:
             Refusal: Not run, with code `node-busy`.
         """
-        if priority >= 0 and self.running.count > MAX_RUNNING_REQUESTS:
+        if priority >= 0 and self._count_in_progress() > MAX_RUNNING_REQUESTS:
             raise Refusal(
                 503, "node-busy", "the node is busy", retry_after=RETRY_AFTER_S
             )
 
+    def _count_in_progress(self):
+        """Return the number of requests without those that come or are answered.
+
+        Callers that send or read slowly would otherwise keep out the others.
+        """
+        requests = self.running.list(IngressRequest)
+        orders = self.running.count - len(requests)
+        return orders + sum(request.is_in_progress() for request in requests)
+
+    def _count_descriptors(self, share):
+        return int(self._settings.max_descriptors * share)
+
     def keep_departures(self):
         """Return whether what was said of leaving will outlive this process."""
         return self._keeper.keep()
 
     def fetch_document(self, address):
         """Fetch the document from another node, which replaces an older one."""
-        fetched = fetch_document(address, self.clock, self._pool.memory)
+        fetched = fetch_document(address, self.clock, self._control_memory)
         if fetched is not None:
             self.documents.apply(
                 fetched.raw, address, fetched.generation, fetched.revision
