Bound the store's answers in bytes and in total time

Cause: answers of the store were read at any length, compressed ones expanded, and the timeout applied to each read, so that single bytes kept a thread.

--- a/persimmonlane/platform/store.py
+++ b/persimmonlane/platform/store.py
@@ -8,6 +8,7 @@
 
 import base64
 import logging
+import time
 import urllib.parse
 
 import msgspec
@@ -18,6 +19,7 @@
 from ..decoding import decode_json
 from ..errors import InputError, StoreError
 from ..upkeep.generations import UNKNOWN_GENERATION
+from .storeinput import BoundedConnectionPool
 
 log = logging.getLogger("persimmonlane.upkeep")
 
@@ -28,6 +30,10 @@
 # Number of the store's generation; rises by one whenever it is restored from a copy.
 GENERATION_HEADER = "Store-Era"
 MAX_GENERATION_DIGITS = 12
+# Limits of all pages of a listing together. The entries of 4,800 nodes have 48 pages
+# and under 2 MiB.
+MAX_LISTING_BYTES = 16 * 1024 * 1024
+MAX_LISTING_S = 30.0
 
 HTTP_OK = 200
 # The key or the lease does not exist.
@@ -207,7 +213,7 @@
             generations: The `GenerationTracker`, which is told of each answer.
         """
         host, port = split_address(address)
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = BoundedConnectionPool(
             host, port, maxsize=MAX_IDLE_CONNECTIONS, retries=False
         )
         self._generations = generations
@@ -221,7 +227,8 @@
 
     def list(self, prefix):
         """Return the `Listing` of the keys with a prefix, reading all pages."""
-        items, after, generation = [], "", None
+        items, after, generation, size = [], "", None, 0
+        ends_at = time.monotonic() + MAX_LISTING_S
         while True:
             query = {"Prefix": prefix}
             if after:
@@ -231,6 +238,9 @@
             if generation not in (None, answer.generation):
                 raise StoreError("the store was restored while it was read")
             generation = answer.generation
+            size += len(answer.data)
+            if size > MAX_LISTING_BYTES or time.monotonic() > ends_at:
+                raise StoreError("the listing has no end")
             page = decode_response(answer.data, ItemPage)
             items += page.items
             if not page.has_more or not page.items:
@@ -334,7 +344,12 @@
         known_before = self._generations.current
         try:
             response = self._pool.urlopen(
-                method, path, body=data, headers=headers, timeout=timeout
+                method,
+                path,
+                body=data,
+                headers=headers,
+                timeout=timeout,
+                decode_content=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(f"the store did not respond: {error}") from error
--- a/persimmonlane/upkeep/tests/simulation.py
+++ b/persimmonlane/upkeep/tests/simulation.py
@@ -121,7 +121,15 @@
         self._watch = None
         self._watch_until = 0.0
 
-    def urlopen(self, method, target, body=None, headers=None, timeout=None):
+    def urlopen(
+        self,
+        method,
+        target,
+        body=None,
+        headers=None,
+        timeout=None,
+        decode_content=True,
+    ):
         if not target.startswith(WATCH_PATH):
             return self._call(method, target, body)
         if target.endswith(PROBE_END):
