Bound the request bodies that a backend server holds at once

Cause: a backend server crashes if the requests that it holds exceed its memory, and its owner bounded their number only. Change: the owner counts the bytes of long bodies at its backend server, for 5 s longer if a request was not answered, and refuses what exceeds the room that the process has for requests itself: `server-full`, not-run. One body always has room.

--- a/persimmonlane/owner/calls.py
+++ b/persimmonlane/owner/calls.py
@@ -61,6 +61,6 @@
     )
 
 
-def build_not_run_refusal(code, message):
+def build_not_run_refusal(code, message, retry_after=0.0):
     """Return the `Refusal` of a request that the backend server did not run."""
-    return Refusal(503, code, message, retry_after=0.0)
+    return Refusal(503, code, message, retry_after=retry_after)
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -12,6 +12,7 @@
 from ..platform import headers as wire
 from ..quarantine.refusals import check_quarantine
 from ..serving.exchange import ExchangeError
+from ..serving.memory import DEFAULT_LIMIT_BYTES
 from ..serving.shutdown import NodeShutdown
 from ..signals import PollableEvent
 from ..verdicts import Verdict
@@ -23,6 +24,7 @@
 from .dispatch import DispatchLog
 from .evidence import HealthEvidence
 from .health import FailureDetector, estimate_prior
+from .heldbodies import RETRY_AFTER_S, HeldBodies
 from .latency import LatencyModels
 from .newcomers import Condition, ServerStatement
 from .status import OwnerStatus
@@ -71,9 +73,28 @@
         "_fleet",
         "_prior_at",
         "_evidence",
+        "_held_bodies",
     )
 
-    def __init__(self, settings, hosted, clock, pool, ledger):
+    def __init__(
+        self,
+        settings,
+        hosted,
+        clock,
+        pool,
+        ledger,
+        held_limit_bytes=DEFAULT_LIMIT_BYTES,
+    ):
+        """Create the owner.
+
+        Args:
+            settings: The `FleetSettings`.
+            hosted: The `HostedServer`.
+            clock: Clock in seconds.
+            pool: The `ConnectionPool`.
+            ledger: The `CrashLedger`.
+            held_limit_bytes: Bytes of long bodies that the backend server may hold.
+        """
         self.hosted = hosted
         self.crashes = CrashObserver(
             clock, hosted, ledger, lambda: is_listening(settings.server)
@@ -102,6 +123,7 @@
         self._admission_stopped = False
         self._dispatch_log = DispatchLog(clock)
         self._prior_at = float("-inf")
+        self._held_bodies = HeldBodies(clock, held_limit_bytes)
 
     def watch_fleet(self, fleet):
         """Set the `FleetHealth` of the other servers of the service."""
@@ -306,12 +328,32 @@
         try:
             self._await_slot(ticket, wakeup, caller)
             check_quarantine(self._ledger, order.fingerprint)
-            self._mark_dispatched(order)
-            return self._exchange(order, call, ticket, caller)
+            return self._dispatch(order, call, ticket, caller)
         finally:
             with self._lock:
                 self.admission_queue.release(ticket)
 
+    def _dispatch(self, order, call, ticket, caller):
+        size = len(call.body)
+        with self._lock:
+            has_room = self._held_bodies.add(size)
+        if not has_room:
+            raise build_not_run_refusal(
+                "server-full", "the backend server holds enough bodies", RETRY_AFTER_S
+            )
+        may_be_held = True
+        try:
+            self._mark_dispatched(order)
+            answer = self._exchange(order, call, ticket, caller)
+            may_be_held = False
+            return answer
+        except (Refusal, ExchangeError) as error:
+            may_be_held = error.verdict is not Verdict.NOT_RUN
+            raise
+        finally:
+            with self._lock:
+                self._held_bodies.remove(size, not may_be_held)
+
     def _mark_dispatched(self, order):
         with self._lock:
             if not self._dispatch_log.mark_dispatched(order.request_id):
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -138,7 +138,9 @@
             clock, self.memory, self._count_descriptors(POOL_DESCRIPTORS_SHARE)
         )
         ledger = CrashLedger(clock)
-        self.owner = Owner(settings, hosted, clock, pool, ledger)
+        self.owner = Owner(
+            settings, hosted, clock, pool, ledger, self.memory.request_limit_bytes
+        )
         self._wire = DatagramTransport(settings.ip, settings.gossip_port)
         self._gossip = Gossip.start(
             application,
