Close no connection under pressure whose request is being served

Cause: a request without a body to read counted as a transfer until its answer, for gateways that read no body. Change: a transfer ends with the head; the reading of a body is another one. Result: PressureTests in serving/tests/test_inbound.py.

--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -106,10 +106,9 @@
         """
         body = self._body = create_body(self.req)
         transfer = self.req.conn.transfer
-        if body.length:
-            transfer.held_bytes = min(body.length, limit_bytes)
-        elif body.length is None:
-            transfer.held_bytes = limit_bytes
+        size = limit_bytes if body.length is None else body.length
+        if not body.complete:
+            transfer.begin(min(size, limit_bytes))
         reservation = MemoryReservation(self.node.memory, is_request=True)
         try:
             whole = body.read_into_buffer(reservation, limit_bytes)
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -66,6 +66,7 @@
             self.write_refusal(refusal)
             return False
         self.conn.clear_read_limit()
+        self.conn.transfer.end()
         return True
 
     def simple_response(self, status, msg=""):
--- a/persimmonlane/serving/tests/test_inbound.py
+++ b/persimmonlane/serving/tests/test_inbound.py
@@ -10,6 +10,7 @@
 import testtools
 
 from ..servers import NodeHTTPServer
+from ..stalls import MIN_STALL_S
 
 TIMEOUT_S = 30.0
 REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -196,6 +197,38 @@
         self.assertTrue(is_closed(sock))
 
 
+class PressureTests(ServerTestCase):
+    """Guards against connections that use up the descriptors or the workers."""
+
+    def test_connections_beyond_the_limit_replace_the_oldest_idle_ones(self):
+        server = self.start_server(2)
+        server.max_connections = 4
+        socks = [self.connect(server) for _ in range(10)]
+        for sock in socks[:6]:
+            self.assertTrue(is_closed(sock))
+        socks[-1].sendall(REQUEST)
+        self.assertEqual(200, receive_status(socks[-1]))
+
+    def test_half_heads_beyond_the_limit_wait_and_requests_are_served(self):
+        server = self.start_server(2)
+        server.max_connections = 4
+        server.header_timeout_s = TIMEOUT_S
+        for _ in range(10):
+            self.connect(server, REQUEST[:-2])
+        sock = self.connect(server, REQUEST)
+        self.assertEqual(200, receive_status(sock))
+
+    def test_half_heads_are_left_alone_while_workers_are_free(self):
+        server = self.start_server(2)
+        server.header_timeout_s = TIMEOUT_S
+        slow = self.connect(server, REQUEST[:-2])
+        # Longer than a transfer is left alone under pressure.
+        time.sleep(2 * MIN_STALL_S)
+        self.assertEqual(200, receive_status(self.connect(server, REQUEST)))
+        slow.sendall(REQUEST[-2:])
+        self.assertEqual(200, receive_status(slow))
+
+
 class BlockingPool:
     """Wraps a pool; blocks the thread that puts the first connection until `gate`."""
 
