--- a/persimmonlane/serving/tests/test_connections.py
+++ b/persimmonlane/serving/tests/test_connections.py
@@ -64,6 +64,17 @@
             taken_count += 1
         self.assertEqual(MAX_IDLE_PER_ADDRESS, taken_count)
 
+    def test_idle_connections_to_all_addresses_are_bounded(self):
+        self.pool = ConnectionPool(self.clock, max_idle=3)
+        connections = [self.open_connection() for _ in range(5)]
+        for number, connection in enumerate(connections):
+            connection.address = f"127.0.0.1:{number + 1}"
+            self.pool.put(connection)
+        self.assertEqual(
+            [True, True, False, False, False],
+            [connection.sock is None for connection in connections],
+        )
+
     def test_connection_with_unsolicited_data_is_not_taken(self):
         connection = self.open_connection()
         self.pool.put(connection)
