--- a/persimmonlane/serving/documentfetch.py
+++ b/persimmonlane/serving/documentfetch.py
@@ -72,12 +72,12 @@
 
 
 def decode_body(answer):
-    """Return the document in an answer in bytes, or None if it is malformed.
+    """Return the document in an answer in bytes, None if it is malformed or too long.
 
     Nodes of older releases send it without compression.
     """
     if find_first(answer.headers, "content-encoding") != DOCUMENT_ENCODING:
-        return answer.body
+        return bytes(answer.body) if len(answer.body) <= MAX_DOCUMENT_BYTES else None
     decompressor = zlib.decompressobj()
     try:
         raw = decompressor.decompress(answer.body, MAX_DOCUMENT_BYTES)
--- a/persimmonlane/serving/tests/test_documentfetch.py
+++ b/persimmonlane/serving/tests/test_documentfetch.py
@@ -26,6 +26,7 @@
         endless = zlib.compress(bytes(MAX_DOCUMENT_BYTES + 1))
         for body in (b"{}", zlib.compress(b"{}")[:-1], endless):
             self.assertIsNone(decode_body(Answer(body, "deflate")))
+        self.assertIsNone(decode_body(Answer(bytes(MAX_DOCUMENT_BYTES + 1), "")))
 
 
 class FetchTests(testtools.TestCase):
