--- a/persimmonlane/serving/inbound.py
+++ b/persimmonlane/serving/inbound.py
@@ -19,6 +19,7 @@
 
 # Pause after a failed accept, so that a lasting error causes no busy loop.
 ACCEPT_PAUSE_S = 0.05
+ACCEPT_LOG_INTERVAL_S = 5.0
 RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -36,6 +37,10 @@
     END = "end"
 
 
+class ConnectionLimitError(OSError):
+    """As many connections are open as the process may have."""
+
+
 class InboundConnections:
     """The connections of a server; replaces cheroot's `ConnectionManager`.
 
@@ -57,6 +62,7 @@
         "_active",
         "_stopped",
         "_next_expiry_at",
+        "_next_accept_log_at",
     )
 
     def __init__(self, server):
@@ -72,6 +78,7 @@
         self._active = set()
         self._stopped = False
         self._next_expiry_at = 0.0
+        self._next_accept_log_at = float("-inf")
         self._selector = selectors.DefaultSelector()
         self._selector.register(self._listener, selectors.EVENT_READ, self._listener)
         self._selector.register(
@@ -96,6 +103,7 @@
             if time.monotonic() >= self._next_expiry_at:
                 self._close_expired()
                 self._server.requests.grow()
+                self._relieve_workers()
                 self._next_expiry_at = time.monotonic() + interval_s
         self._close_selector()
 
@@ -123,6 +131,10 @@
         with self._lock:
             self._active.discard(conn)
 
+    def count_open(self):
+        """Return the number of open connections."""
+        return len(self._active) + len(self._unused) + len(self._keep_alive)
+
     def count_active(self):
         """Return the number of connections with an unfinished request.
 
@@ -201,9 +213,19 @@
         for conn in ready:
             self._server.requests.put(conn)
         if error is not None:
-            log.error("Serving: accepting a connection failed: %s.", error)
+            self._log_failed_accept(error)
             time.sleep(ACCEPT_PAUSE_S)
 
+    def _log_failed_accept(self, error):
+        if time.monotonic() < self._next_accept_log_at:
+            return
+        self._next_accept_log_at = time.monotonic() + ACCEPT_LOG_INTERVAL_S
+        log.error(
+            "Serving: accepting a connection failed: %s.",
+            error,
+            extra={"event": "accept-failed"},
+        )
+
     def _accept_backlog(self):
         """Accept all connections in the backlog.
 
@@ -213,6 +235,8 @@
         """
         ready = []
         while True:
+            if not self._make_room():
+                return ready, ConnectionLimitError("too many connections are open")
             try:
                 sock, address = self._listener.accept()
             except BlockingIOError:
@@ -226,6 +250,24 @@
             if conn := self._add(sock, address):
                 ready.append(conn)
 
+    def _make_room(self):
+        """Return whether one more connection may be open; close an idle one if need be.
+
+        Others stay in the backlog meanwhile.
+        """
+        if self.count_open() < self._server.max_connections:
+            return True
+        return self._close_oldest()
+
+    def _relieve_workers(self):
+        """Close stalled connections while requests wait for a worker in vain."""
+        requests = self._server.requests
+        if requests.size < requests.max:
+            return
+        for _ in range(requests.qsize):
+            if not self._server.stalls.close_longest(group=self._server):
+                return
+
     def _add(self, sock, address):
         """Add a new connection; return it if a request has begun to arrive."""
         sock.setblocking(False)
--- a/persimmonlane/serving/tests/test_memory.py
+++ b/persimmonlane/serving/tests/test_memory.py
@@ -1,14 +1,14 @@
 import testtools
 
-from ..memory import UNRESERVED_BYTES, MemoryReservation, ResponseMemory
+from ..memory import UNRESERVED_BYTES, MemoryAccount, MemoryReservation
 
 LIMIT_BYTES = 1000
 
 
-class ResponseMemoryTests(testtools.TestCase):
+class MemoryAccountTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.memory = ResponseMemory(LIMIT_BYTES)
+        self.memory = MemoryAccount(LIMIT_BYTES)
 
     def test_first_bytes_of_a_response_need_no_reservation(self):
         long = MemoryReservation(self.memory)
@@ -37,6 +37,14 @@
         self.assertTrue(self.memory.reserve(LIMIT_BYTES))
         self.assertFalse(self.memory.reserve(1))
 
+    def test_peak_is_that_since_the_last_call(self):
+        reservation = MemoryReservation(self.memory)
+        reservation.extend_to(UNRESERVED_BYTES + 600)
+        reservation.release()
+        self.assertTrue(self.memory.reserve(200))
+        peaks = [self.memory.take_peak_bytes() for _ in range(2)]
+        self.assertEqual([600, 200], peaks)
+
     def test_garbage_collected_reservation_is_released(self):
         reservation = MemoryReservation(self.memory)
         reservation.extend_to(UNRESERVED_BYTES + LIMIT_BYTES)
