Take no part of a response for the whole, nor an impossible status for one

Sending stopped at the first byte of a response, and a send that met a reset lost the response that waited in the buffer.

Change: check_framing is strict; 204 and 304 end with their head; the rest of a body is sent while the response is read; a response without a length counts only if the connection was not reset.

--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -4,8 +4,11 @@
 response.
 """
 
+import fcntl
 import http.client
 import select
+import struct
+import termios
 
 import urllib3.connection
 import urllib3.exceptions
@@ -26,6 +29,13 @@
 # Responses read for one request, including those that belong to other requests.
 MAX_RESPONSES = 3
 
+# After the end of a response that only the end of the connection marks, a reset may
+# follow: the other side has closed while the request was still being sent. It arrives a
+# round trip after the bytes that caused it.
+MAX_RESET_DELAY_S = 0.25
+RESET_POLL_MS = 10
+RESET_EVENTS = select.POLLERR | select.POLLHUP
+
 CONNECTION_ERRORS = (OSError, urllib3.exceptions.HTTPError)
 MALFORMED_ERRORS = (ValueError, http.client.HTTPException)
 
@@ -96,7 +106,8 @@
         "_clock",
         "_caller",
         "_connection",
-        "_body_sent",
+        "_unsent",
+        "_was_reset",
         "_next_caller_check",
     )
 
@@ -107,7 +118,11 @@
         self._clock = clock
         self._caller = caller
         self._connection = None
-        self._body_sent = False
+        # Bytes of the body that are still to be sent.
+        self._unsent = memoryview(b"")
+        # Whether sending failed as the other side reset the connection. The input then
+        # ends as if it had been closed properly.
+        self._was_reset = False
         self._next_caller_check = clock.now() + CALLER_CHECK_INTERVAL_S
 
     def run(self):
@@ -175,9 +190,15 @@
                 connection.putheader("Content-Length", str(len(request.body)))
             self.sent = True
             is_short = len(request.body) <= SEND_SIZE_BYTES
-            connection.endheaders(request.body if is_short and request.body else None)
+            if not is_short:
+                self._unsent = memoryview(request.body)
+            try:
+                connection.endheaders((is_short and request.body) or None)
+            except ConnectionError:
+                # A response may wait in the receive buffer.
+                self._note_reset()
             connection.sock.setblocking(False)
-            self._body_sent = is_short or self._send_body()
+            self._send_body()
         except TimeoutError as error:
             raise self._build_timeout_error() from error
         except ValueError as error:
@@ -192,30 +213,47 @@
             raise self._build_connection_error() from error
 
     def _send_body(self):
-        """Send a long body.
+        """Send a long body, until the other side responds or closes the connection."""
+        while self._unsent:
+            timeout_s = min(self._compute_remaining_s(), CALLER_CHECK_INTERVAL_S)
+            is_readable = self._send_part(timeout_s)
+            self._check_caller()
+            if is_readable:
+                return
+
+    def _send_part(self, timeout_s):
+        """Send a part of the body, or wait until that is possible.
 
-        Stops as soon as the other side sends data or closes the connection.
+        Args:
+            timeout_s: Longest wait in seconds.
 
         Returns:
-            Whether the whole body was sent.
+            Whether input is waiting; nothing was sent then.
         """
-        rest = memoryview(self.request.body)
-        sock = self._connection.sock
         poll = select.poll()
-        poll.register(sock, select.POLLIN | select.POLLOUT)
-        while rest:
-            timeout_s = min(self._compute_remaining_s(), CALLER_CHECK_INTERVAL_S)
-            events = poll.poll(max(1, int(timeout_s * 1000)))
-            self._check_caller()
-            if not events:
-                continue
-            if events[0][1] & (select.POLLIN | select.POLLHUP | select.POLLERR):
-                return False
-            try:
-                rest = rest[sock.send(rest[:SEND_SIZE_BYTES]) :]
-            except BlockingIOError:
-                continue
-        return True
+        poll.register(self._connection.sock, select.POLLIN | select.POLLOUT)
+        events = poll.poll(max(1, int(timeout_s * 1000)))
+        if not events:
+            return False
+        if events[0][1] & (select.POLLIN | RESET_EVENTS):
+            return True
+        self._push()
+        return False
+
+    def _push(self):
+        """Send what the socket takes now."""
+        try:
+            size = self._connection.sock.send(self._unsent[:SEND_SIZE_BYTES])
+        except BlockingIOError:
+            return
+        except ConnectionError:
+            self._note_reset()
+            return
+        self._unsent = self._unsent[size:]
+
+    def _note_reset(self):
+        self._was_reset = True
+        self._unsent = self._unsent[:0]
 
     def _receive(self):
         """Return the response that echoes the request's identifier."""
@@ -227,7 +265,10 @@
             response = self._read_response(reader)
             echoed_id = self.request.extract_request_id(response.headers)
             if echoed_id == self.request.request_id:
-                self._release(response, self._body_sent and not reader.will_close)
+                if reader.ends_at_close and not self._ended_properly():
+                    raise self._build_connection_error()
+                is_whole = not self._unsent and not self._was_reset
+                self._release(response, is_whole and not reader.will_close)
                 return response
             if not echoed_id or reader.will_close:
                 break
@@ -241,9 +282,36 @@
                 raise self._build_timeout_error()
             self._check_caller()
             interval_s = self.request.on_wait()
-            if self._caller.wait(connection.sock, min(remaining_s, interval_s)):
+            timeout_s = min(remaining_s, interval_s)
+            # The other side may read the rest of the body before it goes on to respond.
+            if self._unsent:
+                if self._send_part(min(timeout_s, CALLER_CHECK_INTERVAL_S)):
+                    return
+            elif self._caller.wait(connection.sock, timeout_s):
                 return
 
+    def _ended_properly(self):
+        """Return whether the connection was closed and not reset.
+
+        The end of the input alone doesn't tell: a process that ends while it is sent a
+        body closes its connection, and the bytes that follow reset it.
+        """
+        sock = self._connection.sock
+        until = min(self._clock.now() + MAX_RESET_DELAY_S, self.request.deadline)
+        while not self._was_reset:
+            events = select.POLLOUT if self._unsent else 0
+            is_settled = not self._unsent and not count_unacknowledged(sock)
+            poll = select.poll()
+            poll.register(sock, events)
+            ready = poll.poll(0 if is_settled else RESET_POLL_MS)
+            if ready and ready[0][1] & RESET_EVENTS:
+                return False
+            if is_settled or self._clock.now() >= until:
+                return True
+            if ready:
+                self._push()
+        return False
+
     def _check_caller(self):
         """Check whether the caller has disconnected, at most once per interval."""
         now = self._clock.now()
@@ -302,6 +370,11 @@
         return ExchangeError(OutcomeKind.INVALID, Verdict.MAY_HAVE_RUN, code, message)
 
 
+def count_unacknowledged(sock):
+    """Return the number of sent bytes that the other side has not acknowledged."""
+    return struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))[0]
+
+
 def compute_idle_timeout(headers):
     """Return the seconds for which an idle connection may be reused.
 
--- a/persimmonlane/serving/responses.py
+++ b/persimmonlane/serving/responses.py
@@ -8,6 +8,10 @@
 READ_SIZE_BYTES = 64 * 1024
 # Limit for everything in one response but its body: heads, chunk sizes and trailers.
 MAX_OVERHEAD_BYTES = 128 * 1024
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
+# Such a response ends with its head, whatever length the head states (RFC 9112, 6.3).
+STATUSES_WITHOUT_CONTENT = (204, 304)
 
 
 class CompleteResponse:
@@ -40,12 +44,15 @@
 
     Attributes:
         will_close: Whether the connection ends with the last response that was read.
+        ends_at_close: Whether only the end of the connection marks the end of that
+            response.
     """
 
-    __slots__ = ("will_close", "_connection", "_method", "_memory")
+    __slots__ = ("will_close", "ends_at_close", "_connection", "_method", "_memory")
 
     def __init__(self, connection, method, memory):
         self.will_close = False
+        self.ends_at_close = False
         self._connection = connection
         self._method = method
         self._memory = memory
@@ -64,11 +71,16 @@
         response = self._connection.read_response(self._method)
         self._check_not_truncated()
         check_framing(response)
+        self.ends_at_close = response.length is None and not response.chunked
         # Body data is credited only after it has been read, so allow one read ahead.
         raw_input.remaining_bytes += READ_SIZE_BYTES
         reservation = MemoryReservation(self._memory)
-        body = self._read_body(response, reservation)
         self.will_close = response.will_close
+        if response.status in STATUSES_WITHOUT_CONTENT:
+            body = b""
+            self.will_close |= announces_body(response)
+        else:
+            body = self._read_body(response, reservation)
         headers = [Header(*item) for item in response.getheaders()]
         return CompleteResponse(response.status, headers, body, reservation)
 
@@ -108,6 +120,9 @@
 def check_framing(response):
     """Check that the length of a response is unambiguous and its status is final.
 
+    `http.client` takes a response with a malformed length or an unknown encoding for
+    one that ends with the connection, where a part would count as the whole.
+
     Raises:
         ValueError: If they are not.
     """
@@ -115,5 +130,22 @@
     encodings = response.headers.get_all("Transfer-Encoding", ())
     if len(lengths) > 1 or (lengths and encodings):
         raise ValueError("the response has more than one body length")
-    if response.status < 200:
+    if not all(length.isascii() and length.isdigit() for length in lengths):
+        raise ValueError("the length of the response body is malformed")
+    if encodings and [encoding.lower() for encoding in encodings] != ["chunked"]:
+        raise ValueError("the transfer encoding of the response is not supported")
+    if response.status < MIN_FINAL_STATUS:
         raise ValueError("the response is not final")
+    if response.status > MAX_STATUS:
+        raise ValueError("the status of the response is out of range")
+
+
+def announces_body(response):
+    """Return whether the head of a response without content announces a body.
+
+    The length in a 304 is that of the response to an unconditional request.
+    """
+    if response.headers.get("Transfer-Encoding") is not None:
+        return True
+    length = response.headers.get("Content-Length")
+    return response.status == 204 and length is not None and int(length) > 0
