Remember a dispatched request while it runs, and until its deadline

Cause: DispatchLog forgot dispatched requests after 60 s whatever their time limit, and took one that it did not find for one that never ran.

The ingress node trusts no confirmation after the deadline, as it or its VM may have been suspended. Requests without an identifier can't be told apart and are not cancelled.

--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -117,14 +117,18 @@
             self._admission_stopped = True
             self._update_slots()
 
-    def cancel(self, request_id):
+    def cancel(self, request_id, time_left_s):
         """Cancel a request unless it was already sent to the backend server.
 
+        Args:
+            request_id: Identifier of the request.
+            time_left_s: Seconds until its deadline.
+
         Returns:
             Whether it was not sent yet; it will then never run.
         """
         with self._lock:
-            return self._dispatch_log.cancel(request_id)
+            return self._dispatch_log.cancel(request_id, time_left_s)
 
     def handle_heartbeat(self, heartbeat):
         """Handle a heartbeat of the backend server.
@@ -306,18 +310,24 @@
         try:
             self._await_slot(ticket, wakeup, caller)
             check_quarantine(self._ledger, order.fingerprint)
-            self._mark_dispatched(order)
-            return self._exchange(order, call, ticket, caller)
+            return self._dispatch(order, call, ticket, caller)
         finally:
             with self._lock:
                 self.admission_queue.release(ticket)
 
-    def _mark_dispatched(self, order):
+    def _dispatch(self, order, call, ticket, caller):
         with self._lock:
-            if not self._dispatch_log.mark_dispatched(order.request_id):
+            if not self._dispatch_log.mark_dispatched(
+                order.request_id, ticket.deadline
+            ):
                 raise build_not_run_refusal(
                     "request-withdrawn", "its ingress node cancelled it"
                 )
+        try:
+            return self._exchange(order, call, ticket, caller)
+        finally:
+            with self._lock:
+                self._dispatch_log.mark_ended(order.request_id)
 
     def _log_end(self, order, call, ticket, outcome, verdict, status):
         now = self._clock.now()
--- a/persimmonlane/owner/tests/test_owner.py
+++ b/persimmonlane/owner/tests/test_owner.py
@@ -2,10 +2,13 @@
 from testtools.matchers import GreaterThan
 
 from ...clocks import ManualClock
+from ...outcomes import OutcomeKind
 from ...quarantine.ledger import CrashLedger
 from ...routing.metadata import Order
+from ...serving.exchange import ExchangeError
 from ...verdicts import Verdict
 from ..backend import Heartbeat, ServerState
+from ..calls import ForwardedCall
 from ..health import FailureRisk, HealthState
 from ..owner import Owner
 from .hosting import build_hosted
@@ -86,6 +89,43 @@
         self.assertEqual("", self.owner.check_admission(build_order(force=True)).code)
 
 
+class SlowClient:
+    """Runs each request for a time, and calls the test before it fails."""
+
+    def __init__(self, clock, run_s, on_run):
+        self.clock = clock
+        self.run_s = run_s
+        self.on_run = on_run
+
+    def run(self, order, call, deadline, caller):
+        self.clock.advance(self.run_s)
+        self.on_run(order)
+        raise ExchangeError(OutcomeKind.TIMEOUT, Verdict.MAY_HAVE_RUN, "late", "late")
+
+
+class CancellationTests(OwnerTestCase):
+    """What the owner confirms of requests that its backend server runs."""
+
+    def setUp(self):
+        super().setUp()
+        self.confirmed = []
+        self.owner._client = SlowClient(self.clock, 66.0, self.cancel)
+
+    def serve(self, order):
+        call = ForwardedCall("POST", "/", [], b"", self.clock.now(), None)
+        self.assertRaises(ExchangeError, self.owner.serve, order, call, None)
+
+    def cancel(self, order):
+        if order.request_id == "one":
+            # Another request is dispatched meanwhile, and old ones are forgotten.
+            self.serve(build_order(request_id="two"))
+            self.confirmed.append(self.owner.cancel("one", 24.0))
+
+    def test_request_that_runs_for_long_is_not_confirmed_as_never_run(self):
+        self.serve(build_order(time_left_s=90.0))
+        self.assertEqual([False], self.confirmed)
+
+
 class ProbeTests(OwnerAdmissionTests):
     """A half-open server beside what it has left unanswered."""
 
--- a/persimmonlane/peers/commands.py
+++ b/persimmonlane/peers/commands.py
@@ -176,15 +176,17 @@
         address: Address of the owner.
         boot: Boot number of the process to which the request was sent.
         request_id: Identifier of the request.
+        time_left_s: Seconds until its deadline.
         reply: Future for whether the request is certain never to run there.
     """
 
-    __slots__ = ("address", "boot", "request_id", "reply")
+    __slots__ = ("address", "boot", "request_id", "time_left_s", "reply")
 
-    def __init__(self, address, boot, request_id, reply):
+    def __init__(self, address, boot, request_id, time_left_s, reply):
         self.address = address
         self.boot = boot
         self.request_id = request_id
+        self.time_left_s = time_left_s
         self.reply = reply
 
 
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -256,7 +256,9 @@
     def request_cancellation(self, command):
         """Ask an owner to cancel a request."""
         correlation_id = self._pending.add(command)
-        request = CancellationRequest(correlation_id, command.boot, command.request_id)
+        request = CancellationRequest(
+            correlation_id, command.boot, command.request_id, command.time_left_s
+        )
         host, _ = split_address(command.address)
         self._send(host, request)
 
@@ -370,7 +372,7 @@
     def _handle_cancellation_request(self, request, sender):
         # A process that was restarted since can't tell what its predecessor ran.
         never_runs = request.boot == self._boot and self._owner.cancel(
-            request.request_id
+            request.request_id, request.time_left_s
         )
         self._transport.send(
             sender, CancellationResponse(request.correlation_id, never_runs)
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -244,11 +244,13 @@
         correlation_id: Number that matches the response to this message.
         boot: Boot number of the process to which the request was sent.
         request_id: Identifier of the request.
+        time_left_s: Seconds until its deadline; 0 from nodes of older releases.
     """
 
     correlation_id: int
     boot: int
     request_id: str
+    time_left_s: Seconds = 0.0
 
 
 class CancellationResponse(msgspec.Struct, array_like=True, tag="x"):
--- a/persimmonlane/peers/tests/test_cancellation.py
+++ b/persimmonlane/peers/tests/test_cancellation.py
@@ -16,8 +16,8 @@
         self.never_runs = never_runs
         self.cancelled = []
 
-    def cancel(self, request_id):
-        self.cancelled.append(request_id)
+    def cancel(self, request_id, time_left_s):
+        self.cancelled.append((request_id, time_left_s))
         return self.never_runs
 
 
@@ -39,7 +39,7 @@
 
     def send_cancellation_request(self, gossip, boot):
         gossip.answer_query(
-            ReceivedDatagram(CancellationRequest(3, boot, "one"), SENDER)
+            ReceivedDatagram(CancellationRequest(3, boot, "one", 9.0), SENDER)
         )
         ((address, response),) = self.transport.sent
         self.assertEqual((SENDER, 3), (address, response.correlation_id))
@@ -51,7 +51,7 @@
             self.assertEqual(
                 never_runs, self.send_cancellation_request(gossip, gossip._boot)
             )
-            self.assertEqual(["one"], self.owner.cancelled)
+            self.assertEqual([("one", 9.0)], self.owner.cancelled)
 
     def test_restarted_process_does_not_answer_for_its_predecessor(self):
         gossip = self.build_gossip()
@@ -59,11 +59,15 @@
 
     def test_response_completes_the_pending_command(self):
         gossip = self.build_gossip()
-        command = CancellationCommand("10.0.0.3:80", 5, "one", pykka.ThreadingFuture())
+        command = CancellationCommand(
+            "10.0.0.3:80", 5, "one", 9.0, pykka.ThreadingFuture()
+        )
         gossip.request_cancellation(command)
         ((address, request),) = self.transport.sent
         self.assertEqual(("10.0.0.3", 9), address)
-        self.assertEqual((5, "one"), (request.boot, request.request_id))
+        self.assertEqual(
+            (5, "one", 9.0), (request.boot, request.request_id, request.time_left_s)
+        )
         gossip.handle_datagram(
             CancellationResponse(request.correlation_id, True), SENDER
         )
--- a/persimmonlane/serving/cancellation.py
+++ b/persimmonlane/serving/cancellation.py
@@ -13,6 +13,8 @@
 from .exchange import ExchangeError
 
 REPLY_TIMEOUT_S = 0.12
+# With less time left, no owner is asked to cancel a request.
+MIN_TIME_LEFT_S = 0.03
 # Cancellations are sent as datagrams, which may be lost.
 MAX_ATTEMPTS = 2
 
@@ -20,35 +22,49 @@
 class CancellationClient:
     """Asks owners to cancel requests; thread-safe."""
 
-    __slots__ = ("_actor",)
+    __slots__ = ("_actor", "_clock")
 
-    def __init__(self, actor):
+    def __init__(self, actor, clock):
         """Initialise the client.
 
         Args:
             actor: Reference to the `Gossip` actor, which sends the datagrams.
+            clock: Clock in seconds.
         """
         self._actor = actor
+        self._clock = clock
 
-    def cancel(self, order, peer, boot):
+    def cancel(self, request_id, peer, boot, deadline):
         """Ask an owner to cancel a request.
 
+        An owner may forget a request after its deadline, and then takes it for one that
+        never came. So nothing is asked then, and a confirmation that arrives by then
+        does not count: this node or its VM may have been suspended meanwhile.
+
         Args:
-            order: The `Order` of the request.
+            request_id: Identifier of the request.
             peer: The `Peer` to which it was sent.
             boot: Boot number of the process to which it was sent.
+            deadline: Clock seconds by which the request must be answered.
 
         Returns:
             Whether the owner confirmed that the request will never run there.
         """
+        if not request_id:
+            return False
         for _ in range(MAX_ATTEMPTS):
+            left_s = deadline - self._clock.now()
+            if left_s <= MIN_TIME_LEFT_S:
+                return False
             reply = pykka.ThreadingFuture()
-            query = CancellationCommand(peer.address, boot, order.request_id, reply)
-            self._actor.tell(query)
+            self._actor.tell(
+                CancellationCommand(peer.address, boot, request_id, left_s, reply)
+            )
             try:
-                return reply.get(timeout=REPLY_TIMEOUT_S)
+                never_runs = reply.get(timeout=REPLY_TIMEOUT_S)
             except pykka.Timeout:
                 continue
+            return never_runs and self._clock.now() < deadline
         return False
 
 
--- a/persimmonlane/serving/sending.py
+++ b/persimmonlane/serving/sending.py
@@ -27,8 +27,6 @@
 CONNECT_TIME_SHARE = 0.25
 # Added to the request's deadline so that a timeout reported by the owner still arrives.
 OWNER_DEADLINE_MARGIN_S = 0.05
-# With less time left, no owner is asked to cancel a request.
-MIN_TIME_LEFT_S = 0.03
 
 
 class AttemptSender:
@@ -148,7 +146,11 @@
         text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
         left_s = request.deadline - self._clock.now()
         cancel = functools.partial(
-            self._cancellations.cancel, order, peer, peer.announcement.boot
+            self._cancellations.cancel,
+            order.request_id,
+            peer,
+            peer.announcement.boot,
+            request.deadline,
         )
         headers = drop_hop_by_hop(filter_request_headers(request.headers))
         call = OutgoingRequest(
@@ -171,7 +173,7 @@
             if error.kind in (OutcomeKind.CONNECT, OutcomeKind.ERROR):
                 peer.mark_unreachable(self._clock.now())
             verdict = error.verdict
-            if self._may_cancel(request, error) and cancel():
+            if error.verdict is Verdict.MAY_HAVE_RUN and cancel():
                 verdict = Verdict.NOT_RUN
             return Attempt(None, verdict, error.code, kind=error.kind)
         finally:
@@ -180,12 +182,6 @@
         peer.mark_reachable()
         return parse_report(answer, peer, order.server_id)
 
-    def _may_cancel(self, request, error):
-        left_s = request.deadline - self._clock.now()
-        if not request.metadata.request_id or left_s <= MIN_TIME_LEFT_S:
-            return False
-        return error.verdict is Verdict.MAY_HAVE_RUN
-
     def _change_in_flight(self, peer, change):
         with self._lock:
             peer.in_flight += change
--- a/persimmonlane/serving/tests/test_cancellation.py
+++ b/persimmonlane/serving/tests/test_cancellation.py
@@ -1,7 +1,6 @@
 import testtools
 
 from ...clocks import ManualClock
-from ...owner.tests.test_owner import build_order
 from ...peers.peer import Peer
 from ...verdicts import Verdict
 from ..cancellation import MAX_ATTEMPTS, CancellationClient, CancelOnShutdown
@@ -14,21 +13,28 @@
 class FakeActor:
     """Ignores the first queries, and answers all later ones."""
 
-    def __init__(self, ignored, never_runs=True):
+    def __init__(self, ignored, never_runs=True, on_query=lambda: None):
+        self.on_query = on_query
         self.ignored = ignored
         self.never_runs = never_runs
         self.queries = []
 
     def tell(self, query):
         self.queries.append(query)
+        self.on_query()
         if len(self.queries) > self.ignored:
             query.reply.set(self.never_runs)
 
 
 class CancellationClientTests(testtools.TestCase):
-    def cancel(self, actor):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(1.0)
+
+    def cancel(self, actor, request_id="one", deadline=3.0):
         peer = Peer("node-2", "10.0.0.2:80", 1.0)
-        return CancellationClient(actor).cancel(build_order(), peer, 7)
+        client = CancellationClient(actor, self.clock)
+        return client.cancel(request_id, peer, 7, deadline)
 
     def test_cancellation_needs_the_confirmation_of_the_owner(self):
         self.assertTrue(self.cancel(FakeActor(0)))
@@ -45,6 +51,20 @@
         self.assertFalse(self.cancel(actor))
         self.assertEqual(MAX_ATTEMPTS, len(actor.queries))
 
+    def test_confirmation_after_the_deadline_does_not_count(self):
+        # The owner may have forgotten by then that it dispatched the request.
+        actor = FakeActor(0, on_query=lambda: self.clock.advance(90.0))
+        self.assertFalse(self.cancel(actor))
+
+    def test_query_is_not_repeated_after_the_deadline(self):
+        actor = FakeActor(1, on_query=lambda: self.clock.advance(90.0))
+        self.assertFalse(self.cancel(actor))
+        self.assertEqual(1, len(actor.queries))
+
+    def test_request_without_an_identifier_is_not_cancelled(self):
+        # It can't be told from others, which may have run.
+        self.assertFalse(self.cancel(FakeActor(0), request_id=""))
+
 
 class CancelOnShutdownTests(testtools.TestCase):
     def setUp(self):
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -152,7 +152,7 @@
             RetryBudget(settings, clock, table, self._gossip),
             self.events,
             self.shutdown,
-            CancellationClient(self._gossip),
+            CancellationClient(self._gossip, clock),
             self._wire.traffic,
             self.isolation,
         )
