--- a/persimmonlane/platform/store.py
+++ b/persimmonlane/platform/store.py
@@ -78,13 +78,21 @@
 
 
 class Listing:
-    """The `StoreItem`s with a prefix, all read from one generation of the store."""
+    """The `StoreItem`s with a prefix, all read from one generation of the store.
 
-    __slots__ = ("items", "generation")
+    Attributes:
+        items: The `StoreItem`s.
+        generation: Number of the generation.
+        revision: Revision of the store at which the reading began, 0 if the store
+            does not name it.
+    """
 
-    def __init__(self, items, generation):
+    __slots__ = ("items", "generation", "revision")
+
+    def __init__(self, items, generation, revision=0):
         self.items = items
         self.generation = generation
+        self.revision = revision
 
 
 class Changes:
@@ -129,6 +137,7 @@
 
     items: list[StoreItem] = []
     has_more: bool = msgspec.field(name="HasMore", default=False)
+    as_of: int = msgspec.field(name="AsOf", default=0)
 
 
 class ConflictBody(msgspec.Struct):
@@ -221,7 +230,7 @@
 
     def list(self, prefix):
         """Return the `Listing` of the keys with a prefix, reading all pages."""
-        items, after, generation = [], "", None
+        items, after, generation, revision = [], "", None, 0
         while True:
             query = {"Prefix": prefix}
             if after:
@@ -232,9 +241,11 @@
                 raise StoreError("the store was restored while it was read")
             generation = answer.generation
             page = decode_response(answer.data, ItemPage)
+            if not after:
+                revision = page.as_of
             items += page.items
             if not page.has_more or not page.items:
-                return Listing(items, generation)
+                return Listing(items, generation, revision)
             after = page.items[-1].key
 
     def watch(self, prefix, position, wait_s):
