Read evacuations of data centres with the document

The operator's keys under op/evacuate/ were not read. The watch and the probes now cover op/ where the settings have evacuations, and a listing at start-up and after a gap in the history gives the whole list. A list that a restored store holds lifts nothing before the store has settled. A confirmation that the document is the newest is given only with the list of the same generation. Other deployments make the same calls as before.

--- a/persimmonlane/upkeep/probing.py
+++ b/persimmonlane/upkeep/probing.py
@@ -20,15 +20,18 @@
     or cut off from the store looks alive for a while.
     """
 
-    __slots__ = ("_settings", "_spread_s", "_probed_at")
+    __slots__ = ("_settings", "_spread_s", "_probed_at", "_has_evacuations")
 
-    def __init__(self, settings, rng):
+    def __init__(self, settings, rng, has_evacuations=False):
         """Create the schedule.
 
         Args:
             settings: The `FleetSettings`.
             rng: The `random.Random` that spreads the nodes.
+            has_evacuations: Whether a probe also asks for evacuations, which must be
+                in force in their own time.
         """
+        self._has_evacuations = has_evacuations
         self._settings = settings
         self._spread_s = ASK_SPREAD_S * rng.random()
         self._probed_at = float("-inf")
@@ -51,5 +54,7 @@
         self._probed_at = now
 
     def _compute_max_age_s(self):
-        max_age_s = self._settings.document_apply_s - READ_MARGIN_S
-        return max(MIN_MAX_AGE_S, max_age_s) - self._spread_s
+        apply_s = self._settings.document_apply_s
+        if self._has_evacuations:
+            apply_s = min(apply_s, self._settings.evacuation_s)
+        return max(MIN_MAX_AGE_S, apply_s - READ_MARGIN_S) - self._spread_s
--- a/persimmonlane/upkeep/reading.py
+++ b/persimmonlane/upkeep/reading.py
@@ -3,8 +3,10 @@
 import logging
 
 from ..peers.commands import FreshnessConfirmed
-from ..platform.documents import DOCUMENT_KEY
+from ..platform.documents import DOCUMENT_KEY, DOCUMENT_PREFIX
+from ..platform.evacuations import EVACUATION_PREFIX, parse_data_centre
 from ..platform.store import HistoryGone, StorePosition
+from .evacuations import EvacuationList
 from .probing import ProbeSchedule
 
 log = logging.getLogger("persimmonlane.upkeep")
@@ -14,13 +16,20 @@
 
 
 class Confirmation:
-    """The store held the document in force, in a generation at a time in seconds."""
+    """The store held what was read, in a generation at a time in seconds.
 
-    __slots__ = ("generation", "at")
+    Attributes:
+        generation: Number of the generation.
+        at: Clock seconds.
+        evacuations: The `EvacuationList` that was read, or None if the document was.
+    """
 
-    def __init__(self, generation, at):
+    __slots__ = ("generation", "at", "evacuations")
+
+    def __init__(self, generation, at, evacuations=None):
         self.generation = generation
         self.at = at
+        self.evacuations = evacuations
 
 
 class DocumentReader:
@@ -42,7 +51,9 @@
         "_gossip",
         "_table",
         "_schedule",
+        "_evacuations",
         "_unsettled",
+        "_unsettled_list",
     )
 
     def __init__(
@@ -55,6 +66,7 @@
         gossip,
         table,
         rng,
+        evacuations=None,
     ):
         """Create a reader.
 
@@ -67,6 +79,8 @@
             gossip: Actor that is told of the document's freshness.
             table: Table of the known nodes.
             rng: The `random.Random` that spreads the nodes' calls.
+            evacuations: The `EvacuationHolder`; None where operators evacuate no data
+                centres.
         """
         self.position = None
         self._settings = settings
@@ -76,8 +90,10 @@
         self._documents = documents
         self._gossip = gossip
         self._table = table
-        self._schedule = ProbeSchedule(settings, rng)
+        self._schedule = ProbeSchedule(settings, rng, evacuations is not None)
+        self._evacuations = evacuations
         self._unsettled = None
+        self._unsettled_list = None
 
     def run_due_probe(self, now):
         """Check whether the document is still the newest, if it is time to.
@@ -116,44 +132,114 @@
 
     def confirm_settled(self):
         """Confirm what was read before it was known that nothing was missing then."""
+        self._settle_list()
         unsettled = self._unsettled
         if unsettled is not None and self._generations.is_settled(
             unsettled.generation, unsettled.at
         ):
             self._unsettled = None
-            self._gossip.tell(FreshnessConfirmed(unsettled.at))
+            if self._evacuations is None or self._evacuations.covers(
+                unsettled.generation
+            ):
+                self._gossip.tell(FreshnessConfirmed(unsettled.at))
 
     def read(self):
-        """Read the document, and put it into force if it is newer."""
+        """Read the document, and put it into force if it is newer.
+
+        The evacuations are read with it.
+        """
         started_at = self._clock.now()
         item = self._store.read(DOCUMENT_KEY)
+        # A long document takes its time to decode; evacuations do not wait for it.
+        if self._evacuations is not None:
+            self.list_evacuations(started_at)
+        confirmation = self._apply_item(item, started_at)
+        if confirmation is not None:
+            self._confirm(confirmation)
+
+    def take_evacuations(self, after, changes, started_at):
+        """Apply the changes of evacuations, or list those that are in force.
+
+        Args:
+            after: The `StorePosition` after which changes were asked for.
+            changes: The `Changes`.
+            started_at: Clock seconds at which the call began.
+        """
+        if self._evacuations is None:
+            return
+        position = changes.position
+        if self._evacuations.apply_changes(
+            position.generation,
+            after.revision,
+            list_evacuation_changes(changes.events),
+            position.revision,
+        ):
+            self._evacuations.confirm(started_at)
+        else:
+            self.list_evacuations(started_at)
+
+    def list_evacuations(self, started_at):
+        """Read all evacuations in force.
+
+        Args:
+            started_at: Clock seconds at which the reading began, in this or in an
+                earlier call.
+        """
+        listing = self._store.list(EVACUATION_PREFIX)
+        found = build_evacuation_list(listing)
+        self._unsettled_list = Confirmation(listing.generation, started_at, found)
+        self._settle_list()
+        if self._unsettled_list is not None:
+            self._evacuations.note_unsettled(found)
+        self._evacuations.confirm(started_at)
+
+    def _settle_list(self):
+        """Put the list into force that was read, if nothing was missing then.
+
+        That another node has put one of this generation into force shows it as well.
+        """
+        unsettled = self._unsettled_list
+        if unsettled is not None and (
+            self._evacuations.covers(unsettled.generation)
+            or self._generations.is_settled(unsettled.generation, unsettled.at)
+        ):
+            self._unsettled_list = None
+            self._evacuations.note_listing(unsettled.evacuations)
+
+    def _apply_item(self, item, started_at):
+        """Put a `ReadItem` into force if it is newer.
+
+        Returns:
+            The `Confirmation` that it is the document in force, or None.
+        """
         if item.value is None:
             if self._documents.version > 0:
                 log.warning("Upkeep: the store holds no document.")
-            return
+            return None
         generation, revision = item.position.generation, item.position.revision
         if not self._documents.apply(item.value, "the store", generation, revision):
-            return
+            return None
         self.position = item.position
         if not self._documents.holds(item.value):
             log.warning(
                 "Upkeep: the store holds an older document than version %08x.",
                 self._documents.version,
             )
-            return
-        self._confirm(Confirmation(generation, started_at))
+            return None
+        return Confirmation(generation, started_at)
 
     def _ask_for_changes(self, held):
         """Ask the store what has changed since it held a `HeldDocument`."""
         started_at = self._clock.now()
         generation = held.stamp.generation
+        after = StorePosition(generation, held.revision)
+        prefix = DOCUMENT_KEY if self._evacuations is None else DOCUMENT_PREFIX
         try:
-            changes = self._store.watch(
-                DOCUMENT_KEY, StorePosition(generation, held.revision), 0.0
-            )
+            changes = self._store.watch(prefix, after, 0.0)
         except HistoryGone:
             self.read()
             return
+        self.take_evacuations(after, changes, started_at)
         values = [item.value for item in changes.events if item.key == DOCUMENT_KEY]
         revision = changes.position.revision
         if not values:
@@ -179,3 +265,20 @@
     def _confirm(self, confirmation):
         self._unsettled = confirmation
         self.confirm_settled()
+
+
+def build_evacuation_list(listing):
+    """Return the `EvacuationList` of a `Listing`."""
+    names = {parse_data_centre(item.key) for item in listing.items} - {None}
+    revisions = [listing.revision, *(item.revision for item in listing.items)]
+    revision = listing.revision or max(revisions)
+    return EvacuationList(listing.generation, revision, tuple(sorted(names)))
+
+
+def list_evacuation_changes(events):
+    """Return the changes of evacuations among `StoreItem`s, for the holder."""
+    return [
+        (event.revision, (name, event.value is not None and not event.tombstone))
+        for event in events
+        if (name := parse_data_centre(event.key)) is not None
+    ]
--- a/persimmonlane/upkeep/storesync.py
+++ b/persimmonlane/upkeep/storesync.py
@@ -39,6 +39,8 @@
         departures: The `Departures` that the node's entry keeps.
         on_departures_read: Callable that is called with the `Departure`s that the entry
             of the node's last process held; the list may be empty.
+        evacuations: The `EvacuationHolder`; None where operators evacuate no data
+            centres.
 
     Attributes:
         registration: The `Registration`.
@@ -60,8 +62,10 @@
         rng,
         departures,
         on_departures_read,
+        evacuations=None,
     ):
         self._clock = clock
+        self._evacuations = evacuations
         self._generations = generations
         self._documents = documents
         self._table = table
@@ -80,6 +84,7 @@
             gossip,
             table,
             rng,
+            evacuations,
         )
         self.registration = Registration(
             settings,
@@ -91,7 +96,9 @@
             departures,
             on_departures_read,
         )
-        self.watch = DocumentWatch(settings, store, documents, self._reader, table)
+        self.watch = DocumentWatch(
+            settings, clock, store, documents, self._reader, table
+        )
         documents.add_listener(self._log_unconfirmed_time)
         # A task that fails ends the round, and the next one begins after it.
         self._tasks = collections.deque(
@@ -129,6 +136,8 @@
             self._run_tasks(now)
         except StoreError as error:
             log.warning("Upkeep: %s.", error)
+            if self._evacuations is not None:
+                self._evacuations.note_unreachable(now)
             self._retry_at = now + RETRY_DELAY_S * self._rng.uniform(0.8, 1.2)
             self.registration.request_renewal()
         except Exception:
--- a/persimmonlane/upkeep/watching.py
+++ b/persimmonlane/upkeep/watching.py
@@ -17,19 +17,29 @@
 class DocumentWatch:
     """Waits for changes of the document, as long as this node is a relay."""
 
-    __slots__ = ("_settings", "_store", "_documents", "_reader", "_table", "_after")
+    __slots__ = (
+        "_settings",
+        "_clock",
+        "_store",
+        "_documents",
+        "_reader",
+        "_table",
+        "_after",
+    )
 
-    def __init__(self, settings, store, documents, reader, table):
+    def __init__(self, settings, clock, store, documents, reader, table):
         """Create a watch.
 
         Args:
             settings: The `FleetSettings`.
+            clock: Clock that gives the time in seconds.
             store: The `SiteStore`.
             documents: The `DocumentHolder`.
             reader: The `DocumentReader`.
             table: Table of the known nodes.
         """
         self._settings = settings
+        self._clock = clock
         self._store = store
         self._documents = documents
         self._reader = reader
@@ -71,7 +81,9 @@
         return self._after
 
     def _apply_changes(self, after):
+        started_at = self._clock.now()
         changes = self._store.watch(DOCUMENT_PREFIX, after, WATCH_TIMEOUT_S)
+        self._reader.take_evacuations(after, changes, started_at)
         for event in changes.events:
             if event.key == DOCUMENT_KEY and event.value is not None:
                 position = changes.position
