Tell other nodes which data centres are evacuated

A node takes its document as fresh from what other nodes say, and then does not ask the store, so that it would miss an evacuation. Announcements and digests carry the list as their last field; a delta says that it is unchanged. It is merged before the age is used, and an age without a list confirms nothing. Without evacuations the field is not encoded: the bytes are those of before.

--- a/persimmonlane/peers/announcing.py
+++ b/persimmonlane/peers/announcing.py
@@ -14,19 +14,31 @@
 class StaticFields:
     """The rarely changing fields of an announcement that a `Delta` leaves out."""
 
-    __slots__ = ("leaving", "server_id", "service", "born", "is_server_leaving")
+    __slots__ = (
+        "leaving",
+        "server_id",
+        "service",
+        "born",
+        "is_server_leaving",
+        "evacuations",
+    )
 
-    def __init__(self, state):
+    def __init__(self, state, evacuations=None):
         server = state.server
         self.leaving = state.leaving
         self.server_id = server.server_id if server is not None else None
         self.service = server.service if server is not None else None
         self.born = server.born if server is not None else None
         self.is_server_leaving = server is not None and server.leaving
+        self.evacuations = evacuations
 
     def matches(self, other):
         """Return whether all fields are equal to those of another instance."""
-        return self.leaving == other.leaving and self.has_server_of(other)
+        return (
+            self.leaving == other.leaving
+            and self.evacuations == other.evacuations
+            and self.has_server_of(other)
+        )
 
     def has_server_of(self, other):
         """Return whether the backend server is that of another instance."""
@@ -72,7 +84,15 @@
         self.sequence += 1
         return self.sequence
 
-    def update(self, state, stamp, fresh_age_s, store_generation=0, crash_digest=0):
+    def update(
+        self,
+        state,
+        stamp,
+        fresh_age_s,
+        store_generation=0,
+        crash_digest=0,
+        evacuations=None,
+    ):
         """Set the state to announce in this round.
 
         Args:
@@ -82,8 +102,9 @@
                 negative if unknown.
             store_generation: Latest generation of the store that the node has seen.
             crash_digest: Digest of the node's `CrashLedger`.
+            evacuations: The `EvacuationList` in force, or None.
         """
-        fields = StaticFields(state)
+        fields = StaticFields(state, evacuations)
         if self._static_fields is None or not fields.matches(self._static_fields):
             if self._static_fields and not fields.has_server_of(self._static_fields):
                 self._revision += 1
@@ -108,6 +129,7 @@
             store_generation,
             crash_digest,
             True,
+            evacuations,
         )
         self._delta = build_delta(self._full)
 
--- a/persimmonlane/peers/deltas.py
+++ b/persimmonlane/peers/deltas.py
@@ -77,6 +77,7 @@
         delta.store_generation,
         delta.crash_digest,
         known.keeps_departures,
+        known.evacuations,
     )
 
 
--- a/persimmonlane/peers/digests.py
+++ b/persimmonlane/peers/digests.py
@@ -3,7 +3,7 @@
 import math
 
 from .deltas import apply_load, build_load
-from .statuses import Announcement, Member, MemberState
+from .statuses import Announcement, Member, MemberState, strip_evacuations
 
 DS_PER_S = 10
 # Members in one datagram: their states, or whole announcements, which are longer.
@@ -30,7 +30,7 @@
 
 def build_member(announcement, age_s):
     """Return the `Member` of a node; the arguments are those of a `MemberState`."""
-    return Member(announcement, round_age_up(age_s))
+    return Member(strip_evacuations(announcement), round_age_up(age_s))
 
 
 def round_age_up(age_s):
@@ -74,6 +74,7 @@
         known.store_generation,
         known.crash_digest,
         known.keeps_departures,
+        known.evacuations,
     )
 
 
--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -103,6 +103,7 @@
         ledger,
         owner,
         rng=None,
+        evacuations=None,
     ):
         super().__init__(application)
         rng = rng or random.Random()
@@ -114,6 +115,7 @@
         self._generations = generations
         self._ledger = ledger
         self._owner = owner
+        self._evacuations = evacuations
         self._boot = rng.randrange(BOOT_LIMIT)
         self._builder = AnnouncementBuilder(settings, clock, self._boot)
         self._pending = PendingQueries()
@@ -130,6 +132,7 @@
             self._pending,
             transport,
             rng,
+            evacuations,
         )
         self._rates = FleetRateLimiter(
             settings,
@@ -290,8 +293,8 @@
     def _begin_round(self):
         self.table.send_times.record(self._builder.begin_round())
         state = self._describe()
-        # The age is read before the version: if a newer version comes into force in
-        # between, the age holds for it as well.
+        # The age is read before the version and the evacuations: if newer ones come
+        # into force in between, the age holds for them as well.
         fresh_age_s = self.table.freshness.encode_age()
         self._builder.update(
             state,
@@ -299,6 +302,7 @@
             fresh_age_s,
             self._generations.current,
             self._ledger.digest,
+            None if self._evacuations is None else self._evacuations.get_sendable(),
         )
 
     def _handle_announcement(self, announcement, _):
@@ -317,7 +321,7 @@
                 announcement.stamp, announcement.address, announcement.data_centre
             )
         fresh_at = self.table.compute_fresh_at(announcement)
-        if fresh_at is not None:
+        if self._remotes.take_evacuations(announcement, fresh_at):
             in_force = self._document.stamp
             self.table.freshness.mark_document(announcement.stamp, fresh_at, in_force)
         if known_boot == announcement.boot or self.table.is_remote(peer):
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -16,6 +16,7 @@
     DigestRequest,
     MemberQuery,
     MemberResponse,
+    strip_evacuations,
 )
 
 # Longer lists are refused, so that no datagram can keep the receiver busy.
@@ -287,5 +288,21 @@
     | CancellationResponse
 )
 
-encoder = msgspec.msgpack.Encoder()
+
+class DatagramEncoder:
+    """Encodes messages; without evacuations as releases that know none encode them."""
+
+    __slots__ = ("_encoder",)
+
+    def __init__(self):
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def encode(self, message):
+        """Return the bytes of a message."""
+        if getattr(message, "evacuations", None) is None:
+            message = strip_evacuations(message)
+        return self._encoder.encode(message)
+
+
+encoder = DatagramEncoder()
 decoder = msgspec.msgpack.Decoder(Datagram)
--- a/persimmonlane/peers/remotes.py
+++ b/persimmonlane/peers/remotes.py
@@ -83,6 +83,7 @@
         "_pending",
         "_transport",
         "_rng",
+        "_evacuations",
         "_started_at",
         "_sent_at",
         "_echoes",
@@ -102,6 +103,7 @@
         pending,
         transport,
         rng,
+        evacuations=None,
     ):
         """Create the membership.
 
@@ -117,6 +119,8 @@
             pending: The `PendingQueries`.
             transport: The `DatagramTransport`.
             rng: The `random.Random` to draw nodes with.
+            evacuations: The `EvacuationHolder`; None where operators evacuate no data
+                centres.
         """
         self._settings = settings
         self._clock = clock
@@ -129,6 +133,7 @@
         self._pending = pending
         self._transport = transport
         self._rng = rng
+        self._evacuations = evacuations
         self._started_at = clock.now()
         self._sent_at = float("-inf")
         self._echoes = {}
@@ -330,6 +335,8 @@
         age_s = self._table.freshness.encode_age()
         # The age is read before the version, as in announcements.
         stamp = self._document.stamp
+        evacuations = self._evacuations
+        sendable = None if evacuations is None else evacuations.get_sendable()
         age_ms = int(age_s * MS_PER_S) + 1 if age_s >= 0 else -1
         for part in split(states, STATES_PER_DATAGRAM):
             sequence = self._begin_message()
@@ -347,6 +354,7 @@
                     stamp.generation,
                     self._generations.current,
                     self._ledger.digest,
+                    sendable,
                 ),
             )
 
@@ -375,13 +383,32 @@
         self._generations.report(digest.store_generation)
         if peer is not None and digest.stamp > self._document.stamp:
             self._document.add_source(digest.stamp, peer.address, peer.data_centre)
-        if sent_at is None or digest.fresh_age_ms < 0:
-            return
-        self._table.freshness.mark_document(
-            digest.stamp,
-            sent_at - digest.fresh_age_ms / MS_PER_S,
-            self._document.stamp,
-        )
+        fresh_at = None
+        if sent_at is not None and digest.fresh_age_ms >= 0:
+            fresh_at = sent_at - digest.fresh_age_ms / MS_PER_S
+        if self.take_evacuations(digest, fresh_at):
+            self._table.freshness.mark_document(
+                digest.stamp, fresh_at, self._document.stamp
+            )
+
+    def take_evacuations(self, message, fresh_at):
+        """Merge the evacuations that a message names; return whether its age counts.
+
+        This goes before the use of the age, so that a fresh document never hides an
+        evacuation. The age in a message without a list says nothing of evacuations.
+
+        Args:
+            message: The `Announcement` or `Digest`.
+            fresh_at: Clock seconds at which its sender knew the newest state of the
+                store, None if that is not known.
+        """
+        if self._evacuations is not None and message.evacuations is not None:
+            self._evacuations.merge(message.evacuations)
+            if fresh_at is not None:
+                self._evacuations.confirm(fresh_at)
+        elif self._evacuations is not None:
+            return False
+        return fresh_at is not None
 
     def _record_echo(self, host, message):
         """Record a message as the newest of its host; return whether it is newer."""
--- a/persimmonlane/peers/statuses.py
+++ b/persimmonlane/peers/statuses.py
@@ -11,6 +11,7 @@
 from ..owner.health import HealthState
 from ..routing.metadata import Count, Percent, Rate, Seconds, Standing
 from ..routing.stamps import DocumentStamp
+from ..upkeep.evacuations import EvacuationList
 
 STANDINGS = tuple(standing.value for standing in HealthState)
 # Longer lists are refused, so that no datagram can keep the receiver busy.
@@ -97,6 +98,8 @@
         crash_digest: Number that is the same on nodes which know of the same crashes;
             None from releases that don't know of any.
         keeps_departures: Whether the node answers a `DepartureReport`.
+        evacuations: The `EvacuationList` in force at the node; None where operators
+            evacuate no data centres, while it is not known, and from older releases.
     """
 
     node: str
@@ -117,6 +120,7 @@
     store_generation: Count = 0
     crash_digest: Count | None = None
     keeps_departures: bool = False
+    evacuations: EvacuationList | None = None
 
     @property
     def stamp(self):
@@ -224,6 +228,7 @@
         document_generation: As in `Announcement`.
         store_generation: As in `Announcement`.
         crash_digest: As in `Announcement`.
+        evacuations: As in `Announcement`.
     """
 
     boot: int
@@ -237,6 +242,7 @@
     document_generation: Count = 0
     store_generation: Count = 0
     crash_digest: Count | None = None
+    evacuations: EvacuationList | None = None
 
     @property
     def stamp(self):
@@ -290,3 +296,35 @@
 
     correlation_id: int
     members: Annotated[list[Member], msgspec.Meta(max_length=MAX_DIGEST_MEMBERS)]
+
+
+def define_plain_class(message_class):
+    """Return the struct of a message without its last field, the evacuations.
+
+    An array holds all fields, also those with their default.
+    """
+    return msgspec.defstruct(
+        f"Plain{message_class.__name__}",
+        message_class.__struct_fields__[:-1],
+        array_like=True,
+        tag=message_class.__struct_config__.tag,
+    )
+
+
+PLAIN_CLASSES = {
+    message_class: define_plain_class(message_class)
+    for message_class in (Announcement, Digest)
+}
+
+
+def strip_evacuations(message):
+    """Return the message that is encoded as an `Announcement` or `Digest` without them.
+
+    Args:
+        message: Any message; others are returned as they are.
+    """
+    plain_class = PLAIN_CLASSES.get(type(message))
+    if plain_class is None:
+        return message
+    names = plain_class.__struct_fields__
+    return plain_class(*(getattr(message, name) for name in names))
