Refuse requests at the owner while its data centre is evacuated

Every request to a backend server passes its owner, so that no other node needs to be right for the rule to hold. The owner admits nothing while its data centre is evacuated, before the list is known, and after a suspension until the store or another node has confirmed the list. Waiting requests, and those with a slot that were not sent yet, are refused as not run with code server-evacuated. Running ones go on.

--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -21,6 +21,7 @@
 from .client import ServerClient
 from .crashes import CrashObserver, is_listening
 from .dispatch import DispatchLog
+from .evacuation import SERVER_EVACUATED, EvacuationGate
 from .evidence import HealthEvidence
 from .health import FailureDetector, estimate_prior
 from .latency import LatencyModels
@@ -46,6 +47,7 @@
         admission_queue: The `AdmissionQueue`.
         crashes: The `CrashObserver`.
         status: The `OwnerStatus`.
+        evacuation: The `EvacuationGate`.
         on_change: Callable that is called after the server's status has changed.
         find_status_path: Callable that returns the path of the server's status check;
             empty if it has none, None if that is not known yet.
@@ -59,6 +61,7 @@
         "admission_queue",
         "crashes",
         "status",
+        "evacuation",
         "on_change",
         "_clock",
         "_client",
@@ -73,8 +76,9 @@
         "_evidence",
     )
 
-    def __init__(self, settings, hosted, clock, pool, ledger):
+    def __init__(self, settings, hosted, clock, pool, ledger, evacuations=None):
         self.hosted = hosted
+        self.evacuation = EvacuationGate(settings, clock, evacuations)
         self.crashes = CrashObserver(
             clock, hosted, ledger, lambda: is_listening(settings.server)
         )
@@ -117,6 +121,18 @@
             self._admission_stopped = True
             self._update_slots()
 
+    def apply_evacuations(self):
+        """Close or open admission after a change of the evacuations.
+
+        Running requests continue. Waiting requests are refused as not run.
+        """
+        with self._lock:
+            slots = self.admission_queue.slots
+            self._update_slots()
+            changed = slots != self.admission_queue.slots
+        if changed:
+            self.on_change()
+
     def cancel(self, request_id):
         """Cancel a request unless it was already sent to the backend server.
 
@@ -314,6 +330,7 @@
 
     def _mark_dispatched(self, order):
         with self._lock:
+            self.evacuation.check()
             if not self._dispatch_log.mark_dispatched(order.request_id):
                 raise build_not_run_refusal(
                     "request-withdrawn", "its ingress node cancelled it"
@@ -343,6 +360,10 @@
         ready = self.hosted.is_ready() and not self._admission_stopped
         if ready and self.hosted.is_current(self._misdirected_id):
             ready = False
+        self.evacuation.note_state(self.admission_queue.running)
+        if not self.evacuation.is_open():
+            self.admission_queue.refuse_waiting(SERVER_EVACUATED)
+            ready = False
         slots = self.hosted.current.slots if ready else 0
         if slots != self.admission_queue.slots:
             self.admission_queue.resize(slots)
@@ -362,6 +383,7 @@
 
     def _check(self, order):
         self._update_slots()
+        self.evacuation.check()
         if self.hosted.is_current(order.server_id):
             self.admission_queue.limit.adopt(order.limit)
         if not self.hosted.is_current(order.server_id):
