Choose no backend servers of evacuated data centres

An owner there would refuse the request, which costs an attempt. The candidates leave these servers out for all kinds of attempts, and the node connects the list to its source, to the owner and to announcements.

--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -81,6 +81,7 @@
         cancellations,
         traffic,
         isolation,
+        evacuations=None,
     ):
         self._clock = clock
         self._budget = budget
@@ -91,7 +92,9 @@
         self._events = events
         self._shutdown = shutdown
         self._isolation = isolation
-        self._candidates = CandidateFinder(settings, clock, describe, table)
+        self._candidates = CandidateFinder(
+            settings, clock, describe, table, evacuations
+        )
         self._returns = ReturnSchedule(clock, self._rng)
         self._sender = AttemptSender(
             settings,
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -44,6 +44,7 @@
 from .serving.shutdown import Shutdown
 from .serving.tracker import RunningRequests
 from .upkeep.documents import DocumentHolder
+from .upkeep.evacuations import EvacuationHolder
 from .upkeep.generations import GenerationTracker
 from .upkeep.storesync import StoreSync
 
@@ -89,6 +90,8 @@
         clock: Clock in seconds since boot.
         documents: The `DocumentHolder`.
         owner: The `Owner`.
+        evacuations: The `EvacuationHolder`; None where operators evacuate no data
+            centres.
         admission: The `Admission`.
         ingress: The `Ingress`.
         isolation: The `IsolationPolicy`.
@@ -118,7 +121,10 @@
         )
         self._pool = pool = ConnectionPool(clock)
         ledger = CrashLedger(clock)
-        self.owner = Owner(settings, hosted, clock, pool, ledger)
+        self.evacuations = evacuations = (
+            EvacuationHolder(settings, clock) if settings.has_evacuations else None
+        )
+        self.owner = Owner(settings, hosted, clock, pool, ledger, evacuations)
         self._wire = DatagramTransport(settings.ip, settings.gossip_port)
         self._gossip = Gossip.start(
             application,
@@ -130,6 +136,7 @@
             generations,
             ledger,
             self.owner,
+            evacuations=evacuations,
         )
         self._table = table = self._gossip.proxy().table.get()
         self.owner.watch_fleet(FleetHealth(settings.service, table))
@@ -155,6 +162,7 @@
             CancellationClient(self._gossip),
             self._wire.traffic,
             self.isolation,
+            evacuations,
         )
         self._upkeep = StoreSync(
             settings,
@@ -168,6 +176,7 @@
             random.Random(),
             hosted.departures,
             self.owner.learn_departures,
+            evacuations,
         )
         self._keeper = DepartureKeeper(self._upkeep, self._gossip)
         self._announcer = Announcer(self._gossip, random.random)
@@ -176,6 +185,9 @@
         self.owner.crashes.on_crash = self._publish_crashes
         self.documents.add_listener(self._apply_rulebook)
         generations.add_listener(lambda event: self._announcer.wake())
+        if evacuations is not None:
+            evacuations.add_listener(self.owner.apply_evacuations)
+            evacuations.add_listener(self._announcer.wake)
         self._servers = [
             NodeHTTPServer(
                 settings.readiness_address,
--- a/persimmonlane/standins/store.py
+++ b/persimmonlane/standins/store.py
@@ -88,6 +88,11 @@
         with self._changed:
             self._set(key, value, 0)
 
+    def remove(self, key):
+        """Remove a key, as the operator does."""
+        with self._changed:
+            self._remove(key)
+
     def compact(self):
         """Discard the event history, so that a watch from before now gets 410."""
         with self._changed:
