Check evacuations in random orders of events

A simulated fleet runs writes and removals of the keys, restarts, frozen and cut relays, compacted history, a restored store and lost datagrams. At each step every running node that reaches the store must refuse in a data centre that was evacuated 5 s ago, and admit again after the end of it.

--- a/persimmonlane/upkeep/tests/simulation.py
+++ b/persimmonlane/upkeep/tests/simulation.py
@@ -8,12 +8,14 @@
 
 from ...localities import Locality, RegionMap
 from ...owner.departures import Departures
+from ...owner.evacuation import EvacuationGate
 from ...peers.tests.simulation import STEP_S, Fleet
 from ...platform.documents import DOCUMENT_KEY
 from ...platform.store import SiteStore
 from ...standins.store import StoreState
 from ..documents import REMOTE_FETCH_DELAY_S, DocumentHolder
 from ..entries import NODE_PREFIX
+from ..evacuations import EvacuationHolder
 from ..storesync import StoreSync
 from ..watching import RETRY_DELAY_S
 
@@ -22,6 +24,8 @@
 STORE_TIMEOUT_S = 1.5
 # Time within which a new version must be in force, by the operators' bound.
 APPLY_S = 2.0
+# Time within which an evacuation must be in force.
+EVACUATION_S = 5.0
 # Rounds of datagrams that follow each other without a noticeable delay.
 EXCHANGES = 3
 WATCH_PATH = "/persimmonlane/kv-watch"
@@ -183,6 +187,8 @@
         history: The versions that came into force, in order.
         table: Its `PeerTable`.
         departures: Its `Departures`.
+        evacuations: Its `EvacuationHolder`, or None without evacuations.
+        started_at: Clock seconds of its start.
         read_departures: The lists of `Departure`s that it has read from the store.
     """
 
@@ -203,8 +209,15 @@
         store = SiteStore("store:80", generations)
         store._pool = self._pool
         settings = node.gossip._settings
+        self._settings = settings
         settings.min_lease_s = 1.0
         settings.document_apply_s = APPLY_S
+        settings.evacuation_s = EVACUATION_S
+        self.evacuations = None
+        self.started_at = fleet.clock.now()
+        if fleet.has_evacuations:
+            self.evacuations = EvacuationHolder(settings, fleet.clock)
+            self.evacuations.add_listener(self._note_evacuations)
         self._sync = StoreSync(
             settings,
             fleet.clock,
@@ -217,6 +230,7 @@
             fleet.rng,
             self.departures,
             self.read_departures.append,
+            self.evacuations,
         )
         self._tasks_at = 0.0
         self._watch_at = 0.0
@@ -226,12 +240,22 @@
         gossip = node.gossip
         for part in (gossip, gossip._remotes, gossip._rates):
             part._document = self.documents
+        for part in (gossip, gossip._remotes):
+            part._evacuations = self.evacuations
+
+    def may_admit(self):
+        """Return whether its owner sends requests to the backend server."""
+        gate = EvacuationGate(self._settings, self._clock, self.evacuations)
+        return gate.is_open()
 
     def _note_applied(self, rulebook):
         self.applied_at[rulebook.version] = self._clock.now()
         self.history.append(rulebook.version)
         self._fleet.changed.add(self._host)
 
+    def _note_evacuations(self):
+        self._fleet.changed.add(self._host)
+
     def _note_restored(self, event):
         self._fleet.changed.add(self._host)
 
@@ -308,9 +332,11 @@
         paused: Hosts that stand still.
         changed: Hosts that announce themselves before the next step.
         synced: The `SyncedNode`s by host.
+        has_evacuations: Whether the operator may evacuate data centres.
     """
 
-    def __init__(self, sizes, seed):
+    def __init__(self, sizes, seed, has_evacuations=False):
+        self.has_evacuations = has_evacuations
         self._fleet = Fleet(sizes, seed)
         self.clock = self._fleet.clock
         self.rng = self._fleet.rng
