--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -83,7 +83,15 @@
 class Site:
     """Two nodes, each with a backend server of its own service, and a store."""
 
-    def __init__(self, test, store_era=None):
+    def __init__(self, test, store_era=None, **fields):
+        """Start the site.
+
+        Args:
+            test: The test case, which stops it.
+            store_era: Era that the store names.
+            fields: Fields of all nodes' settings.
+        """
+        self.fields = fields
         self.store = StoreStandin()
         self.store.state.era = store_era
         self.store.start()
@@ -115,7 +123,7 @@
             server=address(),
             service=service,
             heartbeat_s=60.0,
-            **FleetSettings.DEFAULTS,
+            **{**FleetSettings.DEFAULTS, **self.fields},
         )
         node = SiteNode(Application(), settings, lambda: settings)
         test.addCleanup(node.stop)
