--- a/persimmonlane/explaining/reading.py
+++ b/persimmonlane/explaining/reading.py
@@ -16,6 +16,7 @@
     "overloaded": "Every backend server that was asked refused the request; see the "
     "attempts for the reasons.",
     "no-server": "No backend server of the service is known to take requests.",
+    "server-evacuated": "The backend server's data centre is evacuated.",
     "rate-exceeded": "Its organisation is beyond its rate.",
     "rate-unknown": "Neither the node that holds the organisation's rate nor this node "
     "decided in time.",
--- a/persimmonlane/programs/ctl.py
+++ b/persimmonlane/programs/ctl.py
@@ -1,18 +1,22 @@
 """persimmonctl.
 
-Commands for operators: explain a request from the nodes' logs, validate a document.
+Commands for operators: explain a request from the nodes' logs, show evacuations,
+validate a document.
 """
 
 import sys
 
 from ..application import EXIT_FAILED, EXIT_OK
 from ..errors import InputError
+from ..explaining.evacuations import find_reports, render_reports
 from ..explaining.reading import find_request, render_explanation
 from ..platform.documents import decode_document
 from .common import create_program, run_program
 
 program = create_program(
-    "persimmonctl", "Explain a request from the nodes' logs, or validate a document."
+    "persimmonctl",
+    "Explain a request or show evacuations from the nodes' logs, or validate a "
+    "document.",
 )
 
 
@@ -34,6 +38,23 @@
     return EXIT_OK
 
 
+@program.command
+def evacuations(*logs: str):
+    """Print which data centres are evacuated, since when, and what still runs there.
+
+    Args:
+        logs: Log files of the nodes.
+    """
+    if not logs:
+        raise InputError("at least one log file is required", code="source-missing")
+    latest = find_reports(logs)
+    if not latest:
+        print("no line reports evacuations", file=sys.stderr)
+        return EXIT_FAILED
+    sys.stdout.write(render_reports(latest))
+    return EXIT_OK
+
+
 @program.command
 def check(document: str):
     """Validate a document as a node does before it applies it.
--- a/persimmonlane/programs/tests/test_ctl.py
+++ b/persimmonlane/programs/tests/test_ctl.py
@@ -39,6 +39,44 @@
         self.assertEqual(1, status)
         self.assertIn("no line is about one", err)
 
+    def write_reports(self, *reports):
+        lines = [
+            {
+                "asctime": f"09:45:0{number}",
+                "node": node,
+                "evacuations": {
+                    "known": True,
+                    "age_s": 0.5,
+                    "refused": 0,
+                    "data_centres": [
+                        {"data_centre": name, "since_s": 63.2, "running": 3}
+                        for name in names
+                    ],
+                },
+            }
+            for number, (node, names) in enumerate(reports)
+        ]
+        rows = [json.dumps(line) for line in lines]
+        self.path.write_text("\n".join([*rows, "no JSON", '{"evacuations": 7}']))
+
+    def test_evacuations_are_shown_with_the_nodes_that_lack_them(self):
+        self.write_reports(("vm-1", []), ("vm-1", ["south"]), ("vm-2", []))
+        status, out, _ = run("evacuations", self.path)
+        self.assertEqual(0, status)
+        self.assertIn("south: evacuated for 63 s, by 1 of 2 nodes; 3 requests", out)
+        self.assertIn("not by vm-2, which reported last at 09:45:02", out)
+
+    def test_ended_evacuation_is_not_shown(self):
+        self.write_reports(("vm-1", ["south"]), ("vm-1", []))
+        status, out, _ = run("evacuations", self.path)
+        self.assertEqual(
+            (0, "No data centre is evacuated, by 1 nodes.\n"), (status, out)
+        )
+
+    def test_logs_without_reports_give_exit_code_1(self):
+        self.path.write_text("{}\n")
+        self.assertEqual(1, run("evacuations", self.path)[0])
+
     def test_valid_document(self):
         self.path.write_bytes(build_document(9))
         self.assertEqual((0, "version 9 is valid\n", ""), run("check", self.path))
--- a/persimmonlane/reporting/reporter.py
+++ b/persimmonlane/reporting/reporter.py
@@ -16,9 +16,18 @@
 class Reporter:
     """Thread that logs the counts of a `RequestCounter` and a `TrafficCounter`."""
 
-    __slots__ = ("_counter", "_traffic", "_stopped", "_thread")
-
-    def __init__(self, counter, traffic):
+    __slots__ = ("_counter", "_traffic", "_evacuations", "_stopped", "_thread")
+
+    def __init__(self, counter, traffic, evacuations=None):
+        """Create the thread.
+
+        Args:
+            counter: The `RequestCounter`.
+            traffic: The `TrafficCounter`.
+            evacuations: The `EvacuationLog`; None where operators evacuate no data
+                centres.
+        """
+        self._evacuations = evacuations
         self._counter = counter
         self._traffic = traffic
         self._stopped = threading.Event()
@@ -40,6 +49,9 @@
         counts = [count.describe() for count in self._traffic.drain()]
         if counts:
             log.info("Reporting: messages to nodes.", extra={"messages": counts})
+        if self._evacuations is not None:
+            report = to_builtins(self._evacuations.describe())
+            log.info("Reporting: evacuations.", extra={"evacuations": report})
 
     def _run(self):
         while not self._stopped.wait(INTERVAL_S):
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -23,6 +23,7 @@
 from .platform.store import SiteStore
 from .quarantine.ledger import CrashLedger
 from .reporting.counter import RequestCounter, UnixClock
+from .reporting.evacuations import EvacuationLog, LocatedServer
 from .reporting.reporter import Reporter
 from .routing.metadata import Order
 from .serving.admission import Admission
@@ -145,7 +146,13 @@
         self.events = RequestEvents(
             clock, counter, self.documents, table, settings.name, self.shutdown
         )
-        self._reporter = Reporter(counter, self._wire.traffic)
+        evacuation_log = None
+        if evacuations is not None:
+            evacuation_log = EvacuationLog(
+                settings, clock, evacuations, self.owner.evacuation, self._list_servers
+            )
+            evacuations.add_listener(evacuation_log.note_change)
+        self._reporter = Reporter(counter, self._wire.traffic, evacuation_log)
         self.isolation = IsolationPolicy(ledger, self.owner.crashes.list_running)
         self.admission = Admission(settings, self.documents, table, self._gossip)
         self.ingress = Ingress(
@@ -321,6 +328,19 @@
                 fetched.raw, address, fetched.generation, fetched.revision
             )
 
+    def _list_servers(self):
+        """Return the `LocatedServer`s of this node and of its live peers."""
+        located = [(self._settings.data_centre, self.describe().server)]
+        located += [
+            (peer.data_centre, peer.announcement.server)
+            for peer in self._table.list_live()
+        ]
+        return [
+            LocatedServer(data_centre, server.service, server.running)
+            for data_centre, server in located
+            if server is not None
+        ]
+
     def _find_status_path(self):
         rulebook = self.documents.rulebook
         if rulebook is None:
