--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -362,6 +362,7 @@
             ready = False
         self.evacuation.note_state(self.admission_queue.running)
         if not self.evacuation.is_open():
+            self.evacuation.refused += self.admission_queue.waiting
             self.admission_queue.refuse_waiting(SERVER_EVACUATED)
             ready = False
         slots = self.hosted.current.slots if ready else 0
--- a/persimmonlane/owner/tests/test_evacuation.py
+++ b/persimmonlane/owner/tests/test_evacuation.py
@@ -83,6 +83,7 @@
         self.assertIsNone(waiting.granted_at)
         self.evacuations.merge(EvacuationList(1, 3, ("south",)))
         self.assertEqual("server-evacuated", waiting.refusal.code)
+        self.assertEqual(1, self.owner.evacuation.refused)
 
     def test_admitted_request_that_was_not_sent_yet_is_refused(self):
         self.set_evacuated(2)
