--- a/persimmonlane/platform/tests/test_store.py
+++ b/persimmonlane/platform/tests/test_store.py
@@ -46,6 +46,24 @@
             self.state.put(f"nodes/{number:03}", b"x")
         self.assertEqual(250, len(self.store.list("nodes/").items))
 
+    def test_listing_names_the_revision_at_which_it_began(self):
+        # Changes after a later one would not hold what the first pages lack.
+        self.state.put("op/evacuate/south", b"{}")
+        self.state.put("servers/1", b"x")
+        self.assertEqual(3, self.store.list("op/evacuate/").revision)
+        for number in range(150):
+            self.state.put(f"nodes/{number:03}", b"x")
+        began_at = self.state.revision
+        read_range = self.state.read_range
+
+        def read_range_and_change(prefix, after):
+            answer = read_range(prefix, after)
+            self.state.put("nodes/000", b"y")
+            return answer
+
+        self.state.read_range = read_range_and_change
+        self.assertEqual(began_at, self.store.list("nodes/").revision)
+
     def test_watch_returns_changes_and_removals(self):
         self.state.put("op/config", b"new")
         changes = self.store.watch("op/", START, 5.0)
