--- a/tools/site.py
+++ b/tools/site.py
@@ -100,8 +100,9 @@
         timeout_s: Timeout, in seconds, of the routes in the next document.
     """
 
-    def __init__(self, directory, services, zones, timeout_s=TIMEOUT_S):
+    def __init__(self, directory, services, zones, timeout_s=TIMEOUT_S, contracts=()):
         self.vms = []
+        self._contracts = list(contracts)
         self.timeout_s = timeout_s
         self.store = StoreStandin()
         self.version = 0
@@ -191,6 +192,7 @@
             app_addr=vm.app,
             service=vm.service,
             bounds=list(bounds),
+            contracts=self._contracts,
         )
         path = self._directory / f"{vm.name}.yaml"
         path.write_text(render_settings(settings))
