--- a/persimmonlane/platform/store.py
+++ b/persimmonlane/platform/store.py
@@ -84,13 +84,21 @@
 
 
 class Listing:
-    """The `StoreItem`s with a prefix, all read from one generation of the store."""
+    """The `StoreItem`s with a prefix, all read from one generation of the store.
 
-    __slots__ = ("items", "generation")
+    Attributes:
+        items: The `StoreItem`s.
+        generation: Number of the generation.
+        revision: Revision of the store at which the reading began, 0 if the store
+            does not name it.
+    """
 
-    def __init__(self, items, generation):
+    __slots__ = ("items", "generation", "revision")
+
+    def __init__(self, items, generation, revision=0):
         self.items = items
         self.generation = generation
+        self.revision = revision
 
 
 class Changes:
@@ -135,6 +143,7 @@
 
     items: list[StoreItem] = []
     has_more: bool = msgspec.field(name="HasMore", default=False)
+    as_of: int = msgspec.field(name="AsOf", default=0)
 
 
 class ConflictBody(msgspec.Struct):
@@ -227,7 +236,7 @@
 
     def list(self, prefix):
         """Return the `Listing` of the keys with a prefix, reading all pages."""
-        items, after, generation, size = [], "", None, 0
+        items, after, generation, revision, size = [], "", None, 0, 0
         ends_at = time.monotonic() + MAX_LISTING_S
         while True:
             query = {"Prefix": prefix}
@@ -242,9 +251,11 @@
             if size > MAX_LISTING_BYTES or time.monotonic() > ends_at:
                 raise StoreError("the listing has no end")
             page = decode_response(answer.data, ItemPage)
+            if not after:
+                revision = page.as_of
             items += page.items
             if not page.has_more or not page.items:
-                return Listing(items, generation)
+                return Listing(items, generation, revision)
             after = page.items[-1].key
 
     def watch(self, prefix, position, wait_s):
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -23,6 +23,7 @@
 from .platform.store import SiteStore
 from .quarantine.ledger import CrashLedger
 from .reporting.counter import RequestCounter, UnixClock
+from .reporting.evacuations import EvacuationLog, LocatedServer
 from .reporting.reporter import Reporter
 from .routing.metadata import Order
 from .serving.admission import Admission
@@ -51,6 +52,7 @@
 from .serving.stalls import StallTracker
 from .serving.tracker import RunningRequests
 from .upkeep.documents import DocumentHolder
+from .upkeep.evacuations import EvacuationHolder
 from .upkeep.generations import GenerationTracker
 from .upkeep.storesync import StoreSync
 
@@ -109,6 +111,8 @@
         clock: Clock in seconds since boot.
         documents: The `DocumentHolder`.
         owner: The `Owner`.
+        evacuations: The `EvacuationHolder`; None where operators evacuate no data
+            centres.
         admission: The `Admission`.
         ingress: The `Ingress`.
         isolation: The `IsolationPolicy`.
@@ -145,8 +149,17 @@
             clock, self.memory, self._count_descriptors(POOL_DESCRIPTORS_SHARE)
         )
         ledger = CrashLedger(clock)
+        self.evacuations = evacuations = (
+            EvacuationHolder(settings, clock) if settings.has_evacuations else None
+        )
         self.owner = Owner(
-            settings, hosted, clock, pool, ledger, self.memory.request_limit_bytes
+            settings,
+            hosted,
+            clock,
+            pool,
+            ledger,
+            self.memory.request_limit_bytes,
+            evacuations,
         )
         self._wire = DatagramTransport(settings.ip, settings.gossip_port)
         self._gossip = Gossip.start(
@@ -159,6 +172,7 @@
             generations,
             ledger,
             self.owner,
+            evacuations=evacuations,
         )
         self._table = table = self._gossip.proxy().table.get()
         self.owner.watch_fleet(FleetHealth(settings.service, table))
@@ -167,7 +181,13 @@
         self.events = RequestEvents(
             clock, counter, self.documents, table, settings.name, self.shutdown
         )
-        self._reporter = Reporter(counter, self._wire.traffic)
+        evacuation_log = None
+        if evacuations is not None:
+            evacuation_log = EvacuationLog(
+                settings, clock, evacuations, self.owner.evacuation, self._list_servers
+            )
+            evacuations.add_listener(evacuation_log.note_change)
+        self._reporter = Reporter(counter, self._wire.traffic, evacuation_log)
         self.isolation = IsolationPolicy(ledger, self.owner.crashes.list_running)
         self.admission = Admission(settings, self.documents, table, self._gossip)
         self.ingress = Ingress(
@@ -184,6 +204,7 @@
             CancellationClient(self._gossip, clock),
             self._wire.traffic,
             self.isolation,
+            evacuations,
         )
         self._upkeep = StoreSync(
             settings,
@@ -197,6 +218,7 @@
             random.Random(),
             hosted.departures,
             self.owner.learn_departures,
+            evacuations,
         )
         self._keeper = DepartureKeeper(self._upkeep, self._gossip)
         self._announcer = Announcer(self._gossip, random.random)
@@ -205,6 +227,9 @@
         self.owner.crashes.on_crash = self._publish_crashes
         self.documents.add_listener(self._apply_rulebook)
         generations.add_listener(lambda event: self._announcer.wake())
+        if evacuations is not None:
+            evacuations.add_listener(self.owner.apply_evacuations)
+            evacuations.add_listener(self._announcer.wake)
         self._servers = [
             NodeHTTPServer(
                 settings.readiness_address,
@@ -367,6 +392,19 @@
                 fetched.raw, address, fetched.generation, fetched.revision
             )
 
+    def _list_servers(self):
+        """Return the `LocatedServer`s of this node and of its live peers."""
+        located = [(self._settings.data_centre, self.describe().server)]
+        located += [
+            (peer.data_centre, peer.announcement.server)
+            for peer in self._table.list_live()
+        ]
+        return [
+            LocatedServer(data_centre, server.service, server.running)
+            for data_centre, server in located
+            if server is not None
+        ]
+
     def _find_status_path(self):
         rulebook = self.documents.rulebook
         if rulebook is None:
