Keep requests in the regions that route and organisation allow

The document may restrict a route or an organisation to regions, for which nothing existed but the decoded field: a request could be sent anywhere.

The filter is in the list of candidates, which first attempts, retries, hedges, last resorts, requests that run alone, nested calls, capacity checks and the estimate for Retry-After all start from. A request that is left without an allowed server is refused at once as not run, code region-not-allowed. Data centres whose region is not known serve no restricted request. Nodes log unknown regions once per document; persimmonctl check reports them if it is given the known ones.

--- a/persimmonlane/explaining/reading.py
+++ b/persimmonlane/explaining/reading.py
@@ -16,6 +16,8 @@
     "overloaded": "Every backend server that was asked refused the request; see the "
     "attempts for the reasons.",
     "no-server": "No backend server of the service is known to take requests.",
+    "region-not-allowed": "No backend server of the service is in a region that its "
+    "route and its organisation both allow.",
     "rate-exceeded": "Its organisation is beyond its rate.",
     "rate-unknown": "Neither the node that holds the organisation's rate nor this node "
     "decided in time.",
--- a/persimmonlane/localities.py
+++ b/persimmonlane/localities.py
@@ -55,6 +55,11 @@
         """Return the names of all regions in sorted order."""
         return sorted(set(self._regions.values()))
 
+    def list_unknown(self, names):
+        """Return those of some names of regions that are not known, in their order."""
+        known = set(self._regions.values())
+        return [name for name in names if name not in known]
+
     def spans_regions(self):
         """Return whether the fleet is in more than one region."""
         return len(set(self._regions.values())) > 1
--- a/persimmonlane/programs/ctl.py
+++ b/persimmonlane/programs/ctl.py
@@ -35,11 +35,13 @@
 
 
 @program.command
-def check(document: str):
+def check(document: str, *, region: tuple[str, ...] = ()):
     """Validate a document as a node does before it applies it.
 
     Args:
         document: Path of the file with the document.
+        region: Name of a region that the nodes' settings know; repeat it for each of
+            them. Other regions in the document are then reported.
     """
     try:
         with open(document, "rb") as file:
@@ -51,7 +53,12 @@
             place=document,
         ) from error
     print(f"version {rulebook.version} is valid")
-    return EXIT_OK
+    unknown = [name for name in rulebook.list_allowed_regions() if name not in region]
+    if not region or not unknown:
+        return EXIT_OK
+    names = ", ".join(unknown)
+    print(f"[region-unknown] at {document}: {names}", file=sys.stderr)
+    return EXIT_FAILED
 
 
 def main(arguments=None):
--- a/persimmonlane/programs/tests/test_ctl.py
+++ b/persimmonlane/programs/tests/test_ctl.py
@@ -48,3 +48,22 @@
         status, _, err = run("check", self.path)
         self.assertEqual(2, status)
         self.assertIn("[document-invalid] at $.Version", err)
+
+    def write_document_with_regions(self):
+        document = json.loads(build_document(9))
+        document["Resources"][0]["Spec"]["AllowedRegions"] = ["east", "west"]
+        document["Resources"][-1]["Spec"]["AllowedRegions"] = ["weast"]
+        self.path.write_text(json.dumps(document))
+
+    def test_unknown_regions_are_reported_where_the_known_ones_are_given(self):
+        # A misspelt region would otherwise show only as refused requests.
+        self.write_document_with_regions()
+        options = ("--region", "east", "--region", "west")
+        status, out, err = run("check", self.path, *options)
+        self.assertEqual((1, "version 9 is valid\n"), (status, out))
+        self.assertIn("[region-unknown]", err)
+        self.assertIn(": weast\n", err)
+
+    def test_regions_are_not_checked_unless_the_known_ones_are_given(self):
+        self.write_document_with_regions()
+        self.assertEqual((0, "version 9 is valid\n", ""), run("check", self.path))
--- a/persimmonlane/routing/rulebook.py
+++ b/persimmonlane/routing/rulebook.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import itertools
 
 
 class RouteKind(enum.Enum):
@@ -183,6 +184,14 @@
                 return route
         return None
 
+    def list_allowed_regions(self):
+        """Return the sorted names of the regions in routes and organisations."""
+        routes = itertools.chain.from_iterable(self._routes_by_host.values())
+        names = set()
+        for item in itertools.chain(routes, self.organisations.values()):
+            names.update(item.allowed_regions or ())
+        return sorted(names)
+
     def find_cold_start(self, service):
         """Return the `ColdStart` of a service."""
         return self.cold_starts.get(service, NO_COLD_START)
@@ -197,6 +206,19 @@
     return host.strip().lower().rpartition("@")[2].split(":")[0]
 
 
+def intersect_regions(route, organisation):
+    """Return the names of the only regions that may serve a request, None for all.
+
+    Args:
+        route: The `Route`.
+        organisation: The `Organisation`, or None.
+    """
+    allowed = None if organisation is None else organisation.allowed_regions
+    if allowed is None or route.allowed_regions is None:
+        return route.allowed_regions if allowed is None else allowed
+    return allowed & route.allowed_regions
+
+
 def choose_service(route, rng):
     """Return the name of a service, drawn at random by weight.
 
--- a/persimmonlane/serving/attempts.py
+++ b/persimmonlane/serving/attempts.py
@@ -46,6 +46,8 @@
             body was read.
         causes: Fingerprints of the requests that may have made it as a nested call.
         crashes: Number of its attempts in which the backend server crashed.
+        allowed_regions: Names of the only regions that may serve it, or None if all
+            may.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "fingerprint",
         "causes",
         "crashes",
+        "allowed_regions",
     )
 
     def __init__(self, method, target, headers, caller, arrived_at):
@@ -86,6 +89,7 @@
         self.fingerprint = NO_FINGERPRINT
         self.causes = []
         self.crashes = 0
+        self.allowed_regions = None
 
     def is_admitted(self):
         """Return whether the request passed admission."""
--- a/persimmonlane/serving/candidates.py
+++ b/persimmonlane/serving/candidates.py
@@ -1,5 +1,6 @@
 """The backend servers that a request may be sent to."""
 
+from ..localities import Locality
 from .notices import ServerNotices
 from .placement import Candidate
 
@@ -11,7 +12,7 @@
         notices: The `ServerNotices` of this node.
     """
 
-    __slots__ = ("notices", "_settings", "_clock", "_describe", "_table")
+    __slots__ = ("notices", "_settings", "_clock", "_describe", "_table", "_regions")
 
     def __init__(self, settings, clock, describe, table):
         """Create the finder.
@@ -27,12 +28,23 @@
         self._clock = clock
         self._describe = describe
         self._table = table
+        self._regions = settings.build_region_map()
 
-    def find(self, service):
-        """Return the `Candidate`s of a service that are ready and reachable."""
+    def find(self, service, allowed_regions=None):
+        """Return the `Candidate`s of a service that are ready and reachable.
+
+        Args:
+            service: Name of the service.
+            allowed_regions: Names of the only regions that may serve the request, or
+                None if all may.
+        """
         found = []
         own = self._describe().server
-        if own is not None and self._takes_requests(own, service):
+        if (
+            own is not None
+            and self._takes_requests(own, service)
+            and self._is_allowed(self._settings.data_centre, allowed_regions)
+        ):
             found.append(Candidate(own, None, True))
         now = self._clock.now()
         for peer in self._table.list_live():
@@ -41,14 +53,26 @@
                 continue
             if peer.announcement.leaving or peer.backoff_until > now:
                 continue
-            same_data_centre = peer.data_centre == self._settings.data_centre
-            found.append(Candidate(server, peer, same_data_centre))
+            if not self._is_allowed(peer.data_centre, allowed_regions):
+                continue
+            locality = self._regions.locate(peer.data_centre)
+            same_data_centre = locality is Locality.DATA_CENTRE
+            found.append(Candidate(server, peer, same_data_centre, locality))
         return found
 
     def count_nodes(self):
         """Return the number of live nodes, including this one."""
         return len(self._table.list_live()) + 1
 
+    def _is_allowed(self, data_centre, allowed_regions):
+        """Return whether a request may be served in a data centre.
+
+        A data centre whose region is not known serves no restricted request.
+        """
+        if allowed_regions is None:
+            return True
+        return self._regions.find_region(data_centre) in allowed_regions
+
     def _takes_requests(self, server, service):
         if server.service != service or not server.ready:
             return False
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -12,7 +12,7 @@
 from ..owner.calls import SERVER_CRASHED
 from ..owner.latency import LatencyModels
 from ..quarantine.refusals import QUARANTINED, build_quarantine_refusal
-from ..routing.rulebook import choose_service
+from ..routing.rulebook import choose_service, intersect_regions
 from ..verdicts import Verdict
 from .attempts import (
     SERVER_ERROR_STATUS,
@@ -43,6 +43,10 @@
 OBJECTIVE_WAIT_SHARE = 0.6
 MIN_TIME_LEFT_S = 0.03
 RETRY_AFTER_S = 0.3
+# Code of the refusal of a request that no allowed region has a server for. Servers of
+# these regions may be back within the time of a restart.
+REGION_NOT_ALLOWED = "region-not-allowed"
+REGION_RETRY_AFTER_S = 2.0
 # Code of a rejection by the backend server itself. The request reached the server, so a
 # further attempt takes a token from the retry budget.
 SHED_BY_SERVER = "server-shed"
@@ -119,6 +123,7 @@
             NodeShutdown: If the node stops first.
         """
         request.stage = Stage.PLACEMENT
+        request.allowed_regions = intersect_regions(request.route, request.organisation)
         service = request.service = choose_service(request.route, self._rng)
         self._budget.note_request(service)
         return self._run_attempts(request, service)
@@ -149,7 +154,9 @@
                 attempt.last_resort = choice.last_resort
                 rejections[server_id] = attempt
                 if attempt.code == SHED_BY_SERVER and not self._budget.take(service):
-                    raise failure or self._build_overload_refusal(service, rejections)
+                    raise failure or self._build_overload_refusal(
+                        request, service, rejections
+                    )
                 continue
             dispatched += 1 + hedge_count
             if not self._may_retry(request, attempt, dispatched):
@@ -249,7 +256,7 @@
         left_s = request.deadline - self._clock.now()
         if left_s <= MIN_TIME_LEFT_S or not self._shutdown.may_dispatch():
             return None
-        candidates = self._candidates.find(service)
+        candidates = self._candidates.find(service, request.allowed_regions)
         untried = [item for item in candidates if item.server.server_id not in tried]
         if self._isolation.is_isolated(request):
             return self._choose_alone(request, untried, rejections)
@@ -348,11 +355,32 @@
 
     def _build_refusal(self, request, service, rejections):
         """Return the `Refusal` of a request that no backend server has accepted."""
+        if self._is_region_missing(request, service, rejections):
+            return self._build_region_refusal(request, service)
         if self._shutdown.may_dispatch() and self._isolation.is_isolated(request):
             return self._isolation.build_refusal(request)
-        return self._build_overload_refusal(service, rejections)
+        return self._build_overload_refusal(request, service, rejections)
 
-    def _build_overload_refusal(self, service, rejections):
+    def _is_region_missing(self, request, service, rejections):
+        """Return whether only regions that the request must not use have servers."""
+        if request.allowed_regions is None or rejections:
+            return False
+        if not self._shutdown.may_dispatch():
+            return False
+        if self._candidates.find(service, request.allowed_regions):
+            return False
+        return bool(self._candidates.find(service))
+
+    def _build_region_refusal(self, request, service):
+        names = ", ".join(sorted(request.allowed_regions)) or "none"
+        return Refusal(
+            503,
+            REGION_NOT_ALLOWED,
+            f"no backend server of {service} is in an allowed region: {names}",
+            retry_after=REGION_RETRY_AFTER_S,
+        )
+
+    def _build_overload_refusal(self, request, service, rejections):
         if not self._shutdown.may_dispatch():
             return self._shutdown.build_refusal()
         refusals = list(rejections.values())
@@ -362,11 +390,12 @@
             503,
             "overloaded" if refusals else "no-server",
             f"no backend server of {service} can take the request: {codes}",
-            retry_after=self._choose_return_s(service, wait_s),
+            retry_after=self._choose_return_s(request, service, wait_s),
         )
 
-    def _choose_return_s(self, service, wait_s):
-        limits = [item.server.limit for item in self._candidates.find(service)]
+    def _choose_return_s(self, request, service, wait_s):
+        candidates = self._candidates.find(service, request.allowed_regions)
+        limits = [item.server.limit for item in candidates]
         node_count = self._candidates.count_nodes()
         with self._lock:
             return self._returns.choose_s(service, wait_s, limits, node_count)
--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -7,6 +7,7 @@
 
 import math
 
+from ..localities import Locality
 from ..owner.health import HealthState
 
 # Weight of a server in another data centre relative to one in this data centre. There
@@ -54,14 +55,18 @@
         server: The `ServerStatus` last received about it.
         peer: The `Peer` that owns it, or None if this node does.
         same_data_centre: Whether it is in this node's data centre.
+        locality: The `Locality` of its data centre.
     """
 
-    __slots__ = ("server", "peer", "same_data_centre")
+    __slots__ = ("server", "peer", "same_data_centre", "locality")
 
-    def __init__(self, server, peer, same_data_centre):
+    def __init__(self, server, peer, same_data_centre, locality=None):
         self.server = server
         self.peer = peer
         self.same_data_centre = same_data_centre
+        if locality is None:
+            locality = Locality.DATA_CENTRE if same_data_centre else Locality.REGION
+        self.locality = locality
 
 
 class Placement:
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -110,7 +110,7 @@
         self.running = RunningRequests()
         self.shutdown = Shutdown(clock)
         self._stopping = threading.Event()
-        regions = settings.build_region_map()
+        self._regions = regions = settings.build_region_map()
         self.documents = DocumentHolder(decode_document, regions.locate)
         self._generations = generations = GenerationTracker(clock)
         hosted = HostedServer(
@@ -322,6 +322,7 @@
         return lambda request: gateway(request, self)
 
     def _apply_rulebook(self, rulebook):
+        self._check_regions(rulebook)
         limits = rulebook.limits
         for server in self._request_servers:
             server.header_timeout_s = limits.header_timeout_s
@@ -329,6 +330,17 @@
             server.max_request_header_size = limits.header_bytes * 2
         self._announcer.wake()
 
+    def _check_regions(self, rulebook):
+        """Log the regions in a document that the settings do not know."""
+        unknown = self._regions.list_unknown(rulebook.list_allowed_regions())
+        if unknown:
+            log.warning(
+                "Node: version %08x allows regions that the settings do not know: %s.",
+                rulebook.version,
+                ", ".join(unknown),
+                extra={"event": "region-unknown", "regions": unknown},
+            )
+
     def reload(self):
         """Request a reload of the settings; callable from a signal handler."""
         # A signal handler may not take a lock: another signal can interrupt it.
--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -53,6 +53,10 @@
     return [record for record in records if hasattr(record, "event")]
 
 
+def count_unknown(records):
+    return [record.event for record in list_events(records)].count("region-unknown")
+
+
 def build_document(version=7, keys=(KEY,)):
     def route(name, prefix, service, kind, attempts):
         spec = {
@@ -291,6 +295,22 @@
             sock.sendto(b"\xc1garbage", (settings.ip, self.site.gossip_port))
         self.assertEqual(200, self.site.call("/near/").status)
 
+    def test_node_logs_unknown_regions_once_per_document(self):
+        # A misspelt region would otherwise show only as refused requests.
+        records = capture_records(self)
+        document = json.loads(build_document(8))
+        document["Resources"][0]["Spec"]["AllowedRegions"] = ["nowhere"]
+        self.site.store.state.put(DOCUMENT_KEY, json.dumps(document).encode())
+        nodes = [node for node, _ in self.site.nodes.values()]
+        self.assertTrue(wait_until(lambda: {n.documents.version for n in nodes} == {8}))
+        answer = self.site.call("/far/", method="POST")
+        self.assertEqual(503, answer.status)
+        self.assertIn(b"region-not-allowed", answer.data)
+        self.assertEqual("not-run", answer.headers["Persimmon-Verdict"])
+        self.assertTrue(wait_until(lambda: count_unknown(records) == len(nodes)))
+        time.sleep(0.3)
+        self.assertEqual(len(nodes), count_unknown(records))
+
     def test_log_events_describe_a_request_without_key_and_body(self):
         records = capture_records(self)
         self.site.servers["far"].script = Script(status=500, body=b"broken")
