Limit the bytes that a node exchanges with other regions

Links between regions are narrow and shared by all nodes; a node knows the width of its own link only.

Request and response are charged when the exchange ends. Data centres of the same region are asked as before.

--- a/persimmonlane/peers/traffic.py
+++ b/persimmonlane/peers/traffic.py
@@ -90,6 +90,19 @@
         return list(counts.values())
 
 
+def measure_exchange(request, response):
+    """Return the bytes of a request and its response, without their framing.
+
+    Args:
+        request: The `OutgoingRequest`.
+        response: The `CompleteResponse`, or None if there was none.
+    """
+    size = measure_headers(request.headers) + len(request.body) + len(request.target)
+    if response is not None:
+        size += measure_headers(response.headers) + len(response.body)
+    return size
+
+
 def measure_headers(headers):
     """Return the bytes of some `Header`s in a message."""
     return sum(len(header.name) + len(header.value) + 4 for header in headers)
--- a/persimmonlane/serving/sending.py
+++ b/persimmonlane/serving/sending.py
@@ -7,8 +7,10 @@
 
 from ..errors import Refusal
 from ..headers import Header, drop_hop_by_hop
+from ..localities import Locality
 from ..outcomes import OutcomeKind
 from ..owner.calls import ForwardedCall
+from ..peers.traffic import measure_exchange
 from ..routing.metadata import Order
 from ..verdicts import Verdict
 from .attempts import Attempt, get_priority
@@ -45,6 +47,8 @@
         "_cancellations",
         "_traffic",
         "_capacity",
+        "_regions",
+        "_link_budget",
     )
 
     def __init__(
@@ -58,6 +62,7 @@
         shutdown,
         cancellations,
         traffic,
+        link_budget=None,
     ):
         """Create the sender.
 
@@ -71,6 +76,7 @@
             shutdown: The `Shutdown`.
             cancellations: The `CancellationClient`.
             traffic: The `TrafficCounter`.
+            link_budget: The `LinkBudget`, or None where there is one region only.
         """
         self._settings = settings
         self._clock = clock
@@ -81,7 +87,9 @@
         self._shutdown = shutdown
         self._cancellations = cancellations
         self._traffic = traffic
-        self._capacity = CapacityClient(settings, actor)
+        self._regions = settings.build_region_map()
+        self._link_budget = link_budget
+        self._capacity = CapacityClient(settings, clock, actor, link_budget)
 
     def send(self, request, choice, hedge, watch):
         """Send a request to a backend server and return the `Attempt`.
@@ -177,9 +185,20 @@
         finally:
             self._change_in_flight(peer, -1)
             self._traffic.count_exchange(peer.host, call, answer)
+            self._spend(peer, call, answer)
         peer.mark_reachable()
         return parse_report(answer, peer, order.server_id)
 
+    def _spend(self, peer, call, answer):
+        """Count an exchange with another region against its budget."""
+        if self._link_budget is None:
+            return
+        if self._regions.locate(peer.data_centre) is not Locality.ELSEWHERE:
+            return
+        region = self._regions.find_region(peer.data_centre)
+        size = measure_exchange(call, answer)
+        self._link_budget.spend(region, size)
+
     def _may_cancel(self, request, error):
         left_s = request.deadline - self._clock.now()
         if not request.metadata.request_id or left_s <= MIN_TIME_LEFT_S:
