Weigh a wait nearby against sending a request elsewhere

The number that decides is drawn once a request. After two refusals in a data centre clearly less loaded ones are tried, and other regions only within their budget.

The log event of an attempt names locality and reason; each 10 s a record counts both.

--- a/persimmonlane/explaining/events.py
+++ b/persimmonlane/explaining/events.py
@@ -56,6 +56,10 @@
         server: Identifier of the backend server.
         owner: Name of the node that owns the backend server.
         near: Whether the backend server is in the ingress node's data centre.
+        locality: How far it is: `data_centre`, `region` or `elsewhere`.
+        reason: Why that data centre was selected: `nearby`, `overflow` (too much for
+            the servers nearby), `refused` (by those tried before); empty if that was
+            not weighed.
         second: Whether it was a hedge, run in parallel to a first attempt.
         last: Whether it was a last resort, which an ejected backend server accepts too.
         outcome: `answered`, or the code of the failure.
@@ -78,6 +82,8 @@
         "server",
         "owner",
         "near",
+        "locality",
+        "reason",
         "second",
         "last",
         "outcome",
--- a/persimmonlane/reporting/reporter.py
+++ b/persimmonlane/reporting/reporter.py
@@ -14,13 +14,22 @@
 
 
 class Reporter:
-    """Thread that logs the counts of a `RequestCounter` and a `TrafficCounter`."""
+    """Thread that logs the counts of a node's counters."""
 
-    __slots__ = ("_counter", "_traffic", "_stopped", "_thread")
+    __slots__ = ("_counter", "_traffic", "_selector", "_stopped", "_thread")
 
-    def __init__(self, counter, traffic):
+    def __init__(self, counter, traffic, selector=None):
+        """Create the thread.
+
+        Args:
+            counter: The `RequestCounter`.
+            traffic: The `TrafficCounter`.
+            selector: The `DataCentreSelector`, or None where leaving the data centre
+                is not weighed.
+        """
         self._counter = counter
         self._traffic = traffic
+        self._selector = selector
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -40,6 +49,16 @@
         counts = [count.describe() for count in self._traffic.drain()]
         if counts:
             log.info("Reporting: messages to nodes.", extra={"messages": counts})
+        if self._selector is not None:
+            self._log_placements()
+
+    def _log_placements(self):
+        """Log where requests were sent, and what the links to other regions bear."""
+        placements = self._selector.drain()
+        if not placements:
+            return
+        fields = {"placements": placements, "links": self._selector.budget.describe()}
+        log.info("Reporting: placements.", extra=fields)
 
     def _run(self):
         while not self._stopped.wait(INTERVAL_S):
--- a/persimmonlane/serving/attempts.py
+++ b/persimmonlane/serving/attempts.py
@@ -48,6 +48,8 @@
         crashes: Number of its attempts in which the backend server crashed.
         allowed_regions: Names of the only regions that may serve it, or None if all
             may.
+        overflow_draw: Random number that decides whether it leaves the data centre, or
+            None before that was weighed.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "causes",
         "crashes",
         "allowed_regions",
+        "overflow_draw",
     )
 
     def __init__(self, method, target, headers, caller, arrived_at):
@@ -90,6 +93,7 @@
         self.causes = []
         self.crashes = 0
         self.allowed_regions = None
+        self.overflow_draw = None
 
     def is_admitted(self):
         """Return whether the request passed admission."""
@@ -105,15 +109,17 @@
         last_resort: Whether the owner is to accept the request even if the server is
             not healthy.
         alone: Whether nothing else may run on the server meanwhile.
+        reason: Why its data centre was selected, empty if that was not weighed.
     """
 
-    __slots__ = ("candidate", "max_wait_s", "last_resort", "alone")
+    __slots__ = ("candidate", "max_wait_s", "last_resort", "alone", "reason")
 
-    def __init__(self, candidate, max_wait_s, last_resort, alone=False):
+    def __init__(self, candidate, max_wait_s, last_resort, alone=False, reason=""):
         self.candidate = candidate
         self.max_wait_s = max_wait_s
         self.last_resort = last_resort
         self.alone = alone
+        self.reason = reason
 
 
 class Attempt:
--- a/persimmonlane/serving/events.py
+++ b/persimmonlane/serving/events.py
@@ -69,6 +69,8 @@
                 candidate.server.server_id,
                 peer.name if peer else self._own_name,
                 candidate.same_data_centre,
+                candidate.locality.name.lower(),
+                choice.reason,
                 second,
                 choice.last_resort,
                 outcome,
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -68,6 +68,7 @@
         "_candidates",
         "_returns",
         "_sender",
+        "_selector",
     )
 
     def __init__(
@@ -85,7 +86,27 @@
         cancellations,
         traffic,
         isolation,
+        selector=None,
     ):
+        """Create the ingress.
+
+        Args:
+            settings: The `FleetSettings`.
+            clock: Clock in seconds.
+            owner: The `Owner` of the local backend server.
+            describe: Callable that returns the `NodeState` of this node.
+            table: The `PeerTable`.
+            actor: Reference to the `Gossip` actor.
+            pool: The `ConnectionPool`.
+            budget: The `RetryBudget`.
+            events: The `RequestEvents`.
+            shutdown: The `Shutdown`.
+            cancellations: The `CancellationClient`.
+            traffic: The `TrafficCounter`.
+            isolation: The `IsolationPolicy`.
+            selector: The `DataCentreSelector`, or None where leaving the data centre
+                is not weighed.
+        """
         self._clock = clock
         self._budget = budget
         self._lock = threading.Lock()
@@ -95,6 +116,7 @@
         self._events = events
         self._shutdown = shutdown
         self._isolation = isolation
+        self._selector = selector
         self._candidates = CandidateFinder(settings, clock, describe, table)
         self._returns = ReturnSchedule(clock, self._rng)
         self._sender = AttemptSender(
@@ -107,6 +129,7 @@
             shutdown,
             cancellations,
             traffic,
+            selector.budget if selector is not None else None,
         )
 
     def forward(self, request):
@@ -260,19 +283,22 @@
         untried = [item for item in candidates if item.server.server_id not in tried]
         if self._isolation.is_isolated(request):
             return self._choose_alone(request, untried, rejections)
+        usable, max_wait_s, reason = self._select(
+            request, service, candidates, tried, rejections
+        )
         chosen = None
         if len(rejections) < MAX_PLACEMENTS and not any(
             map(Attempt.was_last_resort, rejections.values())
         ):
             chosen = self._placement.choose(
-                untried,
+                usable,
                 request.route.idempotent,
                 len(request.body),
                 self._estimate_mean_s(request.route),
             )
         if chosen is not None:
-            max_wait_s = MAX_QUEUE_WAITS_S[min(len(rejections), 2)]
-            return PlacementChoice(chosen, self._shutdown.limit_wait(max_wait_s), False)
+            wait_s = self._shutdown.limit_wait(max_wait_s)
+            return PlacementChoice(chosen, wait_s, False, reason=reason)
         if sum(map(Attempt.was_last_resort, rejections.values())) >= MAX_LAST_RESORTS:
             return None
         # As a last resort, queue the request where the expected wait is shortest
@@ -288,6 +314,8 @@
             if item.server.server_id not in rejections
             or not rejections[item.server.server_id].last_resort
         ]
+        if self._selector is not None:
+            remaining = self._selector.select_last_resorts(request, remaining)
         chosen = self._placement.choose_last_resort(remaining, rejections)
         if chosen is None:
             return None
@@ -297,6 +325,25 @@
         )
         return PlacementChoice(chosen, self._shutdown.limit_wait(max_wait_s), True)
 
+    def _select(self, request, service, candidates, tried, rejections):
+        """Return the candidates to choose from, the accepted wait and the reason.
+
+        Args:
+            request: The `IngressRequest`.
+            service: Name of the service.
+            candidates: All `Candidate`s of the service.
+            tried: Identifiers of the backend servers that were tried.
+            rejections: Rejected `Attempt`s by identifier of the backend server.
+        """
+        if self._selector is None:
+            untried = [it for it in candidates if it.server.server_id not in tried]
+            return untried, MAX_QUEUE_WAITS_S[min(len(rejections), 2)], ""
+        mean_s = self._estimate_mean_s(request.route)
+        selection = self._selector.select(
+            request, service, candidates, rejections, tried, mean_s
+        )
+        return selection.candidates, selection.max_wait_s, selection.reason
+
     def _choose_alone(self, request, untried, rejections):
         """Return the `PlacementChoice` of a request that must run alone, or None.
 
@@ -323,6 +370,8 @@
         request.stage = Stage.SERVER
         request.server_id = choice.candidate.server.server_id
         attempt, outcome = None, "given-up"
+        if self._selector is not None:
+            self._selector.note_chosen(choice.candidate, choice.reason)
         try:
             attempt = self._sender.send(request, choice, hedge, watch)
             outcome = attempt.code or "answered"
--- a/persimmonlane/serving/tests/test_regions.py
+++ b/persimmonlane/serving/tests/test_regions.py
@@ -124,6 +124,10 @@
     return Attempt(None, Verdict.NOT_RUN, "server-busy", wait_s)
 
 
+def build_rejections(count):
+    return [reject() for _ in range(count)]
+
+
 def fail():
     return Attempt(None, Verdict.MAY_HAVE_RUN, "broke", kind=OutcomeKind.ERROR)
 
@@ -216,7 +220,7 @@
     def test_first_attempt_and_last_resorts_stay_in_allowed_regions(self):
         # The servers there are busy, those of the other region are free.
         request = build_request(self.clock, build_route(SOUTH))
-        sent = self.forward(request, *[reject()] * 9)
+        sent = self.forward(request, *build_rejections(9))
         self.assertIn(True, [item.last_resort for item in self.sender.choices])
         self.assertEqual({"south-2"}, set(sent))
         self.assertEqual("overloaded", self.refusal.code)
@@ -236,7 +240,7 @@
     def test_requests_that_run_alone_stay_in_allowed_regions(self):
         request = build_request(self.clock, build_route(SOUTH))
         self.ledger.apply(LedgerEntry(request.fingerprint, 1, self.clock.now()))
-        sent = self.forward(request, *[reject()] * 9)
+        sent = self.forward(request, *build_rejections(9))
         self.assertEqual({"south-2"}, set(sent))
         self.assertTrue(all(item.alone for item in self.sender.choices))
 
@@ -310,6 +314,6 @@
         route = build_route(SOUTH, RouteKind.UNSAFE)
         waits = []
         for _ in range(6):
-            self.forward(build_request(self.clock, route), *[reject()] * 9)
+            self.forward(build_request(self.clock, route), *build_rejections(9))
             waits.append(self.refusal.retry_after)
         self.assertGreater(max(waits), 1.0)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -40,6 +40,7 @@
 )
 from .serving.ingress import Ingress
 from .serving.isolation import IsolationPolicy
+from .serving.selection import build_selector
 from .serving.servers import NodeHTTPServer
 from .serving.shutdown import Shutdown
 from .serving.tracker import RunningRequests
@@ -92,6 +93,8 @@
         admission: The `Admission`.
         ingress: The `Ingress`.
         isolation: The `IsolationPolicy`.
+        selector: The `DataCentreSelector`, or None where leaving the data centre is
+            not weighed.
         events: The `RequestEvents`.
         running: The `RunningRequests`.
         shutdown: The `Shutdown`.
@@ -138,9 +141,12 @@
         self.events = RequestEvents(
             clock, counter, self.documents, table, settings.name, self.shutdown
         )
-        self._reporter = Reporter(counter, self._wire.traffic)
         self.isolation = IsolationPolicy(ledger, self.owner.crashes.list_running)
         self.admission = Admission(settings, self.documents, table, self._gossip)
+        self.selector = build_selector(
+            settings, clock, random.Random(), self._find_cold_rate
+        )
+        self._reporter = Reporter(counter, self._wire.traffic, self.selector)
         self.ingress = Ingress(
             settings,
             clock,
@@ -155,6 +161,7 @@
             CancellationClient(self._gossip),
             self._wire.traffic,
             self.isolation,
+            self.selector,
         )
         self._upkeep = StoreSync(
             settings,
@@ -315,6 +322,12 @@
             return None
         return rulebook.status_paths.get(self._settings.service, "")
 
+    def _find_cold_rate(self, service):
+        rulebook = self.documents.rulebook
+        if rulebook is None:
+            return None
+        return rulebook.find_cold_start(service).rate
+
     def _publish_crashes(self, entries):
         self._gossip.tell(CrashesLearned(entries))
 
