Count messages to other regions apart

Each row now says whether the other node is in another region. Hosts of unknown nodes count as within the region, as before.

The same commit gives the nodes the callable that locates a host.

--- a/persimmonlane/peers/table.py
+++ b/persimmonlane/peers/table.py
@@ -235,6 +235,11 @@
         peer = self._by_host.get(host)
         return peer is not None and peer.data_centre == self._data_centre
 
+    def find_data_centre(self, host):
+        """Return the name of the data centre of a host, empty if it is not known."""
+        peer = self._by_host.get(host)
+        return peer.data_centre if peer is not None else ""
+
     def compute_fresh_at(self, message):
         """Return the time at which the sender's version was the newest, or None.
 
--- a/persimmonlane/peers/tests/test_traffic.py
+++ b/persimmonlane/peers/tests/test_traffic.py
@@ -31,6 +31,17 @@
             self.drain(),
         )
 
+    def test_traffic_to_other_regions_is_told_apart(self):
+        # It costs a multiple of what traffic within a region does.
+        counter = TrafficCounter(lambda host: False, lambda host: host == "10.2.0.1")
+        for host, size in (("10.1.0.1", 5), ("10.2.0.1", 7), ("10.2.0.1", 7)):
+            counter.count(RateResponse(1, True, 0.0), host, size)
+        rows = [row.describe() for row in counter.drain()]
+        self.assertEqual(
+            [(False, 5 + HEADER_BYTES), (True, 2 * (7 + HEADER_BYTES))],
+            sorted((row["elsewhere"], row["bytes"]) for row in rows),
+        )
+
     def test_drain_starts_a_new_interval(self):
         self.counter.count(RateResponse(1, True, 0.0), "10.0.0.1", 10)
         self.assertEqual(1, len(self.drain()))
--- a/persimmonlane/peers/traffic.py
+++ b/persimmonlane/peers/traffic.py
@@ -15,15 +15,17 @@
     Attributes:
         kind: Class name of a message in datagrams, or name of a part of an exchange.
         is_local: Whether the other node is in the sender's data centre.
+        is_elsewhere: Whether it is in another region.
         messages: Number of messages.
         size: Their bytes, headers included.
     """
 
-    __slots__ = ("kind", "is_local", "messages", "size")
+    __slots__ = ("kind", "is_local", "is_elsewhere", "messages", "size")
 
-    def __init__(self, kind, is_local):
+    def __init__(self, kind, is_local, is_elsewhere=False):
         self.kind = kind
         self.is_local = is_local
+        self.is_elsewhere = is_elsewhere
         self.messages = 0
         self.size = 0
 
@@ -32,6 +34,7 @@
         return {
             "kind": self.kind,
             "near": self.is_local,
+            "elsewhere": self.is_elsewhere,
             "messages": self.messages,
             "bytes": self.size,
         }
@@ -40,21 +43,24 @@
 class TrafficCounter:
     """Counts messages by kind and by distance; thread-safe."""
 
-    __slots__ = ("_counts", "_is_local", "_lock")
+    __slots__ = ("_counts", "_is_local", "_is_elsewhere", "_lock")
 
-    def __init__(self, is_local=lambda host: True):
+    def __init__(self, is_local=lambda host: True, is_elsewhere=lambda host: False):
         """Create an empty count.
 
         Args:
             is_local: Callable that returns whether a host is in this data centre.
+            is_elsewhere: Callable that returns whether it is in another region.
         """
         self._counts = {}
         self._is_local = is_local
+        self._is_elsewhere = is_elsewhere
         self._lock = threading.Lock()
 
-    def set_locator(self, is_local):
-        """Set the callable that returns whether a host is in this data centre."""
+    def set_locator(self, is_local, is_elsewhere):
+        """Set the callables that tell where a host is, as for the constructor."""
         self._is_local = is_local
+        self._is_elsewhere = is_elsewhere
 
     def count(self, message, host, payload_bytes):
         """Count a datagram that was sent to a host."""
@@ -75,7 +81,7 @@
             self._add("ForwardedResponse", host, size)
 
     def _add(self, kind, host, size):
-        key = (kind, self._is_local(host))
+        key = (kind, self._is_local(host), self._is_elsewhere(host))
         with self._lock:
             row = self._counts.get(key)
             if row is None:
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -12,6 +12,7 @@
 from .application import Application, Part
 from .clocks import BootClock, WallClock
 from .errors import InputError, Refusal
+from .localities import Locality
 from .owner.backend import HostedServer
 from .owner.fleethealth import FleetHealth
 from .owner.keeping import DepartureKeeper
@@ -136,7 +137,7 @@
         )
         self._table = table = self._gossip.proxy().table.get()
         self.owner.watch_fleet(FleetHealth(settings.service, table))
-        self._wire.traffic.set_locator(table.is_local_host)
+        self._wire.traffic.set_locator(table.is_local_host, self._is_elsewhere)
         counter = RequestCounter(UnixClock(), settings.name)
         self.events = RequestEvents(
             clock, counter, self.documents, table, settings.name, self.shutdown
@@ -322,6 +323,13 @@
             return None
         return rulebook.status_paths.get(self._settings.service, "")
 
+    def _is_elsewhere(self, host):
+        """Return whether a host is known to be in another region."""
+        data_centre = self._table.find_data_centre(host)
+        if not data_centre:
+            return False
+        return self._regions.locate(data_centre) is Locality.ELSEWHERE
+
     def _find_cold_rate(self, service):
         rulebook = self.documents.rulebook
         if rulebook is None:
