--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -16,6 +16,7 @@
 from persimmonlane.application import Application
 from persimmonlane.clocks import BootClock
 from persimmonlane.owner.fleethealth import FleetHealth
+from persimmonlane.localities import RegionMap
 from persimmonlane.peers.deltas import build_delta
 from persimmonlane.peers.gossip import ANNOUNCE_S, Gossip
 from persimmonlane.peers.messages import RateRequest, decoder, encoder
@@ -55,6 +56,10 @@
     def __init__(self, gossip_port):
         self.gossip_port = gossip_port
 
+    def build_region_map(self):
+        """Return a map without regions."""
+        return RegionMap(self.data_centre, {})
+
 
 class Document:
     """Stub of the document that is in force on all nodes, and of its rulebook."""
