Test the gap between sender and receiver of an overflow

With the gap removed no test failed: for patient requests the accepted wait implies it. For urgent ones it does not. Sorts an import as well.

--- a/persimmonlane/serving/tests/test_overflow.py
+++ b/persimmonlane/serving/tests/test_overflow.py
@@ -108,6 +108,14 @@
         self.assertThat(sent, LessThan(free_per_s))
         self.assertThat(sent, GreaterThan(free_per_s * 0.5))
 
+    def test_receiver_must_be_clearly_less_loaded(self):
+        # The states of two nodes differ by some datagrams; without a gap, two data
+        # centres near their limits could send urgent requests to each other.
+        urgent = build_demand(left_s=0.0)
+        self.assertEqual({}, plan(urgent, a_1=(42.5, 40), a_2=(33, 40)).shares)
+        shares = plan(urgent, a_1=(42.5, 40), a_2=(20, 40)).shares
+        self.assertEqual(["a-2"], list(shares))
+
     def test_two_data_centres_never_send_to_each_other(self):
         rng = random.Random(3)
         names = [name.replace("-", "_") for name in REGIONS]
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -15,8 +15,8 @@
 from persimmonlane.actors import Tick
 from persimmonlane.application import Application
 from persimmonlane.clocks import BootClock
-from persimmonlane.owner.fleethealth import FleetHealth
 from persimmonlane.localities import RegionMap
+from persimmonlane.owner.fleethealth import FleetHealth
 from persimmonlane.peers.deltas import build_delta
 from persimmonlane.peers.gossip import ANNOUNCE_S, Gossip
 from persimmonlane.peers.messages import RateRequest, decoder, encoder
