--- a/persimmonlane/explaining/reading.py
+++ b/persimmonlane/explaining/reading.py
@@ -17,6 +17,8 @@
     "attempts for the reasons.",
     "no-server": "No backend server of the service is known to take requests.",
     "server-evacuated": "The backend server's data centre is evacuated.",
+    "region-not-allowed": "No backend server of the service is in a region that its "
+    "route and its organisation both allow.",
     "rate-exceeded": "Its organisation is beyond its rate.",
     "rate-unknown": "Neither the node that holds the organisation's rate nor this node "
     "decided in time.",
--- a/persimmonlane/reporting/reporter.py
+++ b/persimmonlane/reporting/reporter.py
@@ -14,11 +14,18 @@
 
 
 class Reporter:
-    """Thread that logs the counts of a `RequestCounter` and a `TrafficCounter`."""
+    """Thread that logs the counts of a node's counters."""
 
-    __slots__ = ("_counter", "_traffic", "_evacuations", "_stopped", "_thread")
+    __slots__ = (
+        "_counter",
+        "_traffic",
+        "_evacuations",
+        "_selector",
+        "_stopped",
+        "_thread",
+    )
 
-    def __init__(self, counter, traffic, evacuations=None):
+    def __init__(self, counter, traffic, evacuations=None, selector=None):
         """Create the thread.
 
         Args:
@@ -26,10 +33,13 @@
             traffic: The `TrafficCounter`.
             evacuations: The `EvacuationLog`; None where operators evacuate no data
                 centres.
+            selector: The `DataCentreSelector`, or None where leaving the data centre
+                is not weighed.
         """
         self._evacuations = evacuations
         self._counter = counter
         self._traffic = traffic
+        self._selector = selector
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -52,6 +62,16 @@
         if self._evacuations is not None:
             report = to_builtins(self._evacuations.describe())
             log.info("Reporting: evacuations.", extra={"evacuations": report})
+        if self._selector is not None:
+            self._log_placements()
+
+    def _log_placements(self):
+        """Log where requests were sent, and what the links to other regions bear."""
+        placements = self._selector.drain()
+        if not placements:
+            return
+        fields = {"placements": placements, "links": self._selector.budget.describe()}
+        log.info("Reporting: placements.", extra=fields)
 
     def _run(self):
         while not self._stopped.wait(INTERVAL_S):
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -4,6 +4,7 @@
 where this is allowed.
 """
 
+import functools
 import logging
 import random
 import threading
@@ -12,7 +13,7 @@
 from ..owner.calls import SERVER_CRASHED
 from ..owner.latency import LatencyModels
 from ..quarantine.refusals import QUARANTINED, build_quarantine_refusal
-from ..routing.rulebook import choose_service
+from ..routing.rulebook import choose_service, intersect_regions
 from ..verdicts import Verdict
 from .attempts import (
     SERVER_ERROR_STATUS,
@@ -43,6 +44,10 @@
 OBJECTIVE_WAIT_SHARE = 0.6
 MIN_TIME_LEFT_S = 0.03
 RETRY_AFTER_S = 0.3
+# Code of the refusal of a request that no allowed region has a server for. Servers of
+# these regions may be back within the time of a restart.
+REGION_NOT_ALLOWED = "region-not-allowed"
+REGION_RETRY_AFTER_S = 2.0
 # Code of a rejection by the backend server itself. The request reached the server, so a
 # further attempt takes a token from the retry budget.
 SHED_BY_SERVER = "server-shed"
@@ -64,6 +69,7 @@
         "_candidates",
         "_returns",
         "_sender",
+        "_selector",
     )
 
     def __init__(
@@ -82,7 +88,29 @@
         traffic,
         isolation,
         evacuations=None,
+        selector=None,
     ):
+        """Create the ingress.
+
+        Args:
+            settings: The `FleetSettings`.
+            clock: Clock in seconds.
+            owner: The `Owner` of the local backend server.
+            describe: Callable that returns the `NodeState` of this node.
+            table: The `PeerTable`.
+            actor: Reference to the `Gossip` actor.
+            pool: The `ConnectionPool`.
+            budget: The `RetryBudget`.
+            events: The `RequestEvents`.
+            shutdown: The `Shutdown`.
+            cancellations: The `CancellationClient`.
+            traffic: The `TrafficCounter`.
+            isolation: The `IsolationPolicy`.
+            evacuations: The `EvacuationHolder`; None where operators evacuate no data
+                centres.
+            selector: The `DataCentreSelector`, or None where leaving the data centre
+                is not weighed.
+        """
         self._clock = clock
         self._budget = budget
         self._lock = threading.Lock()
@@ -92,6 +120,7 @@
         self._events = events
         self._shutdown = shutdown
         self._isolation = isolation
+        self._selector = selector
         self._candidates = CandidateFinder(
             settings, clock, describe, table, evacuations
         )
@@ -106,6 +135,7 @@
             shutdown,
             cancellations,
             traffic,
+            selector.budget if selector is not None else None,
         )
 
     def forward(self, request):
@@ -122,6 +152,7 @@
             NodeShutdown: If the node stops first.
         """
         request.stage = Stage.PLACEMENT
+        request.allowed_regions = intersect_regions(request.route, request.organisation)
         service = request.service = choose_service(request.route, self._rng)
         self._budget.note_request(service)
         return self._run_attempts(request, service)
@@ -152,7 +183,9 @@
                 attempt.last_resort = choice.last_resort
                 rejections[server_id] = attempt
                 if attempt.code == SHED_BY_SERVER and not self._budget.take(service):
-                    raise failure or self._build_overload_refusal(service, rejections)
+                    raise failure or self._build_overload_refusal(
+                        request, service, rejections
+                    )
                 continue
             dispatched += 1 + hedge_count
             if not self._may_retry(request, attempt, dispatched):
@@ -252,23 +285,26 @@
         left_s = request.deadline - self._clock.now()
         if left_s <= MIN_TIME_LEFT_S or not self._shutdown.may_dispatch():
             return None
-        candidates = self._candidates.find(service)
+        candidates = self._candidates.find(service, request.allowed_regions)
         untried = [item for item in candidates if item.server.server_id not in tried]
         if self._isolation.is_isolated(request):
             return self._choose_alone(request, untried, rejections)
+        usable, max_wait_s, reason = self._select(
+            request, service, candidates, tried, rejections
+        )
         chosen = None
         if len(rejections) < MAX_PLACEMENTS and not any(
             map(Attempt.was_last_resort, rejections.values())
         ):
             chosen = self._placement.choose(
-                untried,
+                usable,
                 request.route.idempotent,
                 len(request.body),
                 self._estimate_mean_s(request.route),
             )
         if chosen is not None:
-            max_wait_s = MAX_QUEUE_WAITS_S[min(len(rejections), 2)]
-            return PlacementChoice(chosen, self._shutdown.limit_wait(max_wait_s), False)
+            wait_s = self._shutdown.limit_wait(max_wait_s)
+            return PlacementChoice(chosen, wait_s, False, reason=reason)
         if sum(map(Attempt.was_last_resort, rejections.values())) >= MAX_LAST_RESORTS:
             return None
         # As a last resort, queue the request where the expected wait is shortest
@@ -284,6 +320,8 @@
             if item.server.server_id not in rejections
             or not rejections[item.server.server_id].last_resort
         ]
+        if self._selector is not None:
+            remaining = self._selector.keep_in_region(request, remaining)
         chosen = self._placement.choose_last_resort(remaining, rejections)
         if chosen is None:
             return None
@@ -293,6 +331,25 @@
         )
         return PlacementChoice(chosen, self._shutdown.limit_wait(max_wait_s), True)
 
+    def _select(self, request, service, candidates, tried, rejections):
+        """Return the candidates to choose from, the accepted wait and the reason.
+
+        Args:
+            request: The `IngressRequest`.
+            service: Name of the service.
+            candidates: All `Candidate`s of the service.
+            tried: Identifiers of the backend servers that were tried.
+            rejections: Rejected `Attempt`s by identifier of the backend server.
+        """
+        if self._selector is None:
+            untried = [it for it in candidates if it.server.server_id not in tried]
+            return untried, MAX_QUEUE_WAITS_S[min(len(rejections), 2)], ""
+        mean_s = self._estimate_mean_s(request.route)
+        selection = self._selector.select(
+            request, service, candidates, rejections, tried, mean_s
+        )
+        return selection.candidates, selection.max_wait_s, selection.reason
+
     def _choose_alone(self, request, untried, rejections):
         """Return the `PlacementChoice` of a request that must run alone, or None.
 
@@ -303,8 +360,12 @@
         """
         if len(rejections) >= MAX_PLACEMENTS:
             return None
+        narrow = None
+        if self._selector is not None:
+            narrow = functools.partial(self._selector.keep_in_region, request)
+        usable = self._isolation.select(untried, request.route.idempotent, narrow)
         chosen = self._placement.choose(
-            self._isolation.select(untried, request.route.idempotent),
+            usable,
             request.route.idempotent,
             len(request.body),
             self._estimate_mean_s(request.route),
@@ -319,6 +380,8 @@
         request.stage = Stage.SERVER
         request.server_id = choice.candidate.server.server_id
         attempt, outcome = None, "given-up"
+        if self._selector is not None:
+            self._selector.note_chosen(choice.candidate, choice.reason)
         try:
             attempt = self._sender.send(request, choice, hedge, watch)
             outcome = attempt.code or "answered"
@@ -351,11 +414,32 @@
 
     def _build_refusal(self, request, service, rejections):
         """Return the `Refusal` of a request that no backend server has accepted."""
+        if self._is_region_missing(request, service, rejections):
+            return self._build_region_refusal(request, service)
         if self._shutdown.may_dispatch() and self._isolation.is_isolated(request):
             return self._isolation.build_refusal(request)
-        return self._build_overload_refusal(service, rejections)
+        return self._build_overload_refusal(request, service, rejections)
+
+    def _is_region_missing(self, request, service, rejections):
+        """Return whether only regions that the request must not use have servers."""
+        if request.allowed_regions is None or rejections:
+            return False
+        if not self._shutdown.may_dispatch():
+            return False
+        if self._candidates.find(service, request.allowed_regions):
+            return False
+        return bool(self._candidates.find(service))
+
+    def _build_region_refusal(self, request, service):
+        names = ", ".join(sorted(request.allowed_regions)) or "none"
+        return Refusal(
+            503,
+            REGION_NOT_ALLOWED,
+            f"no backend server of {service} is in an allowed region: {names}",
+            retry_after=REGION_RETRY_AFTER_S,
+        )
 
-    def _build_overload_refusal(self, service, rejections):
+    def _build_overload_refusal(self, request, service, rejections):
         if not self._shutdown.may_dispatch():
             return self._shutdown.build_refusal()
         refusals = list(rejections.values())
@@ -365,11 +449,12 @@
             503,
             "overloaded" if refusals else "no-server",
             f"no backend server of {service} can take the request: {codes}",
-            retry_after=self._choose_return_s(service, wait_s),
+            retry_after=self._choose_return_s(request, service, wait_s),
         )
 
-    def _choose_return_s(self, service, wait_s):
-        limits = [item.server.limit for item in self._candidates.find(service)]
+    def _choose_return_s(self, request, service, wait_s):
+        candidates = self._candidates.find(service, request.allowed_regions)
+        limits = [item.server.limit for item in candidates]
         node_count = self._candidates.count_nodes()
         with self._lock:
             return self._returns.choose_s(service, wait_s, limits, node_count)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -12,6 +12,7 @@
 from .application import Application, Part
 from .clocks import BootClock, WallClock
 from .errors import InputError, Refusal
+from .localities import Locality
 from .owner.backend import HostedServer
 from .owner.fleethealth import FleetHealth
 from .owner.keeping import DepartureKeeper
@@ -47,6 +48,7 @@
     create_memory_account,
 )
 from .serving.room import RoomWaiter
+from .serving.selection import build_selector
 from .serving.servers import RECEIVE_BUFFER_BYTES, NodeHTTPServer
 from .serving.shutdown import Shutdown
 from .serving.stalls import StallTracker
@@ -116,6 +118,8 @@
         admission: The `Admission`.
         ingress: The `Ingress`.
         isolation: The `IsolationPolicy`.
+        selector: The `DataCentreSelector`, or None where leaving the data centre is
+            not weighed.
         events: The `RequestEvents`.
         running: The `RunningRequests`.
         memory: The `MemoryAccount` of requests and responses.
@@ -135,7 +139,7 @@
         self.running = RunningRequests()
         self.shutdown = Shutdown(clock)
         self._stopping = threading.Event()
-        regions = settings.build_region_map()
+        self._regions = regions = settings.build_region_map()
         self.documents = DocumentHolder(decode_document, regions.locate)
         self._generations = generations = GenerationTracker(clock)
         hosted = HostedServer(
@@ -176,7 +180,7 @@
         )
         self._table = table = self._gossip.proxy().table.get()
         self.owner.watch_fleet(FleetHealth(settings.service, table))
-        self._wire.traffic.set_locator(table.is_local_host)
+        self._wire.traffic.set_locator(table.is_local_host, self._is_elsewhere)
         counter = RequestCounter(UnixClock(), settings.name)
         self.events = RequestEvents(
             clock, counter, self.documents, table, settings.name, self.shutdown
@@ -187,9 +191,14 @@
                 settings, clock, evacuations, self.owner.evacuation, self._list_servers
             )
             evacuations.add_listener(evacuation_log.note_change)
-        self._reporter = Reporter(counter, self._wire.traffic, evacuation_log)
         self.isolation = IsolationPolicy(ledger, self.owner.crashes.list_running)
         self.admission = Admission(settings, self.documents, table, self._gossip)
+        self.selector = build_selector(
+            settings, clock, random.Random(), self._find_cold_rate
+        )
+        self._reporter = Reporter(
+            counter, self._wire.traffic, evacuation_log, self.selector
+        )
         self.ingress = Ingress(
             settings,
             clock,
@@ -205,6 +214,7 @@
             self._wire.traffic,
             self.isolation,
             evacuations,
+            self.selector,
         )
         self._upkeep = StoreSync(
             settings,
@@ -411,6 +421,19 @@
             return None
         return rulebook.status_paths.get(self._settings.service, "")
 
+    def _is_elsewhere(self, host):
+        """Return whether a host is known to be in another region."""
+        data_centre = self._table.find_data_centre(host)
+        if not data_centre:
+            return False
+        return self._regions.locate(data_centre) is Locality.ELSEWHERE
+
+    def _find_cold_rate(self, service):
+        rulebook = self.documents.rulebook
+        if rulebook is None:
+            return None
+        return rulebook.find_cold_start(service).rate
+
     def _publish_crashes(self, entries):
         self._gossip.tell(CrashesLearned(entries))
 
@@ -418,6 +441,7 @@
         return lambda request: gateway(request, self)
 
     def _apply_rulebook(self, rulebook):
+        self._check_regions(rulebook)
         limits = rulebook.limits
         for server in self._request_servers:
             server.header_timeout_s = limits.header_timeout_s
@@ -432,6 +456,17 @@
             )
         self._announcer.wake()
 
+    def _check_regions(self, rulebook):
+        """Log the regions in a document that the settings do not know."""
+        unknown = self._regions.list_unknown(rulebook.list_allowed_regions())
+        if unknown:
+            log.warning(
+                "Node: version %08x allows regions that the settings do not know: %s.",
+                rulebook.version,
+                ", ".join(unknown),
+                extra={"event": "region-unknown", "regions": unknown},
+            )
+
     def reload(self):
         """Request a reload of the settings; callable from a signal handler."""
         # A signal handler may not take a lock: another signal can interrupt it.
--- a/tools/peercost.py
+++ b/tools/peercost.py
@@ -15,6 +15,7 @@
 from persimmonlane.actors import Tick
 from persimmonlane.application import Application
 from persimmonlane.clocks import BootClock
+from persimmonlane.localities import RegionMap
 from persimmonlane.owner.fleethealth import FleetHealth
 from persimmonlane.peers.deltas import build_delta
 from persimmonlane.peers.gossip import ANNOUNCE_S, Gossip
@@ -55,6 +56,10 @@
     def __init__(self, gossip_port):
         self.gossip_port = gossip_port
 
+    def build_region_map(self):
+        """Return a map without regions."""
+        return RegionMap(self.data_centre, {})
+
 
 class Document:
     """Stub of the document that is in force on all nodes, and of its rulebook."""
