Try the next server nearby before a request waits at one that is busy

Cause: the first attempt accepted the whole wait that the objective bears, also while other servers of the data centre had free slots: the announced state of a single server is up to a second old.

Change: with free slots nearby, the first two attempts accept 0.05 and 0.15 s.

--- a/persimmonlane/serving/overflow.py
+++ b/persimmonlane/serving/overflow.py
@@ -100,6 +100,10 @@
         """Requests per usable slot; infinite without such slots."""
         return self.busy / self.slots if self.slots > 0.0 else float("inf")
 
+    def has_free_slot(self):
+        """Return whether the servers have a slot for one request more."""
+        return self.busy + 1.0 <= self.slots
+
     def estimate_wait_s(self, mean_s):
         """Return the expected wait of a new request for a slot, in seconds."""
         if self.slots <= 0.0:
--- a/persimmonlane/serving/selection.py
+++ b/persimmonlane/serving/selection.py
@@ -20,6 +20,10 @@
 )
 from .placement import admits
 
+# Accepted waits of the first attempts in a data centre that has free slots, by the
+# number of rejections there. The announced state of single servers is up to a second
+# old, so that another one is likely to be free at once.
+QUICK_WAITS_S = (0.05, 0.15)
 # Part of the accepted wait that remains where a request was sent for a free slot.
 REMOTE_WAIT_SHARE = 0.5
 # Bytes of a request's headers and of a typical response, added to its body.
@@ -106,17 +110,19 @@
         """
         demand = self._build_demand(request, mean_s)
         by_data_centre = self._group(candidates)
-        if not tried and self._has_room_nearby(service, by_data_centre, demand):
+        patience_s = compute_patience_s(demand)
+        near = self._measure_nearby(service, by_data_centre, demand)
+        if not tried and near.slots > 0.0 and near.busy <= near.slots:
             # The plan would be to stay; most requests are decided here.
-            near = by_data_centre[self._regions.data_centre]
-            return Selection(near, compute_patience_s(demand), Reason.NEARBY)
+            wait_s = choose_wait_s(patience_s, near.has_free_slot(), 0)
+            return Selection(by_data_centre[near.name], wait_s, Reason.NEARBY)
         loads = self._measure(service, by_data_centre, demand)
         target = self._find_target(request, loads, demand)
         refused = {
             name: sum(item.server.server_id in rejections for item in group)
             for name, group in by_data_centre.items()
         }
-        patience_s = compute_patience_s(demand)
+        free = {item.name for item in loads if item.has_free_slot()}
         for name in self._list_names(target, loads):
             if refused.get(name, 0) >= MAX_REJECTIONS:
                 continue
@@ -130,7 +136,10 @@
                 is_near = name == self._regions.data_centre
                 share = 1.0 if is_near else REMOTE_WAIT_SHARE
                 reason = choose_reason(is_near, name == target)
-                return Selection(usable, patience_s * share, reason)
+                wait_s = choose_wait_s(
+                    patience_s * share, name in free, refused.get(name, 0)
+                )
+                return Selection(usable, wait_s, reason)
         return Selection([], patience_s, Reason.REFUSED)
 
     def keep_in_region(self, request, candidates):
@@ -176,12 +185,11 @@
         peer = candidate.peer
         return self._regions.data_centre if peer is None else peer.data_centre
 
-    def _has_room_nearby(self, service, by_data_centre, demand):
-        """Return whether the servers nearby have a slot for each of their requests."""
+    def _measure_nearby(self, service, by_data_centre, demand):
+        """Return the `DataCentreLoad` of this data centre."""
         own = self._regions.data_centre
         groups = {own: by_data_centre.get(own, ())}
-        (load,) = self._measure(service, groups, demand)
-        return load.slots > 0.0 and load.busy <= load.slots
+        return self._measure(service, groups, demand)[0]
 
     def _measure(self, service, by_data_centre, demand):
         """Return the `DataCentreLoad`s of a service."""
@@ -261,6 +269,19 @@
     return DataCentreSelector(regions, clock, rng, budget, find_cold_rate)
 
 
+def choose_wait_s(patience_s, has_free_slot, rejection_count):
+    """Return the longest accepted wait of an attempt, in seconds.
+
+    Args:
+        patience_s: Longest wait after which the request is still in time, in seconds.
+        has_free_slot: Whether the servers of the data centre have a free slot.
+        rejection_count: Number of servers there that have rejected the request.
+    """
+    if not has_free_slot or rejection_count >= len(QUICK_WAITS_S):
+        return patience_s
+    return min(patience_s, QUICK_WAITS_S[rejection_count])
+
+
 def is_alternative(load, near):
     """Return whether a request may go to a data centre that is not its target.
 
--- a/persimmonlane/serving/tests/regionload.py
+++ b/persimmonlane/serving/tests/regionload.py
@@ -184,7 +184,7 @@
             None,
             None,
             IsolationPolicy(CrashLedger(model.clock), list),
-            self.selector,
+            selector=self.selector,
         )
         self.ingress._rng.seed(seed + 1)
         self.ingress.mean_s = model.load.mean_s
