Limit what a cold backend server gets in a second

Cause: a server that has just started, or turns cold later, takes a few requests a second and crashes well above that. Nothing kept to it: the owner knew the remaining time from heartbeats only, which are 1.5 s apart and may be late, and sent what the slots allow.

Change: for services with ColdPerS in the document the owner keeps a sliding window over its dispatches since the server was last known to be warm, and asks for its status (X-Cold-Ms) before a quarter of the bound is used up. After a start of the node, a pause or another process the server counts as cold. What exceeds it is refused as server-cold with its wait. Placement takes the rate times the mean processing time as the concurrency of a cold server. The stand-in of the backend server turns cold, says so and crashes.

No test shows the slow rate after a pause to be needed for the bound: the window alone keeps it there.

--- a/persimmonlane/owner/admission.py
+++ b/persimmonlane/owner/admission.py
@@ -8,6 +8,7 @@
 import itertools
 
 from ..errors import Refusal
+from .coldstart import ColdStartLimit
 from .limits import ServerLimit
 
 MIN_RETRY_AFTER_S = 0.05
@@ -69,12 +70,14 @@
     Attributes:
         slots: Concurrency limit of the backend server; 0 refuses all new requests.
         limit: The `ServerLimit` of the backend server.
+        cold: Its `ColdStartLimit`.
         granted_at: Clock time at which the last request got a slot, in seconds.
     """
 
     __slots__ = (
         "slots",
         "limit",
+        "cold",
         "granted_at",
         "_clock",
         "_running",
@@ -83,9 +86,16 @@
         "_last_contention",
     )
 
-    def __init__(self, clock):
+    def __init__(self, clock, settings=None):
+        """Create it without slots.
+
+        Args:
+            clock: Clock in seconds.
+            settings: The `FleetSettings`, or None for their defaults.
+        """
         self.slots = 0
         self.limit = ServerLimit(clock)
+        self.cold = ColdStartLimit(clock, settings)
         self.granted_at = clock.now()
         self._clock = clock
         self._running = set()
@@ -125,8 +135,11 @@
         if self.slots <= 0:
             raise build_refusal("server-leaving", 0.0)
         free = self._count_free(ticket)
-        limit_wait_s = self.limit.get_wait_s(len(self._list_ahead(ticket.priority)))
-        if free > 0 and not self._waiting and limit_wait_s <= 0.0:
+        ahead = len(self._list_ahead(ticket.priority))
+        limit_wait_s = self.limit.get_wait_s(ahead)
+        cold_wait_s = self.cold.get_wait_s(ahead)
+        rate_wait_s = max(limit_wait_s, cold_wait_s)
+        if free > 0 and not self._waiting and rate_wait_s <= 0.0:
             return True
         now = self._clock.now()
         if free <= 0:
@@ -134,14 +147,15 @@
         slot_wait_s = self.estimate_wait(ticket.priority)
         if ticket.alone or self._runs_alone():
             slot_wait_s = max(slot_wait_s, self._estimate_drain())
-        wait_s = max(slot_wait_s, limit_wait_s)
+        wait_s = max(slot_wait_s, rate_wait_s)
         processing_s = ticket.latency.estimate_mean() * MIN_PROCESSING_RATIO
         left_s = ticket.deadline - now
         if wait_s > ticket.max_wait_s or wait_s + processing_s > left_s:
-            is_limited = limit_wait_s > slot_wait_s
-            raise build_refusal(
-                "server-limited" if is_limited else "server-busy", wait_s
-            )
+            code = "server-busy"
+            if rate_wait_s > slot_wait_s:
+                is_cold = cold_wait_s > limit_wait_s
+                code = "server-cold" if is_cold else "server-limited"
+            raise build_refusal(code, wait_s)
         return False
 
     def release(self, ticket):
@@ -154,6 +168,10 @@
 
     def resize(self, slots):
         """Set the number of slots; 0 refuses all waiting requests as not run."""
+        if slots > 0 and self.slots <= 0:
+            self.cold.end_pause()
+        elif slots <= 0:
+            self.cold.begin_pause()
         self.slots = slots
         if slots > 0:
             self.admit_waiting()
@@ -172,7 +190,9 @@
         Requests with too little time are refused.
         """
         while self._waiting and self.running < self.slots:
-            if self.limit.get_wait_s() > 0.0 or self._is_kept_apart():
+            if self.limit.get_wait_s() > 0.0 or self.cold.get_wait_s() > 0.0:
+                return
+            if self._is_kept_apart():
                 return
             _, _, ticket = heapq.heappop(self._waiting)
             processing_s = ticket.latency.estimate_mean() * MIN_PROCESSING_RATIO
@@ -260,6 +280,7 @@
 
     def _grant(self, ticket):
         self.limit.take()
+        self.cold.take()
         self.granted_at = ticket.granted_at = self._clock.now()
         self._running.add(ticket)
 
--- a/persimmonlane/owner/newcomers.py
+++ b/persimmonlane/owner/newcomers.py
@@ -42,13 +42,17 @@
     Attributes:
         server_id: Identifier of the backend server that answered; empty if none did.
         condition: The `Condition`.
+        cold_s: Seconds for which it remains cold, None if it does not say.
+        is_cold_malformed: Whether it says that in a form that can't be read.
     """
 
-    __slots__ = ("server_id", "condition")
+    __slots__ = ("server_id", "condition", "cold_s", "is_cold_malformed")
 
-    def __init__(self, server_id, condition):
+    def __init__(self, server_id, condition, cold_s=None, is_cold_malformed=False):
         self.server_id = server_id
         self.condition = condition
+        self.cold_s = cold_s
+        self.is_cold_malformed = is_cold_malformed
 
 
 class Newcomers:
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -11,6 +11,7 @@
 from ..outcomes import OutcomeKind
 from ..platform import headers as wire
 from ..quarantine.refusals import check_quarantine
+from ..routing.rulebook import NO_COLD_START
 from ..serving.exchange import ExchangeError
 from ..serving.shutdown import NodeShutdown
 from ..signals import PollableEvent
@@ -49,10 +50,13 @@
         on_change: Callable that is called after the server's status has changed.
         find_status_path: Callable that returns the path of the server's status check;
             empty if it has none, None if that is not known yet.
+        find_cold_start: Callable that returns the `ColdStart` of the server's service,
+            None if there is no document yet.
     """
 
     __slots__ = (
         "find_status_path",
+        "find_cold_start",
         "_status_check",
         "hosted",
         "detector",
@@ -80,9 +84,10 @@
         )
         self._fleet = None
         self.detector = FailureDetector(clock, self._may_eject)
-        self.admission_queue = AdmissionQueue(clock)
+        self.admission_queue = AdmissionQueue(clock, settings)
         self.on_change = lambda: None
         self.find_status_path = lambda: None
+        self.find_cold_start = lambda: NO_COLD_START
         self._status_check = StatusCheck(settings, clock, pool)
         self._clock = clock
         self._client = ServerClient(settings, clock, pool)
@@ -171,6 +176,39 @@
             log.info("Owner: %s says that it leaves or fails.", heartbeat.server_id)
         self._change_server(self.hosted.use_newcomer)
 
+    def _check_cold(self):
+        """Ask the backend server whether it is cold, if this is to be known now."""
+        path = self.find_status_path()
+        if not path:
+            return
+        with self._lock:
+            asked_at = self.admission_queue.cold.begin_check()
+            current = self.hosted.current
+        if asked_at is not None:
+            self._status_check.begin(
+                path,
+                lambda statement: self._note_cold(asked_at, current, statement),
+            )
+
+    def _note_cold(self, asked_at, incarnation, statement):
+        if statement.is_cold_malformed:
+            log.warning(
+                "Owner: %s says for how long it is cold in a malformed way.",
+                incarnation.server_id,
+                extra={"event": "cold-start-implausible"},
+            )
+        with self._lock:
+            is_same = self.hosted.is_incarnation(incarnation)
+            is_same = is_same and statement.server_id == incarnation.server_id
+            changed = self.admission_queue.cold.note_statement(
+                asked_at, statement.cold_s if is_same else None
+            )
+            self.admission_queue.admit_waiting()
+        if changed:
+            is_cold = statement.cold_s > 0.0
+            log.info("Owner: the backend server is %s.", "cold" if is_cold else "warm")
+            self.on_change()
+
     def _change_server(self, change, *arguments):
         """Change what is known of the backend server.
 
@@ -186,7 +224,10 @@
             if is_new:
                 self.detector.reset()
                 self.admission_queue.limit.reset()
+                self.admission_queue.cold.reset()
                 self._misdirected_id = None
+            if current is not before:
+                self.admission_queue.cold.note_heartbeat(current.cold_s)
             self._update_slots()
         if not changed:
             if held is not None and held_before is None:
@@ -235,8 +276,10 @@
         self._update_prior()
         self._check_newcomer()
         self._change_server(self.hosted.use_newcomer)
+        self._check_cold()
         with self._lock:
             slots = self.admission_queue.slots
+            self.admission_queue.cold.observe()
             self._evidence.end_ejection()
             self._evidence.evaluate_running()
             self._update_slots()
@@ -340,6 +383,7 @@
         )
 
     def _update_slots(self):
+        self.admission_queue.cold.set_start(self.find_cold_start())
         ready = self.hosted.is_ready() and not self._admission_stopped
         if ready and self.hosted.is_current(self._misdirected_id):
             ready = False
--- a/persimmonlane/owner/status.py
+++ b/persimmonlane/owner/status.py
@@ -58,7 +58,7 @@
             queue.running,
             queue.waiting,
             detector.state.value,
-            max(0.0, self._hosted.cold_until - self._clock.now()),
+            max(queue.cold.get_cold_s(), self._hosted.cold_until - self._clock.now()),
             detector.is_suspect(),
             detector.risk.error_percent,
             detector.risk.hang_percent,
--- a/persimmonlane/platform/headers.py
+++ b/persimmonlane/platform/headers.py
@@ -29,6 +29,8 @@
 # Set to `LEAVING` by a backend server that takes no new requests for good.
 SERVER_LEAVING = "Server-Leaving"
 LEAVING = "1"
+# Milliseconds for which a backend server remains cold, in answers to status checks.
+COLD = "X-Cold-Ms"
 
 # Lower-case names of the headers that are removed from a caller's request before it is
 # forwarded; the node sets its own values where a backend server needs them.
@@ -41,6 +43,9 @@
 HTTP_UNAVAILABLE = 503
 MS_PER_S = 1000.0
 MAX_TIMEOUT_DIGITS = 9
+# An hour, as in heartbeats; longer times are malformed.
+MAX_COLD_MS = 3_600_000
+COLD_PATTERN = re.compile(r"[0-9]{1,7}(\.[0-9]{0,9})?", re.ASCII)
 LIMIT_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}", re.ASCII)
 
 
@@ -108,12 +113,28 @@
     if find_first(headers, NOT_EXECUTED) or not server_id:
         return ServerStatement("", Condition.UNKNOWN)
     if status == HTTP_OK:
-        return ServerStatement(server_id, Condition.WELL)
+        cold_s = parse_cold_time(find_values(headers, COLD.lower()))
+        return ServerStatement(server_id, Condition.WELL, cold_s, cold_s is None)
     if status == HTTP_UNAVAILABLE:
         return ServerStatement(server_id, Condition.ILL)
     return ServerStatement(server_id, Condition.UNKNOWN)
 
 
+def parse_cold_time(values):
+    """Return the seconds for which a server remains cold, or None if malformed.
+
+    Args:
+        values: Values of the header; a server that is warm need not send it.
+    """
+    if not values:
+        return 0.0
+    text = values[0].strip()
+    if len(values) > 1 or not COLD_PATTERN.fullmatch(text):
+        return None
+    cold_ms = float(text)
+    return cold_ms / MS_PER_S if cold_ms <= MAX_COLD_MS else None
+
+
 def parse_limit(text):
     """Return a limit header's value in requests per second, or None if malformed."""
     text = text.strip()
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -105,6 +105,10 @@
             traffic,
         )
 
+    def set_cold_starts(self, find_cold_start):
+        """Set the callable that returns the `ColdStart` of a service, or None."""
+        self._placement.find_cold_start = find_cold_start
+
     def forward(self, request):
         """Return the `CompleteResponse` for an admitted request whose body was read.
 
--- a/persimmonlane/serving/placement.py
+++ b/persimmonlane/serving/placement.py
@@ -8,6 +8,7 @@
 import math
 
 from ..owner.health import HealthState
+from ..routing.rulebook import NO_COLD_START
 
 # Weight of a server in another data centre relative to one in this data centre. There
 # are many such servers, and together they must get few requests while a server in this
@@ -65,11 +66,16 @@
 
 
 class Placement:
-    """Chooses among the candidates of a service."""
+    """Chooses among the candidates of a service.
 
-    __slots__ = ("_rng",)
+    Attributes:
+        find_cold_start: Callable that returns the `ColdStart` of a service, or None.
+    """
+
+    __slots__ = ("find_cold_start", "_rng")
 
     def __init__(self, rng):
+        self.find_cold_start = lambda service: NO_COLD_START
         self._rng = rng
 
     def choose(self, candidates, idempotent, body_bytes, mean_s=0.0):
@@ -84,8 +90,10 @@
         usable = [item for item in candidates if admits(item, idempotent)]
         if not usable:
             return None
+        cold_start = self.find_cold_start(usable[0].server.service) or NO_COLD_START
         weights = [
-            calculate_weight(item, idempotent, body_bytes, mean_s) for item in usable
+            calculate_weight(item, idempotent, body_bytes, mean_s, cold_start.rate)
+            for item in usable
         ]
         if idempotent:
             weights = raise_quiet_weights(usable, weights)
@@ -139,27 +147,31 @@
     return max(DEFAULT_WAIT_S, 1.0 / max(MIN_LIMIT_RATE, server.limit))
 
 
-def estimate_concurrency(server, mean_s):
+def estimate_concurrency(server, mean_s, cold_rate=None):
     """Return the number of requests that a server can run at the same time.
 
     By Little's law, a limited server runs no more than its limit times the processing
     time on average.
+
+    Args:
+        server: The `ServerStatus`.
+        mean_s: Mean processing time of the requests, in seconds.
+        cold_rate: Requests per second that it takes while it is cold, or None.
     """
-    if server.limit is None:
-        return server.slots
-    return min(server.slots, server.limit * mean_s)
+    rates = [server.limit, cold_rate if server.cold_s > 0 else None]
+    return min([server.slots, *(rate * mean_s for rate in rates if rate is not None)])
 
 
-def calculate_weight(candidate, idempotent, body_bytes, mean_s=0.0):
+def calculate_weight(candidate, idempotent, body_bytes, mean_s=0.0, cold_rate=None):
     """Return the relative probability with which a candidate is chosen."""
     server = candidate.server
     in_flight = candidate.peer.in_flight if candidate.peer is not None else 0
     busy = max(server.running + server.waiting, in_flight)
-    free = estimate_concurrency(server, mean_s) - busy
+    free = estimate_concurrency(server, mean_s, cold_rate) - busy
     weight = free if free > 0 else FULL_WEIGHT * FULL_QUEUE_DECAY ** min(-free, 8)
     if candidate.peer is None:
         weight *= LOCAL_WEIGHT
-    if server.cold_s > 0:
+    if server.cold_s > 0 and cold_rate is None:
         weight *= COLD_START_WEIGHT
     if server.standing == HealthState.HALF_OPEN.value:
         weight = HALF_OPEN_WEIGHT if server.may_probe else HALF_OPEN_BUSY_WEIGHT
--- a/persimmonlane/serving/tests/test_placement.py
+++ b/persimmonlane/serving/tests/test_placement.py
@@ -7,6 +7,7 @@
 from ...peers.statuses import Announcement, ServerStatus
 from ...peers.table import PeerTable
 from ...routing.metadata import OwnerReport
+from ...routing.rulebook import ColdStart
 from ..placement import Candidate, Placement
 
 PLACEMENT_COUNT = 2000
@@ -53,6 +54,16 @@
             counts[candidates.index(chosen)] += 1
         return counts
 
+    def test_cold_server_gets_requests_by_its_rate_and_not_by_its_slots(self):
+        self.placement.find_cold_start = lambda service: ColdStart(5.0, 2.0)
+        cold = self.add_candidate(1, slots=10, cold_s=4.0)
+        candidates = [cold, self.add_candidate(2, slots=10)]
+        counts = [0, 0]
+        for _ in range(PLACEMENT_COUNT):
+            chosen = self.placement.choose(candidates, True, 0, 0.5)
+            counts[candidates.index(chosen)] += 1
+        self.assertThat(counts[0], testtools.matchers.LessThan(PLACEMENT_COUNT / 8))
+
     def test_many_free_servers_in_other_data_centres_get_few_requests(self):
         far = [
             self.add_candidate(number, same_data_centre=False)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -173,6 +173,8 @@
         self._announcer = Announcer(self._gossip, random.random)
         self.owner.on_change = self._announcer.wake
         self.owner.find_status_path = self._find_status_path
+        self.owner.find_cold_start = lambda: self._find_cold_start(settings.service)
+        self.ingress.set_cold_starts(self._find_cold_start)
         self.owner.crashes.on_crash = self._publish_crashes
         self.documents.add_listener(self._apply_rulebook)
         generations.add_listener(lambda event: self._announcer.wake())
@@ -315,6 +317,10 @@
             return None
         return rulebook.status_paths.get(self._settings.service, "")
 
+    def _find_cold_start(self, service):
+        rulebook = self.documents.rulebook
+        return None if rulebook is None else rulebook.find_cold_start(service)
+
     def _publish_crashes(self, entries):
         self._gossip.tell(CrashesLearned(entries))
 
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -36,8 +36,10 @@
     def _answer_status_check(self):
         standin = self.standin
         self.req.status = b"503 Status" if standin.is_leaving else b"200 Status"
+        cold_ms = round(standin.get_cold_s() * 1000)
         self.req.outheaders = [
             (b"X-Instance-Id", standin.server_id.encode()),
+            (b"X-Cold-Ms", str(cold_ms).encode()),
             (b"Content-Length", b"0"),
         ]
         self.req.ensure_headers_sent()
@@ -53,7 +55,7 @@
         self.standin.executions.append(execution)
         script = self.standin.script
         self.standin.connections.add(req.conn.socket)
-        if script.crashes_on(req.uri.decode()):
+        if script.crashes_on(req.uri.decode()) or self.standin.is_overrun():
             self.standin.crash()
             self._end_without_response()
             return
@@ -211,6 +213,10 @@
         has_crashed: Whether its process has ended without notice.
         is_leaving: Whether its process has said that it leaves.
         server_id: Its identifier.
+        cold_until: Monotonic seconds until which it is cold.
+        cold_bound: Requests in one second above which it crashes while it is cold, or
+            None if it takes any number.
+        cold_requests: Monotonic seconds at which it got requests while it was cold.
     """
 
     def __init__(self, address, service, server_id, born):
@@ -225,6 +231,9 @@
         self.is_leaving = False
         self.server_id = server_id
         self.slots = SLOTS
+        self.cold_until = 0.0
+        self.cold_bound = None
+        self.cold_requests = []
         self.released = threading.Event()
         self._address = address
         self._service = service
@@ -249,6 +258,29 @@
         self.released.set()
         self._server.stop()
 
+    def turn_cold(self, seconds, bound):
+        """Be cold from now on.
+
+        Args:
+            seconds: Duration in seconds.
+            bound: Requests in one second above which it crashes.
+        """
+        self.cold_bound = bound
+        self.cold_until = time.monotonic() + seconds
+
+    def get_cold_s(self):
+        """Return the seconds for which it remains cold, 0 if it is warm."""
+        return max(0.0, self.cold_until - time.monotonic())
+
+    def is_overrun(self):
+        """Count a request if it is cold; return whether there were too many."""
+        now = time.monotonic()
+        if now >= self.cold_until or self.cold_bound is None:
+            return False
+        self.cold_requests.append(now)
+        recent = sum(1 for at in list(self.cold_requests) if at > now - 1.0)
+        return recent > self.cold_bound
+
     def crash(self):
         """End as a process does that crashes: nothing listens, connections break."""
         self.has_crashed = True
@@ -269,7 +301,11 @@
         body = {
             "Address": self._address,
             "Info": {"Service": self._service, "Slots": self.slots},
-            "Status": {"State": state, "Sequence": self._sequence},
+            "Status": {
+                "State": state,
+                "Sequence": self._sequence,
+                "ColdRemainingS": self.get_cold_s(),
+            },
             "born": self._born,
         }
         return self._call("PUT", control, body)
