Share the slots of a priority fairly among organisations under overload

Cause: the owner's queue is ordered by priority, then by arrival. An organisation that sends many times its usual load fills the queue, and the others wait behind it or are refused: at 8 times, small ones get 54 % of their requests served.

Change: where contract `pressure` is in force, start-time fair queueing within each priority, charged with the expected processing time as a slot is given. Expected waits are those of this order; a heavy organisation's account for lighter ones that come later.

--- a/persimmonlane/owner/admission.py
+++ b/persimmonlane/owner/admission.py
@@ -4,11 +4,11 @@
 than slots; those that can't be answered in time are refused early.
 """
 
-import heapq
 import itertools
 
 from ..errors import Refusal
 from .coldstart import ColdStartLimit
+from .fairness import create_order
 from .limits import ServerLimit
 
 MIN_RETRY_AFTER_S = 0.05
@@ -23,6 +23,8 @@
 MIN_WAIT_TIMEOUT_S = 0.05
 # A request with less than this fraction of its mean processing time left is refused.
 MIN_PROCESSING_RATIO = 0.5
+# Least share of the slots that is left to an organisation, in estimates of its wait.
+MIN_OWN_SHARE = 0.05
 
 
 class Ticket:
@@ -34,6 +36,8 @@
         deadline: Clock time by which it must be answered, in seconds.
         max_wait_s: Longest estimated wait that it accepts.
         alone: Whether nothing else may run on the server meanwhile.
+        organisation: Name of its organisation, or an empty string.
+        number: Number that rises with the arrivals in the queue.
         wait_deadline: Clock time at which its wait times out, in seconds.
         granted_at: Clock time at which it got its slot, in seconds, or None.
         refusal: The `Refusal` that ended its wait, or None.
@@ -46,22 +50,43 @@
         "deadline",
         "max_wait_s",
         "alone",
+        "organisation",
+        "number",
         "wait_deadline",
         "granted_at",
         "refusal",
         "wake",
+        "_cost",
     )
 
-    def __init__(self, latency, priority, deadline, max_wait_s, wake, alone=False):
+    def __init__(
+        self,
+        latency,
+        priority,
+        deadline,
+        max_wait_s,
+        wake,
+        alone=False,
+        organisation="",
+    ):
         self.latency = latency
         self.priority = priority
         self.deadline = deadline
         self.max_wait_s = max_wait_s
         self.alone = alone
+        self.organisation = organisation
+        self.number = 0
         self.wait_deadline = deadline
         self.granted_at = None
         self.refusal = None
         self.wake = wake
+        self._cost = None
+
+    def estimate_cost(self):
+        """Return the processing time expected when this was first called, in s."""
+        if self._cost is None:
+            self._cost = self.latency.estimate_mean()
+        return self._cost
 
 
 class AdmissionQueue:
@@ -99,7 +124,7 @@
         self.granted_at = clock.now()
         self._clock = clock
         self._running = set()
-        self._waiting = []
+        self._waiting = create_order(settings, clock)
         self._sequence = itertools.count()
         self._last_contention = {}
 
@@ -124,7 +149,8 @@
             return
         timeout_s = max(MIN_WAIT_TIMEOUT_S, ticket.max_wait_s * WAIT_TIMEOUT_FACTOR)
         ticket.wait_deadline = min(ticket.deadline, self._clock.now() + timeout_s)
-        heapq.heappush(self._waiting, (ticket.priority, next(self._sequence), ticket))
+        ticket.number = next(self._sequence)
+        self._waiting.push(ticket)
 
     def check_admission(self, ticket):
         """Return whether a request would get a slot at once.
@@ -135,7 +161,7 @@
         if self.slots <= 0:
             raise build_refusal("server-leaving", 0.0)
         free = self._count_free(ticket)
-        ahead = len(self._list_ahead(ticket.priority))
+        ahead = len(self._waiting.list_ahead(ticket.priority, ticket.organisation))
         limit_wait_s = self.limit.get_wait_s(ahead)
         cold_wait_s = self.cold.get_wait_s(ahead)
         rate_wait_s = max(limit_wait_s, cold_wait_s)
@@ -144,7 +170,7 @@
         now = self._clock.now()
         if free <= 0:
             self._last_contention[ticket.priority] = now
-        slot_wait_s = self.estimate_wait(ticket.priority)
+        slot_wait_s = self.estimate_wait(ticket.priority, ticket.organisation)
         if ticket.alone or self._runs_alone():
             slot_wait_s = max(slot_wait_s, self._estimate_drain())
         wait_s = max(slot_wait_s, rate_wait_s)
@@ -161,8 +187,7 @@
     def release(self, ticket):
         """Release a request's slot or queue entry, and admit waiting requests."""
         if ticket.granted_at is None:
-            self._waiting = [entry for entry in self._waiting if entry[2] is not ticket]
-            heapq.heapify(self._waiting)
+            self._waiting.remove(ticket)
         self._running.discard(ticket)
         self.admit_waiting()
 
@@ -180,8 +205,8 @@
 
     def refuse_waiting(self, code):
         """Refuse all waiting requests as not run, with a code."""
-        waiting, self._waiting = self._waiting, []
-        for _, _, ticket in sorted(waiting, key=lambda entry: entry[:2]):
+        refused = [self._waiting.pop() for _ in range(len(self._waiting))]
+        for ticket in refused:
             self._refuse(ticket, build_refusal(code, 0.0))
 
     def admit_waiting(self):
@@ -194,7 +219,7 @@
                 return
             if self._is_kept_apart():
                 return
-            _, _, ticket = heapq.heappop(self._waiting)
+            ticket = self._waiting.pop()
             processing_s = ticket.latency.estimate_mean() * MIN_PROCESSING_RATIO
             if ticket.deadline - self._clock.now() < processing_s:
                 self._refuse(
@@ -204,7 +229,7 @@
             self._grant(ticket)
             ticket.wake()
 
-    def estimate_wait(self, priority):
+    def estimate_wait(self, priority, organisation=""):
         """Return the expected seconds until a request of a priority gets a slot.
 
         Each running request that ends frees a slot for the head of the queue, so the
@@ -214,7 +239,7 @@
             return 0.0
         if self.running < self.slots and not self._waiting:
             return 0.0
-        ahead = self._list_ahead(priority)
+        ahead = self._waiting.list_ahead(priority, organisation)
         now = self._clock.now()
         progressing = [
             ticket
@@ -230,7 +255,9 @@
             work_s += sum(item.latency.estimate_mean() for item in progressing) / len(
                 progressing
             )
-        return work_s / (len(progressing) + free)
+        usable = len(progressing) + free
+        others = self._waiting.estimate_others(priority, organisation)
+        return work_s / max(usable * MIN_OWN_SHARE, usable - others)
 
     def list_running(self):
         """Return the `Ticket`s that hold a slot."""
@@ -246,7 +273,7 @@
 
     def _is_kept_apart(self):
         """Return whether the head of the queue must not run beside what runs now."""
-        head = self._waiting[0][2]
+        head = self._waiting.peek()
         return bool(self._running) and (head.alone or self._runs_alone())
 
     def _runs_alone(self):
@@ -264,10 +291,6 @@
             default=0.0,
         )
 
-    def _list_ahead(self, priority):
-        """Return the waiting `Ticket`s that go before a new one of a priority."""
-        return [entry[2] for entry in self._waiting if entry[0] <= priority]
-
     def _count_reserved(self, priority):
         """Return the number of slots reserved for requests of higher priority."""
         since = self._clock.now() - RESERVE_S
@@ -281,6 +304,7 @@
     def _grant(self, ticket):
         self.limit.take()
         self.cold.take()
+        self._waiting.note_grant(ticket)
         self.granted_at = ticket.granted_at = self._clock.now()
         self._running.add(ticket)
 
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -396,7 +396,13 @@
         deadline = received_at + order.time_left_s
         is_alone = order.alone or self._ledger.must_run_alone(order.fingerprint)
         return Ticket(
-            latency, order.priority, deadline, order.max_wait_s, wake, is_alone
+            latency,
+            order.priority,
+            deadline,
+            order.max_wait_s,
+            wake,
+            is_alone,
+            order.organisation,
         )
 
     def _admit(self, order, ticket):
