Forget organisations whose waiting requests were withdrawn

Cause: the fair order forgot organisations only as a slot was given in their priority; with requests that were withdrawn or refused meanwhile its state grew with all that had come.

Change: removing a request forgets its organisation if it is owed nothing.

Result: the new test fails before (100 organisations remembered, 0 now).

--- a/persimmonlane/owner/fairness.py
+++ b/persimmonlane/owner/fairness.py
@@ -141,6 +141,8 @@
         if flow is not None and ticket in flow.tickets:
             flow.tickets.remove(ticket)
             self._count -= 1
+            virtual = self._virtual[ticket.priority]
+            self._forget(self._flows[ticket.priority], virtual)
 
     def list_ahead(self, priority, organisation=""):
         """Return the tickets that go before a new one.
--- a/persimmonlane/owner/tests/test_fairness.py
+++ b/persimmonlane/owner/tests/test_fairness.py
@@ -249,6 +249,14 @@
             order.note_grant(order.pop())
         self.assertThat(len(order._flows[1]), LessThan(10))
 
+    def test_state_does_not_grow_with_requests_that_are_withdrawn(self):
+        order = FairOrder(ManualClock(0.0))
+        for number in range(100):
+            ticket = self.build(f"o-{number}")
+            order.push(ticket)
+            order.remove(ticket)
+        self.assertEqual({}, order._flows[1])
+
     def test_order_without_overload_is_by_priority_and_arrival(self):
         order = ArrivalOrder()
         for name, priority in (("a", 1), ("a", 1), ("b", 1), ("c", 0)):
