Read the fields of a message without evacuations in one call

Encoding an announcement without its last field took 12 us more than with it, on a busy machine, as each field was read by its name. An attribute getter takes 2.6 us for an announcement and 3.5 us for a digest of 60 nodes.

--- a/persimmonlane/peers/statuses.py
+++ b/persimmonlane/peers/statuses.py
@@ -4,6 +4,7 @@
 the wire format.
 """
 
+import operator
 from typing import Annotated
 
 import msgspec
@@ -315,6 +316,11 @@
     message_class: define_plain_class(message_class)
     for message_class in (Announcement, Digest)
 }
+# Faster than reading each field by its name.
+READ_PLAIN_FIELDS = {
+    message_class: operator.attrgetter(*plain_class.__struct_fields__)
+    for message_class, plain_class in PLAIN_CLASSES.items()
+}
 
 
 def strip_evacuations(message):
@@ -326,5 +332,4 @@
     plain_class = PLAIN_CLASSES.get(type(message))
     if plain_class is None:
         return message
-    names = plain_class.__struct_fields__
-    return plain_class(*(getattr(message, name) for name in names))
+    return plain_class(*READ_PLAIN_FIELDS[type(message)](message))
