Give sites of the crash tests default settings fields

CrashSite builds its nodes without the initializer of Site, so that it had no fields since these were added, and its five tests failed. The class has an empty default now.

--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -81,7 +81,13 @@
 
 
 class Site:
-    """Two nodes, each with a backend server of its own service, and a store."""
+    """Two nodes, each with a backend server of its own service, and a store.
+
+    Attributes:
+        fields: Fields of all nodes' settings.
+    """
+
+    fields = {}
 
     def __init__(self, test, store_era=None, **fields):
         """Start the site.
