--- a/persimmonlane/upkeep/tests/test_evacuated_fleet.py
+++ b/persimmonlane/upkeep/tests/test_evacuated_fleet.py
@@ -92,7 +92,7 @@
             self.log.append((round(self.fleet.clock.now(), 1), name))
             getattr(self, name)()
             self.run_for(self.rng.random() * MAX_PAUSE_S)
-        self.fleet.paused.clear()
+        self.do_thaw()
         self.fleet.store.cut.clear()
         self.fleet._fleet.network.loss = 0.0
         self.run_for(2 * LIFT_S)
