--- a/persimmonlane/tests/test_sitenode.py
+++ b/persimmonlane/tests/test_sitenode.py
@@ -89,9 +89,11 @@
 
     Attributes:
         site_settings: Settings of all nodes beside the common ones.
+        fields: Fields of all nodes' settings that one site has.
     """
 
     site_settings = {}
+    fields = {}
 
     def __init__(self, test, store_era=None, **fields):
         """Start the site.
