Log a malformed time of a cold server once a process

Cause: the owner asks up to ten times a second, and each malformed answer wrote a line.

Result: the test of the logged values covers it; the rate of lines was not measured.

--- a/persimmonlane/owner/coldstart.py
+++ b/persimmonlane/owner/coldstart.py
@@ -182,6 +182,16 @@
                 self._heartbeat_until = now
         return before != self._counts_as_cold(now)
 
+    def note_malformed(self):
+        """Log, once a process, that a status answer's time can't be read."""
+        if self._has_logged:
+            return
+        self._has_logged = True
+        log.warning(
+            "Owner: the backend server says in a malformed way that it is cold.",
+            extra={"event": "cold-start-implausible"},
+        )
+
     def is_limited(self):
         """Return whether the document names a rate for the service."""
         return self.start is not None and self.start.rate is not None
--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -191,13 +191,9 @@
             )
 
     def _note_cold(self, asked_at, incarnation, statement):
-        if statement.is_cold_malformed:
-            log.warning(
-                "Owner: %s says for how long it is cold in a malformed way.",
-                incarnation.server_id,
-                extra={"event": "cold-start-implausible"},
-            )
         with self._lock:
+            if statement.is_cold_malformed:
+                self.admission_queue.cold.note_malformed()
             is_same = self.hosted.is_incarnation(incarnation)
             is_same = is_same and statement.server_id == incarnation.server_id
             changed = self.admission_queue.cold.note_statement(
--- a/persimmonlane/owner/tests/test_coldstart.py
+++ b/persimmonlane/owner/tests/test_coldstart.py
@@ -375,6 +375,7 @@
         records = capture_records(self, "persimmonlane.owner")
         for _ in range(3):
             self.cold.note_heartbeat(600.0)
+            self.cold.note_malformed()
         events = [getattr(record, "event", "") for record in records]
         self.assertEqual(1, events.count("cold-start-implausible"))
         self.assertThat(self.cold.get_cold_s(), GreaterThan(599.0))
