Move the tokens of an organisation's rate to the node that holds it next

A node that stops went on granting beside its successor, small fleets granted the whole rate on both sides of a partition, and the shares that nodes grant alone held another burst.

Change: a bucket fills only while its node holds the rate, and what it has is handed over by a datagram (peers/handover.py) to the next holder: moved, never copied. After a pause of its process a node keeps few tokens. A leaving node passes over itself. At most 10 % of the fleet may be missing before a holder keeps to its share; nodes beside it that don't hear it count as missing.

--- a/persimmonlane/peers/gossip.py
+++ b/persimmonlane/peers/gossip.py
@@ -40,6 +40,7 @@
     DepartureReport,
     LoanRequest,
     LoanResponse,
+    RateHandover,
     RateRequest,
     RateResponse,
     RetryRequest,
@@ -164,6 +165,7 @@
             LoanRequest: self._rates.answer_loan_request,
             LoanResponse: self._rates.apply_loan_response,
             RateResponse: self._rates.apply_response,
+            RateHandover: self._rates.accept_handover,
             CapacityResponse: self._handle_capacity_response,
             CancellationResponse: self._handle_cancellation_response,
         }
@@ -208,6 +210,7 @@
     def announce_to_started(self, message):
         """Announce this node at once to a peer whose process has just started."""
         self._announce_to([message.peer])
+        self._refresh_rates()
 
     def announce_to_unknown(self, message):
         """Send a full announcement to an unknown sender, which announces itself back.
@@ -238,6 +241,7 @@
         self.table.remove_expired()
         self._ledger.forget_old()
         self._announce_to_local_nodes()
+        self._refresh_rates()
         self._remotes.send_round()
 
     def check_rate(self, command):
@@ -274,6 +278,9 @@
         """Check a request against this node's share of the rate."""
         command.reply.set(self._rates.decide_from_share(command.organisation))
 
+    def _refresh_rates(self):
+        self._rates.refresh(self._get_own_announcement().leaving)
+
     def _announce_to_local_nodes(self):
         peers = list(self.table.peers.values())
         self._announce_to([peer for peer in peers if not self.table.is_remote(peer)])
--- a/persimmonlane/peers/messages.py
+++ b/persimmonlane/peers/messages.py
@@ -21,6 +21,7 @@
 # Longer lists are refused, so that no datagram can keep the receiver busy.
 MAX_CRASH_ENTRIES = 64
 MAX_DEPARTED_PROCESSES = 16
+MAX_RATE_ENTRIES = 32
 
 
 class CrashEntry(msgspec.Struct, array_like=True):
@@ -143,6 +144,33 @@
     wait_s: Annotated[float, msgspec.Meta(ge=-1e9)]
 
 
+class RateEntry(msgspec.Struct, array_like=True):
+    """What is handed over of one organisation's rate.
+
+    Attributes:
+        organisation: Name of the organisation.
+        tokens: Number of tokens, which the sender has no longer.
+    """
+
+    organisation: str
+    tokens: Count
+
+
+class RateHandover(msgspec.Struct, array_like=True, tag="j"):
+    """Hands the rates that the sender held over to the node that holds them now.
+
+    Attributes:
+        boot: Boot number of the sender.
+        sequence: Number that increases with each handover of the sender. The message
+            is repeated, and its tokens count once.
+        entries: The `RateEntry`s.
+    """
+
+    boot: int
+    sequence: Count
+    entries: Annotated[list[RateEntry], msgspec.Meta(max_length=MAX_RATE_ENTRIES)]
+
+
 class LoanRequest(msgspec.Struct, array_like=True, tag="l"):
     """Asks the holder of an organisation's rate to lend tokens to a data centre.
 
@@ -279,6 +307,7 @@
     | MemberResponse
     | RateRequest
     | RateResponse
+    | RateHandover
     | LoanRequest
     | LoanResponse
     | RetryRequest
--- a/persimmonlane/peers/rates.py
+++ b/persimmonlane/peers/rates.py
@@ -9,12 +9,25 @@
 from ..quotas.buckets import find_holder, rank_holders
 from ..quotas.limiter import Limiter
 from .commands import PendingLoan, RateCheck, RelayedLoan, RemoteReply
+from .handover import HandoverReceiver, HandoverSender
 from .messages import LoanRequest, LoanResponse, RateRequest
 from .ratestate import AloneCount, AskedNode, Borrowed
 
 # News of a data centre that are older don't show that it is still in reach.
 REACH_S = 3.3
 COUNT_INTERVAL_S = 0.25
+# A node of this data centre whose last echo is of an older message may not hear this
+# one, and look for another holder. An echo takes two rounds, or three with a loss.
+HEARD_S = 3.6
+# For this long after the start of a process, an echo can't be expected.
+FIRST_ECHO_S = 1.5
+# A node announces itself each second, and others drop it 2.6 s after the last time.
+# After a longer pause of this process another node may have held the rates.
+MAX_PAUSE_S = 1.6
+# Handovers that arrive this soon after such a pause may have waited for its end.
+LATE_HANDOVER_S = 3.0
+# A node that left in good order grants nothing. It is missed once it doesn't return.
+RETURN_S = 8.0
 # After this answer a borrower asks again soon, by when views of the fleet agree.
 RETRY_WAIT_S = 0.3
 MAX_WAITING = 1000
@@ -44,6 +57,12 @@
         "_has_older_nodes",
         "_reach_counted_at",
         "_reachable",
+        "_is_leaving",
+        "_started_at",
+        "_active_at",
+        "_resumed_at",
+        "_handovers",
+        "_received",
     )
 
     def __init__(self, settings, clock, table, boot, document, pending, transport):
@@ -77,6 +96,11 @@
         self._has_older_nodes = False
         self._reach_counted_at = float("-inf")
         self._reachable = 1
+        self._is_leaving = False
+        self._started_at = self._active_at = clock.now()
+        self._resumed_at = float("-inf")
+        self._handovers = HandoverSender(boot)
+        self._received = HandoverReceiver()
 
     def check(self, organisation, reply):
         """Decide on a request of this node, or ask the node that decides.
@@ -133,6 +157,57 @@
             wait_s = min(offer.wait_s, organisation.burst + 1.0)
             self._respond(sender, request.correlation_id, offer.tokens, wait_s)
 
+    def refresh(self, is_leaving):
+        """Hand over the rates that another node holds now, as this one sees it.
+
+        Args:
+            is_leaving: Whether this node stops.
+        """
+        with self._lock:
+            if is_leaving and not self._is_leaving:
+                self._is_leaving = True
+                self._live = None
+            self._update_groups()
+            for host, tokens in self._release_rates().items():
+                self._handovers.add(host, tokens)
+            due = self._handovers.take_due()
+        for host, message in due:
+            self._send(host, message)
+
+    def accept_handover(self, handover, sender):
+        """Take over the tokens of a `RateHandover`."""
+        if not self._table.is_known_host(sender[0]):
+            return
+        with self._lock:
+            self._update_groups()
+            is_late = self._clock.now() - self._resumed_at < LATE_HANDOVER_S
+            if not self._received.is_first(handover) or is_late:
+                return
+            self._reach_counted_at = float("-inf")
+            for entry in handover.entries:
+                organisation = self._find_organisation(entry.organisation)
+                if organisation is not None:
+                    self._limiter.accept(
+                        organisation,
+                        entry.tokens,
+                        self._count_reachable(),
+                        self._table.count_members(),
+                    )
+
+    def _release_rates(self):
+        """Return numbers of tokens by organisation, by the host that holds it now."""
+        released = {}
+        for name in self._limiter.list_held():
+            organisation = self._find_organisation(name)
+            if organisation is None:
+                continue
+            holder = self.find_lender(organisation) or self.find_holder(organisation)
+            if holder is not None:
+                tokens = self._limiter.release(name)
+                if tokens:
+                    released.setdefault(holder.host, {})[name] = tokens
+        return released
+
     def apply_response(self, response, _):
         """Pass the decision in a `RateResponse` on to the request that waits for it."""
         command = self._pending.pop(response.correlation_id, RateCheck)
@@ -188,7 +263,11 @@
             else:
                 peers = self._groups.get(self._settings.data_centre, [])
             by_name = {peer.name: peer for peer in peers}
-            name = self._limiter.find_holder(organisation.name, by_name)
+            if self._is_leaving and by_name:
+                # The others pass over this node already.
+                name = find_holder(organisation.name, by_name)
+            else:
+                name = self._limiter.find_holder(organisation.name, by_name)
             return by_name.get(name)
 
     def _choose_decider(self, organisation):
@@ -233,7 +312,10 @@
             own = self._settings.data_centre
             if self._has_older_nodes:
                 return None
-            home = find_holder(organisation.name, {own, *self._groups})
+            data_centres = set(self._groups)
+            if not (self._is_leaving and data_centres):
+                data_centres.add(own)
+            home = find_holder(organisation.name, data_centres)
             if home == own:
                 return None
             by_name = {peer.name: peer for peer in self._groups[home]}
@@ -408,6 +490,10 @@
         """Group the live peers that stay by their data centre."""
         live = self._table.list_live()
         now = self._clock.now()
+        if now - self._active_at > MAX_PAUSE_S:
+            self._resumed_at = now
+            self._limiter.distrust()
+        self._active_at = now
         if live is self._live and now - self._grouped_at < COUNT_INTERVAL_S:
             return
         self._live = live
@@ -432,12 +518,33 @@
         groups = {}
         for peer in self._table.list_live():
             groups.setdefault(peer.data_centre, []).append(peer)
-        self._reachable = 1
+        self._reachable = 1 + self._count_stopped(now)
         for data_centre, peers in groups.items():
             newest = max(peer.heard_at for peer in peers)
-            if data_centre == self._settings.data_centre or now - newest < REACH_S:
+            if data_centre == self._settings.data_centre:
+                self._reachable += sum(self._is_heard_by(peer, now) for peer in peers)
+            elif now - newest < REACH_S:
                 self._reachable += len(peers)
         return self._reachable
 
+    def _is_heard_by(self, peer, now):
+        """Return whether a `Peer` of this data centre has heard this node lately."""
+        is_new = now - max(self._started_at, peer.started_at) < FIRST_ECHO_S
+        if is_new or peer.announcement.leaving:
+            return True
+        latest = peer.announcement
+        sent_at = self._table.send_times.find(latest.echo, latest.echo_boot)
+        return sent_at is not None and now - sent_at < HEARD_S
+
+    def _count_stopped(self, now):
+        """Return the number of nodes that have just ended after a planned stop."""
+        return sum(
+            peer.announcement is not None
+            and peer.announcement.leaving
+            and not peer.is_live(now)
+            and now - peer.heard_at < RETURN_S
+            for peer in list(self._table.peers.values())
+        )
+
     def _send(self, host, message):
         self._transport.send((host, self._settings.gossip_port), message)
--- a/persimmonlane/quotas/buckets.py
+++ b/persimmonlane/quotas/buckets.py
@@ -2,6 +2,10 @@
 
 import hashlib
 
+# A node that has just started holds a part of the rate until it has heard of the
+# others. For this long it keeps the tokens that are handed over beyond its capacity.
+CARRY_S = 1.5
+
 
 class Bucket:
     """A token bucket.
@@ -13,9 +17,23 @@
         refilled_at: Clock time of the last refill, in seconds.
         reserved: Tokens that are lent and may still be spent; the bucket holds as many
             less than its capacity.
+        is_idle: Whether it gets no tokens, as another node holds the rate.
+        held_since: Clock time, in seconds, since which this node holds the rate.
+        carried: Tokens that were handed over beyond the capacity.
+        carried_until: Clock time, in seconds, until which they may be added.
     """
 
-    __slots__ = ("rate", "burst", "tokens", "refilled_at", "reserved")
+    __slots__ = (
+        "rate",
+        "burst",
+        "tokens",
+        "refilled_at",
+        "reserved",
+        "is_idle",
+        "held_since",
+        "carried",
+        "carried_until",
+    )
 
     def __init__(self, rate, burst, tokens, now):
         self.rate = rate
@@ -23,6 +41,10 @@
         self.tokens = tokens
         self.refilled_at = now
         self.reserved = 0.0
+        self.is_idle = False
+        self.held_since = now
+        self.carried = 0.0
+        self.carried_until = now
 
     def set_rate(self, rate, burst, now):
         """Change the rate and burst without adding tokens."""
@@ -30,6 +52,21 @@
         self.rate = rate
         self.burst = burst
         self.tokens = min(self.tokens, burst - self.reserved)
+        if self.carried and now < self.carried_until:
+            self.add(self.carried, self.carried_until)
+
+    def add(self, tokens, carried_until):
+        """Add tokens that were handed over.
+
+        Args:
+            tokens: Number of tokens.
+            carried_until: Clock time, in seconds, until which those that exceed the
+                capacity are added once it grows.
+        """
+        added = max(0.0, min(tokens, self.burst - self.reserved - self.tokens))
+        self.tokens += added
+        self.carried = tokens - added
+        self.carried_until = carried_until
 
     def refill(self, now):
         """Add the tokens for the time since the last refill."""
@@ -37,6 +74,31 @@
         self.tokens = min(self.burst - self.reserved, self.tokens + added)
         self.refilled_at = now
 
+    def suspend(self, now):
+        """Stop refilling, and remove and return the whole tokens."""
+        self.refill(now)
+        self.is_idle = True
+        self.carried = 0.0
+        tokens = max(0, int(self.tokens))
+        self.tokens -= tokens
+        return tokens
+
+    def resume(self, now):
+        """Refill from now on; the time since `suspend` adds no tokens."""
+        if self.is_idle:
+            self.is_idle = False
+            self.refilled_at = self.held_since = now
+
+    def distrust(self, tokens, now):
+        """Add nothing for the time since the last refill, and keep some tokens only.
+
+        Args:
+            tokens: Number of tokens that are kept at most.
+            now: Clock time in seconds.
+        """
+        self.refilled_at = now
+        self.tokens = min(self.tokens, tokens)
+
     def take(self, now):
         """Take a token; return the seconds until one is free, 0 if it was taken."""
         self.refill(now)
--- a/persimmonlane/quotas/limiter.py
+++ b/persimmonlane/quotas/limiter.py
@@ -7,20 +7,29 @@
 the holder.
 """
 
-from .buckets import Bucket, find_holder
+from .buckets import CARRY_S, Bucket, find_holder
 from .lending import Lending
 
 # With more nodes missing than this, a holder assumes a network partition and enforces
 # only the share of the live nodes.
 TOLERATED_MISSING_NODES = 2
+# The same as a fraction of the fleet. The nodes that are missing may grant their share
+# by themselves, and the users allow 10 % more than the rate.
+TOLERATED_MISSING_FRACTION = 0.1
 # Initial tokens of a new holder, in seconds of the rate. They are few because another
 # node may have granted the rate until now.
-INITIAL_TOKENS_S = 0.2
-# A node's share of the burst alone would be too small.
+INITIAL_TOKENS_S = 0.1
+# Part of its share of the burst that a node grants while the holder can't be reached:
+# the holder may have granted the whole burst just before.
+ALONE_BURST_FACTOR = 0.05
+# That alone would be too small for a single node.
 MIN_SHARE_BURST = 2.0
 # Part of its share that a node grants while the holder can't be reached: the others may
 # not have noticed yet, and still grant all of the rate.
 ALONE_FACTOR = 0.75
+# Until a new holder is found, its rate adds no tokens anywhere. What nodes grant alone
+# meanwhile comes out of these, and is reported to the new holder within this time.
+UNCHARGED_S = 3.0
 MAX_CACHED_HOLDERS = 10_000
 
 
@@ -104,19 +113,59 @@
             tokens: Number of tokens; the bucket may then owe some.
         """
         bucket = self._buckets.get(organisation.name)
-        if bucket is not None:
+        if bucket is None or bucket.is_idle:
+            return
+        if self._clock.now() - bucket.held_since >= UNCHARGED_S:
             bucket.tokens -= tokens
 
+    def list_held(self):
+        """Return the names of the organisations whose rate this node holds."""
+        return [name for name, bucket in self._buckets.items() if not bucket.is_idle]
+
+    def release(self, name):
+        """Give up an organisation's rate, which another node holds now.
+
+        The bucket gets no more tokens: that node grants the rate meanwhile.
+
+        Args:
+            name: Name of the organisation.
+
+        Returns:
+            Number of tokens to hand over; the bucket keeps none.
+        """
+        return self._buckets[name].suspend(self._clock.now())
+
+    def accept(self, organisation, tokens, live_count, member_count):
+        """Add the tokens that another node had as the holder.
+
+        Args:
+            organisation: The `Organisation`.
+            tokens: Number of tokens.
+            live_count: Number of live nodes, including this one.
+            member_count: Number of nodes in the fleet.
+        """
+        now = self._clock.now()
+        bucket = self._get_bucket(organisation, live_count, member_count, now)
+        bucket.refill(now)
+        bucket.add(tokens, now + CARRY_S)
+
+    def distrust(self):
+        """Keep a few tokens only: another node may have held the rates until now."""
+        now = self._clock.now()
+        for bucket in self._buckets.values():
+            bucket.distrust(compute_initial_tokens(bucket.rate, bucket.burst), now)
+
     def _get_bucket(self, organisation, live_count, member_count, now):
         share = compute_share(live_count, member_count)
         rate = organisation.rate * share
         burst = max(1.0, organisation.burst * share)
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
-            initial_tokens = min(burst, rate * INITIAL_TOKENS_S + 1.0)
-            bucket = Bucket(rate, burst, initial_tokens, now)
+            tokens = compute_initial_tokens(rate, burst)
+            bucket = Bucket(rate, burst, tokens, now)
             self._buckets[organisation.name] = bucket
             self._lendings[organisation.name] = Lending(bucket)
+        bucket.resume(now)
         self._lendings[organisation.name].refresh(now)
         if bucket.rate != rate or bucket.burst != burst:
             bucket.set_rate(rate, burst, now)
@@ -134,7 +183,8 @@
         """
         now = self._clock.now()
         rate = organisation.rate / member_count * ALONE_FACTOR
-        burst = max(MIN_SHARE_BURST, organisation.burst / member_count)
+        share_burst = organisation.burst / member_count * ALONE_BURST_FACTOR
+        burst = max(MIN_SHARE_BURST, share_burst)
         bucket = self._share_buckets.setdefault(
             organisation.name, Bucket(rate, burst, 1.0, now)
         )
@@ -158,6 +208,11 @@
         self.wait_s = wait_s
 
 
+def compute_initial_tokens(rate, burst):
+    """Return the tokens of a bucket whose holder doesn't know what was granted."""
+    return min(burst, rate * INITIAL_TOKENS_S + 1.0)
+
+
 def compute_share(live_count, member_count):
     """Return the share of a rate that the nodes which see each other may grant.
 
@@ -165,6 +220,9 @@
         live_count: Number of live nodes, including this one.
         member_count: Number of nodes in the fleet.
     """
-    if live_count + TOLERATED_MISSING_NODES < member_count:
+    missing = member_count - live_count
+    if missing > min(
+        TOLERATED_MISSING_NODES, member_count * TOLERATED_MISSING_FRACTION
+    ):
         return live_count / member_count
     return 1.0
