--- a/persimmonlane/serving/inbound.py
+++ b/persimmonlane/serving/inbound.py
@@ -131,6 +131,10 @@
         with self._lock:
             self._active.discard(conn)
 
+    def count_open(self):
+        """Return the number of open connections."""
+        return len(self._active) + len(self._unused) + len(self._keep_alive)
+
     def count_active(self):
         """Return the number of connections with an unfinished request.
 
@@ -251,8 +255,7 @@
 
         Others stay in the backlog meanwhile.
         """
-        count = len(self._active) + len(self._unused) + len(self._keep_alive)
-        if count < self._server.max_connections:
+        if self.count_open() < self._server.max_connections:
             return True
         return self._close_oldest()
 
--- a/persimmonlane/serving/memory.py
+++ b/persimmonlane/serving/memory.py
@@ -26,15 +26,17 @@
     """Thread-safe count of the bytes that bodies have reserved.
 
     Attributes:
+        limit_bytes: Limit of all reservations together.
         request_limit_bytes: Bytes up to which requests may reserve.
         room: The `RoomWaiter` that waits for room, or None to fail at once.
     """
 
     __slots__ = (
+        "limit_bytes",
         "request_limit_bytes",
         "room",
-        "_limit_bytes",
         "_reserved_bytes",
+        "_peak_bytes",
         "_released",
         "_lock",
     )
@@ -51,22 +53,32 @@
             request_limit_bytes = limit_bytes
         self.request_limit_bytes = request_limit_bytes
         self.room = None
-        self._limit_bytes = limit_bytes
+        self.limit_bytes = limit_bytes
         self._reserved_bytes = 0
+        self._peak_bytes = 0
         self._released = collections.deque()
         self._lock = threading.Lock()
 
     def reserve(self, size, is_request=False):
         """Reserve a number of bytes; return whether that many were free."""
-        limit = self.request_limit_bytes if is_request else self._limit_bytes
+        limit = self.request_limit_bytes if is_request else self.limit_bytes
         with self._lock:
             while self._released:
                 self._reserved_bytes -= self._released.popleft()
             if self._reserved_bytes + size > limit:
                 return False
             self._reserved_bytes += size
+            self._peak_bytes = max(self._peak_bytes, self._reserved_bytes)
         return True
 
+    def take_peak_bytes(self):
+        """Return the most bytes that were reserved at once since the last call."""
+        with self._lock:
+            while self._released:
+                self._reserved_bytes -= self._released.popleft()
+            peak, self._peak_bytes = self._peak_bytes, self._reserved_bytes
+        return peak
+
     def release(self, size):
         """Release a number of bytes.
 
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -249,6 +249,10 @@
         """
         return self._connections.count_active()
 
+    def count_open(self):
+        """Return the number of open connections."""
+        return self._connections.count_open()
+
     def stop_accepting(self):
         """Accept what is in the backlog, then close the listener; go on serving."""
         self._connections.stop_accepting()
--- a/persimmonlane/serving/tests/test_memory.py
+++ b/persimmonlane/serving/tests/test_memory.py
@@ -37,6 +37,14 @@
         self.assertTrue(self.memory.reserve(LIMIT_BYTES))
         self.assertFalse(self.memory.reserve(1))
 
+    def test_peak_is_that_since_the_last_call(self):
+        reservation = MemoryReservation(self.memory)
+        reservation.extend_to(UNRESERVED_BYTES + 600)
+        reservation.release()
+        self.assertTrue(self.memory.reserve(200))
+        peaks = [self.memory.take_peak_bytes() for _ in range(2)]
+        self.assertEqual([600, 200], peaks)
+
     def test_garbage_collected_reservation_is_released(self):
         reservation = MemoryReservation(self.memory)
         reservation.extend_to(UNRESERVED_BYTES + LIMIT_BYTES)
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -72,6 +72,7 @@
 # Fraction of the grace time that is reserved for sending the final answers.
 FINAL_ANSWERS_FRACTION = 1 / 30
 RELOAD_INTERVAL_S = 3.0
+MEMORY_LOG_INTERVAL_S = 10.0
 # For the answers of the store and for fetched documents, which callers' requests must
 # not keep out.
 CONTROL_MEMORY_BYTES = 16 * 1024 * 1024
@@ -400,13 +401,33 @@
 
     def _tick(self):
         reload_at = self.clock.now() + RELOAD_INTERVAL_S
+        memory_log_at = self.clock.now() + MEMORY_LOG_INTERVAL_S
         while not self._stopping.wait(CONTROL_INTERVAL_S):
             self._tick_owner()
+            if self.clock.now() >= memory_log_at:
+                memory_log_at = self.clock.now() + MEMORY_LOG_INTERVAL_S
+                self._log_memory()
             if self._reload_requested or self.clock.now() >= reload_at:
                 self._reload_requested = False
                 self._reload_settings()
                 reload_at = self.clock.now() + RELOAD_INTERVAL_S
 
+    def _log_memory(self):
+        peak_bytes = self.memory.take_peak_bytes()
+        if not peak_bytes:
+            return
+        log.info(
+            "Node: bodies took up to %d bytes of %d.",
+            peak_bytes,
+            self.memory.limit_bytes,
+            extra={
+                "event": "memory-used",
+                "peak_bytes": peak_bytes,
+                "limit_bytes": self.memory.limit_bytes,
+                "connections": [server.count_open() for server in self._servers],
+            },
+        )
+
     def _tick_owner(self):
         try:
             self.owner.tick()
