Test that slow callers do not make a node refuse the others

Cause: the crowd tests pass without this change, as their request is sent again until the slow ones have run into their time limits. Result: two of the three tests fail if such requests count as running.

--- a/persimmonlane/tests/test_memory_refusals.py
+++ b/persimmonlane/tests/test_memory_refusals.py
@@ -1,7 +1,11 @@
+import contextlib
+
 import testtools
 
+from ..serving.attempts import IngressRequest, Stage
 from ..serving.memory import BYTES_PER_MIB
 from ..serving.parsing import HEADER_BYTES
+from ..sitenode import MAX_RUNNING_REQUESTS
 from .test_sitenode import PATIENCE_S, Site, wait_until
 
 REPEATS = 5
@@ -66,3 +70,27 @@
         answer = self.call(body=b"x", headers=headers)
         self.assert_not_run(answer)
         self.assertIn(b"memory-full", answer.data)
+
+
+class SlowCallersTests(testtools.TestCase):
+    """Callers that send or read slowly must not make a node refuse all others."""
+
+    def check(self, stage, status):
+        site = Site(self)
+        self.assertTrue(wait_until(site.is_converged))
+        node = site.nodes["near"][0]
+        with contextlib.ExitStack() as stack:
+            for _ in range(MAX_RUNNING_REQUESTS + 1):
+                request = IngressRequest("GET", "/near/", [], None, node.clock.now())
+                request.stage = stage
+                stack.enter_context(node.running.track(request))
+            self.assertEqual(status, site.call("/near/").status)
+
+    def test_bodies_that_come_slowly_do_not_make_a_node_busy(self):
+        self.check(Stage.BODY, 200)
+
+    def test_answers_that_are_read_slowly_do_not_make_a_node_busy(self):
+        self.check(Stage.ANSWER, 200)
+
+    def test_requests_at_backend_servers_make_a_node_busy(self):
+        self.check(Stage.SERVER, 503)
