Count what was spent before a late handover against the burst

Cause: a handover whose first datagram is lost arrives a second later, when the new holder may have granted what it had. The cap of the bucket did not count that.

Change: a bucket counts what was granted or lent since it holds the rate.

--- a/persimmonlane/quotas/buckets.py
+++ b/persimmonlane/quotas/buckets.py
@@ -19,6 +19,7 @@
             less than its capacity.
         is_idle: Whether it gets no tokens, as another node holds the rate.
         held_since: Clock time, in seconds, since which this node holds the rate.
+        spent: Tokens granted or lent since then.
         carried: Tokens that were handed over beyond the capacity.
         carried_until: Clock time, in seconds, until which they may be added.
     """
@@ -31,6 +32,7 @@
         "reserved",
         "is_idle",
         "held_since",
+        "spent",
         "carried",
         "carried_until",
     )
@@ -43,6 +45,7 @@
         self.reserved = 0.0
         self.is_idle = False
         self.held_since = now
+        self.spent = 0
         self.carried = 0.0
         self.carried_until = now
 
@@ -53,17 +56,22 @@
         self.burst = burst
         self.tokens = min(self.tokens, burst - self.reserved)
         if self.carried and now < self.carried_until:
-            self.add(self.carried, self.carried_until)
+            self.add(self.carried, now, self.carried_until)
 
-    def add(self, tokens, carried_until):
-        """Add tokens that were handed over.
+    def add(self, tokens, now, carried_until):
+        """Add tokens that were handed over, as if they had been here from the start.
+
+        What was spent before they came counts against the capacity, too.
 
         Args:
             tokens: Number of tokens.
+            now: Clock time in seconds.
             carried_until: Clock time, in seconds, until which those that exceed the
                 capacity are added once it grows.
         """
-        added = max(0.0, min(tokens, self.burst - self.reserved - self.tokens))
+        gained = (now - self.held_since) * self.rate - self.spent
+        space = self.burst - self.reserved - self.tokens + min(0.0, gained)
+        added = max(0.0, min(tokens, space))
         self.tokens += added
         self.carried = tokens - added
         self.carried_until = carried_until
@@ -88,6 +96,7 @@
         if self.is_idle:
             self.is_idle = False
             self.refilled_at = self.held_since = now
+            self.spent = 0
 
     def distrust(self, tokens, now):
         """Add nothing for the time since the last refill, and keep some tokens only.
@@ -104,6 +113,7 @@
         self.refill(now)
         if self.tokens >= 1.0:
             self.tokens -= 1.0
+            self.spent += 1
             return 0.0
         return self.get_wait_s()
 
--- a/persimmonlane/quotas/lending.py
+++ b/persimmonlane/quotas/lending.py
@@ -67,6 +67,7 @@
         self._bucket.refill(now)
         tokens = max(0, min(int(self._bucket.tokens), request.want, MAX_LOAN))
         self._bucket.tokens -= tokens
+        self._bucket.spent += tokens
         loan.tokens += max(0, tokens - request.needed)
         loan.expires_at = now + LOAN_S
         self._update_reserved()
--- a/persimmonlane/quotas/limiter.py
+++ b/persimmonlane/quotas/limiter.py
@@ -147,7 +147,7 @@
         now = self._clock.now()
         bucket = self._get_bucket(organisation, live_count, member_count, now)
         bucket.refill(now)
-        bucket.add(tokens, now + CARRY_S)
+        bucket.add(tokens, now, now + CARRY_S)
 
     def distrust(self):
         """Keep a few tokens only: another node may have held the rates until now."""
