--- a/persimmonlane/peers/tests/test_handover.py
+++ b/persimmonlane/peers/tests/test_handover.py
@@ -173,6 +173,12 @@
         play_events(fleet, random.Random(70))
         self.assert_within_bound(fleet)
 
+    def test_seeded_order_440(self):
+        # Several faults within 50 s; see KNOWN-RED.txt.
+        fleet = ChangingFleet(seed=440)
+        play_events(fleet, random.Random(440))
+        self.assert_within_bound(fleet)
+
     def test_seeded_orders_of_events_in_several_data_centres(self):
         for seed in range(SEEDS // 4):
             fleet = ChangingFleet((6, 5, 4), seed=seed)
