--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -417,23 +417,29 @@
 
     def _run(self, order, call, ticket, caller):
         with self._lock:
-            self.evacuation.check()
-            if not self.admission_queue.cold.confirm(ticket.granted_at):
-                raise build_not_run_refusal(
-                    "server-cold", "the request was to be dispatched too late"
-                )
-            if not self._dispatch_log.mark_dispatched(
-                order.request_id, ticket.deadline
-            ):
-                raise build_not_run_refusal(
-                    "request-withdrawn", "its ingress node cancelled it"
-                )
+            self._mark_dispatched(order, ticket)
         try:
             return self._exchange(order, call, ticket, caller)
         finally:
             with self._lock:
                 self._dispatch_log.mark_ended(order.request_id)
 
+    def _mark_dispatched(self, order, ticket):
+        """Record that a request is about to be sent; the caller holds the lock.
+
+        Raises:
+            Refusal: Not run, if it must not be sent any more.
+        """
+        self.evacuation.check()
+        if not self.admission_queue.cold.confirm(ticket.granted_at):
+            raise build_not_run_refusal(
+                "server-cold", "the request was to be dispatched too late"
+            )
+        if not self._dispatch_log.mark_dispatched(order.request_id, ticket.deadline):
+            raise build_not_run_refusal(
+                "request-withdrawn", "its ingress node cancelled it"
+            )
+
     def _log_end(self, order, call, ticket, outcome, verdict, status):
         now = self._clock.now()
         granted_at = ticket.granted_at if ticket.granted_at is not None else now
--- a/persimmonlane/serving/fetching.py
+++ b/persimmonlane/serving/fetching.py
@@ -13,6 +13,8 @@
 
 # Nothing is to be done while the answer is awaited.
 POLL_INTERVAL_S = 1.0
+# A node that is cut off does not answer at all; another one is asked the sooner.
+CONNECT_TIMEOUT_S = 0.4
 
 
 class SingleUsePool:
@@ -71,7 +73,7 @@
         body=b"",
         request_id=request_id,
         deadline=clock.now() + timeout_s,
-        connect_timeout_s=timeout_s,
+        connect_timeout_s=min(timeout_s, CONNECT_TIMEOUT_S),
         extract_request_id=lambda headers: request_id,
         on_wait=lambda: POLL_INTERVAL_S,
     )
--- a/persimmonlane/serving/tests/test_evacuated_candidates.py
+++ b/persimmonlane/serving/tests/test_evacuated_candidates.py
@@ -1,6 +1,7 @@
 import testtools
 
 from ...clocks import ManualClock
+from ...localities import RegionMap
 from ...peers.table import PeerTable
 from ...upkeep.evacuations import EvacuationHolder, EvacuationList
 from ..candidates import CandidateFinder
@@ -11,6 +12,10 @@
     data_centre = "south"
     evacuation_s = 5.0
 
+    @staticmethod
+    def build_region_map():
+        return RegionMap("south", {})
+
 
 class NodeState:
     def __init__(self, server):
