--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -52,8 +52,8 @@
 # the connection can be used again; cheroot holds it in memory.
 MAX_DROPPED_BYTES = 64 * 1024
 # Limits of a lingering close, after an answer that was sent before the body was read.
-# The rest is dropped as it comes; a caller that writes a whole body of MaxBodyBytes
-# before it reads gets its answer if the link is fast enough.
+# The rest is dropped as it comes; a caller that writes the longest body
+# allowed before it reads gets its answer if the link is fast enough.
 LINGER_BYTES = 64 * 1024 * 1024
 LINGER_S = 1.0
 MIN_BODY_READ_S = 0.05
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -453,8 +453,8 @@
             server.max_request_header_size = limits.header_bytes * 2
         if limits.body_bytes > self.memory.request_limit_bytes + UNRESERVED_BYTES:
             log.warning(
-                "Node: bodies of MaxBodyBytes are refused, as the memory has room for "
-                "%d bytes.",
+                "Node: the longest bodies that callers may send are refused, as the "
+                "memory has room for %d bytes.",
                 self.memory.request_limit_bytes,
                 extra={"event": "memory-too-small"},
             )
