Let one relay of each data centre read a long document from the store

Cause: with 1,840 routes each version is 0.7 MB in the store's answers.

Change: a node leaves an answer of over 128 KiB unread, and reads it only if no other node has passed the document on after 0.3 to 1.3 s, without a document at a random moment of 2 s. Of the two relays that watch, the first reads at once, the second 0.3 s later.

--- a/persimmonlane/platform/store.py
+++ b/persimmonlane/platform/store.py
@@ -179,6 +179,12 @@
     duration_s: float = msgspec.field(name="TtlS", default=0.0)
 
 
+class LongAnswer(StoreError):
+    """The answer is longer than the caller wants to read now; nothing was read."""
+
+    code = "store-answer-long"
+
+
 class HistoryGone(StoreError):
     """The store doesn't have the changes after the position given to a watch."""
 
@@ -227,10 +233,23 @@
         )
         self._generations = generations
 
-    def read(self, key):
-        """Return the current `ReadItem` of a key; its value may be None."""
+    def read(self, key, max_bytes=None):
+        """Return the current `ReadItem` of a key; its value may be None.
+
+        Args:
+            key: The key.
+            max_bytes: Most bytes of the answer to read, or None.
+
+        Raises:
+            LongAnswer: If the answer is longer.
+        """
         path = "/persimmonlane/kv-key?" + urllib.parse.urlencode({"Key": key})
-        answer = self._call("GET", path, accepted_statuses=(HTTP_OK, HTTP_NOT_FOUND))
+        answer = self._call(
+            "GET",
+            path,
+            accepted_statuses=(HTTP_OK, HTTP_NOT_FOUND),
+            max_bytes=max_bytes,
+        )
         body = decode_response(answer.data, ReadBody)
         return ReadItem(body.value, StorePosition(answer.generation, body.as_of))
 
@@ -258,22 +277,28 @@
                 return Listing(items, generation, revision)
             after = page.items[-1].key
 
-    def watch(self, prefix, position, wait_s):
+    def watch(self, prefix, position, wait_s, max_bytes=None):
         """Wait for changes after a position and return the `Changes`.
 
         Args:
             prefix: Prefix of the keys.
             position: The `StorePosition`.
             wait_s: Longest time in seconds to wait for a change.
+            max_bytes: Most bytes of the answer to read, or None.
 
         Raises:
+            LongAnswer: If the answer is longer.
             HistoryGone: If the store doesn't have the changes after that position.
         """
         after = position.revision
         query = {"Prefix": prefix, "after": after, "WaitMs": int(wait_s * MS_PER_S)}
         path = "/persimmonlane/kv-watch?" + urllib.parse.urlencode(query)
         answer = self._call(
-            "GET", path, (HTTP_OK, HTTP_GONE), timeout_s=READ_TIMEOUT_S + wait_s
+            "GET",
+            path,
+            (HTTP_OK, HTTP_GONE),
+            timeout_s=READ_TIMEOUT_S + wait_s,
+            max_bytes=max_bytes,
         )
         if answer.status == HTTP_GONE or answer.generation != position.generation:
             raise HistoryGone(
@@ -346,6 +371,7 @@
         accepted_statuses=(HTTP_OK,),
         body=None,
         timeout_s=READ_TIMEOUT_S,
+        max_bytes=None,
     ):
         timeout = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
@@ -361,7 +387,10 @@
                 headers=headers,
                 timeout=timeout,
                 decode_content=False,
+                preload_content=False,
             )
+            check_length(response, max_bytes)
+            data = response.data
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(f"the store did not respond: {error}") from error
         generation = parse_generation(response.headers.get(GENERATION_HEADER))
@@ -370,7 +399,20 @@
             self._generations.note_answer(generation, known_before)
         if not is_accepted:
             raise StoreError(f"the store responded with status {response.status}")
-        return StoreAnswer(response.status, response.data, generation)
+        return StoreAnswer(response.status, data, generation)
+
+
+def check_length(response, max_bytes):
+    """Leave a response that is longer than a number of bytes.
+
+    Raises:
+        LongAnswer: If it is; its connection is closed.
+    """
+    length = response.headers.get("Content-Length", "")
+    if max_bytes is None or not length.isdigit() or int(length) <= max_bytes:
+        return
+    response.close()
+    raise LongAnswer(f"the answer has {length} bytes")
 
 
 def parse_generation(text):
--- a/persimmonlane/upkeep/reading.py
+++ b/persimmonlane/upkeep/reading.py
@@ -5,8 +5,9 @@
 from ..peers.commands import FreshnessConfirmed
 from ..platform.documents import DOCUMENT_KEY, DOCUMENT_PREFIX
 from ..platform.evacuations import EVACUATION_PREFIX, parse_data_centre
-from ..platform.store import HistoryGone, StorePosition
+from ..platform.store import HistoryGone, LongAnswer, StorePosition
 from .evacuations import EvacuationList
+from .longreads import LongReads
 from .probing import ProbeSchedule
 
 log = logging.getLogger("persimmonlane.upkeep")
@@ -52,6 +53,7 @@
         "_table",
         "_schedule",
         "_evacuations",
+        "_long_reads",
         "_unsettled",
         "_unsettled_list",
     )
@@ -92,6 +94,7 @@
         self._table = table
         self._schedule = ProbeSchedule(settings, rng, evacuations is not None)
         self._evacuations = evacuations
+        self._long_reads = LongReads(rng)
         self._unsettled = None
         self._unsettled_list = None
 
@@ -101,6 +104,8 @@
         Args:
             now: Clock seconds.
         """
+        if self._long_reads.is_waiting(now, self._documents.stamp):
+            return
         age_s = self._table.freshness.compute_age()
         if (
             self._documents.version == 0
@@ -120,10 +125,16 @@
             now: Clock seconds.
         """
         held = self._documents.held
-        if held.revision and held.stamp.generation == self._generations.current:
-            self._ask_for_changes(held)
-        else:
-            self.read()
+        limit = self._long_reads.get_limit(now, held.stamp)
+        try:
+            if held.revision and held.stamp.generation == self._generations.current:
+                self._ask_for_changes(held, limit)
+            else:
+                self.read(limit)
+        except LongAnswer:
+            self._long_reads.note_long(now, held.stamp)
+            if self._evacuations is not None:
+                self.list_evacuations(now)
         self._schedule.note_probe(now)
 
     def is_probing_relay(self):
@@ -143,13 +154,19 @@
             ):
                 self._gossip.tell(FreshnessConfirmed(unsettled.at))
 
-    def read(self):
+    def read(self, max_bytes=None):
         """Read the document, and put it into force if it is newer.
 
         The evacuations are read with it.
+
+        Args:
+            max_bytes: Most bytes of the answer to read, or None.
+
+        Raises:
+            LongAnswer: If the answer is longer.
         """
         started_at = self._clock.now()
-        item = self._store.read(DOCUMENT_KEY)
+        item = self._store.read(DOCUMENT_KEY, max_bytes)
         # A long document takes its time to decode; evacuations do not wait for it.
         if self._evacuations is not None:
             self.list_evacuations(started_at)
@@ -228,16 +245,16 @@
             return None
         return Confirmation(generation, started_at)
 
-    def _ask_for_changes(self, held):
+    def _ask_for_changes(self, held, max_bytes):
         """Ask the store what has changed since it held a `HeldDocument`."""
         started_at = self._clock.now()
         generation = held.stamp.generation
         after = StorePosition(generation, held.revision)
         prefix = DOCUMENT_KEY if self._evacuations is None else DOCUMENT_PREFIX
         try:
-            changes = self._store.watch(prefix, after, 0.0)
+            changes = self._store.watch(prefix, after, 0.0, max_bytes)
         except HistoryGone:
-            self.read()
+            self.read(max_bytes)
             return
         self.take_evacuations(after, changes, started_at)
         values = [item.value for item in changes.events if item.key == DOCUMENT_KEY]
--- a/persimmonlane/upkeep/tests/simulation.py
+++ b/persimmonlane/upkeep/tests/simulation.py
@@ -26,6 +26,8 @@
 APPLY_S = 2.0
 # Time within which an evacuation must be in force.
 EVACUATION_S = 5.0
+# Answers of the store beyond this size are long.
+LONG_BYTES = 128 * 1024
 # Rounds of datagrams that follow each other without a noticeable delay.
 EXCHANGES = 3
 WATCH_PATH = "/persimmonlane/kv-watch"
@@ -61,6 +63,7 @@
         call_count: All calls; a watch counts once, however long it waits.
         late_answers: Response that the next call of a host gets, by the host.
         transactions: Bodies of the calls that write.
+        long_reads: Number of long answers that were read.
     """
 
     def __init__(self, clock):
@@ -74,6 +77,7 @@
         self.call_count = 0
         self.late_answers = {}
         self.transactions = []
+        self.long_reads = 0
         self._clock = clock
         self.change()
 
@@ -94,6 +98,10 @@
             if document.at >= since:
                 self.state.put(DOCUMENT_KEY, document.raw)
 
+    def note_read(self, size):
+        """Note that the body of an answer was read, with its size in bytes."""
+        self.long_reads += size > LONG_BYTES
+
     def find_newest(self, at):
         """Return the newest version that was confirmed before a time in seconds."""
         return max((item.version for item in self.written if item.at < at), default=0)
@@ -104,10 +112,23 @@
 
 
 class StoreResponse:
-    def __init__(self, status, data, headers):
+    def __init__(self, status, data, headers, note_read=lambda size: None):
         self.status = status
-        self.data = data
         self.headers = headers
+        self._data = data
+        self._note_read = note_read
+
+    def peek(self):
+        """Return the body without counting it as read."""
+        return self._data
+
+    @property
+    def data(self):
+        self._note_read(len(self._data))
+        return self._data
+
+    def close(self):
+        """Leave the body unread."""
 
 
 class StorePool:
@@ -133,6 +154,7 @@
         headers=None,
         timeout=None,
         decode_content=True,
+        preload_content=True,
     ):
         if not target.startswith(WATCH_PATH):
             return self._call(method, target, body)
@@ -157,9 +179,9 @@
             self._store.transactions.append(msgspec.json.decode(body))
         state = self._store.state
         status, answer = state.handle(method, target, body or b"")
-        return StoreResponse(
-            status, msgspec.json.encode(answer), dict(state.build_headers())
-        )
+        data = msgspec.json.encode(answer)
+        headers = {**dict(state.build_headers()), "Content-Length": str(len(data))}
+        return StoreResponse(status, data, headers, self._store.note_read)
 
     def _wait(self, method, target):
         """Return the response to a watch, which waits for as long as it was told to."""
@@ -171,7 +193,7 @@
         else:
             self._store.call_count -= 1
         response = self._call(method, f"{self._watch}=0")
-        has_events = b'"Key"' in response.data
+        has_events = b'"Key"' in response.peek()
         if response.status == 200 and not has_events and now < self._watch_until:
             raise StillWaiting
         self._watch = None
--- a/persimmonlane/upkeep/tests/test_reading.py
+++ b/persimmonlane/upkeep/tests/test_reading.py
@@ -1,6 +1,6 @@
 import testtools
 
-from .simulation import SyncedFleet
+from .simulation import APPLY_S, SyncedFleet
 
 SIZES = (4, 4)
 LONG_ROUTES = "route;" * 80_000
@@ -33,6 +33,47 @@
         ]
         self.assertTrue(max(ages) < 2.0, ages)
 
+    def test_long_document_is_read_by_one_relay_of_each_data_centre(self):
+        # Guards against all nodes reading it at once over a narrow link.
+        self.fleet.store.long_reads = 0
+        lateness_s = 0.0
+        for _ in range(5):
+            self.fleet.store.change(LONG_ROUTES)
+            changed_at = self.fleet.clock.now()
+            self.fleet.run(4.0)
+            version = self.fleet.store.version
+            lateness_s = max(
+                lateness_s,
+                *(
+                    node.applied_at[version] - changed_at
+                    for node in self.fleet.synced.values()
+                ),
+            )
+        self.assertTrue(self.fleet.store.long_reads <= 5 * (len(SIZES) + 1))
+        self.assertTrue(lateness_s < APPLY_S, lateness_s)
+
+    def test_long_document_is_read_although_no_relay_passes_it_on(self):
+        for data_centre in self.fleet.list_data_centres():
+            relays = self.fleet.list_relays(data_centre, 2)
+            self.fleet.paused.update(relays)
+        changed_at = self.fleet.clock.now()
+        self.fleet.store.change(LONG_ROUTES)
+        self.fleet.run(6.0)
+        version = self.fleet.store.version
+        for host, node in self.fleet.synced.items():
+            if host not in self.fleet.paused:
+                late_s = node.applied_at[version] - changed_at
+                self.assertTrue(late_s < 4.0, late_s)
+
+    def test_nodes_that_start_with_a_long_document_do_not_read_it_all_at_once(self):
+        self.fleet.store.long_reads = 0
+        for host in list(self.fleet.synced):
+            self.fleet.restart(host)
+        self.fleet.run(4.0)
+        versions = {node.documents.version for node in self.fleet.synced.values()}
+        self.assertEqual({self.fleet.store.version}, versions)
+        self.assertTrue(self.fleet.store.long_reads < sum(SIZES))
+
     def test_nodes_that_fetched_the_document_from_others_do_not_read_it(self):
         before = self.count_reads()
         for data_centre in self.fleet.list_data_centres():
--- a/persimmonlane/upkeep/watching.py
+++ b/persimmonlane/upkeep/watching.py
@@ -4,7 +4,8 @@
 
 from ..errors import StoreError
 from ..platform.documents import DOCUMENT_KEY, DOCUMENT_PREFIX
-from ..platform.store import HistoryGone
+from ..platform.store import HistoryGone, LongAnswer, StorePosition
+from .longreads import LONG_ANSWER_BYTES, RELAY_TIME_S
 
 log = logging.getLogger("persimmonlane.upkeep")
 
@@ -25,6 +26,7 @@
         "_reader",
         "_table",
         "_after",
+        "_left_stamp",
     )
 
     def __init__(self, settings, clock, store, documents, reader, table):
@@ -45,6 +47,8 @@
         self._reader = reader
         self._table = table
         self._after = None
+        # Stamp of the document in force when a long answer was left to the first relay.
+        self._left_stamp = None
 
     def wait(self):
         """Wait for the next changes; return the seconds to pause before the next call.
@@ -58,6 +62,9 @@
             return 0.0
         try:
             self._apply_changes(self._find_start())
+        except LongAnswer:
+            self._left_stamp = self._documents.stamp
+            return RELAY_TIME_S
         except HistoryGone:
             log.warning(
                 "Upkeep: the store doesn't have the changes; reading the document."
@@ -78,11 +85,33 @@
         read_at = self._reader.position
         if self._after is None or self._after.generation != read_at.generation:
             return read_at
+        held = self._documents.held
+        held_at = StorePosition(held.stamp.generation, held.revision)
+        if self._left_stamp not in (None, held.stamp) and (
+            held_at.generation == self._after.generation
+            and held_at.revision > self._after.revision
+        ):
+            # Another node has passed the document on that was left.
+            self._left_stamp = None
+            return held_at
         return self._after
 
+    def _choose_limit(self):
+        """Return the most bytes to read, or None.
+
+        The second relay leaves a long document to the first one for a while.
+        """
+        if self._documents.stamp == self._left_stamp:
+            return None
+        if self._table.is_relay(self._settings.data_centre, 1):
+            return None
+        return LONG_ANSWER_BYTES
+
     def _apply_changes(self, after):
         started_at = self._clock.now()
-        changes = self._store.watch(DOCUMENT_PREFIX, after, WATCH_TIMEOUT_S)
+        changes = self._store.watch(
+            DOCUMENT_PREFIX, after, WATCH_TIMEOUT_S, self._choose_limit()
+        )
         self._reader.take_evacuations(after, changes, started_at)
         for event in changes.events:
             if event.key == DOCUMENT_KEY and event.value is not None:
