Split the owner into modules of one job each

It held admission, status checks, dispatch, the exchange with the server and the judging of its answers.

Change: the owner keeps admission, health and slots. Moved without change of behaviour, with the owner's lock passed to each class that takes it: statuspolling.py (status checks of held-back processes and of cold servers), updates.py (heartbeats and departures), slotwait.py (wait for a slot), dispatcher.py (held bodies and the dispatch log), forwarding.py (exchange and its outcome), answers.py (what an answer says, and whether it is the server's own). Three test modules reach the moved members at their new places; what they check is the same.

--- a/persimmonlane/owner/owner.py
+++ b/persimmonlane/owner/owner.py
@@ -8,36 +8,34 @@
 
 from ..errors import Refusal
 from ..explaining.events import OwnerEnded, log_event
-from ..outcomes import OutcomeKind
-from ..platform import headers as wire
 from ..quarantine.refusals import check_quarantine
 from ..routing.rulebook import NO_COLD_START
 from ..serving.exchange import ExchangeError
 from ..serving.memory import DEFAULT_LIMIT_BYTES
-from ..serving.shutdown import NodeShutdown
 from ..signals import PollableEvent
 from ..verdicts import Verdict
 from .admission import AdmissionQueue, Ticket
+from .answers import AnswerJudge
 from .backend import ServerState
-from .calls import build_crash_error, build_not_run_refusal
+from .calls import build_not_run_refusal
 from .client import ServerClient
 from .crashes import CrashObserver, is_listening
 from .dispatch import DispatchLog
+from .dispatcher import Dispatcher
 from .evacuation import SERVER_EVACUATED, EvacuationGate
 from .evidence import HealthEvidence
+from .forwarding import Forwarder
 from .health import FailureDetector, estimate_prior
-from .heldbodies import RETRY_AFTER_S, HeldBodies
+from .heldbodies import HeldBodies
 from .latency import LatencyModels
-from .newcomers import Condition, ServerStatement
+from .slotwait import await_slot
 from .status import OwnerStatus
 from .statuscheck import StatusCheck
+from .statuspolling import StatusPoller
+from .updates import ServerUpdates
 
 log = logging.getLogger("persimmonlane.owner")
 
-MIN_TIME_LEFT_S = 0.02
-POLL_INTERVAL_S = 0.25
-MIN_SERVER_ERROR_STATUS = 500
-MISDIRECTED_STATUS = 421
 PRIOR_INTERVAL_S = 1.0
 
 
@@ -61,7 +59,9 @@
     __slots__ = (
         "find_status_path",
         "find_cold_start",
-        "_status_check",
+        "_poller",
+        "_updates",
+        "_dispatcher",
         "hosted",
         "detector",
         "admission_queue",
@@ -70,7 +70,6 @@
         "evacuation",
         "on_change",
         "_clock",
-        "_client",
         "_ledger",
         "_lock",
         "_misdirected_id",
@@ -80,7 +79,6 @@
         "_fleet",
         "_prior_at",
         "_evidence",
-        "_held_bodies",
     )
 
     def __init__(
@@ -116,9 +114,7 @@
         self.on_change = lambda: None
         self.find_status_path = lambda: None
         self.find_cold_start = lambda: NO_COLD_START
-        self._status_check = StatusCheck(settings, clock, pool)
         self._clock = clock
-        self._client = ServerClient(settings, clock, pool)
         self._ledger = ledger
         self._lock = threading.Lock()
         self._evidence = HealthEvidence(clock, self.detector, self.admission_queue)
@@ -135,7 +131,69 @@
         self._admission_stopped = False
         self._dispatch_log = DispatchLog(clock)
         self._prior_at = float("-inf")
-        self._held_bodies = HeldBodies(clock, held_limit_bytes)
+        self._updates = self._build_updates()
+        self._poller = self._build_poller(StatusCheck(settings, clock, pool))
+        self._dispatcher = Dispatcher(
+            self._lock,
+            self.evacuation,
+            self.admission_queue.cold,
+            self._dispatch_log,
+            HeldBodies(clock, held_limit_bytes),
+            self._build_forwarder(ServerClient(settings, clock, pool)),
+        )
+
+    def _build_updates(self):
+        return ServerUpdates(
+            self._lock,
+            self.hosted,
+            self.admission_queue,
+            self.crashes,
+            self._reset_server,
+            self._update_slots,
+            self._announce_change,
+        )
+
+    def _build_poller(self, status_check):
+        return StatusPoller(
+            self._lock,
+            self.hosted,
+            self.admission_queue,
+            status_check,
+            lambda: self.find_status_path(),
+            self._updates,
+            self._announce_change,
+        )
+
+    def _build_forwarder(self, client):
+        judge = AnswerJudge(
+            self._lock,
+            self.hosted,
+            self.admission_queue.limit,
+            self._evidence,
+            self._updates,
+            self._set_misdirected,
+        )
+        return Forwarder(
+            self.hosted,
+            client,
+            judge,
+            self.crashes,
+            self._ledger,
+            self._evidence,
+            self._record,
+            self._close_admission,
+        )
+
+    def _announce_change(self):
+        # `on_change` is set after the owner has been created.
+        self.on_change()
+
+    def _reset_server(self):
+        """Forget what is known of the former process; the caller holds the lock."""
+        self.detector.reset()
+        self.admission_queue.limit.reset()
+        self.admission_queue.cold.reset()
+        self._misdirected_id = None
 
     def watch_fleet(self, fleet):
         """Set the `FleetHealth` of the other servers of the service."""
@@ -182,8 +240,8 @@
         Returns:
             Whether it was believed, if it says that the server leaves.
         """
-        self._change_server(self.hosted.apply_heartbeat, heartbeat)
-        self._check_newcomer()
+        self._updates.apply(self.hosted.apply_heartbeat, heartbeat)
+        self._poller.check_newcomer()
         is_leaving = heartbeat.state is ServerState.DRAINING
         return not is_leaving or self.hosted.departures.find(heartbeat) is not None
 
@@ -194,94 +252,8 @@
             departures: The `Departure`s.
         """
         self.hosted.newcomers.note_departures_read()
-        self._change_server(self.hosted.learn_departures, departures)
-        self._change_server(self.hosted.use_newcomer)
-
-    def _check_newcomer(self):
-        """Ask a process that is held back for its status, if it is time to."""
-        path = self.find_status_path()
-        if path is None:
-            return
-        with self._lock:
-            heartbeat = self.hosted.newcomers.begin_check()
-        if heartbeat is None:
-            return
-        if not path:
-            absent = ServerStatement("", Condition.ABSENT)
-            self._note_statement(heartbeat, absent)
-            return
-        self._status_check.begin(
-            path, lambda statement: self._note_statement(heartbeat, statement)
-        )
-
-    def _note_statement(self, heartbeat, statement):
-        with self._lock:
-            self.hosted.newcomers.note_statement(heartbeat, statement)
-        if statement.condition is Condition.ILL:
-            log.info("Owner: %s says that it leaves or fails.", heartbeat.server_id)
-        self._change_server(self.hosted.use_newcomer)
-
-    def _check_cold(self):
-        """Ask the backend server whether it is cold, if this is to be known now."""
-        path = self.find_status_path()
-        if not path:
-            return
-        with self._lock:
-            asked_at = self.admission_queue.cold.begin_check()
-            current = self.hosted.current
-        if asked_at is not None:
-            self._status_check.begin(
-                path,
-                lambda statement: self._note_cold(asked_at, current, statement),
-            )
-
-    def _note_cold(self, asked_at, incarnation, statement):
-        with self._lock:
-            if statement.is_cold_malformed:
-                self.admission_queue.cold.note_malformed()
-            is_same = self.hosted.is_incarnation(incarnation)
-            is_same = is_same and statement.server_id == incarnation.server_id
-            changed = self.admission_queue.cold.note_statement(
-                asked_at, statement.cold_s if is_same else None
-            )
-            self.admission_queue.admit_waiting()
-        if changed:
-            is_cold = statement.cold_s > 0.0
-            log.info("Owner: the backend server is %s.", "cold" if is_cold else "warm")
-            self.on_change()
-
-    def _change_server(self, change, *arguments):
-        """Change what is known of the backend server.
-
-        Args:
-            change: Method of the `HostedServer` that returns whether it has changed.
-            arguments: Its arguments.
-        """
-        with self._lock:
-            before, held_before = self.hosted.current, self.hosted.newcomers.held
-            changed = change(*arguments)
-            current, held = self.hosted.current, self.hosted.newcomers.held
-            is_new = changed and (before is None or before.born != current.born)
-            if is_new:
-                self.detector.reset()
-                self.admission_queue.limit.reset()
-                self.admission_queue.cold.reset()
-                self._misdirected_id = None
-            if current is not before:
-                self.admission_queue.cold.note_heartbeat(current.cold_s)
-            self._update_slots()
-        if not changed:
-            if held is not None and held_before is None:
-                log.info("Owner: %s waits for what is known of it.", held.server_id)
-                self.on_change()
-            return
-        log.info("Owner: %s is %s.", current.server_id, self._describe_state())
-        if is_new and before is not None:
-            self.crashes.note_started(before)
-        self.on_change()
-
-    def _describe_state(self):
-        return "leaving" if self.hosted.is_leaving() else "ready"
+        self._updates.apply(self.hosted.learn_departures, departures)
+        self._updates.apply(self.hosted.use_newcomer)
 
     def handle_departure(self, server_id, born):
         """Handle the departure of the backend server; return whether it was believed.
@@ -290,34 +262,14 @@
             server_id: Identifier of the backend server that departs.
             born: Unix milliseconds of its start, or None if not given.
         """
-        with self._lock:
-            known = self.hosted.departures.list()
-            is_believed = self.hosted.may_depart(server_id, born)
-            changed = self.hosted.apply_departure(server_id, born)
-            self._update_slots()
-        if changed:
-            log.info("Owner: %s has departed.", server_id)
-            self.on_change()
-        elif known != self.hosted.departures.list():
-            log.info(
-                "Owner: %s, born %s, says that it leaves; in use is %s.",
-                server_id,
-                born,
-                self._describe_current(),
-                extra={"event": "departure-of-another"},
-            )
-        return is_believed
-
-    def _describe_current(self):
-        current = self.hosted.current
-        return "none" if current is None else f"{current.server_id}, {current.born}"
+        return self._updates.apply_departure(server_id, born)
 
     def tick(self):
         """Update the health state, and close admission when heartbeats are overdue."""
         self._update_prior()
-        self._check_newcomer()
-        self._change_server(self.hosted.use_newcomer)
-        self._check_cold()
+        self._poller.check_newcomer()
+        self._updates.apply(self.hosted.use_newcomer)
+        self._poller.check_cold()
         with self._lock:
             slots = self.admission_queue.slots
             self.admission_queue.cold.observe()
@@ -388,58 +340,13 @@
     def _process(self, order, call, ticket, wakeup, caller):
         self._admit(order, ticket)
         try:
-            self._await_slot(ticket, wakeup, caller)
+            await_slot(ticket, wakeup, caller, self._clock)
             check_quarantine(self._ledger, order.fingerprint)
-            return self._dispatch(order, call, ticket, caller)
+            return self._dispatcher.dispatch(order, call, ticket, caller)
         finally:
             with self._lock:
                 self.admission_queue.release(ticket)
 
-    def _dispatch(self, order, call, ticket, caller):
-        size = len(call.body)
-        with self._lock:
-            has_room = self._held_bodies.add(size)
-        if not has_room:
-            raise build_not_run_refusal(
-                "server-full", "the backend server holds enough bodies", RETRY_AFTER_S
-            )
-        may_be_held = True
-        try:
-            answer = self._run(order, call, ticket, caller)
-            may_be_held = False
-            return answer
-        except (Refusal, ExchangeError) as error:
-            may_be_held = error.verdict is not Verdict.NOT_RUN
-            raise
-        finally:
-            with self._lock:
-                self._held_bodies.remove(size, not may_be_held)
-
-    def _run(self, order, call, ticket, caller):
-        with self._lock:
-            self._mark_dispatched(order, ticket)
-        try:
-            return self._exchange(order, call, ticket, caller)
-        finally:
-            with self._lock:
-                self._dispatch_log.mark_ended(order.request_id)
-
-    def _mark_dispatched(self, order, ticket):
-        """Record that a request is about to be sent; the caller holds the lock.
-
-        Raises:
-            Refusal: Not run, if it must not be sent any more.
-        """
-        self.evacuation.check()
-        if not self.admission_queue.cold.confirm(ticket.granted_at):
-            raise build_not_run_refusal(
-                "server-cold", "the request was to be dispatched too late"
-            )
-        if not self._dispatch_log.mark_dispatched(order.request_id, ticket.deadline):
-            raise build_not_run_refusal(
-                "request-withdrawn", "its ingress node cancelled it"
-            )
-
     def _log_end(self, order, call, ticket, outcome, verdict, status):
         now = self._clock.now()
         granted_at = ticket.granted_at if ticket.granted_at is not None else now
@@ -503,117 +410,11 @@
         check_quarantine(self._ledger, order.fingerprint)
         self._evidence.check(order)
 
-    def _await_slot(self, ticket, wakeup, caller):
-        while ticket.granted_at is None:
-            if ticket.refusal is not None:
-                raise ticket.refusal
-            time_left_s = ticket.deadline - self._clock.now()
-            if time_left_s <= MIN_TIME_LEFT_S:
-                raise build_not_run_refusal(
-                    "deadline-passed", "no slot became free in time"
-                )
-            wait_left_s = ticket.wait_deadline - self._clock.now()
-            if wait_left_s <= 0:
-                raise build_not_run_refusal(
-                    "server-busy", "no slot became free soon enough"
-                )
-            try:
-                caller.wait(wakeup, min(wait_left_s, POLL_INTERVAL_S))
-            except NodeShutdown as error:
-                raise build_not_run_refusal(
-                    "server-leaving", "the node ends"
-                ) from error
-        if ticket.deadline - self._clock.now() <= MIN_TIME_LEFT_S:
-            raise build_not_run_refusal("deadline-passed", "no time is left")
-
-    def _exchange(self, order, call, ticket, caller):
-        incarnation = self.hosted.current
-        running = self.crashes.enter(order, order.fingerprint, incarnation)
-        try:
-            answer = self._client.run(order, call, ticket.deadline, caller)
-            self._note_statements(answer, incarnation)
-            self._check_answer(answer, order.server_id)
-        except ExchangeError as error:
-            if error.kind is OutcomeKind.TIMEOUT:
-                self._record(self._evidence.record_unanswered, error.kind, ticket)
-            elif self._has_crashed(error, running):
-                self._close_admission()
-                raise build_crash_error() from error
-            else:
-                self._record(self._evidence.record_break, error.kind)
-            raise
-        except Refusal:
-            self._record(self._evidence.record_shed)
-            raise
-        except Exception:
-            cancelled = OutcomeKind.CANCELLED
-            self._record(self._evidence.record_unanswered, cancelled, ticket)
-            raise
-        finally:
-            self.crashes.leave(running)
-        if answer.status >= MIN_SERVER_ERROR_STATUS:
-            self._record(self._evidence.record_error, ticket)
-        else:
-            self._record(self._evidence.record_success, ticket)
-            self._note_served(order)
-        return answer
-
-    def _has_crashed(self, error, running):
-        """Return whether an exchange broke since the server's process has ended.
-
-        Args:
-            error: The `ExchangeError`.
-            running: The `RunningRequest`.
-        """
-        if error.kind not in (OutcomeKind.ERROR, OutcomeKind.INVALID):
-            return False
-        return self.crashes.examine_break(running)
-
     def _close_admission(self):
         with self._lock:
             self._update_slots()
         self.on_change()
 
-    def _note_served(self, order):
-        clearance = self._ledger.note_served(order.fingerprint)
-        if clearance is not None:
-            self.crashes.on_crash([clearance])
-
-    def _note_statements(self, answer, incarnation):
-        """Apply what the backend server says of itself in an answer.
-
-        Args:
-            answer: The `CompleteResponse`.
-            incarnation: A `Heartbeat` of the process that it came from.
-        """
-        marks = wire.parse_response_headers(answer.headers)
-        if not marks.is_genuine() or answer.status == MISDIRECTED_STATUS:
-            return
-        with self._lock:
-            if not self.hosted.is_incarnation(incarnation):
-                return
-            if self.admission_queue.limit.apply_answer(marks):
-                self._evidence.has_changed = True
-        if marks.leaving:
-            self.handle_departure(incarnation.server_id, incarnation.born)
-
-    def _check_answer(self, answer, server_id):
-        marks = wire.parse_response_headers(answer.headers)
-        if marks.not_run or answer.status == MISDIRECTED_STATUS:
-            if answer.status == MISDIRECTED_STATUS:
-                self._set_misdirected(server_id)
-            raise build_not_run_refusal(
-                "server-shed", "the backend server did not run it"
-            )
-        encoded = any(h.name.lower() == "content-encoding" for h in answer.headers)
-        if encoded or (answer.status < 300 and not marks.signed):
-            raise ExchangeError(
-                OutcomeKind.INVALID,
-                Verdict.MAY_HAVE_RUN,
-                "answer-refused",
-                "the answer is not the backend server's own",
-            )
-
     def _set_misdirected(self, server_id):
         with self._lock:
             self._misdirected_id = server_id
--- a/persimmonlane/owner/tests/test_evacuation.py
+++ b/persimmonlane/owner/tests/test_evacuation.py
@@ -91,7 +91,9 @@
         self.set_evacuated(2)
         order, ticket = self.admit()
         self.evacuations.merge(EvacuationList(1, 3, ("south",)))
-        refusal = self.assertRaises(Refusal, self.owner._mark_dispatched, order, ticket)
+        refusal = self.assertRaises(
+            Refusal, self.owner._dispatcher.mark_dispatched, order, ticket
+        )
         self.assertEqual("server-evacuated", refusal.code)
         self.assertIs(Verdict.NOT_RUN, refusal.verdict)
 
@@ -106,7 +108,9 @@
         self.set_evacuated(2)
         order, ticket = self.admit(time_left_s=60.0)
         self.clock.advance(10.0)
-        refusal = self.assertRaises(Refusal, self.owner._mark_dispatched, order, ticket)
+        refusal = self.assertRaises(
+            Refusal, self.owner._dispatcher.mark_dispatched, order, ticket
+        )
         self.assertEqual("server-evacuated", refusal.code)
 
     def test_owner_without_evacuations_needs_no_list(self):
--- a/persimmonlane/owner/tests/test_limits.py
+++ b/persimmonlane/owner/tests/test_limits.py
@@ -41,7 +41,11 @@
 
     def name_limit(self, limit=None, **fields):
         answer = build_answer(limit, **fields)
-        self.owner._note_statements(answer, self.owner.hosted.current)
+        self.note_statements(answer, self.owner.hosted.current)
+
+    def note_statements(self, answer, incarnation):
+        judge = self.owner._dispatcher.forwarder.judge
+        judge.note_statements(answer, incarnation)
 
     def call(self, **changes):
         """Send a request if it is admitted; it ends at once."""
@@ -145,7 +149,7 @@
         self.assertIsNotNone(self.owner.admission_queue.limit.rate)
         self.send_heartbeat("i-1", born=6)
         self.assertIsNone(self.owner.admission_queue.limit.rate)
-        self.owner._note_statements(build_answer("1"), former)
+        self.note_statements(build_answer("1"), former)
         self.assertIsNone(self.owner.admission_queue.limit.rate)
 
     def test_request_beyond_the_limit_is_refused_at_once_with_its_wait(self):
--- a/persimmonlane/owner/tests/test_owner.py
+++ b/persimmonlane/owner/tests/test_owner.py
@@ -109,7 +109,9 @@
     def setUp(self):
         super().setUp()
         self.confirmed = []
-        self.owner._client = SlowClient(self.clock, 66.0, self.cancel)
+        self.owner._dispatcher.forwarder.client = SlowClient(
+            self.clock, 66.0, self.cancel
+        )
 
     def serve(self, order):
         call = ForwardedCall("POST", "/", [], b"", self.clock.now(), None)
