Split the site node into modules of one job each

Beside the assembly of the node it held its HTTP servers, its announcements, its periodic work and the settings reload.

Change: moved without change of behaviour: nodeservers.py (the four HTTP servers, their threads and shares of descriptors), announcer.py (`Announcer`), ticker.py (thread for the owner's tick, the memory log and the reload), reloading.py (settings reload). `NodeState`, `SiteNode`, `MAX_RUNNING_REQUESTS` and `build_site_node` stay. No test was changed.

--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -8,21 +8,27 @@
 import signal
 import threading
 
-from .actors import Tick
+from .announcer import Announcer
 from .application import Application, Part
 from .clocks import BootClock, WallClock
-from .errors import InputError, Refusal
+from .errors import Refusal
 from .localities import Locality
+from .nodeservers import (
+    POOL_DESCRIPTORS_SHARE,
+    NodeServers,
+    count_descriptors,
+)
 from .owner.backend import HostedServer
 from .owner.fleethealth import FleetHealth
 from .owner.keeping import DepartureKeeper
 from .owner.owner import Owner
 from .peers.commands import CrashesLearned
-from .peers.gossip import ANNOUNCE_S, Gossip
+from .peers.gossip import Gossip
 from .peers.transport import DatagramTransport
 from .platform.documents import decode_document
 from .platform.store import SiteStore
 from .quarantine.ledger import CrashLedger
+from .reloading import SettingsReloader
 from .reporting.counter import RequestCounter, UnixClock
 from .reporting.evacuations import EvacuationLog, LocatedServer
 from .reporting.reporter import Reporter
@@ -34,12 +40,6 @@
 from .serving.connections import ConnectionPool
 from .serving.documentfetch import fetch_document
 from .serving.events import RequestEvents
-from .serving.gateways import (
-    CallerGateway,
-    HeartbeatGateway,
-    PeerGateway,
-    ReadinessGateway,
-)
 from .serving.ingress import Ingress
 from .serving.isolation import IsolationPolicy
 from .serving.memory import (
@@ -49,10 +49,10 @@
 )
 from .serving.room import RoomWaiter
 from .serving.selection import build_selector
-from .serving.servers import RECEIVE_BUFFER_BYTES, NodeHTTPServer
 from .serving.shutdown import Shutdown
 from .serving.stalls import StallTracker
 from .serving.tracker import RunningRequests
+from .ticker import Ticker
 from .upkeep.documents import DocumentHolder
 from .upkeep.evacuations import EvacuationHolder
 from .upkeep.generations import GenerationTracker
@@ -60,14 +60,10 @@
 
 log = logging.getLogger("persimmonlane.node")
 
-CALLER_THREADS = 72
-PEER_THREADS = 40
-CONTROL_THREADS = 2
-# Leaves enough of the `CALLER_THREADS` for the nested calls of running requests.
+# Leaves enough of the `nodeservers.CALLER_THREADS` for the nested calls of running
+# requests.
 MAX_RUNNING_REQUESTS = 52
-CONTROL_INTERVAL_S = 0.1
 RETRY_AFTER_S = 0.5
-IDLE_TIMEOUT_MARGIN_S = 2.0
 # Callers need two readiness probes, one second apart, to notice the shutdown.
 MIN_DRAIN_S = 2.3
 POLL_INTERVAL_S = 0.05
@@ -75,20 +71,9 @@
 REQUEST_ARRIVAL_S = 0.15
 # Fraction of the grace time that is reserved for sending the final answers.
 FINAL_ANSWERS_FRACTION = 1 / 30
-RELOAD_INTERVAL_S = 3.0
-MEMORY_LOG_INTERVAL_S = 10.0
 # For the answers of the store and for fetched documents, which callers' requests must
 # not keep out.
 CONTROL_MEMORY_BYTES = 16 * 1024 * 1024
-# Shares of the descriptors that the process may have open. The rest, 18 in 100, is for
-# listeners, for connections in use to other nodes and backend servers, and for the two
-# descriptors that each running request takes beside them.
-CALLER_DESCRIPTORS_SHARE = 0.4
-PEER_DESCRIPTORS_SHARE = 0.25
-CONTROL_DESCRIPTORS_SHARE = 0.035
-POOL_DESCRIPTORS_SHARE = 0.1
-# Share of the memory for the receive buffers of callers' connections.
-BUFFERS_SHARE = 0.1
 
 
 class NodeState:
@@ -133,9 +118,7 @@
         self.clock = clock = BootClock()
         self.closes_connections = False
         self._settings = settings
-        self._read_settings = read_settings
-        self._reload_requested = False
-        self._unapplied_settings = []
+        self._reloader = SettingsReloader(settings, read_settings)
         self.running = RunningRequests()
         self.shutdown = Shutdown(clock)
         self._stopping = threading.Event()
@@ -150,7 +133,7 @@
         self.memory.room = RoomWaiter(stalls)
         self._control_memory = MemoryAccount(CONTROL_MEMORY_BYTES)
         pool = ConnectionPool(
-            clock, self.memory, self._count_descriptors(POOL_DESCRIPTORS_SHARE)
+            clock, self.memory, count_descriptors(settings, POOL_DESCRIPTORS_SHARE)
         )
         ledger = CrashLedger(clock)
         self.evacuations = evacuations = (
@@ -242,48 +225,19 @@
         if evacuations is not None:
             evacuations.add_listener(self.owner.apply_evacuations)
             evacuations.add_listener(self._announcer.wake)
-        self._servers = [
-            NodeHTTPServer(
-                settings.readiness_address,
-                self._bind(ReadinessGateway),
-                CONTROL_THREADS,
-                stalls,
-                self._count_descriptors(CONTROL_DESCRIPTORS_SHARE),
-            ),
-            NodeHTTPServer(
-                settings.heartbeat_address,
-                self._bind(HeartbeatGateway),
-                CONTROL_THREADS,
-                stalls,
-                self._count_descriptors(CONTROL_DESCRIPTORS_SHARE),
-            ),
-            NodeHTTPServer(
-                settings.peer_address,
-                self._bind(PeerGateway),
-                PEER_THREADS,
-                stalls,
-                self._count_descriptors(PEER_DESCRIPTORS_SHARE),
-            ),
-            NodeHTTPServer(
-                settings.caller_address,
-                self._bind(CallerGateway),
-                CALLER_THREADS,
-                stalls,
-                min(
-                    self._count_descriptors(CALLER_DESCRIPTORS_SHARE),
-                    int(settings.memory_bytes * BUFFERS_SHARE / RECEIVE_BUFFER_BYTES),
-                ),
-            ),
-        ]
-        self._request_servers = self._servers[2:]
-        for server in self._request_servers:
-            server.memory = self.memory
-        self._ticker = threading.Thread(target=self._tick, daemon=True)
+        self._servers = NodeServers(settings, self, stalls, self.memory)
+        self._ticker = Ticker(
+            clock,
+            self.owner,
+            self.memory,
+            self._servers,
+            self._reloader,
+            self._stopping,
+        )
 
     def start(self):
         """Start the HTTP servers, the gossip and the background threads."""
-        for server in self._servers:
-            server.start_in_background()
+        self._servers.start()
         self._wire.start(self._gossip)
         self._upkeep.start()
         self._announcer.start()
@@ -300,13 +254,12 @@
         self._wait_until(lambda: self._is_drained() or not self.shutdown.may_dispatch())
         self.shutdown.close()
         self._wait_until(self._is_drained)
-        for server in self._request_servers:
-            server.stop_accepting()
+        self._servers.stop_accepting()
         # Requests may still arrive on connections that were accepted before.
         self._stopping.wait(
             min(REQUEST_ARRIVAL_S, max(0.0, self.shutdown.get_remaining_s()))
         )
-        self._wait_until(self._is_idle)
+        self._wait_until(self._servers.is_idle)
         self._upkeep.stop()
         self._end_unfinished_requests()
 
@@ -326,9 +279,6 @@
             request.is_admitted() for request in requests
         )
 
-    def _is_idle(self):
-        return not any(server.count_active() for server in self._request_servers)
-
     def _end_unfinished_requests(self):
         """Answer the unfinished requests with an error."""
         for request in self.running.list(IngressRequest):
@@ -339,7 +289,7 @@
         )
         self.shutdown.end()
         ends_at = self.clock.now() + self._settings.grace_s * FINAL_ANSWERS_FRACTION
-        while not self._is_idle() and self.clock.now() < ends_at:
+        while not self._servers.is_idle() and self.clock.now() < ends_at:
             self._stopping.wait(POLL_INTERVAL_S)
 
     def stop(self):
@@ -349,11 +299,7 @@
         self._reporter.stop()
         self._upkeep.stop()
         self._wire.stop()
-        threads = [threading.Thread(target=server.stop) for server in self._servers]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
+        self._servers.stop()
 
     def describe(self):
         """Return the current `NodeState`."""
@@ -389,9 +335,6 @@
         orders = self.running.count - len(requests)
         return orders + sum(request.is_in_progress() for request in requests)
 
-    def _count_descriptors(self, share):
-        return int(self._settings.max_descriptors * share)
-
     def keep_departures(self):
         """Return whether what was said of leaving will outlive this process."""
         return self._keeper.keep()
@@ -441,16 +384,10 @@
     def _publish_crashes(self, entries):
         self._gossip.tell(CrashesLearned(entries))
 
-    def _bind(self, gateway):
-        return lambda request: gateway(request, self)
-
     def _apply_rulebook(self, rulebook):
         self._check_regions(rulebook)
         limits = rulebook.limits
-        for server in self._request_servers:
-            server.header_timeout_s = limits.header_timeout_s
-            server.timeout = limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
-            server.max_request_header_size = limits.header_bytes * 2
+        self._servers.apply_limits(limits)
         if limits.body_bytes > self.memory.request_limit_bytes + UNRESERVED_BYTES:
             log.warning(
                 "Node: the longest bodies that callers may send are refused, as the "
@@ -473,90 +410,7 @@
 
     def reload(self):
         """Request a reload of the settings; callable from a signal handler."""
-        # A signal handler may not take a lock: another signal can interrupt it.
-        self._reload_requested = True
-
-    def _tick(self):
-        reload_at = self.clock.now() + RELOAD_INTERVAL_S
-        memory_log_at = self.clock.now() + MEMORY_LOG_INTERVAL_S
-        while not self._stopping.wait(CONTROL_INTERVAL_S):
-            self._tick_owner()
-            if self.clock.now() >= memory_log_at:
-                memory_log_at = self.clock.now() + MEMORY_LOG_INTERVAL_S
-                self._log_memory()
-            if self._reload_requested or self.clock.now() >= reload_at:
-                self._reload_requested = False
-                self._reload_settings()
-                reload_at = self.clock.now() + RELOAD_INTERVAL_S
-
-    def _log_memory(self):
-        peak_bytes = self.memory.take_peak_bytes()
-        if not peak_bytes:
-            return
-        log.info(
-            "Node: bodies took up to %d bytes of %d.",
-            peak_bytes,
-            self.memory.limit_bytes,
-            extra={
-                "event": "memory-used",
-                "peak_bytes": peak_bytes,
-                "limit_bytes": self.memory.limit_bytes,
-                "connections": [server.count_open() for server in self._servers],
-            },
-        )
-
-    def _tick_owner(self):
-        try:
-            self.owner.tick()
-        except Exception:
-            log.exception("Node: the periodic work of the owner failed.")
-
-    def _reload_settings(self):
-        try:
-            unapplied = self._settings.apply_reloadable(self._read_settings())
-        except InputError as error:
-            log.error(
-                "Node: failed to reload the settings, keeping the old ones: %s.", error
-            )
-            return
-        if unapplied and unapplied != self._unapplied_settings:
-            log.warning(
-                "Node: changed settings that need a restart: %s.", ", ".join(unapplied)
-            )
-        self._unapplied_settings = unapplied
-
-
-class Announcer:
-    """Sends the announcements of the node, periodically and after each change."""
-
-    __slots__ = ("_gossip", "_rng", "_wake_event", "_stopped", "_thread")
-
-    def __init__(self, gossip, rng):
-        self._gossip = gossip
-        self._rng = rng
-        self._wake_event = threading.Event()
-        self._stopped = False
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def start(self):
-        """Start the thread that sends announcements."""
-        self._thread.start()
-
-    def stop(self):
-        """Stop the thread."""
-        self._stopped = True
-        self._wake_event.set()
-
-    def wake(self):
-        """Send the next announcement without delay."""
-        self._wake_event.set()
-
-    def _run(self):
-        tick = Tick()
-        while not self._stopped:
-            self._gossip.tell(tick)
-            self._wake_event.wait(ANNOUNCE_S * (0.9 + 0.2 * self._rng()))
-            self._wake_event.clear()
+        self._reloader.request()
 
 
 def build_site_node(read_settings):
