Say in plain words when a backend server is assumed cold

Cause: `is_careful` and CAREFUL_COLD_S named the caution of the owner and not what is in force, and the log line on a malformed cold time did not say what the owner goes by instead.

Change: rename them to `is_assumed_cold` and ASSUMED_COLD_S, in the tests too, and reword the comments and the log line.

Result: no change of behaviour.

--- a/persimmonlane/owner/coldstart.py
+++ b/persimmonlane/owner/coldstart.py
@@ -25,13 +25,14 @@
 CHECK_TIMEOUT_S = 1.0
 # Share of the bound that may be used before the server is asked whether it is warm.
 CHECK_SHARE = 0.25
-# The owner looks each 0.1 s; after a longer gap its VM or process was suspended.
+# `observe` is called each 0.1 s; after a longer gap the VM or process was suspended.
 MAX_GAP_S = 0.5
 # Upper bound of the dispatches that are remembered.
 MAX_DISPATCHES = 1024
-# Told to other nodes while it is not known whether the server is cold.
-CAREFUL_COLD_S = 1.0
-# Wait that is named while no document says whether the service has a rate.
+# Announced remaining cold time, in seconds, while it is not known whether the server
+# is cold.
+ASSUMED_COLD_S = 1.0
+# Wait that refusals state while no document says whether the service has a rate.
 UNKNOWN_RATE_WAIT_S = 0.5
 # A server may say that it is cold for this much longer than the document says.
 DURATION_TOLERANCE_S = 1.0
@@ -45,12 +46,13 @@
 
     Attributes:
         start: The `ColdStart` of the server's service, or None without a document.
-        is_careful: Whether the server counts as cold until it says otherwise.
+        is_assumed_cold: Whether the server counts as cold although it has not said so,
+            until it reports that it is warm.
     """
 
     __slots__ = (
         "start",
-        "is_careful",
+        "is_assumed_cold",
         "_clock",
         "_settings",
         "_sent_at",
@@ -72,7 +74,8 @@
 
         Args:
             clock: Clock in seconds.
-            settings: The `FleetSettings`; None for services without a rate.
+            settings: The `FleetSettings`. None only where `start` keeps a `ColdStart`
+                without a rate.
         """
         now = clock.now()
         self.start = NO_COLD_START
@@ -89,7 +92,7 @@
 
     def reset(self):
         """Forget what the server has said, since another process has started."""
-        self.is_careful = True
+        self.is_assumed_cold = True
         self._resumed_at = max(self._resumed_at, self._clock.now())
         self._heartbeat_at = -math.inf
         self._heartbeat_until = -math.inf
@@ -119,7 +122,7 @@
     def end_pause(self):
         """Note that the server may get requests again; it counts as cold."""
         self._is_paused = False
-        self.is_careful = True
+        self.is_assumed_cold = True
         self._resumed_at = self._clock.now()
 
     def note_heartbeat(self, cold_s):
@@ -139,7 +142,7 @@
             return
         delay_s = self._settings.heartbeat_s * LOST_AFTER_HEARTBEATS
         if now - self._resumed_at >= delay_s:
-            self.is_careful = False
+            self.is_assumed_cold = False
 
     def begin_check(self):
         """Return the clock time if the server is to be asked now, else None."""
@@ -149,7 +152,10 @@
         age_s = now - self._checked_at
         if age_s < (CHECK_TIMEOUT_S if self._is_checking else CHECK_INTERVAL_S):
             return None
-        if not self.is_careful and self._count_unconfirmed() < self.bound * CHECK_SHARE:
+        if (
+            not self.is_assumed_cold
+            and self._count_unconfirmed() < self.bound * CHECK_SHARE
+        ):
             return None
         self._checked_at = now
         self._is_checking = True
@@ -177,7 +183,7 @@
         if cold_s <= 0.0:
             # What it got while it counted as cold remains in the window.
             self._warm_at = self._warm_at if before else asked_at
-            self.is_careful = False
+            self.is_assumed_cold = False
             if self._heartbeat_at < asked_at:
                 self._heartbeat_until = now
         return before != self._counts_as_cold(now)
@@ -188,7 +194,8 @@
             return
         self._has_logged = True
         log.warning(
-            "Owner: the backend server says in a malformed way that it is cold.",
+            "Owner: the cold time in a status answer of the backend server is "
+            "malformed; its heartbeats still count.",
             extra={"event": "cold-start-implausible"},
         )
 
@@ -201,7 +208,7 @@
         if not self.is_limited():
             return 0.0
         until = max(self._heartbeat_until, self._statement_until)
-        least_s = CAREFUL_COLD_S if self.is_careful else 0.0
+        least_s = ASSUMED_COLD_S if self.is_assumed_cold else 0.0
         return max(least_s, until - self._clock.now())
 
     def get_wait_s(self, ahead=0):
@@ -298,7 +305,7 @@
         return now < max(self._heartbeat_until, self._statement_until)
 
     def _counts_as_cold(self, now):
-        return self.is_careful or self._is_cold(now)
+        return self.is_assumed_cold or self._is_cold(now)
 
     def _note_duration(self, cold_s):
         """Log a duration that the document contradicts; it is believed all the same."""
--- a/persimmonlane/owner/tests/test_coldstart.py
+++ b/persimmonlane/owner/tests/test_coldstart.py
@@ -329,14 +329,14 @@
         self.clock.advance(0.1)
         self.cold.end_pause()
         self.cold.note_statement(asked_at, 0.0)
-        self.assertTrue(self.cold.is_careful)
+        self.assertTrue(self.cold.is_assumed_cold)
 
     def test_late_heartbeat_ends_no_care_and_a_later_one_does(self):
         self.cold.note_heartbeat(0.0)
-        self.assertTrue(self.cold.is_careful)
+        self.assertTrue(self.cold.is_assumed_cold)
         self.clock.advance(6 * HEARTBEAT_S)
         self.cold.note_heartbeat(0.0)
-        self.assertFalse(self.cold.is_careful)
+        self.assertFalse(self.cold.is_assumed_cold)
 
     def test_server_that_turned_cold_unnoticed_gets_no_more_than_the_bound(self):
         self.confirm()
@@ -349,7 +349,7 @@
     def test_answer_that_says_nothing_confirms_nothing(self):
         self.clock.advance(1.0)
         self.cold.note_statement(self.cold.begin_check(), None)
-        self.assertTrue(self.cold.is_careful)
+        self.assertTrue(self.cold.is_assumed_cold)
 
     def test_changed_settings_and_document_apply_at_once(self):
         self.confirm()
--- a/persimmonlane/tests/test_coldstart.py
+++ b/persimmonlane/tests/test_coldstart.py
@@ -48,7 +48,7 @@
 
     def is_warm(self):
         cold = self.site.nodes["far"][0].owner.admission_queue.cold
-        return not cold.is_careful
+        return not cold.is_assumed_cold
 
     def run_load(self, seconds, disturb=lambda: None):
         """Send requests from both nodes; return their statuses."""
