Use the word room for memory only

Cause: in overflow.py a room was a number of free slots, while room.py, buffers.py and memory.py use the word for free memory.

Change: rename the local names and `count_room` to free slots and `count_free`.

Result: no change of behaviour.

--- a/persimmonlane/serving/overflow.py
+++ b/persimmonlane/serving/overflow.py
@@ -209,11 +209,15 @@
     ]
     for locality in (Locality.REGION, Locality.ELSEWHERE):
         nearest = [item for item in usable if item.locality is locality]
-        rooms = {item.name: FILL_RATIO * item.slots - item.busy for item in nearest}
-        rooms = {name: room for name, room in rooms.items() if room > 0.0}
-        if rooms:
-            total = sum(rooms.values())
-            return OverflowPlan({name: room / total for name, room in rooms.items()})
+        free_slots = {
+            item.name: FILL_RATIO * item.slots - item.busy for item in nearest
+        }
+        free_slots = {name: free for name, free in free_slots.items() if free > 0.0}
+        if free_slots:
+            total = sum(free_slots.values())
+            return OverflowPlan(
+                {name: free / total for name, free in free_slots.items()}
+            )
     nearest = min((item.locality for item in usable), default=None)
     slots = {item.name: item.slots for item in usable if item.locality is nearest}
     total = sum(slots.values())
@@ -231,15 +235,15 @@
         sent: Requests that nearer receivers take.
         amounts: Dict of requests by name of the receiver, to add to.
     """
-    rooms = {
-        item.name: room
+    free_slots = {
+        item.name: free
         for item in loads
         if item.locality is locality
-        and (room := count_room(item, own, demand, loads)) > 0.0
+        and (free := count_free(item, own, demand, loads)) > 0.0
     }
-    if not rooms:
+    if not free_slots:
         return 0.0
-    path_s = min(item.path_s for item in loads if item.name in rooms)
+    path_s = min(item.path_s for item in loads if item.name in free_slots)
     excess = count_excess(own, demand, locality, path_s) - sent
     if excess <= 0.0:
         return 0.0
@@ -248,10 +252,10 @@
         for item in loads
         if locality is Locality.ELSEWHERE or item.region == own.region
     )
-    total_room = sum(rooms.values())
-    count = excess * min(1.0, total_room / max(total_excess, excess))
-    for name, room in rooms.items():
-        amounts[name] = count * room / total_room
+    total_free = sum(free_slots.values())
+    count = excess * min(1.0, total_free / max(total_excess, excess))
+    for name, free in free_slots.items():
+        amounts[name] = count * free / total_free
     return count
 
 
@@ -271,7 +275,7 @@
     return max(0.0, load.busy - accepted)
 
 
-def count_room(load, own, demand, loads):
+def count_free(load, own, demand, loads):
     """Return the number of requests that a data centre takes until its state shows it.
 
     Args:
