Define a mebibyte and import MemoryLimitError in one place

Cause: BYTES_PER_MIB was defined in fleetsettings.py and in memory.py, and responses.py listed its exports only to pass MemoryLimitError on.

Change: memory.py takes the constant from fleetsettings.py; exchange.py imports the error from buffers.py.

Result: no change of behaviour.

--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -19,8 +19,9 @@
 from ..headers import find_values
 from ..outcomes import OutcomeKind
 from ..verdicts import Verdict
+from .buffers import MemoryLimitError
 from .connections import IDLE_TIMEOUT_S, KeepAliveConnection
-from .responses import MemoryLimitError, ResponseReader
+from .responses import ResponseReader
 
 log = logging.getLogger("persimmonlane.serving")
 
@@ -376,7 +377,7 @@
 def count_unacknowledged(sock):
     """Return the number of sent bytes that the other side has not acknowledged.
 
-    0 where the operating system does not tell.
+    Returns 0 if the operating system can't report it.
     """
     try:
         return struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))[0]
--- a/persimmonlane/serving/memory.py
+++ b/persimmonlane/serving/memory.py
@@ -7,13 +7,15 @@
 import collections
 import threading
 
+from ..fleetsettings import BYTES_PER_MIB
+
 BYTES_PER_KIB = 1024
-BYTES_PER_MIB = 1024 * BYTES_PER_KIB
 # The first bytes of each body need no reservation, so that long bodies can't block
 # short ones. The threads that read bodies bound what this amounts to.
 UNRESERVED_BYTES = 64 * BYTES_PER_KIB
 DEFAULT_LIMIT_BYTES = 32 * BYTES_PER_MIB
-# The rest is for the process itself: code, document, threads and what is not measured.
+# Share of the process's memory for bodies. The rest is for the process itself: code,
+# document, threads and what is not measured.
 BODIES_SHARE = 0.5
 # For the unreserved bytes: a request and a response in each of 112 threads.
 SHORT_BODIES_BYTES = 14 * BYTES_PER_MIB
--- a/persimmonlane/serving/responses.py
+++ b/persimmonlane/serving/responses.py
@@ -1,7 +1,7 @@
 """Reading of complete HTTP responses, with bounds on their length."""
 
 from ..headers import Header
-from .buffers import BodyBuffer, MemoryLimitError
+from .buffers import BodyBuffer
 from .memory import MemoryReservation
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -144,6 +144,3 @@
         return True
     length = response.headers.get("Content-Length")
     return response.status == 204 and length is not None and int(length) > 0
-
-
-__all__ = ["CompleteResponse", "MemoryLimitError", "ResponseReader", "check_framing"]
