Name the limit in the log line on connections that are not accepted

Cause: the line said that too many connections are open, without a number that an operator can compare with the settings.

Change: the error names the limit of the listener.

Result: only the text of the log line changes.

--- a/persimmonlane/serving/inbound.py
+++ b/persimmonlane/serving/inbound.py
@@ -236,7 +236,10 @@
         ready = []
         while True:
             if not self._make_room():
-                return ready, ConnectionLimitError("too many connections are open")
+                limit = self._server.max_connections
+                return ready, ConnectionLimitError(
+                    f"the limit of {limit} open connections is reached"
+                )
             try:
                 sock, address = self._listener.accept()
             except BlockingIOError:
