Correct comments that no longer fit the code

Cause: the outbound receive buffer was said to be as large as the inbound one (128 and 64 KiB), the sender's link budget to be absent in one region only, and several comments were figurative or left out what a value stands for.

Change: reword them, and say in statuses.py that a field after `evacuations` would be left out where there is none. storeinput.py joins two lines.

Result: no change of behaviour.

--- a/persimmonlane/explaining/evacuations.py
+++ b/persimmonlane/explaining/evacuations.py
@@ -46,7 +46,10 @@
 
 
 def add_line(latest, raw):
-    """Add a log line to the last ones of the nodes if it is a later report."""
+    """Add a log line to the last ones of the nodes if it is a later report.
+
+    Other lines are ignored, as is a line that was cut off.
+    """
     if FIELD not in raw:
         return
     _, brace, text = raw.partition(b"{")
--- a/persimmonlane/fleetsettings.py
+++ b/persimmonlane/fleetsettings.py
@@ -39,7 +39,8 @@
         regions: Dict of the names of the regions by data centre; empty if the site
             has no regions.
         has_evacuations: Whether operators may evacuate data centres.
-        has_overload: Whether callers may send more for longer than there is room for.
+        has_overload: Whether overload is in force: callers may send more than the
+            backend servers can process, for longer than a burst.
         memory_bytes: Memory that the process may use, in bytes.
         max_descriptors: Number of descriptors that the process may have open.
         link_bytes_per_s: Width of the VM's link, in bytes per second.
--- a/persimmonlane/owner/evacuation.py
+++ b/persimmonlane/owner/evacuation.py
@@ -1,7 +1,7 @@
 """Evacuation of the data centre of the local backend server.
 
-The owner sees every request to its backend server, so it is what keeps an evacuation:
-it admits none while its data centre is evacuated, or while it can't know whether it is.
+The owner sees every request to its backend server, so it enforces an evacuation: it
+admits none while its data centre is evacuated, or while it can't know whether it is.
 """
 
 import logging
--- a/persimmonlane/peers/statuses.py
+++ b/persimmonlane/peers/statuses.py
@@ -302,7 +302,8 @@
 def define_plain_class(message_class):
     """Return the struct of a message without its last field, the evacuations.
 
-    An array holds all fields, also those with their default.
+    An array holds all fields, also those with their default. A field that is added
+    after `evacuations` would be left out as well: this function must then change.
     """
     return msgspec.defstruct(
         f"Plain{message_class.__name__}",
--- a/persimmonlane/platform/storeinput.py
+++ b/persimmonlane/platform/storeinput.py
@@ -56,8 +56,7 @@
             if remaining_s <= 0:
                 raise TimeoutError("the answer has not ended in time")
             self._sock.settimeout(remaining_s)
-        count = self._raw.readinto(buffer)
-        count = count or 0
+        count = self._raw.readinto(buffer) or 0
         self._remaining_bytes -= count
         if self._deadline is not None:
             self._deadline += count / MIN_BYTES_PER_S
--- a/persimmonlane/quotas/limiter.py
+++ b/persimmonlane/quotas/limiter.py
@@ -13,8 +13,8 @@
 # With more nodes missing than this, a holder assumes a network partition and enforces
 # only the share of the live nodes.
 TOLERATED_MISSING_NODES = 2
-# The same as a fraction of the fleet. The nodes that are missing may grant their share
-# by themselves, and the users allow 10 % more than the rate.
+# The same as a fraction of the fleet; the lower of both applies. Missing nodes may
+# grant their shares by themselves, and 10 % more than the rate is tolerated.
 TOLERATED_MISSING_FRACTION = 0.1
 # Initial tokens of a new holder, in seconds of the rate. They are few because another
 # node may have granted the rate until now.
@@ -22,7 +22,8 @@
 # Part of its share of the burst that a node grants while the holder can't be reached:
 # the holder may have granted the whole burst just before.
 ALONE_BURST_FACTOR = 0.05
-# That alone would be too small for a single node.
+# Least burst of a node that grants its share alone; in a large fleet the part above is
+# below one token.
 MIN_SHARE_BURST = 2.0
 # Part of its share that a node grants while the holder can't be reached: the others may
 # not have noticed yet, and still grant all of the rate.
@@ -209,7 +210,12 @@
 
 
 def compute_initial_tokens(rate, burst):
-    """Return the tokens of a bucket whose holder doesn't know what was granted."""
+    """Return the tokens of a bucket whose holder doesn't know what was granted before.
+
+    Args:
+        rate: Tokens per second.
+        burst: Capacity in tokens.
+    """
     return min(burst, rate * INITIAL_TOKENS_S + 1.0)
 
 
--- a/persimmonlane/reporting/reporter.py
+++ b/persimmonlane/reporting/reporter.py
@@ -66,7 +66,7 @@
             self._log_placements()
 
     def _log_placements(self):
-        """Log where requests were sent, and what the links to other regions bear."""
+        """Log where requests were sent, and the state of the link budgets."""
         placements = self._selector.drain()
         if not placements:
             return
--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -14,8 +14,9 @@
 from .socketinput import ExchangeInput
 
 MAX_IDLE_PER_ADDRESS = 64
+# Idle connections to all addresses together: each takes a descriptor.
 MAX_IDLE = 1024
-# As for inbound connections; the kernel would let it grow to tens of megabytes.
+# Of each outbound connection; the kernel would let it grow to tens of megabytes.
 RECEIVE_BUFFER_BYTES = 128 * 1024
 IDLE_TIMEOUT_S = 4.0
 # Answered requests of which a connection may still deliver another copy of the answer.
--- a/persimmonlane/serving/linkbudget.py
+++ b/persimmonlane/serving/linkbudget.py
@@ -11,7 +11,7 @@
 LINK_SHARE = 0.25
 # Seconds of the budget that may be spent at once.
 BURST_S = 1.0
-# Round trips that take longer than the shortest one by more than this show a full link.
+# Seconds by which a round trip exceeds the shortest one if the link is full.
 QUEUEING_S = 0.02
 # The budget's factor while the link is full, applied once per interval, and what each
 # interval without such a sign adds.
@@ -28,7 +28,7 @@
     """State of the link to one region.
 
     Attributes:
-        factor: Part of the budget that the link is thought to bear.
+        factor: Fraction of the budget that may be used now.
         tokens: Bytes that may be spent now; negative after a long response.
         filled_at: Clock seconds at which the tokens were computed.
         adjusted_at: Clock seconds of the last change of the factor.
--- a/persimmonlane/serving/selection.py
+++ b/persimmonlane/serving/selection.py
@@ -145,9 +145,9 @@
     def keep_in_region(self, request, candidates):
         """Return those of some `Candidate`s that are in this region.
 
-        Without any, those that the links to other regions bear. This applies to last
-        resorts, as free slots elsewhere were tried before, and to requests that run
-        alone: these go to idle servers, however far away.
+        Without any, those in other regions that the link budget allows. This applies to
+        last resorts, as free slots elsewhere were tried before, and to requests that
+        run alone: these go to idle servers, however far away.
         """
         inside = [it for it in candidates if it.locality is not Locality.ELSEWHERE]
         if inside:
--- a/persimmonlane/serving/sending.py
+++ b/persimmonlane/serving/sending.py
@@ -74,7 +74,8 @@
             shutdown: The `Shutdown`.
             cancellations: The `CancellationClient`.
             traffic: The `TrafficCounter`.
-            link_budget: The `LinkBudget`, or None where there is one region only.
+            link_budget: The `LinkBudget`, or None where leaving the data centre is not
+                weighed.
         """
         self._settings = settings
         self._clock = clock
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -37,8 +37,8 @@
 MAX_CONNECTIONS = 2 * MAX_KEEP_ALIVE_CONNECTIONS
 MIN_WORKERS = 1
 STOP_WAIT_S = 0.1
-# Of each connection; the kernel would let a buffer grow to tens of megabytes. This one
-# carries 100 Mbit/s over a round trip of 5 ms.
+# Of each inbound connection; the kernel would let it grow to tens of megabytes. This
+# size carries 100 Mbit/s over a round trip of 5 ms.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 SEND_SIZE_BYTES = 64 * 1024
 SERVER_NAME = "persimmonlane"
