Bound the numbers of orders and of fetched documents

An order's objective, times and priority from another node had no bounds: one with an infinite objective spoilt the latency model of its route at the owner for good. A fetched document's generation could be one that all peers refuse. Forty threads could compress a new document at once. An evacuation was logged before the owner applied it.

Change: bounds as for the fields nearby; a lock; the owner's listener comes first.

--- a/persimmonlane/routing/metadata.py
+++ b/persimmonlane/routing/metadata.py
@@ -13,6 +13,10 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
 Rate = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+# Negative once the time is over.
+SecondsLeft = Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+# -1 for nested calls.
+Priority = Annotated[int, msgspec.Meta(ge=-1, le=1 << 16)]
 # Value of a `HealthState`.
 Standing = Literal[tuple(state.value for state in HealthState)]
 Fingerprint = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
@@ -102,11 +106,11 @@
     caller_service: str
     organisation: str
     idempotent: bool
-    priority: int
+    priority: Priority
     route: str
-    time_left_s: float
-    max_wait_s: float
-    objective_s: float
+    time_left_s: SecondsLeft
+    max_wait_s: Seconds
+    objective_s: Seconds
     force: bool = False
     limit: Rate | None = None
     fingerprint: Fingerprint = 0
--- a/persimmonlane/serving/documentfetch.py
+++ b/persimmonlane/serving/documentfetch.py
@@ -21,7 +21,9 @@
 # No valid document is longer: the store's values have at most a megabyte.
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 HTTP_OK = 200
-MAX_NUMBER_DIGITS = 15
+# Nodes tell each other no greater generations and revisions.
+MAX_NUMBER = 1 << 40
+MAX_NUMBER_DIGITS = 13
 
 
 class FetchedDocument:
@@ -88,6 +90,7 @@
 
 def parse_number(text):
     """Return the number in a header, 0 if it is missing or malformed."""
-    if text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS:
-        return int(text)
-    return 0
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS):
+        return 0
+    number = int(text)
+    return number if number <= MAX_NUMBER else 0
--- a/persimmonlane/serving/tests/test_documentfetch.py
+++ b/persimmonlane/serving/tests/test_documentfetch.py
@@ -6,7 +6,13 @@
 from ...headers import Header
 from ...platform.documents import DOCUMENT_KEY
 from ...tests.test_sitenode import Site, build_document, wait_until
-from ..documentfetch import MAX_DOCUMENT_BYTES, decode_body, fetch_document
+from ..documentfetch import (
+    MAX_DOCUMENT_BYTES,
+    MAX_NUMBER,
+    decode_body,
+    fetch_document,
+    parse_number,
+)
 from ..memory import MemoryAccount
 
 VERSION = 8
@@ -28,6 +34,12 @@
             self.assertIsNone(decode_body(Answer(body, "deflate")))
         self.assertIsNone(decode_body(Answer(bytes(MAX_DOCUMENT_BYTES + 1), "")))
 
+    def test_numbers_that_no_other_node_would_read_count_as_unknown(self):
+        # Guards against a generation that no later document could replace.
+        self.assertEqual(MAX_NUMBER, parse_number(str(MAX_NUMBER)))
+        for text in ("", "-1", "many", str(MAX_NUMBER + 1), "9" * 40):
+            self.assertEqual(0, parse_number(text))
+
 
 class FetchTests(testtools.TestCase):
     def test_document_is_fetched_compressed_with_its_position_in_the_store(self):
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -173,7 +173,6 @@
             evacuation_log = EvacuationLog(
                 settings, clock, evacuations, self.owner.evacuation, self._list_servers
             )
-            evacuations.add_listener(evacuation_log.note_change)
         self.isolation = IsolationPolicy(ledger, self.owner.crashes.list_running)
         self.admission = Admission(settings, self.documents, table, self._gossip)
         self.selector = build_selector(
@@ -224,6 +223,7 @@
         generations.add_listener(lambda event: self._announcer.wake())
         if evacuations is not None:
             evacuations.add_listener(self.owner.apply_evacuations)
+            evacuations.add_listener(evacuation_log.note_change)
             evacuations.add_listener(self._announcer.wake)
         self._servers = NodeServers(settings, self, stalls, self.memory)
         self._ticker = Ticker(
--- a/persimmonlane/upkeep/documents.py
+++ b/persimmonlane/upkeep/documents.py
@@ -32,19 +32,22 @@
             known to have been the newest, 0 if none is known.
     """
 
-    __slots__ = ("rulebook", "stamp", "revision", "_compressed")
+    __slots__ = ("rulebook", "stamp", "revision", "_compressed", "_lock")
 
     def __init__(self, rulebook, stamp, revision=0):
         self.rulebook = rulebook
         self.stamp = stamp
         self.revision = revision
         self._compressed = None
+        # Many nodes fetch a new document at the same moment.
+        self._lock = threading.Lock()
 
     def compress(self):
         """Return the encoded document, compressed with zlib."""
-        if self._compressed is None:
-            self._compressed = zlib.compress(self.rulebook.raw, COMPRESSION_LEVEL)
-        return self._compressed
+        with self._lock:
+            if self._compressed is None:
+                self._compressed = zlib.compress(self.rulebook.raw, COMPRESSION_LEVEL)
+            return self._compressed
 
 
 class DocumentSource:
