Split the refusals of the ingress into a module of their own

Beside the choice of servers and the attempts it built the refusals of requests that no server has accepted.

Change: moved without change of behaviour to serving/refusals.py (`RefusalBuilder`), which gets the lock of the ingress. serving/tests/test_regions.py imports the code and seeds the schedule of returns at their new places; what it checks is the same.

--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -9,7 +9,6 @@
 import random
 import threading
 
-from ..errors import Refusal
 from ..owner.calls import SERVER_CRASHED
 from ..owner.latency import LatencyModels
 from ..quarantine.refusals import QUARANTINED, build_quarantine_refusal
@@ -26,6 +25,7 @@
 from .candidates import CandidateFinder
 from .hedge import Hedge, Superseded
 from .placement import Placement
+from .refusals import RefusalBuilder
 from .returns import ReturnSchedule
 from .sending import AttemptSender
 
@@ -43,11 +43,6 @@
 # would come too late to be useful, and would delay the requests queued behind it.
 OBJECTIVE_WAIT_SHARE = 0.6
 MIN_TIME_LEFT_S = 0.03
-RETRY_AFTER_S = 0.3
-# Code of the refusal of a request that no allowed region has a server for. Servers of
-# these regions may be back within the time of a restart.
-REGION_NOT_ALLOWED = "region-not-allowed"
-REGION_RETRY_AFTER_S = 2.0
 # Code of a rejection by the backend server itself. The request reached the server, so a
 # further attempt takes a token from the retry budget.
 SHED_BY_SERVER = "server-shed"
@@ -67,7 +62,7 @@
         "_shutdown",
         "_isolation",
         "_candidates",
-        "_returns",
+        "_refusals",
         "_sender",
         "_selector",
     )
@@ -124,7 +119,13 @@
         self._candidates = CandidateFinder(
             settings, clock, describe, table, evacuations
         )
-        self._returns = ReturnSchedule(clock, self._rng)
+        self._refusals = RefusalBuilder(
+            self._lock,
+            self._candidates,
+            shutdown,
+            isolation,
+            ReturnSchedule(clock, self._rng),
+        )
         self._sender = AttemptSender(
             settings,
             clock,
@@ -170,7 +171,7 @@
                 self._isolation.check(request)
             choice = self._choose_next(request, service, tried, rejections)
             if choice is None:
-                raise failure or self._build_refusal(request, service, rejections)
+                raise failure or self._refusals.build(request, service, rejections)
             if failure is not None and not self._budget.take(service):
                 raise failure
             attempt, hedge_count = self._run_hedged(request, choice, dispatched)
@@ -187,7 +188,7 @@
                 attempt.last_resort = choice.last_resort
                 rejections[server_id] = attempt
                 if attempt.code == SHED_BY_SERVER and not self._budget.take(service):
-                    raise failure or self._build_overload_refusal(
+                    raise failure or self._refusals.build_overload(
                         request, service, rejections
                     )
                 continue
@@ -415,50 +416,3 @@
 
     def _get_latency_model(self, route):
         return self._latency_models.get_model(route.name, route.objective_s)
-
-    def _build_refusal(self, request, service, rejections):
-        """Return the `Refusal` of a request that no backend server has accepted."""
-        if self._is_region_missing(request, service, rejections):
-            return self._build_region_refusal(request, service)
-        if self._shutdown.may_dispatch() and self._isolation.is_isolated(request):
-            return self._isolation.build_refusal(request)
-        return self._build_overload_refusal(request, service, rejections)
-
-    def _is_region_missing(self, request, service, rejections):
-        """Return whether only regions that the request must not use have servers."""
-        if request.allowed_regions is None or rejections:
-            return False
-        if not self._shutdown.may_dispatch():
-            return False
-        if self._candidates.find(service, request.allowed_regions):
-            return False
-        return bool(self._candidates.find(service))
-
-    def _build_region_refusal(self, request, service):
-        names = ", ".join(sorted(request.allowed_regions)) or "none"
-        return Refusal(
-            503,
-            REGION_NOT_ALLOWED,
-            f"no backend server of {service} is in an allowed region: {names}",
-            retry_after=REGION_RETRY_AFTER_S,
-        )
-
-    def _build_overload_refusal(self, request, service, rejections):
-        if not self._shutdown.may_dispatch():
-            return self._shutdown.build_refusal()
-        refusals = list(rejections.values())
-        wait_s = min((item.wait_s for item in refusals), default=RETRY_AFTER_S)
-        codes = ", ".join(item.code for item in refusals) or "none is known"
-        return Refusal(
-            503,
-            "overloaded" if refusals else "no-server",
-            f"no backend server of {service} can take the request: {codes}",
-            retry_after=self._choose_return_s(request, service, wait_s),
-        )
-
-    def _choose_return_s(self, request, service, wait_s):
-        candidates = self._candidates.find(service, request.allowed_regions)
-        limits = [item.server.limit for item in candidates]
-        node_count = self._candidates.count_nodes()
-        with self._lock:
-            return self._returns.choose_s(service, wait_s, limits, node_count)
--- a/persimmonlane/serving/tests/test_regions.py
+++ b/persimmonlane/serving/tests/test_regions.py
@@ -21,8 +21,9 @@
 from ...sitenode import NodeState
 from ...verdicts import Verdict
 from ..attempts import Attempt, IngressRequest
-from ..ingress import REGION_NOT_ALLOWED, Ingress
+from ..ingress import Ingress
 from ..isolation import IsolationPolicy
+from ..refusals import REGION_NOT_ALLOWED
 from ..responses import CompleteResponse
 from ..sending import AttemptSender
 from ..shutdown import Shutdown
@@ -310,7 +311,7 @@
         self.build()
         self.add(2, "south-2", limit=0.2)
         self.add(5, "north-1")
-        self.ingress._returns._rng = random.Random(1)
+        self.ingress._refusals.returns._rng = random.Random(1)
         route = build_route(SOUTH, RouteKind.UNSAFE)
         waits = []
         for _ in range(6):
