--- a/persimmonlane/upkeep/documents.py
+++ b/persimmonlane/upkeep/documents.py
@@ -86,6 +86,7 @@
         "_locate",
         "_rng",
         "_newest_stamp",
+        "_replaced_stamp",
         "_lock",
         "_sources",
         "_source_added",
@@ -100,6 +101,8 @@
         self._rng = rng or random.Random()
         # The greatest stamp that another node has named.
         self._newest_stamp = DocumentStamp()
+        # Stamp in force when the store was found to hold another document.
+        self._replaced_stamp = None
         self._lock = threading.Lock()
         self._sources = []
         self._source_added = threading.Event()
@@ -131,8 +134,13 @@
         return rulebook is not None and rulebook.raw == raw
 
     def is_superseded(self):
-        """Return whether another node holds a newer document than the one in force."""
-        return self._newest_stamp > self.stamp
+        """Return whether a newer document than the one in force is known to exist."""
+        stamp = self.stamp
+        return self._newest_stamp > stamp or self._replaced_stamp == stamp
+
+    def note_replaced(self, stamp):
+        """Note that the store holds another document than the one with a stamp."""
+        self._replaced_stamp = stamp
 
     def apply(self, raw, source, generation=0, revision=0):
         """Put a document into force if it is newer; return whether it was valid.
--- a/persimmonlane/upkeep/reading.py
+++ b/persimmonlane/upkeep/reading.py
@@ -253,6 +253,10 @@
         prefix = DOCUMENT_KEY if self._evacuations is None else DOCUMENT_PREFIX
         try:
             changes = self._store.watch(prefix, after, 0.0, max_bytes)
+        except LongAnswer:
+            # No other change is that long.
+            self._documents.note_replaced(held.stamp)
+            raise
         except HistoryGone:
             self.read(max_bytes)
             return
--- a/persimmonlane/upkeep/tests/test_reading.py
+++ b/persimmonlane/upkeep/tests/test_reading.py
@@ -65,6 +65,23 @@
                 late_s = node.applied_at[version] - changed_at
                 self.assertTrue(late_s < 4.0, late_s)
 
+    def test_node_knows_that_its_document_is_replaced_before_it_has_the_new_one(self):
+        # Guards against requests that run by the old one while the new one is read.
+        for data_centre in self.fleet.list_data_centres():
+            relays = self.fleet.list_relays(data_centre, 2)
+            self.fleet.paused.update(relays)
+        self.fleet.store.change(LONG_ROUTES)
+        changed_at = self.fleet.clock.now()
+        version = self.fleet.store.version
+        while self.fleet.clock.now() < changed_at + 5.0:
+            self.fleet.run(0.1)
+            for host, node in self.fleet.synced.items():
+                late_s = self.fleet.clock.now() - changed_at
+                if host in self.fleet.paused or late_s < APPLY_S + 0.2:
+                    continue
+                is_known = node.documents.is_superseded()
+                self.assertTrue(is_known or node.documents.version == version, late_s)
+
     def test_nodes_that_start_with_a_long_document_do_not_read_it_all_at_once(self):
         self.fleet.store.long_reads = 0
         for host in list(self.fleet.synced):
