Show a tenant's burst that is granted twice

Likely cause: a handover of tokens is sent three times, and a receiver that was started between two copies doesn't know the first one.

--- a/review/common2/document.py
+++ b/review/common2/document.py
@@ -29,6 +29,16 @@
     }
 
 
+def build_tenant(key, rate_per_s=0, burst=0):
+    """Return what the configuration says of a tenant; a rate of 0 means no limit."""
+    return {
+        "ApiKeys": [key],
+        "Priority": 1,
+        "RatePerS": rate_per_s,
+        "Burst": burst,
+    }
+
+
 def build(version, routes, services, tenants, limits=None):
     """Return the configuration in bytes.
 
@@ -36,7 +46,8 @@
         version: Its number.
         routes: The routes.
         services: Names of the services.
-        tenants: Pairs of a tenant's name and its key.
+        tenants: Of each tenant its name and its key, and its rate and burst if it has
+            them.
         limits: The limits on requesters; None for those of the users' example.
     """
     resources = list(routes)
@@ -57,9 +68,9 @@
         {
             "Type": "Tenants",
             "Metadata": {"Name": name},
-            "Spec": {"ApiKeys": [key], "Priority": 1, "RatePerS": 0, "Burst": 0},
+            "Spec": build_tenant(*fields),
         }
-        for name, key in tenants
+        for name, *fields in tenants
     ]
     resources.append({"Type": "Limits", "Metadata": {}, "Spec": limits or LIMITS})
     return json.dumps(
--- a/review/common2/site.py
+++ b/review/common2/site.py
@@ -57,7 +57,7 @@
     Args:
         placements: Pairs of zone and service, one for each machine.
         routes: The routes of the configuration, as `document.build_route` returns.
-        tenants: Pairs of a tenant's name and its key.
+        tenants: As of `document.build`.
         limits: The limits of the configuration; None for those of the users' example.
         profile: The `Profile` of the installation.
     """
@@ -132,6 +132,10 @@
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
+    def get_node_name(self, machine):
+        """Return the name of a machine's node, as in its settings."""
+        return f"sidecar-{machine.zone}-{machine.name}"
+
     def read_log(self, machine):
         """Return the lines that a machine's node has written."""
         return (self.path / f"{machine.name}.log").read_text().splitlines()
@@ -163,7 +167,7 @@
 
     def _build_settings(self, machine):
         return {
-            "NodeName": f"sidecar-{machine.zone}-{machine.name}",
+            "NodeName": self.get_node_name(machine),
             "Role": "node",
             "MachineClass": "sidecar",
             "Serves": ["sidecar"],
