Remember abbreviated identifiers of requests

Callers saw nodes grow until they ended: an identifier may be as long as a head, and the dispatch log keeps each for a minute after the deadline, as do the idle connections (64 each) and the log queue. Cause: what is remembered of a request had the size that its caller chose. Change: identifiers over 128 characters are kept and logged as their beginning and a digest; what goes over the wire is as before. persimmonctl explain finds them by the whole identifier.

--- a/persimmonlane/explaining/events.py
+++ b/persimmonlane/explaining/events.py
@@ -6,6 +6,8 @@
 
 import logging
 
+from ..identifiers import abbreviate
+
 log = logging.getLogger("persimmonlane.explaining")
 
 SERVER_ERROR_STATUS = 500
@@ -39,6 +41,8 @@
         for field in self.__slots__:
             value = getattr(self, field)
             fields[field] = round(value, 4) if isinstance(value, float) else value
+        if "request" in fields:
+            fields["request"] = abbreviate(fields["request"])
         return fields
 
     def is_success(self):
--- a/persimmonlane/explaining/reading.py
+++ b/persimmonlane/explaining/reading.py
@@ -8,6 +8,7 @@
 
 from ..decoding import decode_json
 from ..errors import InputError
+from ..identifiers import abbreviate
 
 # Explanations, for on-call engineers, of the codes with which requests end.
 CAUSES = {
@@ -98,6 +99,7 @@
         InputError: With code `log-unreadable` if a file can't be read.
     """
     request_log = RequestLog()
+    request_id = abbreviate(request_id)
     encoded_id = request_id.encode()
     for path in paths:
         try:
--- a/persimmonlane/owner/dispatch.py
+++ b/persimmonlane/owner/dispatch.py
@@ -8,6 +8,8 @@
 
 import heapq
 
+from ..identifiers import abbreviate
+
 # Added to the deadline: ingress nodes don't trust a confirmation that arrives after it,
 # but a query or an order may be delayed on its way here.
 RETENTION_S = 60.0
@@ -88,6 +90,7 @@
             Whether it may be sent; a cancelled request may not.
         """
         self._drop_expired()
+        request_id = abbreviate(request_id)
         if request_id in self._cancelled:
             return False
         self._keep(self._dispatched, request_id, deadline)
@@ -96,6 +99,7 @@
 
     def mark_ended(self, request_id):
         """Record that a dispatched request runs no longer."""
+        request_id = abbreviate(request_id)
         self._keep(self._dispatched, request_id, self._clock.now())
         self._running[request_id] -= 1
         if not self._running[request_id]:
@@ -115,6 +119,7 @@
         # Requests without an identifier can't be told from each other.
         if not request_id or time_left_s > MAX_TIME_LEFT_S:
             return False
+        request_id = abbreviate(request_id)
         if request_id in self._dispatched:
             return False
         self._keep(self._cancelled, request_id, self._clock.now() + time_left_s)
--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -10,6 +10,7 @@
 import urllib3.util
 
 from ..addresses import split_address
+from ..identifiers import abbreviate
 from .memory import MemoryAccount
 from .socketinput import ExchangeInput
 
@@ -89,7 +90,8 @@
         opened_at: Clock time, in seconds, at which it was opened.
         last_used_at: Clock time, in seconds, of its last use, or None.
         idle_timeout_s: Seconds for which it may be idle and still be reused.
-        answered_ids: Identifiers of the requests that were answered on it last.
+        answered_ids: Identifiers of the requests that were answered on it last,
+            abbreviated.
         raw_input: The `ExchangeInput`, or None before `connect`.
         buffered_input: Buffered reader on `raw_input`, shared by all responses, or
             None before `connect`.
@@ -135,6 +137,10 @@
             self.raw_input.end_exchange()
         super().close()
 
+    def note_answered(self, request_id):
+        """Remember that a request was answered on this connection."""
+        self.answered_ids.append(abbreviate(request_id))
+
     def end_exchange(self):
         """Reset the state for the next request; the socket stays open."""
         self.raw_input.end_exchange()
@@ -189,6 +195,7 @@
             address: The address.
             request_id: Identifier of the request that is to be sent.
         """
+        request_id = abbreviate(request_id)
         while True:
             connection = self._pop(address, request_id)
             if connection is None or self._is_usable(connection):
--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -345,7 +345,7 @@
         if not reusable or connection.has_unread_input():
             connection.close()
             return
-        connection.answered_ids.append(self.request.request_id)
+        connection.note_answered(self.request.request_id)
         connection.idle_timeout_s = compute_idle_timeout(response.headers)
         self._pool.put(connection)
 
--- a/persimmonlane/tests/crowds.py
+++ b/persimmonlane/tests/crowds.py
@@ -41,6 +41,7 @@
 RETRY_PAUSE_S = 0.2
 STOP_TIMEOUT_S = 10.0
 PIECE_BYTES = 256 * 1024
+LISTEN_STATE = "0A"
 
 # The lowered limits of the crowded processes.
 MEMORY_MB = 160
@@ -61,6 +62,24 @@
     return len(os.listdir(f"/proc/{pid}/fd"))
 
 
+def count_buffered_bytes(addresses):
+    """Return the bytes in the kernel's buffers of the sockets at some addresses.
+
+    Args:
+        addresses: Local addresses, as pairs of host and port.
+    """
+    names = {
+        f"{int.from_bytes(socket.inet_aton(host), sys.byteorder):08X}:{port:04X}"
+        for host, port in addresses
+    }
+    total = 0
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        _, local, _, state, queues, *_ = line.split()
+        if local in names and state != LISTEN_STATE:
+            total += sum(int(queue, 16) for queue in queues.split(":"))
+    return total
+
+
 class SidecarProcess:
     """A `persimmon-sidecar` beside stand-ins of the store and of a backend server.
 
@@ -68,15 +87,20 @@
         process: The `subprocess.Popen`.
         server: The `BackendStandin`, which keeps only the last request.
         address: Address for callers, as host and port.
+        peer_address: Address for other nodes, as host and port.
         peak_descriptors: Most descriptors that were open at once, as sampled.
+        peak_bytes: Most memory that was in use at once, with what lay in the buffers
+            of its sockets, as sampled.
     """
 
     def __init__(self, test, ip, **limits):
         self.peak_descriptors = 0
+        self.peak_bytes = 0
         ports = [f"{ip}:{find_port(ip)}" for _ in range(5)]
         self._caller_address, self._heartbeat_address = ports[1], ports[3]
         host, port = ports[1].rsplit(":", 1)
         self.address = host, int(port)
+        self.peer_address = host, int(ports[0].rsplit(":", 1)[1])
         self.store = StoreStandin()
         self.store.start()
         test.addCleanup(self.store.stop)
@@ -136,9 +160,13 @@
 
     def _sample(self):
         while self._sampling and self.process.poll() is None:
-            with contextlib.suppress(OSError):
+            # The process may end at any time.
+            with contextlib.suppress(OSError, KeyError):
                 count = count_descriptors(self.process.pid)
                 self.peak_descriptors = max(self.peak_descriptors, count)
+                size = read_status_bytes(self.process.pid, "VmRSS")
+                size += count_buffered_bytes([self.address, self.peer_address])
+                self.peak_bytes = max(self.peak_bytes, size)
             time.sleep(SAMPLE_INTERVAL_S)
 
     def _send_heartbeat(self):
@@ -170,13 +198,13 @@
                 timeout=CLIENT_TIMEOUT_S,
             ).status
 
-    def connect(self, receive_buffer_bytes=None):
-        """Open a connection as a caller and return its socket."""
+    def connect(self, receive_buffer_bytes=None, address=None):
+        """Open a connection as a caller, or to another address; return its socket."""
         sock = socket.socket()
         sock.settimeout(CLIENT_TIMEOUT_S)
         if receive_buffer_bytes is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
-        sock.connect(self.address)
+        sock.connect(address or self.address)
         return sock
 
 
@@ -223,8 +251,9 @@
 class Crowd:
     """Clients that run at once, each with a connection that stays open."""
 
-    def __init__(self, test, sidecar):
+    def __init__(self, test, sidecar, address=None):
         self._sidecar = sidecar
+        self._address = address
         self._sockets = []
         self._lock = threading.Lock()
         self._threads = []
@@ -247,7 +276,7 @@
 
     def _run(self, behave, receive_buffer_bytes):
         with contextlib.suppress(OSError):
-            sock = self._sidecar.connect(receive_buffer_bytes)
+            sock = self._sidecar.connect(receive_buffer_bytes, self._address)
             with self._lock:
                 self._sockets.append(sock)
             behave(sock)
@@ -307,6 +336,12 @@
             sidecar.peak_descriptors, testtools.matchers.LessThan(descriptors)
         )
 
+    def assert_buffers_bounded(self, sidecar, memory_mb):
+        """Check that memory and buffers of sockets have stayed within the limit."""
+        self.assertThat(
+            sidecar.peak_bytes / MIB, testtools.matchers.LessThan(memory_mb)
+        )
+
     def check_crowd(self, sidecar, crowd):
         """Check the process while the crowd is there and after it has left."""
         crowd.join()
--- /dev/null
+++ b/persimmonlane/tests/test_client_holdings.py
@@ -0,0 +1,69 @@
+"""What clients can make a `persimmon-sidecar` hold outside of the account for bodies.
+
+Each test starts the process beside stand-ins and connects a small crowd to it, as in
+`test_uncontrolled_clients`. What lies in the buffers of sockets counts as memory.
+"""
+
+import itertools
+import threading
+
+from .crowds import (
+    MAX_DESCRIPTORS,
+    MIB,
+    Crowd,
+    SidecarTestCase,
+    build_head,
+)
+
+SMALL_MEMORY_MB = 80
+# Within the longest head that callers may send.
+IDENTIFIER_BYTES = 12 * 1024
+IDENTIFIED_REQUESTS = 6000
+IDENTIFIED_CLIENTS = 8
+
+
+class IdentifierTests(SidecarTestCase):
+    """What is remembered of a request must not depend on what its caller sent."""
+
+    def test_long_identifiers_use_up_no_memory(self):
+        sidecar = self.start(memory_mb=SMALL_MEMORY_MB, max_fds=MAX_DESCRIPTORS)
+        crowd = Crowd(self, sidecar)
+        numbers = itertools.count()
+        lock = threading.Lock()
+
+        def behave(sock):
+            file = sock.makefile("rb")
+            while True:
+                with lock:
+                    number = next(numbers)
+                if number >= IDENTIFIED_REQUESTS:
+                    return
+                sock.sendall(build_identified_head(number))
+                skip_answer(file)
+
+        crowd.add(behave, IDENTIFIED_CLIENTS)
+        crowd.join()
+        self.assert_serves(sidecar)
+        self.assertGreaterEqual(next(numbers), IDENTIFIED_REQUESTS)
+        self.assert_bounded(sidecar, SMALL_MEMORY_MB, MAX_DESCRIPTORS)
+
+
+def build_identified_head(number):
+    """Return the head of a request with a long identifier of its own."""
+    identifier = f"{number:08d}".ljust(IDENTIFIER_BYTES, "x")
+    return build_head("GET").replace(b": two", b": " + identifier.encode())
+
+
+def skip_answer(file):
+    """Read an answer with a length from a file.
+
+    Raises:
+        OSError: If there is none.
+    """
+    size = 0
+    if not file.readline().startswith(b"HTTP/1.1 "):
+        raise ConnectionError("the connection was closed")
+    while (line := file.readline().lower()) not in (b"\r\n", b""):
+        if line.startswith(b"content-length:"):
+            size = int(line.partition(b":")[2])
+    file.read(size)
--- a/persimmonlane/tests/test_uncontrolled_clients.py
+++ b/persimmonlane/tests/test_uncontrolled_clients.py
@@ -119,9 +119,9 @@
 
     __slots__ = ("_long", "_is_long")
 
-    def __init__(self):
+    def __init__(self, size=ANSWER_BYTES):
         super().__init__()
-        self._long = bytes(ANSWER_BYTES)
+        self._long = bytes(size)
         self._is_long = threading.local()
 
     @property
