Bound what clients send to connections that nobody reads

Callers saw a node grow past its memory by what lay unread in the kernel: only the callers' port had a number of connections that followed the memory; the port for other nodes took a quarter of the descriptors (1,025 of 4,100) and each port 1,024 connections that were not accepted yet, with 64 KiB each. Change: every port's connections follow the memory, the backlog is 512 long, and a connection in it has 16 KiB until it is accepted. Evidence: 1,000 connections to the port for other nodes took a process with 80 MB to 105 MB (resident and unread); the same test passes now.

--- a/persimmonlane/nodeservers.py
+++ b/persimmonlane/nodeservers.py
@@ -21,14 +21,16 @@
 PEER_DESCRIPTORS_SHARE = 0.25
 CONTROL_DESCRIPTORS_SHARE = 0.035
 POOL_DESCRIPTORS_SHARE = 0.1
-# Share of the memory for the receive buffers of callers' connections.
-BUFFERS_SHARE = 0.1
+# Shares of the memory for the receive buffers of the connections that a server accepts.
+CALLER_BUFFERS_SHARE = 0.1
+PEER_BUFFERS_SHARE = 0.07
+CONTROL_BUFFERS_SHARE = 0.015
 
 
 class NodeServers:
     """The servers for readiness probes, heartbeats, other nodes and callers."""
 
-    __slots__ = ("_settings", "_node", "_stalls", "_servers", "_request_servers")
+    __slots__ = ("_node", "_stalls", "_servers", "_request_servers")
 
     def __init__(self, settings, node, stalls, memory):
         """Create the servers.
@@ -39,10 +41,11 @@
             stalls: The `StallTracker`, which the servers share.
             memory: The `MemoryAccount` for heads of requests.
         """
-        self._settings = settings
         self._node = node
         self._stalls = stalls
-        control = count_descriptors(settings, CONTROL_DESCRIPTORS_SHARE)
+        control = count_connections(
+            settings, CONTROL_DESCRIPTORS_SHARE, CONTROL_BUFFERS_SHARE
+        )
         self._servers = [
             self._build(
                 settings.readiness_address, ReadinessGateway, CONTROL_THREADS, control
@@ -54,13 +57,15 @@
                 settings.peer_address,
                 PeerGateway,
                 PEER_THREADS,
-                count_descriptors(settings, PEER_DESCRIPTORS_SHARE),
+                count_connections(settings, PEER_DESCRIPTORS_SHARE, PEER_BUFFERS_SHARE),
             ),
             self._build(
                 settings.caller_address,
                 CallerGateway,
                 CALLER_THREADS,
-                self._count_caller_connections(),
+                count_connections(
+                    settings, CALLER_DESCRIPTORS_SHARE, CALLER_BUFFERS_SHARE
+                ),
             ),
         ]
         self._request_servers = self._servers[2:]
@@ -76,13 +81,6 @@
             max_connections,
         )
 
-    def _count_caller_connections(self):
-        buffers_bytes = self._settings.memory_bytes * BUFFERS_SHARE
-        return min(
-            count_descriptors(self._settings, CALLER_DESCRIPTORS_SHARE),
-            int(buffers_bytes / RECEIVE_BUFFER_BYTES),
-        )
-
     def start(self):
         """Start the servers in threads of their own."""
         for server in self._servers:
@@ -121,6 +119,20 @@
             server.max_request_header_size = limits.header_bytes * 2
 
 
+def count_connections(settings, descriptors_share, buffers_share):
+    """Return the number of connections that a server may have open.
+
+    Args:
+        settings: The `FleetSettings`.
+        descriptors_share: Share of the descriptors that they may take.
+        buffers_share: Share of the memory that their buffers may take.
+    """
+    return min(
+        count_descriptors(settings, descriptors_share),
+        int(settings.memory_bytes * buffers_share / RECEIVE_BUFFER_BYTES),
+    )
+
+
 def count_descriptors(settings, share):
     """Return the number of descriptors in a share of those that may be open."""
     return int(settings.max_descriptors * share)
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -31,7 +31,7 @@
 
 log = logging.getLogger("persimmonlane.serving")
 
-LISTEN_BACKLOG = 1024
+LISTEN_BACKLOG = 512
 MAX_HEAD_BYTES = 64 * 1024
 MAX_KEEP_ALIVE_CONNECTIONS = 2000
 MAX_CONNECTIONS = 2 * MAX_KEEP_ALIVE_CONNECTIONS
@@ -40,6 +40,9 @@
 # Of each inbound connection; the kernel would let it grow to tens of megabytes. This
 # size carries 100 Mbit/s over a round trip of 5 ms.
 RECEIVE_BUFFER_BYTES = 64 * 1024
+# The same before it is accepted: nothing bounds what clients send to the backlog but
+# its length and this size.
+BACKLOG_BUFFER_BYTES = 16 * 1024
 SEND_SIZE_BYTES = 64 * 1024
 SERVER_NAME = "persimmonlane"
 
@@ -110,6 +113,7 @@
 
     def __init__(self, server, sock, makefile=open_stream):
         super().__init__(server, sock, open_stream)
+        set_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
         self.transfer = Transfer(server.stalls, server, self._interrupt)
         self.rfile.report_to(self.transfer)
         self._is_writing = False
@@ -221,10 +225,8 @@
     def prepare(self):
         """Bind, and replace cheroot's `ConnectionManager` by `InboundConnections`."""
         super().prepare()
-        # Accepted connections inherit it.
-        self.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
+        # Connections in the backlog inherit it.
+        set_receive_buffer(self.socket, BACKLOG_BUFFER_BYTES)
         self._connections.close()
         self._connections = InboundConnections(self)
 
@@ -290,3 +292,8 @@
             log.exception("Serving: a connection failed with an unexpected error.")
         self._connections.finish(conn)
         return False
+
+
+def set_receive_buffer(sock, size):
+    """Set the size in bytes of a socket's receive buffer."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
--- a/persimmonlane/tests/test_client_holdings.py
+++ b/persimmonlane/tests/test_client_holdings.py
@@ -7,12 +7,19 @@
 import itertools
 import threading
 
+import msgspec
+
+from ..routing.metadata import Order
+from ..serving.nodeheaders import ORDER_HEADER
 from .crowds import (
     MAX_DESCRIPTORS,
     MIB,
+    PIECE_BYTES,
     Crowd,
     SidecarTestCase,
     build_head,
+    receive_all,
+    send_all,
 )
 
 SMALL_MEMORY_MB = 80
@@ -20,6 +27,9 @@
 IDENTIFIER_BYTES = 12 * 1024
 IDENTIFIED_REQUESTS = 6000
 IDENTIFIED_CLIENTS = 8
+MANY_DESCRIPTORS = 4100
+PEER_CONNECTIONS = 1000
+PEER_BYTES = 60 * 1024
 
 
 class IdentifierTests(SidecarTestCase):
@@ -48,6 +58,32 @@
         self.assert_bounded(sidecar, SMALL_MEMORY_MB, MAX_DESCRIPTORS)
 
 
+class KernelBufferTests(SidecarTestCase):
+    """What lies in the buffers of sockets must be bounded as well."""
+
+    def test_connections_for_other_nodes_use_up_no_memory_of_the_kernel(self):
+        sidecar = self.start(memory_mb=SMALL_MEMORY_MB, max_fds=MANY_DESCRIPTORS)
+        crowd = Crowd(self, sidecar, sidecar.peer_address)
+        head = build_head("POST", f"Content-Length: {MIB}", build_order_line())
+
+        def behave(sock):
+            sock.sendall(head)
+            if not send_all(sock, bytes(PIECE_BYTES), PEER_BYTES):
+                receive_all(sock)
+
+        crowd.add(behave, PEER_CONNECTIONS)
+        crowd.join()
+        self.assert_serves(sidecar)
+        self.assert_bounded(sidecar, SMALL_MEMORY_MB, MANY_DESCRIPTORS)
+        self.assert_buffers_bounded(sidecar, SMALL_MEMORY_MB)
+
+
+def build_order_line():
+    """Return the header line of an `Order` as other nodes send it."""
+    order = Order("two", "i-near", "near", "far", "", True, 0, "r-near", 15.0, 1.0, 1.0)
+    return f"{ORDER_HEADER}: {msgspec.json.encode(order).decode()}"
+
+
 def build_identified_head(number):
     """Return the head of a request with a long identifier of its own."""
     identifier = f"{number:08d}".ljust(IDENTIFIER_BYTES, "x")
