Write nothing behind an answer that broke off

Cause: a write that timed out was taken for an internal error, whose body went to the same connection. Change: once the head of an answer has been written, an error ends the connection.

--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -211,9 +211,14 @@
             except CallerDisconnected:
                 node.events.note_disconnect(request)
                 self.abort()
-            except Exception:
-                log.exception("Serving: a request failed with an unexpected error.")
-                self._refuse(request, build_internal_refusal())
+            except Exception as error:
+                if not self.req.sent_headers:
+                    log.exception("Serving: a request failed with an unexpected error.")
+                    self._refuse(request, build_internal_refusal())
+                    return
+                # Further bytes would be taken for the rest of the answer.
+                log.info("Serving: an answer was not sent: %s.", error)
+                self.abort()
 
     def _respond(self, request):
         node = self.node
