Send answers without a worker, and hold them in the account

Cause: a worker wrote each answer to its end; answers were closed after 1 s without progress, also for requests that could be refused; requests were dispatched without regard to the room for their answers. Change: what a socket doesn't take at once is sent by the connection loop; send buffers have 64 KiB; an answer is closed under pressure after 5 s without progress or once its caller's time is over; a response waits for room as long as it is awaited; while more than 8 wait, requests whose route and organisation had long answers in the last 10 s are refused as not-run before they are dispatched. Evidence: of the new tests, the one on the kernel's buffers and the one on workers fail on the parent and pass here.

--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -263,7 +263,10 @@
         """Return the response that echoes the request's identifier."""
         self._connection.raw_input.begin_exchange(self._wait_readable)
         reader = ResponseReader(
-            self._connection, self.request.method, self._pool.memory
+            self._connection,
+            self.request.method,
+            self._pool.memory,
+            self._check_awaited,
         )
         for _ in range(MAX_RESPONSES):
             response = self._read_response(reader)
@@ -316,6 +319,17 @@
                 self._push()
         return False
 
+    def _check_awaited(self):
+        """Check that the response is still awaited, while it waits for room.
+
+        Raises:
+            ExchangeError: If the deadline has passed.
+            CallerDisconnected: If the caller has disconnected.
+        """
+        if self._clock.now() >= self.request.deadline:
+            raise self._build_timeout_error()
+        self._check_caller()
+
     def _check_caller(self):
         """Check whether the caller has disconnected, at most once per interval."""
         now = self._clock.now()
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 
 import cheroot.server
 import msgspec
@@ -33,6 +34,7 @@
 from .buffers import MemoryLimitError
 from .callers import CallerDisconnected, CallerWatch
 from .documentfetch import DOCUMENT_ENCODING, DOCUMENT_PATH
+from .events import get_organisation_name
 from .exchange import ExchangeError
 from .memory import MemoryReservation
 from .nodeheaders import (
@@ -71,8 +73,15 @@
         self.node = node
         self._body = None
 
-    def write(self, status, headers, body):
-        """Write a complete answer; the body of an answer to HEAD is left out."""
+    def write(self, status, headers, body, left_s=math.inf):
+        """Write a complete answer; the body of an answer to HEAD is left out.
+
+        Args:
+            status: HTTP status.
+            headers: List of `Header`s.
+            body: Bytes-like object, which is not copied.
+            left_s: Seconds until the caller ceases to wait for the answer.
+        """
         req = self.req
         if self.node.closes_connections:
             req.close_connection = True
@@ -81,14 +90,14 @@
             (header.name.encode("latin-1"), header.value.encode("latin-1"))
             for header in headers
         ]
-        self.req.conn.begin_answer(len(body))
+        self.req.conn.transfer.begin_answer(len(body), left_s)
         req.ensure_headers_sent()
         if not body or req.method == b"HEAD":
             return
         if req.chunked_write:
             req.write(bytes(body))
         else:
-            req.conn.write_body(body)
+            req.write(body)
 
     def write_json(self, status, body=b"", headers=()):
         """Write an answer with a JSON body that the node made itself."""
@@ -180,6 +189,7 @@
         req.close_connection = True
         req.chunked_write = False
         req.sent_headers = True
+        req.conn.wfile.clear()
 
     def build_watch(self):
         """Return a `CallerWatch` for the connection."""
@@ -241,11 +251,14 @@
         node.shutdown.check(request.arrived_at, request.deadline)
         node.isolation.identify(request)
         node.admit(get_priority(request))
+        names = request.route.name, get_organisation_name(request)
+        node.long_answers.check(*names)
         node.admission.check_rate(request)
         try:
             answer = node.ingress.forward(request)
         except BackendErrorResponse as error:
             answer = error.answer
+        node.long_answers.note(*names, len(answer.body))
         request.body = b""
         request.stage = Stage.ANSWER
         node.events.note_answered(request, answer.status)
@@ -255,7 +268,8 @@
         headers = [h for h in headers if h.name.lower() != "content-length"]
         if answer.status not in (204, 304):
             headers.append(build_length_header(request, answer))
-        self.write(answer.status, headers, answer.body)
+        left_s = request.deadline - node.clock.now()
+        self.write(answer.status, headers, answer.body, left_s)
 
     def _refuse(self, request, refusal):
         self.node.events.note_refused(request, refusal)
@@ -336,6 +350,9 @@
         except CallerDisconnected:
             self.abort()
         else:
+            self.node.long_answers.note(
+                order.route, order.organisation, len(answer.body)
+            )
             report = owner.status.report(Verdict.RAN, route=order.route)
             headers = drop_hop_by_hop(answer.headers)
             headers = [h for h in headers if h.name.lower() != "content-length"]
@@ -345,6 +362,7 @@
         rulebook = self.node.documents.rulebook
         limit_bytes = rulebook.limits.body_bytes if rulebook else HEARTBEAT_LIMIT_BYTES
         body = self.read_body(limit_bytes)
+        self.node.long_answers.check(order.route, order.organisation)
         headers = [
             header
             for header in self.req.inheaders.header_list
--- a/persimmonlane/serving/responses.py
+++ b/persimmonlane/serving/responses.py
@@ -42,14 +42,30 @@
             response.
     """
 
-    __slots__ = ("will_close", "ends_at_close", "_connection", "_method", "_memory")
-
-    def __init__(self, connection, method, memory):
+    __slots__ = (
+        "will_close",
+        "ends_at_close",
+        "_connection",
+        "_method",
+        "_memory",
+        "_check",
+    )
+
+    def __init__(self, connection, method, memory, check=None):
+        """Create a reader.
+
+        Args:
+            connection: The `KeepAliveConnection`.
+            method: HTTP method of the request.
+            memory: The `MemoryAccount`.
+            check: Callable that raises once the response is not awaited any longer.
+        """
         self.will_close = False
         self.ends_at_close = False
         self._connection = connection
         self._method = method
         self._memory = memory
+        self._check = check
 
     def read(self):
         """Return the next `CompleteResponse`.
@@ -68,7 +84,7 @@
         self.ends_at_close = response.length is None and not response.chunked
         # Body data is credited only after it has been read, so allow one read ahead.
         raw_input.remaining_bytes += READ_SIZE_BYTES
-        reservation = MemoryReservation(self._memory)
+        reservation = MemoryReservation(self._memory, check=self._check)
         self.will_close = response.will_close
         if response.status in STATUSES_WITHOUT_CONTENT:
             body = b""
--- a/persimmonlane/serving/tests/test_room.py
+++ b/persimmonlane/serving/tests/test_room.py
@@ -2,7 +2,12 @@
 
 from ...clocks import ManualClock
 from ..memory import BYTES_PER_MIB, MemoryReservation, create_memory_account
-from ..room import MAX_WAITING_REQUESTS, WAIT_S, RoomWaiter
+from ..room import (
+    MAX_WAITING_REQUESTS,
+    MAX_WAITING_RESPONSES,
+    WAIT_S,
+    RoomWaiter,
+)
 from ..stalls import MIN_STALL_S, StallTracker, Transfer
 
 MEMORY_BYTES = 200 * BYTES_PER_MIB
@@ -63,3 +68,31 @@
 
         self.assertTrue(self.room.wait(reserve, True))
         self.assertEqual(MAX_WAITING_REQUESTS, len(waits))
+
+    def test_response_waits_for_room_for_as_long_as_it_is_awaited(self):
+        ends_at = self.clock.now() + 5 * WAIT_S
+
+        def check():
+            if self.clock.now() >= ends_at:
+                raise TimeoutError
+
+        first = MemoryReservation(self.account)
+        self.assertTrue(first.extend_to(MEMORY_BYTES // 3))
+        response = MemoryReservation(self.account, check=check)
+        self.assertRaises(TimeoutError, response.await_room, MAX_BODY_BYTES)
+        self.assertThat(self.clock.now(), testtools.matchers.GreaterThan(ends_at - 0.1))
+        first.release()
+        self.assertTrue(response.await_room(MAX_BODY_BYTES))
+
+    def test_many_waiting_responses_are_a_crowd(self):
+        crowded = []
+
+        def reserve():
+            crowded.append(self.room.is_crowded())
+            if len(crowded) <= MAX_WAITING_RESPONSES:
+                self.room.wait(reserve, False)
+            return True
+
+        self.room.wait(reserve, False)
+        self.assertEqual([False] * MAX_WAITING_RESPONSES + [True], crowded)
+        self.assertFalse(self.room.is_crowded())
--- a/persimmonlane/serving/tests/test_stalls.py
+++ b/persimmonlane/serving/tests/test_stalls.py
@@ -1,7 +1,13 @@
 import testtools
 
 from ...clocks import ManualClock
-from ..stalls import MIN_PROGRESS_BYTES, MIN_STALL_S, StallTracker, Transfer
+from ..stalls import (
+    MIN_ANSWER_STALL_S,
+    MIN_PROGRESS_BYTES,
+    MIN_STALL_S,
+    StallTracker,
+    Transfer,
+)
 
 
 class StallTests(testtools.TestCase):
@@ -61,3 +67,25 @@
         self.assertTrue(self.tracker.close_longest(min_held_bytes=1000))
         self.assertFalse(self.tracker.close_longest(min_held_bytes=1000))
         self.assertEqual(["body"], self.closed)
+
+    def test_caller_that_pauses_keeps_the_answer_of_a_request_that_has_run(self):
+        transfer = Transfer(self.tracker, None, lambda: self.closed.append("answer"))
+        transfer.begin_answer(1000, 15.0)
+        self.clock.advance(MIN_ANSWER_STALL_S - 0.5)
+        self.assertFalse(self.tracker.close_longest())
+        self.clock.advance(0.5)
+        self.assertTrue(self.tracker.close_longest())
+
+    def test_answer_that_nobody_waits_for_is_closed_though_it_is_read(self):
+        transfer = Transfer(self.tracker, None, lambda: self.closed.append("answer"))
+        transfer.begin_answer(1000, 2.0)
+        self.clock.advance(2.5)
+        transfer.note(MIN_PROGRESS_BYTES)
+        self.assertTrue(self.tracker.close_longest())
+
+    def test_answer_that_no_worker_writes_is_not_closed_for_one(self):
+        transfer = Transfer(self.tracker, "callers", lambda: None)
+        transfer.begin_answer(1000, 2.0)
+        transfer.has_worker = False
+        self.clock.advance(10 * MIN_ANSWER_STALL_S)
+        self.assertFalse(self.tracker.close_longest("callers"))
--- a/persimmonlane/sitenode.py
+++ b/persimmonlane/sitenode.py
@@ -42,6 +42,7 @@
 from .serving.events import RequestEvents
 from .serving.ingress import Ingress
 from .serving.isolation import IsolationPolicy
+from .serving.longanswers import LongAnswers
 from .serving.memory import (
     UNRESERVED_BYTES,
     MemoryAccount,
@@ -108,6 +109,7 @@
         events: The `RequestEvents`.
         running: The `RunningRequests`.
         memory: The `MemoryAccount` of requests and responses.
+        long_answers: The `LongAnswers`.
         shutdown: The `Shutdown`.
         closes_connections: Whether answers carry `Connection: close`.
     """
@@ -131,6 +133,7 @@
         self._stalls = stalls = StallTracker()
         self.memory = create_memory_account(settings.memory_bytes)
         self.memory.room = RoomWaiter(stalls)
+        self.long_answers = LongAnswers(clock, self.memory.room)
         self._control_memory = MemoryAccount(CONTROL_MEMORY_BYTES)
         pool = ConnectionPool(
             clock, self.memory, count_descriptors(settings, POOL_DESCRIPTORS_SHARE)
--- a/persimmonlane/tests/test_client_holdings.py
+++ b/persimmonlane/tests/test_client_holdings.py
@@ -6,6 +6,7 @@
 
 import itertools
 import threading
+import time
 
 import msgspec
 
@@ -13,20 +14,26 @@
 from ..serving.nodeheaders import ORDER_HEADER
 from .crowds import (
     MAX_DESCRIPTORS,
+    MEMORY_MB,
     MIB,
     PIECE_BYTES,
+    RETRY_PAUSE_S,
     Crowd,
     SidecarTestCase,
     build_head,
     receive_all,
     send_all,
 )
+from .test_uncontrolled_clients import LongAnswers
 
 SMALL_MEMORY_MB = 80
 # Within the longest head that callers may send.
 IDENTIFIER_BYTES = 12 * 1024
 IDENTIFIED_REQUESTS = 6000
 IDENTIFIED_CLIENTS = 8
+KERNEL_READERS = 80
+# Shorter than what the kernel would take of an answer that is not read.
+KERNEL_ANSWER_BYTES = 2 * MIB
 MANY_DESCRIPTORS = 4100
 PEER_CONNECTIONS = 1000
 PEER_BYTES = 60 * 1024
@@ -61,6 +68,24 @@
 class KernelBufferTests(SidecarTestCase):
     """What lies in the buffers of sockets must be bounded as well."""
 
+    def test_answers_that_are_not_read_use_up_no_memory_of_the_kernel(self):
+        sidecar = self.start(memory_mb=MEMORY_MB, max_fds=MANY_DESCRIPTORS)
+        sidecar.server.script = LongAnswers(KERNEL_ANSWER_BYTES)
+        crowd = Crowd(self, sidecar)
+
+        def behave(sock):
+            request = build_head("GET", "X-Long: 1")
+            sock.sendall(request)
+            while b" 200 " not in sock.recv(PIECE_BYTES)[:16]:
+                time.sleep(RETRY_PAUSE_S)
+                sock.sendall(request)
+
+        crowd.add(behave, KERNEL_READERS)
+        crowd.join()
+        self.assert_serves(sidecar)
+        self.assert_bounded(sidecar, MEMORY_MB, MANY_DESCRIPTORS)
+        self.assert_buffers_bounded(sidecar, MEMORY_MB)
+
     def test_connections_for_other_nodes_use_up_no_memory_of_the_kernel(self):
         sidecar = self.start(memory_mb=SMALL_MEMORY_MB, max_fds=MANY_DESCRIPTORS)
         crowd = Crowd(self, sidecar, sidecar.peer_address)
