Give a hedge the body that it was started with

Cause: the gateway drops the body as soon as the first attempt is answered, while the thread of the hedge may still ask an owner for room; it read the body only after that. Change: the hedge has its own copy of the request's fields, the body's memory not copied, and looks whether it is still wanted before each send.

--- a/persimmonlane/serving/hedge.py
+++ b/persimmonlane/serving/hedge.py
@@ -4,6 +4,7 @@
 the first attempt goes on. This covers backend servers that hang on some requests.
 """
 
+import copy
 import logging
 import select
 import threading
@@ -149,6 +150,9 @@
         if not self._ingress.acquire_hedge(self._request):
             return POLL_INTERVAL_S
         self.started = True
+        # The second attempt may still be prepared once the first one was answered and
+        # the request's body is dropped.
+        self._request = copy.copy(self._request)
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
         return 1.0
--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -261,6 +261,7 @@
                 self._budget.refund(request.service)
                 return None
             choice.max_wait_s = HEDGE_MAX_WAIT_S
+            watch.check()
             attempt = self._attempt(request, choice, watch=watch)
             if attempt.verdict is not Verdict.NOT_RUN or attempt.code == SHED_BY_SERVER:
                 return attempt
--- a/persimmonlane/serving/tests/test_hedge.py
+++ b/persimmonlane/serving/tests/test_hedge.py
@@ -1,3 +1,5 @@
+import threading
+
 import testtools
 from testtools.matchers import GreaterThan, LessThan
 
@@ -7,6 +9,7 @@
 from ..placement import Candidate
 
 STEP_S = 0.05
+TIMEOUT_S = 30.0
 
 
 class Ingress:
@@ -18,6 +21,23 @@
         return False
 
 
+class SlowIngress:
+    """Reads the body of a hedge only once `prepared` is set."""
+
+    def __init__(self):
+        self.prepared = threading.Event()
+        self.done = threading.Event()
+        self.bodies = []
+
+    def acquire_hedge(self, request):
+        return True
+
+    def run_hedge(self, request, watch, first_server_id):
+        self.prepared.wait(TIMEOUT_S)
+        self.bodies.append(request.body)
+        self.done.set()
+
+
 class Request:
     caller = None
 
@@ -71,6 +91,21 @@
     def test_request_without_time_for_a_second_attempt_is_not_hedged(self):
         self.assertIsNone(self.find_due_s(self.build_model(0.5), 0.3))
 
+    def test_hedge_that_is_prepared_late_has_the_body(self):
+        latency = self.build_model(0.12)
+        status = ServerStatus("i-1", "prices", True, 4, 0, 0, "sound", 0.0)
+        ingress = SlowIngress()
+        request = Request(5.0)
+        request.body = b"whole"
+        hedge = Hedge(ingress, request, Candidate(status, None, True), latency, 0.0)
+        hedge.start_if_due(4.0)
+        self.assertTrue(hedge.started)
+        request.body = b""
+        ingress.prepared.set()
+        self.assertTrue(ingress.done.wait(TIMEOUT_S))
+        hedge.close()
+        self.assertEqual([b"whole"], ingress.bodies)
+
 
 class FiguresTests(testtools.TestCase):
     def test_node_adopts_what_owners_have_learned(self):
