Serve routes and organisations whose names are not ASCII

Cause: the order between nodes was made ASCII by backslashes that are no JSON; a name beyond Latin-1 could not be sent as a header either. Change: the order and the report use JSON's own escapes, which older nodes read; names in headers are the bytes of UTF-8.

--- a/persimmonlane/platform/headers.py
+++ b/persimmonlane/platform/headers.py
@@ -75,14 +75,19 @@
     """
     headers = [
         Header(TIMEOUT, str(max(1, int(time_left_s * MS_PER_S)))),
-        Header(TARGET_INSTANCE, server_id),
-        Header(CALLER_SERVICE, order.caller_service),
+        Header(TARGET_INSTANCE, encode_name(server_id)),
+        Header(CALLER_SERVICE, encode_name(order.caller_service)),
     ]
     if order.organisation:
-        headers.append(Header(ORGANISATION, order.organisation))
+        headers.append(Header(ORGANISATION, encode_name(order.organisation)))
     return headers
 
 
+def encode_name(name):
+    """Return a name as a header value, which stands for the name's bytes in UTF-8."""
+    return name.encode("utf-8", "surrogatepass").decode("latin-1")
+
+
 def is_stripped(name):
     """Return whether a caller's header is removed before the request is forwarded."""
     return name.lower() in STRIPPED
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -5,7 +5,6 @@
 import math
 
 import cheroot.server
-import msgspec
 
 from ..decoding import decode_json
 from ..errors import InputError, Refusal
@@ -43,6 +42,7 @@
     REPORT_HEADER,
     REQUEST_ID_HEADER,
     REVISION_HEADER,
+    encode_json_header,
     get_default_poll_s,
 )
 from .shutdown import NodeShutdown, build_shutdown_refusal
@@ -379,7 +379,7 @@
         return self.node.owner.serve(order, call, self.build_watch())
 
     def _write(self, order, report, status, headers, body):
-        text = msgspec.json.encode(report).decode("ascii", "backslashreplace")
+        text = encode_json_header(report)
         headers = [
             *headers,
             Header(REPORT_HEADER, text),
--- a/persimmonlane/serving/nodeheaders.py
+++ b/persimmonlane/serving/nodeheaders.py
@@ -1,7 +1,10 @@
 """Headers of requests and answers between an ingress node and an owner."""
 
+import json
 import logging
 
+import msgspec
+
 from ..decoding import decode_json
 from ..errors import InputError
 from ..headers import find_first
@@ -29,6 +32,14 @@
     return 10.0
 
 
+def encode_json_header(value):
+    """Return a struct as JSON for the value of a header, in ASCII."""
+    raw = msgspec.json.encode(value)
+    if raw.isascii():
+        return raw.decode("ascii")
+    return json.dumps(msgspec.json.decode(raw))
+
+
 def filter_request_headers(headers):
     """Return a caller's headers without those that the node sets itself."""
     return [
--- a/persimmonlane/serving/sending.py
+++ b/persimmonlane/serving/sending.py
@@ -3,8 +3,6 @@
 import functools
 import threading
 
-import msgspec
-
 from ..errors import Refusal
 from ..headers import Header, drop_hop_by_hop
 from ..localities import Locality
@@ -19,6 +17,7 @@
 from .exchange import Exchange, ExchangeError, OutgoingRequest
 from .nodeheaders import (
     ORDER_HEADER,
+    encode_json_header,
     filter_request_headers,
     get_default_poll_s,
     get_reported_request_id,
@@ -152,7 +151,7 @@
         rejected = self._capacity.check(request, order, peer)
         if rejected is not None:
             return rejected
-        text = msgspec.json.encode(order).decode("ascii", "backslashreplace")
+        text = encode_json_header(order)
         left_s = request.deadline - self._clock.now()
         cancel = functools.partial(
             self._cancellations.cancel,
