--- a/persimmonlane/serving/ingress.py
+++ b/persimmonlane/serving/ingress.py
@@ -261,7 +261,11 @@
                 self._budget.refund(request.service)
                 return None
             choice.max_wait_s = HEDGE_MAX_WAIT_S
-            watch.check()
+            try:
+                watch.check()
+            except Superseded:
+                self._budget.refund(request.service)
+                raise
             attempt = self._attempt(request, choice, watch=watch)
             if attempt.verdict is not Verdict.NOT_RUN or attempt.code == SHED_BY_SERVER:
                 return attempt
--- a/persimmonlane/serving/tests/test_regions.py
+++ b/persimmonlane/serving/tests/test_regions.py
@@ -18,9 +18,11 @@
     WeightedService,
     intersect_regions,
 )
+from ...signals import PollableEvent
 from ...sitenode import NodeState
 from ...verdicts import Verdict
 from ..attempts import Attempt, IngressRequest
+from ..hedge import AttemptWatch
 from ..ingress import Ingress
 from ..isolation import IsolationPolicy
 from ..refusals import REGION_NOT_ALLOWED
@@ -231,11 +233,14 @@
         self.assertEqual(["north-1"] * 3, self.forward(request, fail(), fail(), fail()))
 
     def test_hedges_stay_in_allowed_regions(self):
+        signal = PollableEvent()
+        self.addCleanup(signal.close)
+        watch = AttemptWatch(None, signal)
         for _ in range(20):
             request = build_request(self.clock, build_route(SOUTH))
             self.forward(request)
             first = self.sender.choices[0].candidate.server.server_id
-            self.ingress.run_hedge(request, None, first)
+            self.ingress.run_hedge(request, watch, first)
             self.assertEqual({"south-2"}, set(self.sender.list_data_centres()))
 
     def test_requests_that_run_alone_stay_in_allowed_regions(self):
