Give workers to requests that are there, not to those that come slowly

Ordinary callers waited for a worker behind bodies that stopped a byte short of their end, until each had been closed for its lack of progress; callers that paused for over 1 s were closed with them. Cause: a worker took a connection with the first byte of a request. Change: while half of a server's workers are busy, a request is left in its receive buffer until it is whole, or, if it is longer than that, until a quarter of the workers is free. Nothing changes below half of the workers.

--- /dev/null
+++ b/persimmonlane/serving/tests/test_arrivals.py
@@ -0,0 +1,122 @@
+import socket
+import time
+
+import cheroot.server
+import testtools
+
+from ..arrivals import PEEK_BYTES, Arrival
+from ..servers import NodeHTTPServer
+from .scripted import read_all
+
+TIMEOUT_S = 30.0
+# Longer than a transfer without progress is left alone under pressure.
+PAUSE_S = 2.5
+WORKERS = 4
+# More than the workers.
+SLOW_CLIENTS = 12
+HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+
+
+class Connection:
+    def __init__(self, sock):
+        self.socket = sock
+
+
+class ArrivalTests(testtools.TestCase):
+    """Which requests are there as a whole, by what lies in a receive buffer."""
+
+    def setUp(self):
+        super().setUp()
+        self.client, sock = socket.socketpair()
+        self.addCleanup(self.client.close)
+        self.addCleanup(sock.close)
+        self.conn = Connection(sock)
+        sock.setblocking(False)
+
+    def see(self, data):
+        self.client.sendall(data)
+        return Arrival(self.conn, 5.0)
+
+    def test_request_without_a_body_is_whole_with_its_head(self):
+        arrival = self.see(HEAD + b"\r")
+        self.assertFalse(arrival.is_whole or arrival.has_head)
+        self.client.sendall(b"\n")
+        arrival.update(6.0)
+        self.assertTrue(arrival.is_whole)
+
+    def test_body_with_a_length_is_whole_with_its_last_byte(self):
+        arrival = self.see(HEAD + b"content-LENGTH: 3\r\n\r\nab")
+        self.assertTrue(arrival.has_head)
+        self.assertFalse(arrival.is_whole)
+        arrival.update(7.0)
+        self.assertEqual(5.0, arrival.changed_at)
+        self.client.sendall(b"c")
+        arrival.update(8.0)
+        self.assertTrue(arrival.is_whole)
+        self.assertEqual(8.0, arrival.changed_at)
+
+    def test_chunked_body_is_whole_with_its_last_chunk(self):
+        arrival = self.see(HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n")
+        self.assertFalse(arrival.is_whole)
+        self.client.sendall(b"0\r\n\r\n")
+        arrival.update(6.0)
+        self.assertTrue(arrival.is_whole)
+
+    def test_body_that_awaits_a_first_answer_counts_as_whole(self):
+        lines = b"Content-Length: 3\r\nExpect: 100-continue\r\n\r\n"
+        self.assertTrue(self.see(HEAD + lines).is_whole)
+
+    def test_long_body_is_never_whole_before_it_is_read(self):
+        arrival = self.see(HEAD + b"Content-Length: %d\r\n\r\n" % PEEK_BYTES)
+        self.assertTrue(arrival.is_long)
+        self.assertFalse(arrival.is_whole)
+
+
+class EchoGateway(cheroot.server.Gateway):
+    """Answers with the body of the request."""
+
+    def respond(self):
+        body = self.req.rfile.read()
+        self.req.status = b"200 OK"
+        self.req.outheaders = [(b"Content-Length", str(len(body)).encode())]
+        self.req.ensure_headers_sent()
+        self.req.write(body)
+
+
+class SlowArrivalTests(testtools.TestCase):
+    """Requests that come slowly must not keep workers from those that are there."""
+
+    def setUp(self):
+        super().setUp()
+        self.server = NodeHTTPServer("127.0.0.1:0", EchoGateway, WORKERS)
+        self.server.start_in_background()
+        self.addCleanup(self.server.stop)
+
+    def connect(self, data):
+        sock = socket.create_connection(self.server.bind_addr, TIMEOUT_S)
+        self.addCleanup(sock.close)
+        sock.sendall(data)
+        return sock
+
+    def test_callers_that_pause_are_served_beside_others(self):
+        start = HEAD + b"Content-Length: 3\r\n\r\nab"
+        slow = [self.connect(start) for _ in range(SLOW_CLIENTS)]
+        time.sleep(PAUSE_S)
+        whole = read_all(self.connect(start + b"c"))
+        self.assertTrue(whole.endswith(b"\r\n\r\nabc"))
+        for sock in slow:
+            sock.sendall(b"d")
+            self.assertTrue(read_all(sock).endswith(b"\r\n\r\nabd"))
+
+    def test_request_whose_head_does_not_come_is_refused(self):
+        self.server.header_timeout_s = 0.3
+        slow = [self.connect(HEAD) for _ in range(SLOW_CLIENTS)]
+        for sock in slow:
+            self.assertTrue(read_all(sock).startswith(b"HTTP/1.1 408 "))
+
+    def test_connections_beyond_the_limit_take_the_place_of_stalled_ones(self):
+        self.server.max_connections = SLOW_CLIENTS
+        slow = [self.connect(HEAD) for _ in range(SLOW_CLIENTS)]
+        whole = read_all(self.connect(HEAD + b"Content-Length: 1\r\n\r\na"))
+        self.assertTrue(whole.endswith(b"\r\n\r\na"))
+        self.assertLessEqual(self.server.count_open(), len(slow))
--- a/persimmonlane/serving/workers.py
+++ b/persimmonlane/serving/workers.py
@@ -102,6 +102,11 @@
         """Number of queued connections."""
         return len(self._queue)
 
+    @property
+    def load(self):
+        """Share of the workers that are busy or asked for, above 1 with a queue."""
+        return (self._size - len(self._idle) + len(self._queue)) / self.max
+
     def start(self):
         """Start the minimum number of workers."""
         self.grow()
