Keep slots of backend servers from responses that have no room

A crowd that read nothing held the slots of a backend server, as each of its responses waited for room until its deadline while the server was writing it; ordinary requests were refused as node-busy. Change: only responses of other nodes do, whose owner has them whole; those of the local backend server wait 2 s as before. While one of these waits, or more than 8 of the others, requests of routes and organisations with long answers are refused before they take a slot.

--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -113,9 +113,20 @@
         "_unsent",
         "_was_reset",
         "_next_caller_check",
+        "_is_patient",
     )
 
-    def __init__(self, request, pool, clock, caller):
+    def __init__(self, request, pool, clock, caller, is_patient=False):
+        """Create an exchange.
+
+        Args:
+            request: The `OutgoingRequest`.
+            pool: The `ConnectionPool`.
+            clock: Clock in seconds.
+            caller: The `CallerWatch` of the caller's connection.
+            is_patient: Whether the response may wait for room until the deadline.
+        """
+        self._is_patient = is_patient
         self.request = request
         self.sent = False
         self._pool = pool
@@ -266,7 +277,7 @@
             self._connection,
             self.request.method,
             self._pool.memory,
-            self._check_awaited,
+            self._check_awaited if self._is_patient else None,
         )
         for _ in range(MAX_RESPONSES):
             response = self._read_response(reader)
--- a/persimmonlane/serving/longanswers.py
+++ b/persimmonlane/serving/longanswers.py
@@ -1,10 +1,16 @@
-"""Requests whose answers have lately been long."""
+"""Requests whose answers have lately been long.
+
+None is dispatched while its answer would have no room: it would take a slot from
+others, and its answer could be lost.
+"""
 
 from .answers import build_memory_refusal
 from .memory import UNRESERVED_BYTES
 
 # After this long, a request may be sent again to see how long its answer is.
 MEMORY_S = 10.0
+# Of a route and an organisation; the oldest ones are forgotten.
+MAX_PAIRS = 4096
 
 
 class LongAnswers:
@@ -35,8 +41,11 @@
             organisation: Name of its organisation, empty without one.
             size: Size in bytes of the body of the answer.
         """
-        if size > UNRESERVED_BYTES:
-            self._until[route, organisation] = self._clock.now() + MEMORY_S
+        if size <= UNRESERVED_BYTES:
+            return
+        self._until[route, organisation] = self._clock.now() + MEMORY_S
+        while len(self._until) > MAX_PAIRS:
+            self._until.pop(next(iter(self._until)), None)
 
     def check(self, route, organisation):
         """Refuse a request whose answer could have no room.
--- a/persimmonlane/serving/room.py
+++ b/persimmonlane/serving/room.py
@@ -1,30 +1,35 @@
 """Waiting for room in the account of memory."""
 
+import collections
+import enum
 import threading
 import time
 
 from .memory import UNRESERVED_BYTES
 
-# Long enough for a stalled upload to be found and closed.
+# Long enough for a stalled upload to be found and closed. Backend servers cut off
+# responses that stay unread for some seconds, and their slots are in use meanwhile.
 WAIT_S = 2.0
 POLL_INTERVAL_S = 0.05
 # Requests that wait hold a worker each; further ones are refused at once.
 MAX_WAITING_REQUESTS = 16
-# While more responses wait, no request is dispatched whose response may be long.
-MAX_WAITING_RESPONSES = 8
+# While more responses of other nodes wait, or any of the local backend server, no
+# request is dispatched whose response may be long.
+MAX_PATIENT_RESPONSES = 8
+
+
+class Waiting(enum.Enum):
+    """What waits for room."""
+
+    REQUEST = "request"
+    RESPONSE = "response"
+    PATIENT_RESPONSE = "patient-response"
 
 
 class RoomWaiter:
     """Waits for room, and has stalled connections closed meanwhile. Thread-safe."""
 
-    __slots__ = (
-        "_stalls",
-        "_now",
-        "_sleep",
-        "_lock",
-        "_waiting_requests",
-        "_waiting_responses",
-    )
+    __slots__ = ("_stalls", "_now", "_sleep", "_lock", "_waiting")
 
     def __init__(self, stalls, now=time.monotonic, sleep=time.sleep):
         """Create the waiter.
@@ -38,32 +43,39 @@
         self._now = now
         self._sleep = sleep
         self._lock = threading.Lock()
-        self._waiting_requests = 0
-        self._waiting_responses = 0
+        # Numbers by kind: requests, responses that wait for as long as they are
+        # awaited, and other responses.
+        self._waiting = collections.Counter()
 
     def is_crowded(self):
         """Return whether so many responses wait that no more are to be caused."""
-        return self._waiting_responses > MAX_WAITING_RESPONSES
+        return (
+            self._waiting[Waiting.RESPONSE] > 0
+            or self._waiting[Waiting.PATIENT_RESPONSE] > MAX_PATIENT_RESPONSES
+        )
 
     def wait(self, reserve, is_request, check=None):
-        """Wait until room can be reserved.
+        """Wait until room can be reserved, for at most `WAIT_S` without a `check`.
 
         Args:
             reserve: Callable that tries to reserve it and returns whether it could.
-            is_request: Whether it is for a request, which can be refused instead and
-                waits for at most `WAIT_S`.
+            is_request: Whether it is for a request, which can be refused instead.
             check: Callable that raises once a response is not awaited any longer, or
-                None if it waits no longer than a request.
+                None if the backend server's slot is in use until it is read.
 
         Returns:
             Whether it was reserved.
         """
-        if not self._begin(is_request):
+        kind = Waiting.REQUEST if is_request else Waiting.RESPONSE
+        if check is not None:
+            kind = Waiting.PATIENT_RESPONSE
+        if not self._begin(kind):
             return False
         try:
             return self._poll(reserve, check)
         finally:
-            self._end(is_request)
+            with self._lock:
+                self._waiting[kind] -= 1
 
     def _poll(self, reserve, check):
         ends_at = self._now() + WAIT_S
@@ -76,19 +88,10 @@
                 return True
         return False
 
-    def _begin(self, is_request):
+    def _begin(self, kind):
         with self._lock:
-            if not is_request:
-                self._waiting_responses += 1
-                return True
-            if self._waiting_requests >= MAX_WAITING_REQUESTS:
+            count = self._waiting[kind]
+            if kind is Waiting.REQUEST and count >= MAX_WAITING_REQUESTS:
                 return False
-            self._waiting_requests += 1
+            self._waiting[kind] += 1
             return True
-
-    def _end(self, is_request):
-        with self._lock:
-            if is_request:
-                self._waiting_requests -= 1
-            else:
-                self._waiting_responses -= 1
--- a/persimmonlane/serving/sending.py
+++ b/persimmonlane/serving/sending.py
@@ -176,7 +176,7 @@
         self._change_in_flight(peer, 1)
         answer = None
         try:
-            answer = Exchange(call, self._pool, self._clock, watch).run()
+            answer = Exchange(call, self._pool, self._clock, watch, True).run()
         except ExchangeError as error:
             if error.kind in (OutcomeKind.CONNECT, OutcomeKind.ERROR):
                 peer.mark_unreachable(self._clock.now())
--- a/persimmonlane/serving/tests/test_room.py
+++ b/persimmonlane/serving/tests/test_room.py
@@ -3,8 +3,8 @@
 from ...clocks import ManualClock
 from ..memory import BYTES_PER_MIB, MemoryReservation, create_memory_account
 from ..room import (
+    MAX_PATIENT_RESPONSES,
     MAX_WAITING_REQUESTS,
-    MAX_WAITING_RESPONSES,
     WAIT_S,
     RoomWaiter,
 )
@@ -84,15 +84,23 @@
         first.release()
         self.assertTrue(response.await_room(MAX_BODY_BYTES))
 
-    def test_many_waiting_responses_are_a_crowd(self):
+    def collect_crowded(self, count, check):
+        """Return whether there is a crowd while 1, 2 and more responses wait."""
         crowded = []
 
         def reserve():
             crowded.append(self.room.is_crowded())
-            if len(crowded) <= MAX_WAITING_RESPONSES:
-                self.room.wait(reserve, False)
+            if len(crowded) < count:
+                self.room.wait(reserve, False, check)
             return True
 
-        self.room.wait(reserve, False)
-        self.assertEqual([False] * MAX_WAITING_RESPONSES + [True], crowded)
+        self.room.wait(reserve, False, check)
         self.assertFalse(self.room.is_crowded())
+        return crowded
+
+    def test_many_responses_of_other_nodes_are_a_crowd(self):
+        crowded = self.collect_crowded(MAX_PATIENT_RESPONSES + 1, lambda: None)
+        self.assertEqual([False] * MAX_PATIENT_RESPONSES + [True], crowded)
+
+    def test_any_response_that_keeps_a_slot_is_a_crowd(self):
+        self.assertEqual([True], self.collect_crowded(1, None))
