Let backend servers leave a long body unread for a while

Callers got 504 for a long body whose backend server read it late. Cause: the kernel drops a connection whose sent data is not acknowledged for 1.5 s (TCP_USER_TIMEOUT), and counts the time in which the other side takes nothing more. Between VMs that finds nodes that are cut off; a backend server is on the node's own VM. Change: for a body over 16 KiB to the local server the limit is the time that the request has left, until the connection is used again.

--- a/persimmonlane/owner/client.py
+++ b/persimmonlane/owner/client.py
@@ -47,4 +47,4 @@
             extract_request_id=get_echoed_request_id,
             on_wait=call.on_wait,
         )
-        return Exchange(request, self._pool, self._clock, caller).run()
+        return Exchange(request, self._pool, self._clock, caller, is_local=True).run()
--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -111,13 +111,19 @@
     def connect(self):
         """Open the connection."""
         super().connect()
-        self.sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
+        self.limit_silence()
         self.sock.setblocking(False)
         self.raw_input = ExchangeInput(self.sock)
         self.buffered_input = io.BufferedReader(self.raw_input)
 
+    def limit_silence(self, timeout_ms=TCP_USER_TIMEOUT_MS):
+        """Set how long sent data may stay unacknowledged or unread.
+
+        Args:
+            timeout_ms: Milliseconds after which the kernel drops the connection.
+        """
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def makefile(self, mode):
         """Return the shared buffered input.
 
--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -20,12 +20,13 @@
 from ..outcomes import OutcomeKind
 from ..verdicts import Verdict
 from .buffers import MemoryLimitError
-from .connections import IDLE_TIMEOUT_S, KeepAliveConnection
+from .connections import IDLE_TIMEOUT_S, TCP_USER_TIMEOUT_MS, KeepAliveConnection
 from .responses import ResponseReader
 
 log = logging.getLogger("persimmonlane.serving")
 
 SEND_SIZE_BYTES = 16 * 1024
+MS_PER_S = 1000
 # Fraction of the timeout in a `Keep-Alive` header for which a connection is reused.
 KEEP_ALIVE_FRACTION = 0.5
 # Interval of the checks on the caller while data is sent or received continuously.
@@ -114,9 +115,10 @@
         "_was_reset",
         "_next_caller_check",
         "_is_patient",
+        "_is_local",
     )
 
-    def __init__(self, request, pool, clock, caller, is_patient=False):
+    def __init__(self, request, pool, clock, caller, is_patient=False, is_local=False):
         """Create an exchange.
 
         Args:
@@ -125,8 +127,11 @@
             clock: Clock in seconds.
             caller: The `CallerWatch` of the caller's connection.
             is_patient: Whether the response may wait for room until the deadline.
+            is_local: Whether the other side is on this VM. It may leave a long body
+                unread for a while, and no link between can fail.
         """
         self._is_patient = is_patient
+        self._is_local = is_local
         self.request = request
         self.sent = False
         self._pool = pool
@@ -207,6 +212,9 @@
             is_short = len(request.body) <= SEND_SIZE_BYTES
             if not is_short:
                 self._unsent = memoryview(request.body)
+                if self._is_local:
+                    left_ms = int(self._compute_remaining_s() * MS_PER_S)
+                    connection.limit_silence(max(TCP_USER_TIMEOUT_MS, left_ms))
             try:
                 connection.endheaders((is_short and request.body) or None)
             except ConnectionError:
@@ -370,6 +378,8 @@
         if not reusable or connection.has_unread_input():
             connection.close()
             return
+        if self._is_local and len(self.request.body) > SEND_SIZE_BYTES:
+            connection.limit_silence()
         connection.note_answered(self.request.request_id)
         connection.idle_timeout_s = compute_idle_timeout(response.headers)
         self._pool.put(connection)
--- a/persimmonlane/standins/backend.py
+++ b/persimmonlane/standins/backend.py
@@ -49,6 +49,7 @@
         request_headers = {
             k.decode().lower(): v.decode() for k, v in req.inheaders.items()
         }
+        time.sleep(self.standin.script.unread_s)
         body = req.rfile.read()
         self.standin.requests.append((req.uri.decode(), request_headers, body))
         execution = Execution(request_headers.get("x-request-id", ""), time.monotonic())
@@ -134,6 +135,7 @@
         flood: The `Flood` that it sends in place of a response, or None.
         headers: Further headers of the response, as pairs of name and value.
         deadly: Targets of the requests at which its process ends.
+        unread_s: Seconds for which it leaves the body of each request unread.
     """
 
     __slots__ = (
@@ -145,6 +147,7 @@
         "flood",
         "headers",
         "deadly",
+        "unread_s",
     )
 
     def __init__(
@@ -157,6 +160,7 @@
         flood=None,
         headers=(),
         deadly=(),
+        unread_s=0.0,
     ):
         self.status = status
         self.body = body
@@ -166,6 +170,7 @@
         self.flood = flood
         self.headers = headers
         self.deadly = deadly
+        self.unread_s = unread_s
 
     def crashes_on(self, target):
         """Return whether the server's process ends as it begins to run a request."""
