--- a/persimmonlane/serving/arrivals.py
+++ b/persimmonlane/serving/arrivals.py
@@ -1,10 +1,16 @@
 """Requests that have begun to arrive, in the receive buffers of their connections."""
 
+import contextlib
 import fcntl
 import re
 import socket
 import struct
 import termios
+import time
+
+from ..errors import Refusal
+from .answers import ROOM_RETRY_AFTER_S, encode_refusal
+from .stalls import MIN_STALL_S
 
 HEAD_END = b"\r\n\r\n"
 LENGTH_RE = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]{1,15})[ \t]*\r\n", re.I)
@@ -12,6 +18,12 @@
 EXPECT_RE = re.compile(rb"\r\nexpect:", re.I)
 # Of what a receive buffer holds; a request that is longer is never whole in it.
 PEEK_BYTES = 32 * 1024
+# While more of the workers are busy, only requests that are whole get one.
+WHOLE_ONLY_LOAD = 0.5
+# The same for requests that are too long to be whole in a receive buffer.
+LONG_LOAD = 0.75
+# More than a receive buffer holds.
+MAX_DROPPED_READS = 8
 
 
 class Arrival:
@@ -89,6 +101,105 @@
             self.is_long = self._needed > PEEK_BYTES
 
 
+class ArrivalQueue:
+    """Connections whose requests have begun to arrive and get no worker yet.
+
+    A request that comes slowly would keep a worker from those that are there.
+    """
+
+    __slots__ = ("_server", "_finish", "_arrivals")
+
+    def __init__(self, server, finish):
+        """Create an empty queue.
+
+        Args:
+            server: The `NodeHTTPServer`.
+            finish: Callable that closes an active connection.
+        """
+        self._server = server
+        self._finish = finish
+        # The `Arrival`s by connection.
+        self._arrivals = {}
+
+    def __len__(self):
+        return len(self._arrivals)
+
+    def count_long(self):
+        """Return the number of requests that need a worker to arrive as a whole."""
+        return sum(arrival.is_long for arrival in list(self._arrivals.values()))
+
+    def begin(self, conn):
+        """Hand a connection to the workers, or wait until its request is whole."""
+        requests = self._server.requests
+        if requests.load < WHOLE_ONLY_LOAD:
+            requests.put(conn)
+            return
+        arrival = Arrival(conn, time.monotonic())
+        if self._is_due(arrival):
+            requests.put(conn)
+        else:
+            self._arrivals[conn] = arrival
+
+    def check(self):
+        """Hand over the requests that are due, and refuse those that are late."""
+        now = time.monotonic()
+        for conn, arrival in list(self._arrivals.items()):
+            arrival.update(now)
+            if self._is_due(arrival):
+                if self._arrivals.pop(conn, None) is not None:
+                    self._server.requests.put(conn)
+            elif self._is_late(arrival, now):
+                refusal = Refusal(408, "request-timeout", "the request came too late")
+                self._refuse(arrival, refusal)
+
+    def refuse_stalled(self):
+        """Refuse the request without progress for longest, if it is for a second.
+
+        Returns:
+            Whether one was refused.
+        """
+        arrivals = list(self._arrivals.values())
+        longest = min(arrivals, key=lambda item: item.changed_at, default=None)
+        if longest is None or time.monotonic() - longest.changed_at < MIN_STALL_S:
+            return False
+        refusal = Refusal(
+            503,
+            "transfer-stalled",
+            "the request made no progress while others waited",
+            retry_after=ROOM_RETRY_AFTER_S,
+        )
+        self._refuse(longest, refusal)
+        return True
+
+    def close(self):
+        """Close all connections of the queue."""
+        for conn in list(self._arrivals):
+            conn.close()
+
+    def _is_due(self, arrival):
+        limit = LONG_LOAD if arrival.is_long else WHOLE_ONLY_LOAD
+        return arrival.is_whole or self._server.requests.load < limit
+
+    def _is_late(self, arrival, now):
+        if not arrival.has_head:
+            return now - arrival.began_at > self._server.header_timeout_s
+        return now - arrival.changed_at > self._server.timeout
+
+    def _refuse(self, arrival, refusal):
+        """Answer a request of which nothing was read, and close its connection."""
+        conn = arrival.conn
+        if self._arrivals.pop(conn, None) is None:
+            return
+        with contextlib.suppress(OSError):
+            conn.wfile.write(encode_refusal(refusal))
+            # Bytes that are left unread would reset the connection before the caller
+            # has read the refusal.
+            for _ in range(MAX_DROPPED_READS):
+                if not conn.socket.recv(PEEK_BYTES):
+                    break
+        self._finish(conn)
+
+
 def count_available(sock):
     """Return the number of bytes in a socket's receive buffer."""
     return struct.unpack("i", fcntl.ioctl(sock, termios.FIONREAD, bytes(4)))[0]
--- a/persimmonlane/serving/inbound.py
+++ b/persimmonlane/serving/inbound.py
@@ -15,23 +15,14 @@
 import threading
 import time
 
-from ..errors import Refusal
-from .answers import ROOM_RETRY_AFTER_S, encode_refusal
-from .arrivals import PEEK_BYTES, Arrival
-from .stalls import MIN_STALL_S
+from .arrivals import ArrivalQueue
 
 log = logging.getLogger("persimmonlane.serving")
 
 # Pause after a failed accept, so that a lasting error causes no busy loop.
 ACCEPT_PAUSE_S = 0.05
 ACCEPT_LOG_INTERVAL_S = 5.0
-# While more of the workers are busy, only requests that are whole get one.
-WHOLE_ONLY_LOAD = 0.5
-# The same for requests that are too long to be whole in a receive buffer.
-LONG_LOAD = 0.75
 ARRIVAL_CHECK_INTERVAL_S = 0.05
-# More than a receive buffer holds.
-MAX_DROPPED_READS = 8
 RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -94,9 +85,8 @@
         # Active connections whose answers are being sent, each with whether it is kept
         # alive afterwards.
         self._answering = {}
-        # The `Arrival`s of active connections whose requests get no worker yet, by
-        # connection.
-        self._arriving = {}
+        # Active connections whose requests get no worker yet.
+        self._arriving = ArrivalQueue(server, self.finish)
         self._stopped = False
         self._next_expiry_at = 0.0
         self._next_accept_log_at = float("-inf")
@@ -122,7 +112,7 @@
             timeout_s = ARRIVAL_CHECK_INTERVAL_S if self._arriving else interval_s
             for key, _ in self._selector.select(timeout_s):
                 self._handle(key.data)
-            self._check_arriving()
+            self._arriving.check()
             if time.monotonic() >= self._next_expiry_at:
                 self._close_expired()
                 self._server.requests.grow()
@@ -215,8 +205,7 @@
                 self._close_listener()
             for conn in [*self._unused, *self._keep_alive, *self._answering]:
                 self._close(conn)
-            for conn in self._arriving:
-                conn.close()
+            self._arriving.close()
             self._wake_sender.send(b"x")
 
     def _close_selector(self):
@@ -254,7 +243,7 @@
                 return
             ready, error = self._accept_backlog()
         for conn in ready:
-            self._begin(conn)
+            self._arriving.begin(conn)
         if error is not None:
             self._log_failed_accept(error)
             time.sleep(ACCEPT_PAUSE_S)
@@ -303,12 +292,12 @@
         """
         if self.count_open() < self._server.max_connections:
             return True
-        return self._close_oldest() or self._close_stalled()
+        return self._close_oldest() or self._arriving.refuse_stalled()
 
     def _relieve_workers(self):
         """Close stalled connections while requests wait for a worker in vain."""
         requests = self._server.requests
-        waiting = sum(arrival.is_long for arrival in self._arriving.values())
+        waiting = self._arriving.count_long()
         if requests.size >= requests.max:
             waiting += requests.qsize
         for _ in range(waiting):
@@ -342,74 +331,7 @@
                 return
             self._unregister(conn)
             self._active.add(conn)
-        self._begin(conn)
-
-    def _begin(self, conn):
-        """Hand an active connection to the workers, or wait until its request is whole.
-
-        A request that comes slowly would keep a worker from those that are there.
-        """
-        requests = self._server.requests
-        if requests.load < WHOLE_ONLY_LOAD:
-            requests.put(conn)
-            return
-        arrival = Arrival(conn, time.monotonic())
-        if arrival.is_whole or (arrival.is_long and requests.load < LONG_LOAD):
-            requests.put(conn)
-        else:
-            self._arriving[conn] = arrival
-
-    def _check_arriving(self):
-        """Hand over the requests that have become whole, refuse those that are late."""
-        requests = self._server.requests
-        now = time.monotonic()
-        for conn, arrival in list(self._arriving.items()):
-            arrival.update(now)
-            limit = LONG_LOAD if arrival.is_long else WHOLE_ONLY_LOAD
-            if arrival.is_whole or requests.load < limit:
-                if self._arriving.pop(conn, None) is not None:
-                    requests.put(conn)
-            elif self._is_late(arrival, now):
-                refusal = Refusal(408, "request-timeout", "the request came too late")
-                self._refuse(arrival, refusal)
-
-    def _is_late(self, arrival, now):
-        if not arrival.has_head:
-            return now - arrival.began_at > self._server.header_timeout_s
-        return now - arrival.changed_at > self._server.timeout
-
-    def _refuse(self, arrival, refusal):
-        """Answer a request of which nothing was read, and close its connection."""
-        conn = arrival.conn
-        if self._arriving.pop(conn, None) is None:
-            return
-        with contextlib.suppress(OSError):
-            conn.wfile.write(encode_refusal(refusal))
-            # Bytes that are left unread would reset the connection before the caller
-            # has read the refusal.
-            for _ in range(MAX_DROPPED_READS):
-                if not conn.socket.recv(PEEK_BYTES):
-                    break
-        self.finish(conn)
-
-    def _close_stalled(self):
-        """Refuse the arriving request without progress for longest.
-
-        Returns:
-            Whether one was refused.
-        """
-        arrivals = self._arriving.values()
-        longest = min(arrivals, key=lambda item: item.changed_at, default=None)
-        if longest is None or time.monotonic() - longest.changed_at < MIN_STALL_S:
-            return False
-        refusal = Refusal(
-            503,
-            "transfer-stalled",
-            "the request made no progress while others waited",
-            retry_after=ROOM_RETRY_AFTER_S,
-        )
-        self._refuse(longest, refusal)
-        return True
+        self._arriving.begin(conn)
 
     def _send_pending(self, conn):
         """Send more of an answer; the connection goes on once it is complete."""
@@ -431,7 +353,10 @@
             self._server.requests.put(conn)
 
     def _end_answer(self, conn):
+        """Stop sending an answer; return whether its connection is kept alive."""
         with self._lock:
+            if conn not in self._answering:
+                return False
             self._selector.unregister(conn.socket)
             return self._answering.pop(conn)
 
