--- a/persimmonlane/nodeservers.py
+++ b/persimmonlane/nodeservers.py
@@ -2,12 +2,8 @@
 
 import threading
 
-from .serving.gateways import (
-    CallerGateway,
-    HeartbeatGateway,
-    PeerGateway,
-    ReadinessGateway,
-)
+from .serving.controlgateways import HeartbeatGateway, ReadinessGateway
+from .serving.gateways import CallerGateway, PeerGateway
 from .serving.servers import RECEIVE_BUFFER_BYTES, NodeHTTPServer
 
 CALLER_THREADS = 72
--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -9,10 +9,8 @@
 from ..decoding import decode_json
 from ..errors import InputError, Refusal
 from ..headers import Header, drop_hop_by_hop, find_first, find_values
-from ..owner.backend import ServerState
 from ..owner.calls import ForwardedCall
 from ..platform import headers as wire
-from ..platform import heartbeats
 from ..routing.metadata import Order
 from ..verdicts import Verdict
 from .answers import (
@@ -389,70 +387,6 @@
         self.write(status, headers, body)
 
 
-class ReadinessGateway(Gateway):
-    """Answers readiness probes."""
-
-    def respond(self):
-        """Answer 200 if the node accepts callers' requests, 503 if it does not."""
-        path = self.req.uri.decode("latin-1").partition("?")[0]
-        if path != heartbeats.READY_PATH:
-            self.write_json(404)
-            return
-        self.write_json(200 if self.node.is_ready() else 503)
-
-
-class HeartbeatGateway(Gateway):
-    """Receives heartbeats of the local backend server.
-
-    That it leaves is acknowledged only once this will be known after the end of the
-    node's process. The node has stopped sending requests to it by then.
-    """
-
-    def respond(self):
-        """Process one heartbeat, or one departure (DELETE)."""
-        server_id = heartbeats.parse_server_id(self.req.uri.decode("latin-1"))
-        if server_id is None:
-            self.write_json(404)
-            return
-        try:
-            body = self.read_body(HEARTBEAT_LIMIT_BYTES)
-        except Refusal as refusal:
-            self.write_json(refusal.status)
-            return
-        self._handle(server_id, body)
-
-    def _handle(self, server_id, body):
-        owner = self.node.owner
-        try:
-            if self.req.method == b"DELETE":
-                born = heartbeats.decode_departure(body)
-                is_believed = owner.handle_departure(server_id, born)
-                is_leaving = True
-            else:
-                heartbeat = heartbeats.decode_heartbeat(server_id, body)
-                is_believed = owner.handle_heartbeat(heartbeat)
-                is_leaving = heartbeat.state is ServerState.DRAINING
-        except InputError as error:
-            log.warning(
-                "Owner: ignored what is said of backend server %s: %s.",
-                server_id,
-                error,
-                extra={"event": error.code},
-            )
-            self.write_json(400)
-            return
-        if is_leaving and not (is_believed and self.node.keep_departures()):
-            log.warning(
-                "Owner: that %s leaves is not acknowledged: %s.",
-                server_id,
-                "it might be forgotten" if is_believed else "it is not believed",
-                extra={"event": "departure-unacknowledged"},
-            )
-            self.write_json(503)
-            return
-        self.write_json(200, b"{}")
-
-
 def build_length_header(request, answer):
     """Return the Content-Length header of an answer.
 
@@ -467,6 +401,3 @@
 def build_internal_refusal():
     """Return the `Refusal` for an internal error of the node."""
     return Refusal(500, "internal", "the node failed", verdict=Verdict.MAY_HAVE_RUN)
-
-
-__all__ = ["CallerGateway", "HeartbeatGateway", "PeerGateway", "ReadinessGateway"]
