--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -250,7 +250,7 @@
         node.isolation.identify(request)
         node.admit(get_priority(request))
         names = request.route.name, get_organisation_name(request)
-        node.long_answers.check(*names)
+        self._check_long_answers(*names)
         node.admission.check_rate(request)
         try:
             answer = node.ingress.forward(request)
@@ -269,6 +269,20 @@
         left_s = request.deadline - node.clock.now()
         self.write(answer.status, headers, answer.body, left_s)
 
+    def _check_long_answers(self, route, organisation):
+        """Refuse a request whose answer could have no room, and close its connection.
+
+        Callers that send on without reading would have the next one refused at once.
+
+        Raises:
+            Refusal: Not run, with code `memory-full`.
+        """
+        try:
+            self.node.long_answers.check(route, organisation)
+        except Refusal:
+            self.req.close_connection = True
+            raise
+
     def _refuse(self, request, refusal):
         self.node.events.note_refused(request, refusal)
         if refusal.status >= SERVER_ERROR_STATUS:
--- a/persimmonlane/tests/test_client_holdings.py
+++ b/persimmonlane/tests/test_client_holdings.py
@@ -32,6 +32,9 @@
 IDENTIFIER_BYTES = 12 * 1024
 IDENTIFIED_REQUESTS = 6000
 IDENTIFIED_CLIENTS = 8
+SENDERS = 60
+SEND_ON_BYTES = 4 * MIB
+SEND_TIMEOUT_S = 5.0
 CALLERS_AT_ONCE = 110
 REQUESTS_EACH = 20
 WORK_S = 0.3
@@ -86,6 +89,23 @@
         self.check_crowd(sidecar, crowd)
 
 
+class UnreadAnswerTests(SidecarTestCase):
+    """Callers that send on and on must not keep out one that reads its answers."""
+
+    def test_callers_that_send_on_without_reading_use_up_nothing(self):
+        sidecar = self.start(memory_mb=MEMORY_MB, max_fds=MAX_DESCRIPTORS)
+        sidecar.server.script = LongAnswers()
+        crowd = Crowd(self, sidecar)
+
+        def behave(sock):
+            sock.settimeout(SEND_TIMEOUT_S)
+            send_all(sock, build_head("GET", "X-Long: 1"), SEND_ON_BYTES)
+
+        crowd.add(behave, SENDERS)
+        self.assert_serves(sidecar)
+        self.check_crowd(sidecar, crowd)
+
+
 class KernelBufferTests(SidecarTestCase):
     """What lies in the buffers of sockets must be bounded as well."""
 
