Let go of a request whose response waits for its reader

The reservation of a response referred to the exchange and so to the body of the request for as long as a caller read the answer; now only until the body is whole. A connection that fails while its request arrives is left to a worker in place of an error in the loop. Both were found in reading the diff.

--- a/persimmonlane/serving/arrivals.py
+++ b/persimmonlane/serving/arrivals.py
@@ -65,7 +65,12 @@
         Args:
             now: Time in seconds.
         """
-        size = count_available(self.conn.socket)
+        try:
+            size = count_available(self.conn.socket)
+        except (OSError, ValueError):
+            # The connection has failed or was closed; a worker ends it.
+            self.is_whole = True
+            return
         if size == self._size:
             return
         self._size = size
--- a/persimmonlane/serving/memory.py
+++ b/persimmonlane/serving/memory.py
@@ -141,6 +141,14 @@
             return False
         return room.wait(lambda: self.extend_to(size), self._is_request, self._check)
 
+    def settle(self):
+        """Note that the body is whole: no more room is awaited.
+
+        The check refers to the exchange and its request, and the reservation lives as
+        long as the body.
+        """
+        self._check = None
+
     def _exceeds_limit(self, size):
         """Return whether a request is too large even if nothing else is held."""
         limit = self._account.request_limit_bytes
--- a/persimmonlane/serving/responses.py
+++ b/persimmonlane/serving/responses.py
@@ -91,6 +91,7 @@
             self.will_close |= announces_body(response)
         else:
             body = self._read_body(response, reservation)
+        reservation.settle()
         headers = [Header(*item) for item in response.getheaders()]
         return CompleteResponse(response.status, headers, body, reservation)
 
--- a/persimmonlane/serving/tests/test_arrivals.py
+++ b/persimmonlane/serving/tests/test_arrivals.py
@@ -66,6 +66,12 @@
         lines = b"Content-Length: 3\r\nExpect: 100-continue\r\n\r\n"
         self.assertTrue(self.see(HEAD + lines).is_whole)
 
+    def test_connection_that_has_failed_is_left_to_a_worker(self):
+        arrival = self.see(HEAD)
+        self.conn.socket.close()
+        arrival.update(6.0)
+        self.assertTrue(arrival.is_whole)
+
     def test_long_body_is_never_whole_before_it_is_read(self):
         arrival = self.see(HEAD + b"Content-Length: %d\r\n\r\n" % PEEK_BYTES)
         self.assertTrue(arrival.is_long)
--- a/persimmonlane/serving/tests/test_room.py
+++ b/persimmonlane/serving/tests/test_room.py
@@ -1,3 +1,6 @@
+import gc
+import weakref
+
 import testtools
 
 from ...clocks import ManualClock
@@ -84,6 +87,15 @@
         first.release()
         self.assertTrue(response.await_room(MAX_BODY_BYTES))
 
+    def test_body_that_is_whole_does_not_keep_the_request(self):
+        exchange = RoomTests("run")
+        reference = weakref.ref(exchange)
+        response = MemoryReservation(self.account, check=exchange.fail)
+        del exchange
+        response.settle()
+        gc.collect()
+        self.assertIsNone(reference())
+
     def collect_crowded(self, count, check):
         """Return whether there is a crowd while 1, 2 and more responses wait."""
         crowded = []
