--- a/persimmonlane/serving/gateways.py
+++ b/persimmonlane/serving/gateways.py
@@ -267,7 +267,12 @@
         if answer.status not in (204, 304):
             headers.append(build_length_header(request, answer))
         left_s = request.deadline - node.clock.now()
-        self.write(answer.status, headers, answer.body, left_s)
+        try:
+            self.write(answer.status, headers, answer.body, left_s)
+        finally:
+            # A traceback may keep the answer alive; its memory is returned once it is
+            # sent.
+            answer.release()
 
     def _check_long_answers(self, route, organisation):
         """Refuse a request whose answer could have no room, and close its connection.
@@ -368,7 +373,10 @@
             report = owner.status.report(Verdict.RAN, route=order.route)
             headers = drop_hop_by_hop(answer.headers)
             headers = [h for h in headers if h.name.lower() != "content-length"]
-            self._write(order, report, answer.status, headers, answer.body)
+            try:
+                self._write(order, report, answer.status, headers, answer.body)
+            finally:
+                answer.release()
 
     def _run(self, order, arrived_at):
         rulebook = self.node.documents.rulebook
--- a/persimmonlane/serving/responses.py
+++ b/persimmonlane/serving/responses.py
@@ -32,6 +32,11 @@
         self.body = body
         self.reservation = reservation
 
+    def release(self):
+        """Let go of the body, which whoever still writes it refers to."""
+        self.body = b""
+        self.reservation = None
+
 
 class ResponseReader:
     """Reads the responses that arrive for one request.
