--- a/persimmonlane/serving/arrivals.py
+++ b/persimmonlane/serving/arrivals.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import fcntl
+import logging
 import re
 import socket
 import struct
@@ -12,6 +13,8 @@
 from .answers import ROOM_RETRY_AFTER_S, encode_refusal
 from .stalls import MIN_STALL_S
 
+log = logging.getLogger("persimmonlane.serving")
+
 HEAD_END = b"\r\n\r\n"
 LENGTH_RE = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]{1,15})[ \t]*\r\n", re.I)
 CHUNKED_RE = re.compile(rb"\r\ntransfer-encoding:", re.I)
@@ -195,6 +198,11 @@
         conn = arrival.conn
         if self._arrivals.pop(conn, None) is None:
             return
+        log.warning(
+            "Serving: refused a request that did not arrive: %s.",
+            refusal.message,
+            extra={"event": refusal.code},
+        )
         with contextlib.suppress(OSError):
             conn.wfile.write(encode_refusal(refusal))
             # Bytes that are left unread would reset the connection before the caller
