Trace the upload test that failed once to its own server

Cause: the test's server ends its output and closes in two steps, and its thread was held up between them; by then the kernel had acknowledged the whole short body, so that nothing told the server from one that half-closes and reads on, whose response is complete. Shown by a pause between the steps: refused at 0, 3 and 20 ms, 200 from 50 ms on. Change: the test's server has a small receive buffer, so that most of the body is not acknowledged, as with a process that ends while it is sent a body; with a pause of 0.1 s as a further row, which the old set-up fails.

--- a/persimmonlane/serving/tests/rawserver.py
+++ b/persimmonlane/serving/tests/rawserver.py
@@ -17,19 +17,23 @@
         errors: What the handlers raised.
     """
 
-    def __init__(self, test, handle, address="127.0.0.1:0"):
+    def __init__(self, test, handle, address="127.0.0.1:0", buffer_bytes=None):
         """Start to serve.
 
         Args:
             test: The test case; the server ends with it.
             handle: Callable that serves one connection, a socket.
             address: Address to bind, as `host:port`.
+            buffer_bytes: Size of its receive buffers; the system's own if None.
         """
         host, port = address.rsplit(":", 1)
         self.errors = []
         self._handle = handle
         self._connections = []
         self._socket = socket.create_server((host, int(port)))
+        if buffer_bytes is not None:
+            # Connections inherit it when they are accepted.
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
         self.address = f"{host}:{self._socket.getsockname()[1]}"
         test.addCleanup(self.stop)
         threading.Thread(target=self._accept, daemon=True).start()
--- a/persimmonlane/serving/tests/test_partial_responses.py
+++ b/persimmonlane/serving/tests/test_partial_responses.py
@@ -20,6 +20,10 @@
 SHORT_UPLOAD = b"u" * 100_000
 # Time in which the bytes of a response arrive before the connection is reset.
 ARRIVAL_S = 0.2
+# Time between the end of a server's output and its reset.
+RESET_PAUSE_S = 0.1
+# Receive buffer that leaves most of a short body with the sender.
+SMALL_BUFFER_BYTES = 4096
 WRONG_STATUSES = (
     "000",
     "0",
@@ -55,7 +59,7 @@
         return handle
 
     @staticmethod
-    def close_after_reading(data, read_bytes):
+    def close_after_reading(data, read_bytes, pause_s=0.0):
         """Close without unread input: the end of the connection precedes its reset."""
 
         def handle(connection):
@@ -65,6 +69,7 @@
                 size += len(connection.recv(read_bytes - size))
             connection.sendall(data)
             connection.shutdown(socket.SHUT_WR)
+            time.sleep(pause_s)
             connection.close()
 
         return handle
@@ -102,8 +107,8 @@
 class PartialResponseTests(ExchangeTestCase):
     """Against responses that end early or are none, beside the owner's exchange."""
 
-    def run_exchange(self, handle, **changes):
-        server = RawServer(self, handle)
+    def run_exchange(self, handle, buffer_bytes=None, **changes):
+        server = RawServer(self, handle, buffer_bytes=buffer_bytes)
         changes.setdefault("deadline", self.clock.now() + 6.0)
         return self.create_exchange(server.address, **changes).run()
 
@@ -159,14 +164,25 @@
         self.assertEqual((413, b"big"), (response.status, response.body))
 
     def test_connection_that_is_closed_halfway_through_an_upload(self):
-        for body, read_bytes in (
-            (UPLOAD, 0),
-            (UPLOAD, 300_000),
-            (SHORT_UPLOAD, 5_000),
+        # Once all of a body is acknowledged, a server that ends its output and pauses
+        # before it closes can't be told from one that has read the whole body.
+        for body, read_bytes, pause_s in (
+            (UPLOAD, 0, 0.0),
+            (UPLOAD, 300_000, 0.0),
+            (SHORT_UPLOAD, 5_000, 0.0),
+            (SHORT_UPLOAD, 5_000, RESET_PAUSE_S),
         ):
-            handle = Handlers.close_after_reading(build_head() + b"part", read_bytes)
-            place = f"{read_bytes} of {len(body)}"
-            self.assert_rejected(handle, place, method="POST", body=body)
+            handle = Handlers.close_after_reading(
+                build_head() + b"part", read_bytes, pause_s
+            )
+            place = f"{read_bytes} of {len(body)}, pause of {pause_s} s"
+            self.assert_rejected(
+                handle,
+                place,
+                method="POST",
+                body=body,
+                buffer_bytes=SMALL_BUFFER_BYTES,
+            )
 
     def test_early_response_with_a_length_that_is_closed_halfway(self):
         handle = Handlers.send(build_head("200 OK", "Content-Length: 9") + b"part")
