Find routes whose host or prefix is not ASCII

Change: a document's hosts and prefixes are kept in the form in which they are sent. Evidence: the new test fails on the parent (404) and passes here.

--- a/persimmonlane/platform/documents.py
+++ b/persimmonlane/platform/documents.py
@@ -4,6 +4,9 @@
 documents.
 """
 
+import logging
+import string
+import urllib.parse
 from typing import Annotated
 
 import msgspec
@@ -22,6 +25,8 @@
 )
 from .headers import encode_name
 
+log = logging.getLogger("persimmonlane.platform")
+
 # Key of the document in the store, and the prefix under which it is watched.
 DOCUMENT_KEY = "op/config"
 DOCUMENT_PREFIX = "op/"
@@ -235,6 +240,17 @@
         ) from error
 
 
+def encode_host(host):
+    """Return a host in the form in which callers send it, which is ASCII."""
+    if host.isascii():
+        return host
+    try:
+        return host.encode("idna").decode("ascii")
+    except UnicodeError as error:
+        log.warning("Platform: host %r has no form in ASCII: %s.", host, error)
+        return host
+
+
 def build_route(name, spec):
     """Build a `Route` from its name and `RouteSpec`."""
     services = [
@@ -245,8 +261,8 @@
         services = [WeightedService(spec.service, 1.0)]
     return Route(
         name=name,
-        host=normalise_host(spec.host),
-        prefix=spec.prefix,
+        host=encode_host(normalise_host(spec.host)),
+        prefix=urllib.parse.quote(spec.prefix, safe=string.printable),
         kind=spec.kind,
         services=services,
         timeout_s=spec.timeout_s,
--- a/persimmonlane/tests/test_names.py
+++ b/persimmonlane/tests/test_names.py
@@ -1,4 +1,5 @@
 import json
+import urllib.parse
 
 import testtools
 
@@ -9,6 +10,8 @@
 TENANT = "crédit-信用"
 API_KEY = "clé-鍵"
 LATIN_KEY = "clé"
+HOST = "réservation.example"
+PREFIX = "/予約/"
 
 
 class NameTests(testtools.TestCase):
@@ -34,6 +37,16 @@
         headers = {"X-Credential": LATIN_KEY[:-1].encode()}
         self.assertEqual(401, site.call("/far/", headers=headers).status)
 
+    def test_route_whose_host_and_prefix_are_not_ascii_is_found(self):
+        # Callers send such a host in punycode and such a path percent-encoded.
+        site = Site(self)
+        self.assertTrue(wait_until(site.is_converged))
+        changes = {"Host": HOST, "Prefix": PREFIX}
+        self.put(site, lambda rows: rows["r-far"]["Spec"].update(changes))
+        headers = {"Host": HOST.encode("idna")}
+        answer = site.call(urllib.parse.quote(PREFIX) + "x", headers=headers)
+        self.assertEqual(200, answer.status)
+
     def test_route_and_tenant_whose_names_are_not_ascii_are_served(self):
         site = Site(self)
         self.assertTrue(wait_until(site.is_converged))
