Keep slow bodies from all workers, however they are framed

Clients that send on slowly could take every worker, so that ordinary callers got no answer in 60 s. Cause: some requests counted as whole, or got a worker unasked, before they were: chunked bodies whose data ends like a body, bodies that await a first answer (Expect), heads longer than what is looked at, and what follows another request on a connection. Change: chunks are followed from line to line; the others count as long, so that a quarter of the workers stays free of them; a request that follows waits in the queue like any other. test_body_that_awaits_a_first_answer_counts_as_whole asked for the fault; it is replaced by a test that it counts as long, and as whole with its last byte.

--- a/persimmonlane/serving/arrivals.py
+++ b/persimmonlane/serving/arrivals.py
@@ -19,6 +19,9 @@
 LENGTH_RE = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]{1,15})[ \t]*\r\n", re.I)
 CHUNKED_RE = re.compile(rb"\r\ntransfer-encoding:", re.I)
 EXPECT_RE = re.compile(rb"\r\nexpect:", re.I)
+# Matches all lines that the reader of chunked bodies accepts.
+CHUNK_LINE_RE = re.compile(rb"\s*([0-9A-Fa-f]{1,16})[^\n]*\n")
+CHUNK_END_BYTES = 2
 # Of what a receive buffer holds; a request that is longer is never whole in it.
 PEEK_BYTES = 32 * 1024
 # While more of the workers are busy, only requests that are whole get one.
@@ -30,12 +33,12 @@
 
 
 class Arrival:
-    """A request in the receive buffer of a connection; no byte of it has been read.
+    """A request in the buffers of a connection, which no worker has begun to read.
 
     Attributes:
         conn: The connection.
-        is_whole: Whether all of it has arrived, or a worker must read what is there.
-        is_long: Whether it can't be whole before a worker reads it.
+        is_whole: Whether all of it has arrived, or a worker can refuse what is there.
+        is_long: Whether it can't be whole before a worker reads it or asks for it.
         has_head: Whether its head has arrived.
         began_at: Time in seconds at which it was seen first.
         changed_at: Time in seconds at which bytes were seen to arrive last.
@@ -48,15 +51,30 @@
         "has_head",
         "began_at",
         "changed_at",
+        "_first",
         "_size",
         "_needed",
+        "_chunk_at",
+        "_is_full",
     )
 
-    def __init__(self, conn, now):
+    def __init__(self, conn, now, first=b""):
+        """Create an `Arrival` and look at what has arrived.
+
+        Args:
+            conn: The connection.
+            now: Time in seconds.
+            first: First bytes of the request, which were read behind another one.
+        """
         self.conn = conn
         self.is_whole = self.is_long = self.has_head = False
         self.began_at = self.changed_at = now
+        self._first = first
         self._size = 0
+        # Position behind the chunks that have arrived; 0 before the head has arrived.
+        self._chunk_at = 0
+        # Whether as much has arrived as is looked at.
+        self._is_full = False
         # Size of the whole request in bytes; 0 before its head has arrived, and for a
         # body without a length.
         self._needed = 0
@@ -69,7 +87,7 @@
             now: Time in seconds.
         """
         try:
-            size = count_available(self.conn.socket)
+            size = len(self._first) + count_available(self.conn.socket)
         except (OSError, ValueError):
             # The connection has failed or was closed; a worker ends it.
             self.is_whole = True
@@ -78,35 +96,60 @@
             return
         self._size = size
         self.changed_at = now
-        if not self._needed:
+        if self._needed:
+            self.is_whole = size >= self._needed
+        elif not self._is_full:
             self._examine()
-        elif size >= self._needed:
-            self.is_whole = True
 
     def _examine(self):
         try:
-            data = self.conn.socket.recv(PEEK_BYTES, socket.MSG_PEEK)
+            received = self.conn.socket.recv(PEEK_BYTES, socket.MSG_PEEK)
+        except BlockingIOError:
+            received = b""
         except OSError:
             self.is_whole = True
             return
-        head, end, rest = data.partition(HEAD_END)
+        data = self._first + received
+        self._is_full = len(received) >= PEEK_BYTES
+        head, end, _ = data.partition(HEAD_END)
         if not end:
-            self.is_whole = len(data) >= PEEK_BYTES
+            self.is_long = self._is_full
             return
         self.has_head = True
         lines = head + b"\r\n"
         length = LENGTH_RE.search(lines)
-        if EXPECT_RE.search(lines):
-            self.is_whole = True
-        elif CHUNKED_RE.search(lines):
-            self.is_whole = rest.endswith(HEAD_END)
-            self.is_long = len(data) >= PEEK_BYTES
-        elif length is None:
-            self.is_whole = True
-        else:
+        if CHUNKED_RE.search(lines):
+            self._chunk_at = self._chunk_at or len(head) + len(end)
+            self.is_whole = self._follow_chunks(data)
+            limit = len(self._first) + PEEK_BYTES
+            self.is_long = self._is_full or self._chunk_at > limit
+        elif length is not None:
             self._needed = len(head) + len(end) + int(length[1])
             self.is_whole = self._size >= self._needed
-            self.is_long = self._needed > PEEK_BYTES
+            self.is_long = self._needed > len(self._first) + PEEK_BYTES
+        else:
+            self.is_whole = True
+        if EXPECT_RE.search(lines):
+            self.is_long = True
+
+    def _follow_chunks(self, data):
+        """Go on to the first chunk that is not there; return whether there is none.
+
+        Malformed chunks count as whole, since a worker refuses them at once.
+
+        Args:
+            data: All bytes that have arrived.
+        """
+        while self._chunk_at < len(data):
+            line = CHUNK_LINE_RE.match(data, self._chunk_at)
+            if line is None:
+                return b"\n" in data[self._chunk_at :]
+            size = int(line[1], 16)
+            if not size:
+                # The trailers end with an empty line, which may follow at once.
+                return data.find(HEAD_END, line.end() - CHUNK_END_BYTES) >= 0
+            self._chunk_at = line.end() + size + CHUNK_END_BYTES
+        return False
 
 
 class ArrivalQueue:
@@ -138,15 +181,23 @@
 
     def begin(self, conn):
         """Hand a connection to the workers, or wait until its request is whole."""
-        requests = self._server.requests
-        if requests.load < WHOLE_ONLY_LOAD:
-            requests.put(conn)
-            return
-        arrival = Arrival(conn, time.monotonic())
+        if self.admit(conn):
+            self._server.requests.put(conn)
+
+    def admit(self, conn, first=b""):
+        """Return whether a connection may have a worker; if not, it waits here.
+
+        Args:
+            conn: The connection.
+            first: First bytes of its request, which were read behind another one.
+        """
+        if self._server.requests.load < WHOLE_ONLY_LOAD:
+            return True
+        arrival = Arrival(conn, time.monotonic(), first)
         if self._is_due(arrival):
-            requests.put(conn)
-        else:
-            self._arrivals[conn] = arrival
+            return True
+        self._arrivals[conn] = arrival
+        return False
 
     def check(self):
         """Hand over the requests that are due, and refuse those that are late."""
--- a/persimmonlane/serving/inbound.py
+++ b/persimmonlane/serving/inbound.py
@@ -124,11 +124,11 @@
         """Make an active connection idle after an answer.
 
         Returns:
-            Whether its next request has already arrived, so that it stays active.
+            Whether its next request has begun to arrive and may have the worker.
         """
         conn.socket.settimeout(0)
-        if conn.rfile.has_data():
-            return True
+        if first := conn.rfile.peek_arrived():
+            return self._stopped or self._arriving.admit(conn, first)
         with self._lock:
             if not self._stopped:
                 self._register(conn, self._keep_alive)
--- a/persimmonlane/serving/servers.py
+++ b/persimmonlane/serving/servers.py
@@ -267,7 +267,7 @@
         self.requests.stop(STOP_WAIT_S)
 
     def _serve_conn(self, conn):
-        """Serve one request; return whether the next one has already arrived."""
+        """Serve one request; return whether the next one may have the worker."""
         try:
             is_kept = conn.communicate()
             if conn.wfile.is_pending:
--- a/persimmonlane/serving/streams.py
+++ b/persimmonlane/serving/streams.py
@@ -67,14 +67,14 @@
         """Set the monotonic time at which reads stop waiting; None for no deadline."""
         self.raw.deadline = deadline
 
-    def has_data(self):
-        """Return whether data that was not read yet has arrived."""
+    def peek_arrived(self):
+        """Return bytes that have arrived and were not read yet, without waiting."""
         timeout = self._socket.gettimeout()
         self._socket.setblocking(False)
         try:
-            return bool(self.peek(1))
+            return self.peek(1)
         except OSError:
-            return False
+            return b""
         finally:
             self._socket.settimeout(timeout)
 
--- a/persimmonlane/serving/tests/test_arrivals.py
+++ b/persimmonlane/serving/tests/test_arrivals.py
@@ -14,6 +14,7 @@
 WORKERS = 4
 # More than the workers.
 SLOW_CLIENTS = 12
+FIRST_REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
 
 
@@ -62,9 +63,56 @@
         arrival.update(6.0)
         self.assertTrue(arrival.is_whole)
 
-    def test_body_that_awaits_a_first_answer_counts_as_whole(self):
+    def test_chunks_are_not_whole_because_their_data_ends_like_a_body(self):
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        for data in (b"4\r\n\r\n\r\n\r\n", b"9\r\n0\r\n\r\n", b"0;x=\r\nA: b\r\n"):
+            self.assertFalse(self.see(head + data).is_whole, data)
+            self.conn.socket.recv(PEEK_BYTES)
+
+    def test_chunked_body_with_trailers_is_whole_with_its_empty_line(self):
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        arrival = self.see(head + b"3 ; x\r\nabc\r\n0\r\nA: b\r\n")
+        self.assertFalse(arrival.is_whole)
+        self.client.sendall(b"\r\n")
+        arrival.update(6.0)
+        self.assertTrue(arrival.is_whole)
+
+    def test_malformed_chunk_is_left_to_a_worker(self):
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        self.assertTrue(self.see(head + b"x\r\n").is_whole)
+
+    def test_chunk_that_no_buffer_holds_is_long(self):
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        arrival = self.see(head + b"fffff\r\n")
+        self.assertTrue(arrival.is_long)
+        self.assertFalse(arrival.is_whole)
+
+    def test_body_that_awaits_a_first_answer_counts_as_long(self):
+        # It never is whole before a worker asks for it, and any client can send such.
         lines = b"Content-Length: 3\r\nExpect: 100-continue\r\n\r\n"
-        self.assertTrue(self.see(HEAD + lines).is_whole)
+        arrival = self.see(HEAD + lines)
+        self.assertTrue(arrival.is_long)
+        self.assertFalse(arrival.is_whole)
+        self.client.sendall(b"abc")
+        arrival.update(6.0)
+        self.assertTrue(arrival.is_whole)
+
+    def test_head_that_no_buffer_holds_is_long(self):
+        arrival = self.see(HEAD + b"A: " + b"a" * PEEK_BYTES)
+        self.assertTrue(arrival.is_long)
+        self.assertFalse(arrival.is_whole)
+
+    def test_request_that_was_read_in_part_behind_another_one(self):
+        self.client.sendall(b"Content-Length: 3\r\n\r\nab")
+        arrival = Arrival(self.conn, 5.0, HEAD)
+        self.assertTrue(arrival.has_head)
+        self.assertFalse(arrival.is_whole)
+        self.client.sendall(b"c")
+        arrival.update(6.0)
+        self.assertTrue(arrival.is_whole)
+
+    def test_request_that_was_read_as_a_whole_behind_another_one(self):
+        self.assertTrue(Arrival(self.conn, 5.0, HEAD + b"\r\n").is_whole)
 
     def test_connection_that_has_failed_is_left_to_a_worker(self):
         arrival = self.see(HEAD)
@@ -114,6 +162,18 @@
             sock.sendall(b"d")
             self.assertTrue(read_all(sock).endswith(b"\r\n\r\nabd"))
 
+    def test_callers_that_pause_behind_a_whole_request_are_served_beside_others(self):
+        start = HEAD + b"Content-Length: 3\r\n\r\nab"
+        slow = [self.connect(FIRST_REQUEST + start) for _ in range(SLOW_CLIENTS)]
+        time.sleep(PAUSE_S)
+        whole = read_all(self.connect(start + b"c"))
+        self.assertTrue(whole.endswith(b"\r\n\r\nabc"))
+        for sock in slow:
+            sock.sendall(b"d")
+            answers = read_all(sock)
+            self.assertEqual(2, answers.count(b" 200 OK"))
+            self.assertTrue(answers.endswith(b"\r\n\r\nabd"))
+
     def test_request_whose_head_does_not_come_is_refused(self):
         self.server.header_timeout_s = 0.3
         slow = [self.connect(HEAD) for _ in range(SLOW_CLIENTS)]
