Count what lies in the kernel for the backend server as well

A body that the backend server doesn't read lies in the account and in the kernel's send buffer, which nothing bounds but the number of requests that the server has at once. Change: the tests of crowds count the sockets to the backend server, and one sends bodies to a server that reads late. The seeded clients' test says what an ordinary call was answered.

--- a/persimmonlane/tests/crowds.py
+++ b/persimmonlane/tests/crowds.py
@@ -62,24 +62,31 @@
     return len(os.listdir(f"/proc/{pid}/fd"))
 
 
-def count_buffered_bytes(addresses):
-    """Return the bytes in the kernel's buffers of the sockets at some addresses.
+def count_buffered_bytes(addresses, peers):
+    """Return the bytes in the kernel's buffers of some sockets.
 
     Args:
-        addresses: Local addresses, as pairs of host and port.
+        addresses: Their local addresses, as pairs of host and port.
+        peers: Addresses of the other sides of further sockets.
     """
-    names = {
-        f"{int.from_bytes(socket.inet_aton(host), sys.byteorder):08X}:{port:04X}"
-        for host, port in addresses
-    }
+    names = encode_addresses(addresses)
+    peer_names = encode_addresses(peers)
     total = 0
     for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        _, local, _, state, queues, *_ = line.split()
-        if local in names and state != LISTEN_STATE:
+        _, local, peer, state, queues, *_ = line.split()
+        if (local in names or peer in peer_names) and state != LISTEN_STATE:
             total += sum(int(queue, 16) for queue in queues.split(":"))
     return total
 
 
+def encode_addresses(addresses):
+    """Return the names of addresses in /proc/net/tcp."""
+    return {
+        f"{int.from_bytes(socket.inet_aton(host), sys.byteorder):08X}:{port:04X}"
+        for host, port in addresses
+    }
+
+
 class SidecarProcess:
     """A `persimmon-sidecar` beside stand-ins of the store and of a backend server.
 
@@ -88,6 +95,7 @@
         server: The `BackendStandin`, which keeps only the last request.
         address: Address for callers, as host and port.
         peer_address: Address for other nodes, as host and port.
+        server_address: Address of the backend server, as host and port.
         peak_descriptors: Most descriptors that were open at once, as sampled.
         peak_bytes: Most memory that was in use at once, with what lay in the buffers
             of its sockets, as sampled.
@@ -101,6 +109,7 @@
         host, port = ports[1].rsplit(":", 1)
         self.address = host, int(port)
         self.peer_address = host, int(ports[0].rsplit(":", 1)[1])
+        self.server_address = host, int(ports[4].rsplit(":", 1)[1])
         self.store = StoreStandin()
         self.store.start()
         test.addCleanup(self.store.stop)
@@ -165,7 +174,9 @@
                 count = count_descriptors(self.process.pid)
                 self.peak_descriptors = max(self.peak_descriptors, count)
                 size = read_status_bytes(self.process.pid, "VmRSS")
-                size += count_buffered_bytes([self.address, self.peer_address])
+                size += count_buffered_bytes(
+                    [self.address, self.peer_address], [self.server_address]
+                )
                 self.peak_bytes = max(self.peak_bytes, size)
             time.sleep(SAMPLE_INTERVAL_S)
 
--- a/persimmonlane/tests/test_client_holdings.py
+++ b/persimmonlane/tests/test_client_holdings.py
@@ -41,6 +41,10 @@
 KERNEL_READERS = 80
 # Shorter than what the kernel would take of an answer that is not read.
 KERNEL_ANSWER_BYTES = 2 * MIB
+# A body of which the kernel would take most while the backend server doesn't read.
+UNREAD_BODY_BYTES = 3 * MIB
+UNREAD_S = 3.0
+UPLOADERS = 60
 MANY_DESCRIPTORS = 4100
 PEER_CONNECTIONS = 1000
 PEER_BYTES = 60 * 1024
@@ -127,6 +131,23 @@
         self.assert_bounded(sidecar, MEMORY_MB, MANY_DESCRIPTORS)
         self.assert_buffers_bounded(sidecar, MEMORY_MB)
 
+    def test_bodies_that_the_backend_server_does_not_read_use_up_no_memory(self):
+        sidecar = self.start(memory_mb=MEMORY_MB, max_fds=MANY_DESCRIPTORS)
+        sidecar.server.script = Script(unread_s=UNREAD_S)
+        crowd = Crowd(self, sidecar)
+        head = build_head("POST", f"Content-Length: {UNREAD_BODY_BYTES}")
+
+        def behave(sock):
+            sock.sendall(head)
+            send_all(sock, bytes(PIECE_BYTES), UNREAD_BODY_BYTES)
+            receive_all(sock)
+
+        crowd.add(behave, UPLOADERS)
+        crowd.join()
+        self.assert_serves(sidecar)
+        self.assert_bounded(sidecar, MEMORY_MB, MANY_DESCRIPTORS)
+        self.assert_buffers_bounded(sidecar, MEMORY_MB)
+
     def test_connections_for_other_nodes_use_up_no_memory_of_the_kernel(self):
         sidecar = self.start(memory_mb=SMALL_MEMORY_MB, max_fds=MANY_DESCRIPTORS)
         crowd = Crowd(self, sidecar, sidecar.peer_address)
--- a/persimmonlane/tests/test_seeded_clients.py
+++ b/persimmonlane/tests/test_seeded_clients.py
@@ -137,7 +137,8 @@
         for seed in range(first, last + 1):
             self.play(site, seed)
             self.assertTrue(wait_until(lambda: self.is_at_rest(site)), f"seed {seed}")
-            self.assertEqual(200, site.call("/near/").status, f"seed {seed}")
+            answer = site.call("/near/")
+            self.assertEqual(200, answer.status, f"seed {seed}: {answer.data[:200]}")
             self.assertEqual([], errors.messages, f"seed {seed}")
 
     def play(self, site, seed):
