--- a/persimmonlane/peers/rates.py
+++ b/persimmonlane/peers/rates.py
@@ -12,22 +12,14 @@
 from .handover import HandoverReceiver, HandoverSender
 from .messages import LoanRequest, LoanResponse, RateRequest
 from .ratestate import AloneCount, AskedNode, Borrowed
+from .reach import ReachCounter
 
-# News of a data centre that are older don't show that it is still in reach.
-REACH_S = 3.3
-COUNT_INTERVAL_S = 0.25
-# A node of this data centre whose last echo is of an older message may not hear this
-# one, and look for another holder. An echo takes two rounds, or three with a loss.
-HEARD_S = 3.6
-# For this long after the start of a process, an echo can't be expected.
-FIRST_ECHO_S = 1.5
+GROUP_INTERVAL_S = 0.25
 # A node announces itself each second, and others drop it 2.6 s after the last time.
 # After a longer pause of this process another node may have held the rates.
 MAX_PAUSE_S = 1.6
 # Handovers that arrive this soon after such a pause may have waited for its end.
 LATE_HANDOVER_S = 3.0
-# A node that left in good order grants nothing. It is missed once it doesn't return.
-RETURN_S = 8.0
 # After this answer a borrower asks again soon, by when views of the fleet agree.
 RETRY_WAIT_S = 0.3
 MAX_WAITING = 1000
@@ -55,10 +47,8 @@
         "_grouped_at",
         "_groups",
         "_has_older_nodes",
-        "_reach_counted_at",
-        "_reachable",
+        "_reach",
         "_is_leaving",
-        "_started_at",
         "_active_at",
         "_resumed_at",
         "_handovers",
@@ -94,10 +84,9 @@
         self._grouped_at = float("-inf")
         self._groups = {}
         self._has_older_nodes = False
-        self._reach_counted_at = float("-inf")
-        self._reachable = 1
+        self._reach = ReachCounter(settings.data_centre, clock, table)
         self._is_leaving = False
-        self._started_at = self._active_at = clock.now()
+        self._active_at = clock.now()
         self._resumed_at = float("-inf")
         self._handovers = HandoverSender(boot)
         self._received = HandoverReceiver(boot)
@@ -150,7 +139,7 @@
             offer = self._limiter.lend(
                 organisation,
                 request,
-                self._count_reachable(),
+                self._reach.count(),
                 self._table.count_members(),
             )
         if offer is not None:
@@ -183,7 +172,7 @@
             is_late = self._clock.now() - self._resumed_at < LATE_HANDOVER_S
             if not self._received.is_first(handover) or is_late:
                 return
-            self._reach_counted_at = float("-inf")
+            self._reach.reset()
             for entry in handover.entries:
                 organisation = self._find_organisation(entry.organisation)
                 if organisation is not None:
@@ -201,7 +190,7 @@
         self._limiter.accept(
             organisation,
             tokens,
-            self._count_reachable(),
+            self._reach.count(),
             self._table.count_members(),
         )
 
@@ -347,7 +336,7 @@
         with self._lock:
             if lender is None:
                 wait_s = self._limiter.decide(
-                    organisation, self._count_reachable(), self._table.count_members()
+                    organisation, self._reach.count(), self._table.count_members()
                 )
             else:
                 wait_s = self._decide_borrowed(organisation, reply, lender)
@@ -513,7 +502,7 @@
             self._resumed_at = now
             self._limiter.distrust()
         self._active_at = now
-        if live is self._live and now - self._grouped_at < COUNT_INTERVAL_S:
+        if live is self._live and now - self._grouped_at < GROUP_INTERVAL_S:
             return
         self._live = live
         self._grouped_at = now
@@ -524,46 +513,5 @@
                 self._groups.setdefault(peer.data_centre, []).append(peer)
         self._has_older_nodes = not all(peer.accepts_digests for peer in live)
 
-    def _count_reachable(self):
-        """Return the number of nodes that are live and in reach, with this one.
-
-        The nodes of a data centre of which there is no recent news don't count: this
-        node may be cut off, and they may grant their share by themselves.
-        """
-        now = self._clock.now()
-        if now - self._reach_counted_at < COUNT_INTERVAL_S:
-            return self._reachable
-        self._reach_counted_at = now
-        groups = {}
-        for peer in self._table.list_live():
-            groups.setdefault(peer.data_centre, []).append(peer)
-        self._reachable = 1 + self._count_stopped(now)
-        for data_centre, peers in groups.items():
-            newest = max(peer.heard_at for peer in peers)
-            if data_centre == self._settings.data_centre:
-                self._reachable += sum(self._is_heard_by(peer, now) for peer in peers)
-            elif now - newest < REACH_S:
-                self._reachable += len(peers)
-        return self._reachable
-
-    def _is_heard_by(self, peer, now):
-        """Return whether a `Peer` of this data centre has heard this node lately."""
-        is_new = now - max(self._started_at, peer.started_at) < FIRST_ECHO_S
-        if is_new or peer.announcement.leaving:
-            return True
-        latest = peer.announcement
-        sent_at = self._table.send_times.find(latest.echo, latest.echo_boot)
-        return sent_at is not None and now - sent_at < HEARD_S
-
-    def _count_stopped(self, now):
-        """Return the number of nodes that have just ended after a planned stop."""
-        return sum(
-            peer.announcement is not None
-            and peer.announcement.leaving
-            and not peer.is_live(now)
-            and now - peer.heard_at < RETURN_S
-            for peer in list(self._table.peers.values())
-        )
-
     def _send(self, host, message):
         self._transport.send((host, self._settings.gossip_port), message)
