--- a/persimmonlane/tests/crowds.py
+++ b/persimmonlane/tests/crowds.py
@@ -40,7 +40,6 @@
 CLIENT_TIMEOUT_S = 20.0
 RETRY_PAUSE_S = 0.2
 STOP_TIMEOUT_S = 10.0
-PIECE_BYTES = 256 * 1024
 LISTEN_STATE = "0A"
 
 # The lowered limits of the crowded processes.
@@ -252,13 +251,6 @@
     return True
 
 
-def receive_all(sock):
-    """Read until the other side ends or nothing comes any more."""
-    with contextlib.suppress(OSError):
-        while sock.recv(PIECE_BYTES):
-            pass
-
-
 class Crowd:
     """Clients that run at once, each with a connection that stays open."""
 
--- a/persimmonlane/tests/test_client_holdings.py
+++ b/persimmonlane/tests/test_client_holdings.py
@@ -13,16 +13,15 @@
 from ..routing.metadata import Order
 from ..serving.nodeheaders import ORDER_HEADER
 from ..standins.backend import Script
+from ..standins.clients import PIECE_BYTES, receive_all
 from .crowds import (
     MAX_DESCRIPTORS,
     MEMORY_MB,
     MIB,
-    PIECE_BYTES,
     RETRY_PAUSE_S,
     Crowd,
     SidecarTestCase,
     build_head,
-    receive_all,
     send_all,
 )
 from .test_uncontrolled_clients import LongAnswers
--- a/persimmonlane/tests/test_uncontrolled_clients.py
+++ b/persimmonlane/tests/test_uncontrolled_clients.py
@@ -8,16 +8,15 @@
 
 from ..platform.settings import LimitSettings
 from ..standins.backend import Script
+from ..standins.clients import PIECE_BYTES, receive_all
 from .crowds import (
     CHUNKED_HEAD,
     MAX_DESCRIPTORS,
     MEMORY_MB,
     MIB,
-    PIECE_BYTES,
     Crowd,
     SidecarTestCase,
     build_head,
-    receive_all,
     send_all,
 )
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -26,6 +26,7 @@
     *,
     vms: int | None = None,
     seconds: float = SECONDS,
+    crowd: int = 0,
     logs: pathlib.Path | None = None,
 ):
     """Run a soak test for each seed.
@@ -34,6 +35,7 @@
         seeds: A seed, or the first and the last one, such as 1-50.
         vms: Number of VMs; drawn from the seed by default.
         seconds: Duration of the load for each seed, in seconds.
+        crowd: Number of clients for each VM that misbehave beside the load.
         logs: Directory for the logs of failed seeds.
     """
     # Exit through SystemExit, so that the started nodes are stopped on SIGTERM too.
@@ -41,7 +43,7 @@
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     outcomes = []
     for seed in parse_seeds(seeds):
-        outcomes.append(run_seed(seed, vms, seconds, directory))
+        outcomes.append(run_seed(seed, vms, seconds, crowd, directory))
     print(describe_totals(outcomes))
     if all(outcome.is_clean() for outcome in outcomes):
         return EXIT_OK
@@ -64,18 +66,19 @@
         ) from error
 
 
-def run_seed(seed, vms, seconds, directory):
+def run_seed(seed, vms, seconds, crowd, directory):
     """Run one seed and print its result; return the `Outcome`.
 
     Args:
         seed: The seed.
         vms: Number of VMs, or None to draw it.
         seconds: Duration of the load in seconds.
+        crowd: Number of clients for each VM that misbehave.
         directory: Directory for the logs.
     """
     own = directory / f"seed-{seed}"
     own.mkdir(parents=True)
-    outcome = run_plan(draw_plan(seed, seconds, vms), own, Tolerance())
+    outcome = run_plan(draw_plan(seed, seconds, vms), own, Tolerance(), crowd)
     print(describe_outcome(outcome), flush=True)
     if outcome.is_clean():
         shutil.rmtree(own)
--- a/tools/soak/running.py
+++ b/tools/soak/running.py
@@ -5,6 +5,7 @@
 import time
 
 from .callers import Caller
+from .crowd import Crowd
 from .fleet import Fleet
 from .losses import (
     NOT_RUN_STATUSES,
@@ -85,13 +86,14 @@
     )
 
 
-def run_plan(plan, directory, tolerance):
+def run_plan(plan, directory, tolerance, crowd_size=0):
     """Execute a plan; return the `Outcome`.
 
     Args:
         plan: The `Plan`.
         directory: Directory for settings and logs.
         tolerance: The `Tolerance`.
+        crowd_size: Number of clients for each VM that misbehave.
     """
     fleet = Fleet(directory, plan, tolerance.kill_after_s)
     ended = threading.Event()
@@ -99,14 +101,17 @@
         Caller(number, plan, style, fleet, ended)
         for number, style in enumerate(plan.callers)
     ]
+    crowd = Crowd(plan, fleet, ended, crowd_size)
     try:
         fleet.start()
         for caller in callers:
             caller.start()
+        crowd.start()
         run_events(plan, fleet)
         ended.set()
         for caller in callers:
             caller.join()
+        crowd.join()
         fleet.check_processes()
     finally:
         ended.set()
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -12,13 +12,15 @@
 VMS = 3
 # Generous limits, as the machine may be busy with other tests.
 TOLERANCE = Tolerance(close_race_s=2.0, kill_after_s=60.0)
+CROWD_SIZE = 4
 
 
 class SoakTests(testtools.TestCase):
-    def soak(self, seed):
+    def soak(self, seed, crowd_size=0):
         with tempfile.TemporaryDirectory() as name:
             directory = pathlib.Path(name)
-            outcome = run_plan(draw_plan(seed, SECONDS, VMS), directory, TOLERANCE)
+            plan = draw_plan(seed, SECONDS, VMS)
+            outcome = run_plan(plan, directory, TOLERANCE, crowd_size)
             logs = sorted(directory.glob("*.log"))
             lines = [describe_finding(outcome, item, logs) for item in outcome.findings]
         self.assertEqual([], lines, "\n".join(lines))
@@ -33,3 +35,6 @@
 
     def test_seed_27(self):
         self.soak(27)
+
+    def test_seed_3_beside_clients_that_misbehave(self):
+        self.soak(3, CROWD_SIZE)
