Recognise backend servers whose identifier is not ASCII

Cause: the header's bytes were read as Latin-1, the identifier of the heartbeat as UTF-8. Change: identifiers in headers are read as UTF-8 where they are.

--- a/persimmonlane/platform/headers.py
+++ b/persimmonlane/platform/headers.py
@@ -88,6 +88,14 @@
     return name.encode("utf-8", "surrogatepass").decode("latin-1")
 
 
+def decode_name(value):
+    """Return the name in a header value; the value itself if it isn't UTF-8."""
+    try:
+        return value.encode("latin-1").decode()
+    except UnicodeError:
+        return value
+
+
 def is_stripped(name):
     """Return whether a caller's header is removed before the request is forwarded."""
     return name.lower() in STRIPPED
@@ -114,7 +122,7 @@
         status: HTTP status.
         headers: List of `Header`s.
     """
-    server_id = find_first(headers, INSTANCE)
+    server_id = decode_name(find_first(headers, INSTANCE))
     if find_first(headers, NOT_EXECUTED) or not server_id:
         return ServerStatement("", Condition.UNKNOWN)
     if status == HTTP_OK:
