--- a/persimmonlane/serving/arrivals.py
+++ b/persimmonlane/serving/arrivals.py
@@ -21,6 +21,7 @@
 EXPECT_RE = re.compile(rb"\r\nexpect:", re.I)
 # Matches all lines that the reader of chunked bodies accepts.
 CHUNK_LINE_RE = re.compile(rb"\s*([0-9A-Fa-f]{1,16})[^\n]*\n")
+# The line end behind the data of a chunk.
 CHUNK_END_BYTES = 2
 # Of what a receive buffer holds; a request that is longer is never whole in it.
 PEEK_BYTES = 32 * 1024
