End the connections of callers that leave before a worker has them

Above half load a request waits in its receive buffer; a caller that left within it kept its connection for up to IdleTimeoutS + 2 s, as only new bytes were looked for. Change: the queue also asks the kernel which callers have closed their sending side, and a worker ends those.

--- a/persimmonlane/serving/arrivals.py
+++ b/persimmonlane/serving/arrivals.py
@@ -4,6 +4,7 @@
 import fcntl
 import logging
 import re
+import select
 import socket
 import struct
 import termios
@@ -203,8 +204,12 @@
     def check(self):
         """Hand over the requests that are due, and refuse those that are late."""
         now = time.monotonic()
+        ended = self._find_ended()
         for conn, arrival in list(self._arrivals.items()):
             arrival.update(now)
+            if conn in ended:
+                # A worker finds what is missing, and ends the connection at once.
+                arrival.is_whole = True
             if self._is_due(arrival):
                 if self._arrivals.pop(conn, None) is not None:
                     self._server.requests.put(conn)
@@ -236,6 +241,17 @@
         for conn in list(self._arrivals):
             conn.close()
 
+    def _find_ended(self):
+        """Return the connections whose callers have left or send nothing more."""
+        poll = select.poll()
+        conns = {}
+        for conn in list(self._arrivals):
+            number = conn.socket.fileno()
+            if number >= 0:
+                conns[number] = conn
+                poll.register(number, select.POLLRDHUP)
+        return {conns[number] for number, _ in poll.poll(0)}
+
     def _is_due(self, arrival):
         limit = LONG_LOAD if arrival.is_long else WHOLE_ONLY_LOAD
         return arrival.is_whole or self._server.requests.load < limit
--- a/persimmonlane/serving/tests/test_arrivals.py
+++ b/persimmonlane/serving/tests/test_arrivals.py
@@ -4,6 +4,7 @@
 import cheroot.server
 import testtools
 
+from ...tests.test_sitenode import wait_until
 from ..arrivals import PEEK_BYTES, Arrival
 from ..servers import NodeHTTPServer
 from .scripted import read_all
@@ -174,6 +175,19 @@
             self.assertEqual(2, answers.count(b" 200 OK"))
             self.assertTrue(answers.endswith(b"\r\n\r\nabd"))
 
+    def test_callers_that_leave_within_a_body_keep_no_connection(self):
+        # No byte arrives with the end, so that nobody looked at the connection.
+        self.server.timeout = 10 * TIMEOUT_S
+        start = HEAD + b"Content-Length: 3\r\n\r\nab"
+        stay = [self.connect(start) for _ in range(WORKERS // 2)]
+        self.assertTrue(wait_until(lambda: self.server.requests.load >= 0.5))
+        leave = [self.connect(start) for _ in range(SLOW_CLIENTS)]
+        count = len(stay) + len(leave)
+        self.assertTrue(wait_until(lambda: self.server.count_open() == count))
+        for sock in leave:
+            sock.close()
+        self.assertTrue(wait_until(lambda: self.server.count_open() == len(stay)))
+
     def test_request_whose_head_does_not_come_is_refused(self):
         self.server.header_timeout_s = 0.3
         slow = [self.connect(HEAD) for _ in range(SLOW_CLIENTS)]
