Refuse answers whose head holds a line that is no field

Cause: http.client hands the lines of a head to a parser for e-mail, which stops at the first line that it takes for no field and drops the rest without an error. All checks behind it see only what is left. Callers' requests had a strict grammar of their own; answers had none.

Change: one grammar for both directions (httpgrammar.py). The lines of heads, interim ones included, are checked as http.client reads them, in the class that reads answers (strictresponses.py), so that no reader of answers can go without; check_framing has moved there for the same reason. A malformed answer is what it was before for other malformed ones: 502, may-have-run, evidence against the server, its connection closed.

Folds are refused and not unfolded: they can't be told from a field whose name begins with a blank, and may hide a length. Lines that end without a carriage return are served as before.

Requests: a line of blanks alone and a carriage return at the end of a value, which were passed over, are refused now as other such lines are.

--- /dev/null
+++ b/persimmonlane/httpgrammar.py
@@ -0,0 +1,38 @@
+"""Grammar of the lines of HTTP/1.1 messages, one for requests and responses.
+
+A line that it refuses could be read in two ways, here and by the next reader on the
+path, or hide the lines behind it. Lines may end without a carriage return (RFC 9112,
+2.2).
+"""
+
+import re
+
+EMPTY_LINES = (b"\r\n", b"\n")
+
+FIELD_NAME_RE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+# Apart from tabs, no control character has a place in a value: readers further on the
+# path may refuse it (RFC 9110, 5.5).
+CONTROL_CHARACTER_RE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
+
+def parse_field_line(line):
+    """Return the name and the value of a field of a head or a trailer, in bytes.
+
+    A folded line is refused, as it can't be told from a field whose name begins with a
+    blank.
+
+    Args:
+        line: The line in bytes, with its end.
+
+    Raises:
+        ValueError: If it is no field. The message holds no byte of the line.
+    """
+    text = line.removesuffix(b"\n").removesuffix(b"\r")
+    name, colon, value = text.partition(b":")
+    if not colon:
+        raise ValueError("a field has no colon")
+    if not FIELD_NAME_RE.fullmatch(name):
+        raise ValueError("a field name is malformed")
+    if CONTROL_CHARACTER_RE.search(value):
+        raise ValueError("a field holds a control character")
+    return name, value.strip(b" \t")
--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -11,6 +11,7 @@
 
 from ..addresses import split_address
 from ..identifiers import abbreviate
+from ..strictresponses import StrictResponse
 from .memory import MemoryAccount
 from .socketinput import ExchangeInput
 
@@ -58,7 +59,7 @@
             raise ValueError("the status is malformed")
 
 
-class KeepAliveResponse(http.client.HTTPResponse):
+class KeepAliveResponse(StrictResponse):
     """A response that leaves its connection's buffered input open for the next one."""
 
     def _close_conn(self):
--- a/persimmonlane/serving/parsing.py
+++ b/persimmonlane/serving/parsing.py
@@ -10,15 +10,14 @@
 
 from ..errors import Refusal
 from ..headers import Header, find_values
+from ..httpgrammar import EMPTY_LINES, parse_field_line
 from .buffers import MemoryLimitError
 
 # Memory that a short header takes with its place in the tables: 181 bytes were measured
 # on CPython 3.11. The rest is for copies as it is sent on.
 HEADER_BYTES = 256
 
-HEADER_NAME_RE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 CONTENT_LENGTH_RE = re.compile(r"[0-9]{1,15}")
-CONTROL_CHARACTER_RE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 CODES_BY_STATUS = {
     "400": "request-malformed",
@@ -80,19 +79,11 @@
             ValueError: If the line is not a valid header on one line.
         """
         line = self._file.readline()
-        if line.strip():
-            self._record(line)
+        if line and line not in EMPTY_LINES:
+            name, value = parse_field_line(line)
+            self._table.add(Header(name.decode("ascii"), value.decode("latin-1")))
         return line
 
-    def _record(self, line):
-        name, colon, value = line.rstrip(b"\r\n").partition(b":")
-        if not colon or not HEADER_NAME_RE.fullmatch(name):
-            raise ValueError("a header line is malformed")
-        if CONTROL_CHARACTER_RE.search(value):
-            raise ValueError("a header holds a control character")
-        text = value.strip().decode("latin-1")
-        self._table.add(Header(name.decode("ascii"), text))
-
 
 class StrictHeaderReader(cheroot.server.HeaderReader):
     """Reads headers, keeps repeated ones and refuses folded lines."""
--- a/persimmonlane/serving/responses.py
+++ b/persimmonlane/serving/responses.py
@@ -8,8 +8,6 @@
 READ_SIZE_BYTES = 64 * 1024
 # Limit for everything in one response but its body: heads, chunk sizes and trailers.
 MAX_OVERHEAD_BYTES = 128 * 1024
-MIN_FINAL_STATUS = 200
-MAX_STATUS = 599
 # Such a response ends with its head, whatever length the head states (RFC 9112, 6.3).
 STATUSES_WITHOUT_CONTENT = (204, 304)
 
@@ -84,8 +82,6 @@
         raw_input = self._connection.raw_input
         raw_input.remaining_bytes = MAX_OVERHEAD_BYTES
         response = self._connection.read_response(self._method)
-        self._check_not_truncated()
-        check_framing(response)
         self.ends_at_close = response.length is None and not response.chunked
         # Body data is credited only after it has been read, so allow one read ahead.
         raw_input.remaining_bytes += READ_SIZE_BYTES
@@ -134,29 +130,6 @@
             raise ValueError("the response is truncated")
 
 
-def check_framing(response):
-    """Check that the length of a response is unambiguous and its status is final.
-
-    `http.client` takes a response with a malformed length or an unknown encoding for
-    one that ends with the connection, where a part would count as the whole.
-
-    Raises:
-        ValueError: If they are not.
-    """
-    lengths = set(response.headers.get_all("Content-Length", ()))
-    encodings = response.headers.get_all("Transfer-Encoding", ())
-    if len(lengths) > 1 or (lengths and encodings):
-        raise ValueError("the response has more than one body length")
-    if not all(length.isascii() and length.isdigit() for length in lengths):
-        raise ValueError("the length of the response body is malformed")
-    if encodings and [encoding.lower() for encoding in encodings] != ["chunked"]:
-        raise ValueError("the transfer encoding of the response is not supported")
-    if response.status < MIN_FINAL_STATUS:
-        raise ValueError("the response is not final")
-    if response.status > MAX_STATUS:
-        raise ValueError("the status of the response is out of range")
-
-
 def announces_body(response):
     """Return whether the head of a response without content announces a body.
 
--- /dev/null
+++ b/persimmonlane/strictresponses.py
@@ -0,0 +1,105 @@
+"""Responses that are read strictly, whoever has sent them.
+
+`http.client` is lenient where a proxy can't be. It hands the lines of a head to a
+parser for e-mail, which stops at the first line that it takes for no field and drops
+the rest without an error. And a length that it doesn't understand becomes "ends with
+the connection", where a part would count as the whole.
+"""
+
+import http.client
+
+from .httpgrammar import EMPTY_LINES, parse_field_line
+
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
+
+
+class MalformedResponse(http.client.HTTPException):
+    """A response that is no valid HTTP, or ended within its head.
+
+    The message names the reason; it holds no byte of the response.
+    """
+
+
+class HeadReader:
+    """Reads the lines of one head after another, and checks each of them."""
+
+    __slots__ = ("_source", "_in_fields")
+
+    def __init__(self, source):
+        self._source = source
+        self._in_fields = False
+
+    def readline(self, limit_bytes):
+        """Read and return a line, up to a number of bytes.
+
+        Raises:
+            MalformedResponse: If it is no line of a head, or the input ends within it.
+        """
+        line = self._source.readline(limit_bytes)
+        # The caller refuses a line that reaches the limit, and a head that is missing.
+        if len(line) < limit_bytes and (line or self._in_fields):
+            self._check(line)
+        return line
+
+    def _check(self, line):
+        if not line.endswith(b"\n"):
+            raise MalformedResponse("the response is truncated")
+        if not self._in_fields:
+            self._in_fields = True
+        elif line in EMPTY_LINES:
+            self._in_fields = False
+        else:
+            check(parse_field_line, line)
+
+
+class StrictResponse(http.client.HTTPResponse):
+    """A response of which every line is checked as it is read."""
+
+    def begin(self, *args, **fields):
+        """Read the heads of interim responses and that of the final one.
+
+        Raises:
+            MalformedResponse: If one is no valid HTTP, or the length of the body is
+                ambiguous.
+        """
+        source, self.fp = self.fp, HeadReader(self.fp)
+        try:
+            super().begin(*args, **fields)
+        finally:
+            self.fp = source
+        check_framing(self)
+
+
+def check(parse, line):
+    """Check a line with a function of the grammar.
+
+    Raises:
+        MalformedResponse: If the function refuses it.
+    """
+    try:
+        parse(line)
+    except ValueError as error:
+        raise MalformedResponse(str(error)) from error
+
+
+def check_framing(response):
+    """Check that the length of a response is unambiguous and its status is final.
+
+    Raises:
+        MalformedResponse: If they are not.
+    """
+    lengths = set(response.headers.get_all("Content-Length", ()))
+    encodings = response.headers.get_all("Transfer-Encoding", ())
+    if len(lengths) > 1 or (lengths and encodings):
+        raise MalformedResponse("the response has more than one body length")
+    if not all(length.isascii() and length.isdigit() for length in lengths):
+        raise MalformedResponse("the length of the response body is malformed")
+    if encodings and [encoding.lower() for encoding in encodings] != ["chunked"]:
+        raise MalformedResponse(
+            "the transfer encoding of the response is not supported"
+        )
+    if response.status < MIN_FINAL_STATUS:
+        raise MalformedResponse("the response is not final")
+    if response.status > MAX_STATUS:
+        raise MalformedResponse("the status of the response is out of range")
