Refuse answers whose status line is none

Callers got 200 for answers whose status line began with a blank, named the version 1.x or 0.9, had other bytes or more than one blank between its parts, or control bytes in the reason.

Cause: http.client splits the line at any white space, and looks only at the first bytes of the version; of the status only the digits were checked after it.

Change: the line is checked against the grammar as it is read, with the range of the status, in place of the reader that kept it for a later look at the digits.

A missing reason, high bytes in it and HTTP/1.0 are served as before.

--- a/persimmonlane/httpgrammar.py
+++ b/persimmonlane/httpgrammar.py
@@ -9,12 +9,28 @@
 
 EMPTY_LINES = (b"\r\n", b"\n")
 
+STATUS_LINE_RE = re.compile(
+    rb"HTTP/1\.[0-9] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?\r?\n"
+)
 FIELD_NAME_RE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 # Apart from tabs, no control character has a place in a value: readers further on the
 # path may refuse it (RFC 9110, 5.5).
 CONTROL_CHARACTER_RE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
+def check_status_line(line):
+    """Check the first line of a response.
+
+    Args:
+        line: The line in bytes, with its end.
+
+    Raises:
+        ValueError: If it is no status line. The message holds no byte of the line.
+    """
+    if not STATUS_LINE_RE.fullmatch(line):
+        raise ValueError("the status line is malformed")
+
+
 def parse_field_line(line):
     """Return the name and the value of a field of a head or a trailer, in bytes.
 
--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -23,7 +23,6 @@
 IDLE_TIMEOUT_S = 4.0
 # Answered requests of which a connection may still deliver another copy of the answer.
 MAX_ANSWERED = 64
-STATUS_DIGITS = 3
 # The kernel drops a connection whose sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 1500
 
@@ -34,46 +33,12 @@
 ]
 
 
-class StatusLineReader:
-    """Reads a status line, and keeps it to check what `int` is too lenient for."""
-
-    __slots__ = ("_source", "_line")
-
-    def __init__(self, source):
-        self._source = source
-        self._line = b""
-
-    def readline(self, limit_bytes):
-        """Read and return a line, up to a number of bytes."""
-        self._line = self._source.readline(limit_bytes)
-        return self._line
-
-    def check(self):
-        """Check that the status has three digits.
-
-        Raises:
-            ValueError: If it has not, as in `0200` and `2_00`.
-        """
-        status = self._line.split(None, 2)[1]
-        if len(status) != STATUS_DIGITS or not status.isdigit():
-            raise ValueError("the status is malformed")
-
-
 class KeepAliveResponse(StrictResponse):
     """A response that leaves its connection's buffered input open for the next one."""
 
     def _close_conn(self):
         self.fp = None
 
-    def _read_status(self):
-        source, self.fp = self.fp, StatusLineReader(self.fp)
-        try:
-            status_line = super()._read_status()
-            self.fp.check()
-        finally:
-            self.fp = source
-        return status_line
-
     def _read_next_chunk_size(self):
         size = super()._read_next_chunk_size()
         if size < 0:
--- a/persimmonlane/serving/tests/test_malformed_responses.py
+++ b/persimmonlane/serving/tests/test_malformed_responses.py
@@ -68,6 +68,36 @@
     b"Content-Type: message/delivery-status",
     b"Content-Type: ;;;",
 ]
+MALFORMED_STATUS_LINES = [
+    b" HTTP/1.1 200 OK",
+    b"\tHTTP/1.1 200 OK",
+    b"HTTP/1.x 200 OK",
+    b"HTTP/1.10 200 OK",
+    b"HTTP/1. 200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"http/1.1 200 OK",
+    b"ICY 200 OK",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1\t200 OK",
+    b"HTTP/1.1\x0b200 OK",
+    b"HTTP/1.1\x1c200 OK",
+    b"HTTP/1.1 200\tOK",
+    b"HTTP/1.1 200\x0cOK",
+    b"HTTP/1.1 200\x00OK",
+    b"HTTP/1.1 200 O\rK",
+    b"HTTP/1.1 200 O\x00K",
+    b"HTTP/1.1 200 OK\r",
+]
+VALID_STATUS_LINES = [
+    b"HTTP/1.1 200",
+    b"HTTP/1.1 200 ",
+    b"HTTP/1.1 200  two blanks\there",
+    b"HTTP/1.1 200 \xe9t\xe9",
+    b"HTTP/1.0 200 OK",
+    b"HTTP/1.2 200 OK",
+    b"HTTP/1.1 299 Odd",
+]
 # Each takes the place of a first chunk with its size, or of its size alone.
 
 
@@ -99,6 +129,14 @@
     }
 
 
+def list_status_lines(lines):
+    """Return responses by their status lines."""
+    return {
+        repr(line): build_head(FIELDS, LENGTH, status_line=line + b"\r\n") + BODY
+        for line in lines
+    }
+
+
 def send_and_close(data):
     def handle(connection):
         read_head(connection)
@@ -158,6 +196,12 @@
             head = build_head(FIELDS, field).replace(b"\r\n", b"\n")
             self.assert_served({repr(head): head + body})
 
+    def test_status_line_that_is_none(self):
+        self.assert_refused(list_status_lines(MALFORMED_STATUS_LINES))
+
+    def test_odd_but_valid_status_line(self):
+        self.assert_served(list_status_lines(VALID_STATUS_LINES))
+
     def test_interim_head_with_a_line_that_is_no_field(self):
         self.assert_refused(list_interim_heads(MALFORMED_LINES))
 
--- a/persimmonlane/strictresponses.py
+++ b/persimmonlane/strictresponses.py
@@ -8,10 +8,9 @@
 
 import http.client
 
-from .httpgrammar import EMPTY_LINES, parse_field_line
+from .httpgrammar import EMPTY_LINES, check_status_line, parse_field_line
 
 MIN_FINAL_STATUS = 200
-MAX_STATUS = 599
 
 
 class MalformedResponse(http.client.HTTPException):
@@ -46,6 +45,7 @@
         if not line.endswith(b"\n"):
             raise MalformedResponse("the response is truncated")
         if not self._in_fields:
+            check(check_status_line, line)
             self._in_fields = True
         elif line in EMPTY_LINES:
             self._in_fields = False
@@ -101,5 +101,3 @@
         )
     if response.status < MIN_FINAL_STATUS:
         raise MalformedResponse("the response is not final")
-    if response.status > MAX_STATUS:
-        raise MalformedResponse("the status of the response is out of range")
