Refuse answers whose chunks are no valid HTTP

Callers got 200 for answers with chunk sizes such as 0xc, +c and 0_c, with control bytes behind the size, and with any two bytes in place of the CRLF behind a chunk's data.

Cause: http.client reads a size as `int` does, which knows prefixes, signs, underscores and blanks, and drops two bytes behind the data without looking at them. Another reader on the path may see other chunks there.

Change: size lines of answers and of requests go through one function of the grammar, and the bytes behind the data must be CRLF. Blanks behind a size stay allowed, as some servers write it in a fixed width.

Requests: a blank before a size and control bytes in an extension are refused now (400); any number of leading zeros is allowed.

Extensions, upper case, leading zeros and padded sizes are served as before.

--- a/persimmonlane/httpgrammar.py
+++ b/persimmonlane/httpgrammar.py
@@ -7,11 +7,19 @@
 
 import re
 
-EMPTY_LINES = (b"\r\n", b"\n")
+CRLF = b"\r\n"
+EMPTY_LINES = (CRLF, b"\n")
 
 STATUS_LINE_RE = re.compile(
     rb"HTTP/1\.[0-9] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?\r?\n"
 )
+
+# Some servers write sizes in a fixed width, with blanks behind the digits.
+CHUNK_SIZE_LINE_RE = re.compile(
+    rb"([0-9A-Fa-f]+)[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?\r?\n"
+)
+MAX_SIZE_DIGITS = 16
+
 FIELD_NAME_RE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 # Apart from tabs, no control character has a place in a value: readers further on the
 # path may refuse it (RFC 9110, 5.5).
@@ -52,3 +60,18 @@
     if CONTROL_CHARACTER_RE.search(value):
         raise ValueError("a field holds a control character")
     return name, value.strip(b" \t")
+
+
+def parse_chunk_size(line):
+    """Return the size in bytes that a line names; extensions of the chunk are dropped.
+
+    Args:
+        line: The line in bytes, with its end.
+
+    Raises:
+        ValueError: If it names none. The message holds no byte of the line.
+    """
+    match = CHUNK_SIZE_LINE_RE.fullmatch(line)
+    if match is None or len(match[1].lstrip(b"0")) > MAX_SIZE_DIGITS:
+        raise ValueError("a chunk size is malformed")
+    return int(match[1], 16)
--- a/persimmonlane/serving/bodies.py
+++ b/persimmonlane/serving/bodies.py
@@ -1,13 +1,10 @@
 """Reading of request bodies, piece by piece and into one buffer."""
 
-import re
-
 from ..headers import find_values
+from ..httpgrammar import CRLF, parse_chunk_size
 from .buffers import BodyBuffer
 
 BLOCK_BYTES = 64 * 1024
-CHUNK_SIZE_RE = re.compile(rb"[0-9A-Fa-f]{1,16}")
-CRLF = b"\r\n"
 
 
 class BodyError(Exception):
@@ -186,10 +183,7 @@
         return count
 
     def _read_chunk_size(self):
-        text = self._read_line(self._max_overhead_bytes).partition(b";")[0].strip()
-        if not CHUNK_SIZE_RE.fullmatch(text):
-            raise ValueError("a chunk size is malformed")
-        return int(text, 16)
+        return parse_chunk_size(self._read_line(self._max_overhead_bytes))
 
     def _skip_trailers(self):
         limit = self._max_overhead_bytes
--- a/persimmonlane/serving/connections.py
+++ b/persimmonlane/serving/connections.py
@@ -39,12 +39,6 @@
     def _close_conn(self):
         self.fp = None
 
-    def _read_next_chunk_size(self):
-        size = super()._read_next_chunk_size()
-        if size < 0:
-            raise ValueError("the chunk size is negative")
-        return size
-
 
 class KeepAliveConnection(urllib3.connection.HTTPConnection):
     """A persistent connection, which serves one request after another.
--- a/persimmonlane/serving/tests/test_malformed_responses.py
+++ b/persimmonlane/serving/tests/test_malformed_responses.py
@@ -99,6 +99,38 @@
     b"HTTP/1.1 299 Odd",
 ]
 # Each takes the place of a first chunk with its size, or of its size alone.
+MALFORMED_SIZES = [
+    b"0xc",
+    b"+c",
+    b"-c",
+    b"0_c",
+    b" c",
+    b"1" + b"0" * 16,
+    b"c\x0b",
+    b"c c",
+    b"",
+    b";",
+    b"c;a\x00b",
+    b"c;a\rb",
+    b"c\r",
+]
+VALID_SIZES = [
+    b"C",
+    b"000000000000000000000c",
+    b"c;name=value;name",
+    b'c ; name = "va lue"',
+    b"c;\xe9",
+    # Some servers write sizes into a field of fixed width.
+    b"c     ",
+]
+MALFORMED_CHUNKS = [
+    b"c\r\ntwelve bytes0\r\n\r\n",
+    b"c\r\ntwelve bytesxx0\r\n\r\n",
+    b"c\r\ntwelve bytes\n\n0\r\n\r\n",
+    b"c\r\ntwelve bytes\r\n0\r\n",
+    b"c\r\ntwelve bytes\r\n0\r\nX-Sum: 1",
+    b"c\r\ntwelve bytes\r\n0\r\nX-Sum: 1\r\n",
+]
 
 
 def build_head(*lines, status_line=STATUS_LINE):
@@ -120,6 +152,14 @@
     return responses
 
 
+def list_chunk_sizes(sizes):
+    """Return responses in chunks whose first size is written oddly."""
+    head = build_head(FIELDS, CHUNKS)
+    return {
+        repr(size): head + size + b"\r\ntwelve bytes\r\n0\r\n\r\n" for size in sizes
+    }
+
+
 def list_interim_heads(lines):
     """Return whole responses behind an interim one that has a line in its head."""
     final = build_head(FIELDS, LENGTH) + BODY
@@ -210,6 +250,16 @@
         final = build_head(FIELDS, LENGTH) + BODY
         self.assert_served({"two": b"HTTP/1.1 100 Continue\r\n\r\n" * 2 + final})
 
+    def test_chunk_size_that_is_none(self):
+        self.assert_refused(list_chunk_sizes(MALFORMED_SIZES))
+
+    def test_odd_but_valid_chunk_size(self):
+        self.assert_served(list_chunk_sizes(VALID_SIZES))
+
+    def test_chunks_that_do_not_end_where_they_should(self):
+        head = build_head(FIELDS, CHUNKS)
+        self.assert_refused({repr(body): head + body for body in MALFORMED_CHUNKS})
+
     def test_connection_is_not_used_again(self):
         # What follows on it would be read from within the malformed response.
         heads = build_head(FIELDS, b"X Bad: 1\r\n", LENGTH) + BODY
--- a/persimmonlane/strictresponses.py
+++ b/persimmonlane/strictresponses.py
@@ -8,9 +8,16 @@
 
 import http.client
 
-from .httpgrammar import EMPTY_LINES, check_status_line, parse_field_line
+from .httpgrammar import (
+    CRLF,
+    EMPTY_LINES,
+    check_status_line,
+    parse_chunk_size,
+    parse_field_line,
+)
 
 MIN_FINAL_STATUS = 200
+MAX_CHUNK_LINE_BYTES = 64 * 1024
 
 
 class MalformedResponse(http.client.HTTPException):
@@ -45,12 +52,12 @@
         if not line.endswith(b"\n"):
             raise MalformedResponse("the response is truncated")
         if not self._in_fields:
-            check(check_status_line, line)
+            parse(check_status_line, line)
             self._in_fields = True
         elif line in EMPTY_LINES:
             self._in_fields = False
         else:
-            check(parse_field_line, line)
+            parse(parse_field_line, line)
 
 
 class StrictResponse(http.client.HTTPResponse):
@@ -70,15 +77,25 @@
             self.fp = source
         check_framing(self)
 
+    def _get_chunk_left(self):
+        if self.chunk_left == 0:
+            if self._safe_read(len(CRLF)) != CRLF:
+                raise MalformedResponse("a chunk does not end where it should")
+            self.chunk_left = None
+        return super()._get_chunk_left()
 
-def check(parse, line):
-    """Check a line with a function of the grammar.
+    def _read_next_chunk_size(self):
+        return parse(parse_chunk_size, self.fp.readline(MAX_CHUNK_LINE_BYTES))
+
+
+def parse(function, line):
+    """Return what a function of the grammar returns for a line.
 
     Raises:
         MalformedResponse: If the function refuses it.
     """
     try:
-        parse(line)
+        return function(line)
     except ValueError as error:
         raise MalformedResponse(str(error)) from error
 
