Refuse answers whose trailers hold a line that is no field

Callers got 200 for answers in chunks with any bytes among their trailers.

Cause: http.client drops trailers unread, up to an empty line or the end of the input. Trailers never reached a caller, but a server that writes such lines has not written the answer that it meant to.

Change: trailers are read through the same check as heads. It also refuses trailers that end early, as it does heads, so the separate look for the end of the input (reached_eof) has no use any more.

Valid trailers are dropped as before, and the tests of truncated heads, chunk sizes and trailers (test_cut_heads, test_exchange) pass without the old check.

--- a/persimmonlane/serving/responses.py
+++ b/persimmonlane/serving/responses.py
@@ -121,13 +121,6 @@
             self._connection.raw_input.remaining_bytes += len(data)
         if declared_length is not None and buffer.size != declared_length:
             raise ValueError("the response is truncated")
-        if response.chunked:
-            self._check_not_truncated()
-
-    def _check_not_truncated(self):
-        """Raise `ValueError` if the connection ended within the part just read."""
-        if self._connection.raw_input.reached_eof:
-            raise ValueError("the response is truncated")
 
 
 def announces_body(response):
--- a/persimmonlane/serving/socketinput.py
+++ b/persimmonlane/serving/socketinput.py
@@ -11,7 +11,6 @@
 
     Attributes:
         remaining_bytes: Bytes that may still arrive in the exchange.
-        reached_eof: Whether the other side has closed the connection.
     """
 
     def __init__(self, sock):
@@ -19,7 +18,6 @@
         self._sock = sock
         self._wait_readable = None
         self.remaining_bytes = 0
-        self.reached_eof = False
 
     def begin_exchange(self, wait_readable):
         """Make reads wait for data.
@@ -55,7 +53,6 @@
             size = self._receive(buffer)
             if size is not None:
                 break
-        self.reached_eof = not size
         self.remaining_bytes -= size
         if self.remaining_bytes < 0:
             raise ValueError("the response exceeds its size limit")
--- a/persimmonlane/serving/tests/test_malformed_responses.py
+++ b/persimmonlane/serving/tests/test_malformed_responses.py
@@ -160,6 +160,12 @@
     }
 
 
+def list_trailers(lines):
+    """Return responses in chunks that have a line among their trailers."""
+    start = build_head(FIELDS, CHUNKS) + b"c\r\ntwelve bytes\r\n0\r\n"
+    return {repr(line): start + b"X-A: b\r\n" + line + b"\r\n\r\n" for line in lines}
+
+
 def list_interim_heads(lines):
     """Return whole responses behind an interim one that has a line in its head."""
     final = build_head(FIELDS, LENGTH) + BODY
@@ -260,6 +266,12 @@
         head = build_head(FIELDS, CHUNKS)
         self.assert_refused({repr(body): head + body for body in MALFORMED_CHUNKS})
 
+    def test_trailer_that_is_no_field(self):
+        self.assert_refused(list_trailers(MALFORMED_LINES))
+
+    def test_odd_but_valid_trailer(self):
+        self.assert_served(list_trailers(VALID_LINES))
+
     def test_connection_is_not_used_again(self):
         # What follows on it would be read from within the malformed response.
         heads = build_head(FIELDS, b"X Bad: 1\r\n", LENGTH) + BODY
--- a/persimmonlane/strictresponses.py
+++ b/persimmonlane/strictresponses.py
@@ -6,6 +6,7 @@
 the connection", where a part would count as the whole.
 """
 
+import contextlib
 import http.client
 
 from .httpgrammar import (
@@ -32,9 +33,15 @@
 
     __slots__ = ("_source", "_in_fields")
 
-    def __init__(self, source):
+    def __init__(self, source, in_fields=False):
+        """Create a reader.
+
+        Args:
+            source: The input, a file.
+            in_fields: Whether fields come next, as in trailers, and no status line.
+        """
         self._source = source
-        self._in_fields = False
+        self._in_fields = in_fields
 
     def readline(self, limit_bytes):
         """Read and return a line, up to a number of bytes.
@@ -70,12 +77,18 @@
             MalformedResponse: If one is no valid HTTP, or the length of the body is
                 ambiguous.
         """
-        source, self.fp = self.fp, HeadReader(self.fp)
-        try:
+        with self._check_lines():
             super().begin(*args, **fields)
+        check_framing(self)
+
+    @contextlib.contextmanager
+    def _check_lines(self, in_fields=False):
+        """Check all lines that are read within the context."""
+        source, self.fp = self.fp, HeadReader(self.fp, in_fields)
+        try:
+            yield
         finally:
             self.fp = source
-        check_framing(self)
 
     def _get_chunk_left(self):
         if self.chunk_left == 0:
@@ -87,6 +100,10 @@
     def _read_next_chunk_size(self):
         return parse(parse_chunk_size, self.fp.readline(MAX_CHUNK_LINE_BYTES))
 
+    def _read_and_discard_trailer(self):
+        with self._check_lines(in_fields=True):
+            super()._read_and_discard_trailer()
+
 
 def parse(function, line):
     """Return what a function of the grammar returns for a line.
