Refuse answers whose length has too many digits

Callers got any part of such an answer as the whole 200.

Cause: `int` refuses a number of more than 4,300 digits, which http.client takes for an answer without a length. check_framing looked at the digits, and not at what http.client made of them.

Change: an answer with a length that http.client has dropped is refused.

Evidence: on a Content-Length of 5,000 digits with a body of 4 bytes was taken as 200 with these 4 bytes; now it is refused.

--- a/persimmonlane/serving/tests/test_malformed_responses.py
+++ b/persimmonlane/serving/tests/test_malformed_responses.py
@@ -272,6 +272,11 @@
     def test_odd_but_valid_trailer(self):
         self.assert_served(list_trailers(VALID_LINES))
 
+    def test_length_of_more_digits_than_a_number_may_have(self):
+        # It must not count as a response without a length, which ends anywhere.
+        field = b"Content-Length: " + b"1" * 5000 + b"\r\n"
+        self.assert_refused({"digits": build_head(FIELDS, field) + b"part"})
+
     def test_connection_is_not_used_again(self):
         # What follows on it would be read from within the malformed response.
         heads = build_head(FIELDS, b"X Bad: 1\r\n", LENGTH) + BODY
--- a/persimmonlane/strictresponses.py
+++ b/persimmonlane/strictresponses.py
@@ -127,7 +127,9 @@
     encodings = response.headers.get_all("Transfer-Encoding", ())
     if len(lengths) > 1 or (lengths and encodings):
         raise MalformedResponse("the response has more than one body length")
-    if not all(length.isascii() and length.isdigit() for length in lengths):
+    # `http.client` takes a length of too many digits for none.
+    is_unknown = bool(lengths) and response.length is None
+    if is_unknown or not all(it.isascii() and it.isdigit() for it in lengths):
         raise MalformedResponse("the length of the response body is malformed")
     if encodings and [encoding.lower() for encoding in encodings] != ["chunked"]:
         raise MalformedResponse(
