Log why the response of a server or node is malformed

Operators saw only the code answer-refused, whatever was wrong with an answer. The reason is a sentence of the node or of http.client, without bytes of the answer: the lines of an answer are checked before http.client would quote them.

--- a/persimmonlane/explaining/events.py
+++ b/persimmonlane/explaining/events.py
@@ -250,6 +250,22 @@
     text = "{server} crashed while a request was running"
 
 
+class ResponseMalformed(Event):
+    """A response of a backend server or another node can't be used.
+
+    Attributes:
+        request: Identifier of the request.
+        address: Address that the response came from.
+        reason: What is wrong with it, without bytes of the response.
+    """
+
+    __slots__ = ("request", "address", "reason")
+
+    name = "response-malformed"
+    prefix = "Serving"
+    text = "the response of {address} is malformed: {reason}"
+
+
 def log_event(event):
     """Log an event, at level INFO if it is a success and WARNING otherwise."""
     fields = event.describe()
--- a/persimmonlane/explaining/tests/test_events.py
+++ b/persimmonlane/explaining/tests/test_events.py
@@ -2,7 +2,13 @@
 
 import testtools
 
-from ..events import AttemptEnded, OwnerEnded, RequestEnded, log_event
+from ..events import (
+    AttemptEnded,
+    OwnerEnded,
+    RequestEnded,
+    ResponseMalformed,
+    log_event,
+)
 
 
 def build_owner_ended(request="r-1", outcome="answered", status=200):
@@ -62,8 +68,8 @@
         self.assertEqual([logging.INFO, logging.WARNING, logging.WARNING], levels)
 
     def test_events_have_distinct_names(self):
-        events = (AttemptEnded, OwnerEnded, RequestEnded)
-        self.assertEqual(3, len({cls.name for cls in events}))
+        events = (AttemptEnded, OwnerEnded, RequestEnded, ResponseMalformed)
+        self.assertEqual(len(events), len({cls.name for cls in events}))
         for cls in events:
             self.assertIn("request", cls.__slots__)
             self.assertTrue(cls.text.format(**dict.fromkeys(cls.__slots__, "x")))
--- a/persimmonlane/serving/exchange.py
+++ b/persimmonlane/serving/exchange.py
@@ -16,6 +16,7 @@
 import urllib3.util
 
 from ..errors import PersimmonError
+from ..explaining.events import ResponseMalformed, log_event
 from ..headers import find_values
 from ..outcomes import OutcomeKind
 from ..verdicts import Verdict
@@ -364,6 +365,8 @@
         except http.client.RemoteDisconnected as error:
             raise self._build_connection_error() from error
         except MALFORMED_ERRORS as error:
+            request_id, address = self.request.request_id, self.request.address
+            log_event(ResponseMalformed(request_id, address, str(error)))
             raise self._build_invalid_error("the response is malformed") from error
         except MemoryLimitError as error:
             raise self._build_invalid_error(error.message, error.code) from error
--- a/persimmonlane/serving/tests/test_malformed_responses.py
+++ b/persimmonlane/serving/tests/test_malformed_responses.py
@@ -3,6 +3,7 @@
 
 import testtools
 
+from ...explaining.tests.test_events import capture_records
 from ...outcomes import OutcomeKind
 from ...tests.test_sitenode import Site, wait_until
 from ...verdicts import Verdict
@@ -290,6 +291,14 @@
         self.assertRaises(ExchangeError, self.create_exchange(server.address).run)
         self.assertIsNone(self.pool.take(server.address, "two"))
 
+    def test_log_line_names_the_reason_without_foreign_bytes(self):
+        records = capture_records(self)
+        data = build_head(FIELDS, b"X \x1bBad: \x1b[2J\r\n", LENGTH) + BODY
+        self.assert_refused({"escape": data})
+        (line,) = (r for r in records if vars(r).get("event") == "response-malformed")
+        self.assertIn("a field name is malformed", line.getMessage())
+        self.assertNotIn("\x1b", str(vars(line)))
+
 
 class MalformedResponseOfANodeTests(testtools.TestCase):
     """The same through the ingress node and the owner, one beside it and one apart."""
