Read the store's answers as strictly as those of servers

A node took a malformed answer of the store for what was left of it: a renewal answered with 200 named no generation any more, and after five of them a live lease counted as ended and the store as one without generations; an answer that was cut short counted as whole, since its length was lost; one cut within its head as well. A chunk size of -c raised a ValueError that no caller of the client expects, so that neither the evacuations nor the registration learned of the failure.

Cause: as for the answers of servers (http.client); the store's had no check behind it at all.

Change: they are read through StrictResponse. A malformed answer is a failed call, says nothing of leases or generations, and its connection is closed.

--- a/persimmonlane/platform/storeinput.py
+++ b/persimmonlane/platform/storeinput.py
@@ -3,13 +3,14 @@
 A long document takes its time over a narrow link that others use as well.
 """
 
-import http.client
 import io
 import time
 
 import urllib3.connection
 import urllib3.connectionpool
 
+from ..strictresponses import StrictResponse
+
 # A value has at most 1 MiB, or 1.4 MiB as the store writes it; a page of a listing
 # holds a hundred entries of nodes, and a watch some versions of the document.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -70,7 +71,7 @@
         super().close()
 
 
-class BoundedResponse(http.client.HTTPResponse):
+class BoundedResponse(StrictResponse):
     """A response that is read through a `BoundedInput`."""
 
     def __init__(self, sock, *args, **kwargs):
