Refuse the store's answers that announce more than their bound

An answer of the store with a length or a chunk size beyond an index or the memory raised OverflowError or MemoryError in the node, which no caller of the client expects: the threads that follow the store logged an unexpected error, and evacuations were not told that the store was away.

Cause: http.client allocates a buffer of the announced size before it reads, while the bound counts only what has arrived.

Change: a size above the bound fails the call as soon as it is named.

Evidence: before this commit a Content-Length of 20 digits and chunk sizes of 16 digits raised OverflowError, 16 digits and 9 hexadecimal digits MemoryError; the new test failed, and passes now.

--- a/persimmonlane/platform/storeinput.py
+++ b/persimmonlane/platform/storeinput.py
@@ -79,6 +79,33 @@
         self.fp.close()
         self.fp = io.BufferedReader(BoundedInput(sock))
 
+    def begin(self, *args, **fields):
+        """Read the head.
+
+        Raises:
+            MalformedResponse: If it is no valid HTTP.
+            OSError: If the answer is too long, or the connection failed.
+        """
+        super().begin(*args, **fields)
+        check_size(self.length or 0)
+
+    def _read_next_chunk_size(self):
+        size = super()._read_next_chunk_size()
+        check_size(size)
+        return size
+
+
+def check_size(size):
+    """Check the number of bytes that an answer says are to come.
+
+    A buffer of that size is allocated before they are read.
+
+    Raises:
+        OSError: If the answer is too long.
+    """
+    if size > MAX_ANSWER_BYTES:
+        raise OSError("the answer is too long")
+
 
 class BoundedConnection(urllib3.connection.HTTPConnection):
     """A connection to the store."""
--- a/persimmonlane/platform/tests/test_storeinput.py
+++ b/persimmonlane/platform/tests/test_storeinput.py
@@ -58,6 +58,17 @@
         self.assertRaises(StoreError, self.read, script)
         self.assertThat(sum(sent), testtools.matchers.LessThan(ENDLESS_BYTES))
 
+    def test_answer_that_announces_more_than_the_bound_is_a_failed_call(self):
+        # Numbers beyond an index, or the memory, must raise no foreign error.
+        for digits in (7, 9, 12, 15, 16):
+            size = "f" * digits
+            fields = f"Content-Length: {int(size, 16)}\r\n\r\n"
+            chunk = f"Transfer-Encoding: chunked\r\n\r\n{size}\r\n"
+            for rest in (fields, chunk):
+                script = [HEAD + rest.encode() + b"{}", ScriptedServer.CLOSE]
+                error = self.assertRaises(StoreError, self.read, script)
+                self.assertIn("the answer is too long", str(error))
+
     def test_compressed_answer_is_not_expanded(self):
         body = zlib.compress(bytes(8 * MAX_ANSWER_BYTES))
         head = f"Content-Encoding: deflate\r\nContent-Length: {len(body)}\r\n\r\n"
