--- a/persimmonlane/serving/tests/test_documentfetch.py
+++ b/persimmonlane/serving/tests/test_documentfetch.py
@@ -14,6 +14,7 @@
     parse_number,
 )
 from ..memory import MemoryAccount
+from .scripted import ScriptedServer
 
 VERSION = 8
 
@@ -42,6 +43,17 @@
 
 
 class FetchTests(testtools.TestCase):
+    def test_document_behind_a_malformed_head_is_not_used(self):
+        # The encoding and the generation behind the malformed line are lost.
+        raw = build_document(VERSION)
+        fields = f"Content-Length: {len(raw)}\r\nPersimmon-Generation: 1\r\n\r\n"
+        for line, expected in (("X-Odd: 1", raw), ("X Bad: 1", None)):
+            head = f"HTTP/1.1 200 OK\r\n{line}\r\n{fields}".encode()
+            server = ScriptedServer([[head + raw, ScriptedServer.CLOSE]])
+            self.addCleanup(server.stop)
+            fetched = fetch_document(server.address, BootClock(), MemoryAccount())
+            self.assertEqual(expected, fetched and fetched.raw)
+
     def test_document_is_fetched_compressed_with_its_position_in_the_store(self):
         site = Site(self, store_era=1)
         raw = build_document(VERSION) + b" " * 100_000
