--- a/persimmonlane/serving/tests/test_parsing.py
+++ b/persimmonlane/serving/tests/test_parsing.py
@@ -37,6 +37,18 @@
         b"GET /a HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n",
         "request-malformed",
     ),
+    "line of blanks": (
+        b"GET /a HTTP/1.1\r\nHost: x\r\n \r\n\r\n",
+        "request-malformed",
+    ),
+    "carriage return behind a value": (
+        b"GET /a HTTP/1.1\r\nHost: x\r\nA: b\r\r\n\r\n",
+        "request-malformed",
+    ),
+    "control byte in name": (
+        b"GET /a HTTP/1.1\r\nHost: x\r\nA\x01B: b\r\n\r\n",
+        "request-malformed",
+    ),
     "space in name": (
         b"GET /a HTTP/1.1\r\nHost: x\r\nX-Persimmon-Key : b\r\n\r\n",
         "request-malformed",
