--- a/persimmonlane/serving/tests/test_malformed_responses.py
+++ b/persimmonlane/serving/tests/test_malformed_responses.py
@@ -289,12 +289,12 @@
 
     def test_connection_is_not_used_again(self):
         # What follows on it would be read from within the malformed response.
-        heads = build_head(FIELDS, b"X Bad: 1\r\n", LENGTH) + BODY
+        response = build_head(FIELDS, b"X Bad: 1\r\n", LENGTH) + BODY
 
         def handle(connection):
             while True:
                 read_head(connection)
-                connection.sendall(heads)
+                connection.sendall(response)
 
         server = RawServer(self, handle)
         self.assertRaises(ExchangeError, self.create_exchange(server.address).run)
--- a/persimmonlane/strictresponses.py
+++ b/persimmonlane/strictresponses.py
@@ -59,12 +59,12 @@
         if not line.endswith(b"\n"):
             raise MalformedResponse("the response is truncated")
         if not self._in_fields:
-            parse(check_status_line, line)
+            apply_grammar(check_status_line, line)
             self._in_fields = True
         elif line in EMPTY_LINES:
             self._in_fields = False
         else:
-            parse(parse_field_line, line)
+            apply_grammar(parse_field_line, line)
 
 
 class StrictResponse(http.client.HTTPResponse):
@@ -98,14 +98,15 @@
         return super()._get_chunk_left()
 
     def _read_next_chunk_size(self):
-        return parse(parse_chunk_size, self.fp.readline(MAX_CHUNK_LINE_BYTES))
+        line = self.fp.readline(MAX_CHUNK_LINE_BYTES)
+        return apply_grammar(parse_chunk_size, line)
 
     def _read_and_discard_trailer(self):
         with self._check_lines(in_fields=True):
             super()._read_and_discard_trailer()
 
 
-def parse(function, line):
+def apply_grammar(function, line):
     """Return what a function of the grammar returns for a line.
 
     Raises:
