--- a/persimmonlane/serving/tests/test_malformed_responses.py
+++ b/persimmonlane/serving/tests/test_malformed_responses.py
@@ -100,7 +100,7 @@
     b"HTTP/1.2 200 OK",
     b"HTTP/1.1 299 Odd",
 ]
-# Each takes the place of a first chunk with its size, or of its size alone.
+# Lines in place of the size of a chunk of twelve bytes.
 MALFORMED_SIZES = [
     b"0xc",
     b"+c",
@@ -125,6 +125,7 @@
     # Some servers write sizes into a field of fixed width.
     b"c     ",
 ]
+# Whole bodies in chunks.
 MALFORMED_CHUNKS = [
     b"c\r\ntwelve bytes0\r\n\r\n",
     b"c\r\ntwelve bytesxx0\r\n\r\n",
